--- /dev/null
+++ b/Makefile
@@ -0,0 +1,40 @@
+VENV ?= .venv
+PYTHON ?= python3
+BIN = $(VENV)/bin
+
+.PHONY: demo test lint measure capacity generate clean
+
+$(VENV)/installed: pyproject.toml constraints.txt
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -c constraints.txt -e .
+	touch $@
+
+$(VENV)/installed-dev: $(VENV)/installed
+	$(BIN)/pip install --quiet --disable-pip-version-check -c constraints.txt -e '.[dev]'
+	touch $@
+
+demo: $(VENV)/installed
+	$(BIN)/python -m limpetpulley.demo
+
+test: $(VENV)/installed-dev
+	$(BIN)/python -m pytest
+
+lint: $(VENV)/installed-dev
+	$(BIN)/black --check --quiet limpetpulley tests measure
+	$(BIN)/ruff check limpetpulley tests measure
+	$(BIN)/mypy
+
+measure: $(VENV)/installed-dev
+	$(BIN)/python -m measure
+
+capacity: $(VENV)/installed-dev
+	$(BIN)/python -m measure.capacity
+
+generate: $(VENV)/installed-dev
+	$(BIN)/pip install --quiet --disable-pip-version-check -c constraints.txt -e '.[generate]'
+	$(BIN)/python -m grpc_tools.protoc -I. --python_out=. --pyi_out=. --grpclib_python_out=. \
+	    --plugin=protoc-gen-grpclib_python=$(BIN)/protoc-gen-grpclib_python \
+	    limpetpulley/peer/peer.proto
+
+clean:
+	rm -rf $(VENV)
--- /dev/null
+++ b/limpetpulley/__init__.py
@@ -0,0 +1,5 @@
+"""Fleet capacity and maintenance manager for work with deadlines."""
+
+__all__ = ["__version__"]
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/limpetpulley/daemon/handlers.py
@@ -0,0 +1,168 @@
+"""Answers to other daemons' calls."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import anyio
+from absl import logging
+
+from ..exception import ConfigError, PeerError
+from ..idempotency import KeyState, choose_holders
+from ..membership import MemberInfo, View, decode_view
+from ..peer import PeerBase, convert
+from ..peer import peer_pb2 as pb
+
+if TYPE_CHECKING:
+    from .node import Node
+
+__all__ = ["PeerHandlers", "collect_report", "push_records"]
+
+RECORD_BATCH = 500
+MAX_WAIT_SECONDS = 3600.0
+
+
+class PeerHandlers(PeerBase):
+    """The daemon's side of the protocol between daemons.
+
+    :param node: the daemon
+    """
+
+    def __init__(self, node: Node):
+        self.node = node
+
+    async def Exchange(self, stream: Any) -> None:  # noqa: N802
+        """Answer a heartbeat."""
+        message = await stream.recv_message()
+        node, member = self.node, self.node.member
+        node.hear(message)
+        acknowledged = member.acknowledge(message.sender.member, message.epoch)
+        reply = pb.HeartbeatReply(
+            sender=convert.to_member_info(member.info),
+            epoch=member.view.epoch if member.view else 0,
+            acknowledged=acknowledged,
+            config_revision=node.replica.revision,
+            leaving=node.leaving,
+            is_member=member.is_member,
+        )
+        if member.view is not None and message.view_revision < member.view_revision:
+            reply.view, reply.view_revision = node.encoded_view(), member.view_revision
+        await stream.send_message(reply)
+
+    async def Report(self, stream: Any) -> None:  # noqa: N802
+        """Take reports as an adviser."""
+        message = await stream.recv_message()
+        await stream.send_message(pb.Done())
+        self.node.trader.receive_reports(
+            convert.from_report(report, message.member, message.data_centre)
+            for report in message.reports
+        )
+
+    async def Advise(self, stream: Any) -> None:  # noqa: N802
+        """Take advice and orders."""
+        message = await stream.recv_message()
+        await stream.send_message(pb.Done())
+        self.node.trader.receive_advice(message)
+
+    async def Send(self, stream: Any) -> None:  # noqa: N802
+        """Take permits."""
+        message = await stream.recv_message()
+        order = convert.from_order(message.order) if message.HasField("order") else None
+        credited = self.node.trader.receive_transfer(convert.from_transfer(message), order)
+        await stream.send_message(pb.TransferReply(credited=credited))
+
+    async def Collect(self, stream: Any) -> None:  # noqa: N802
+        """Report what this member holds."""
+        message = await stream.recv_message()
+        reply = pb.CollectReply(member=self.node.member.name)
+        try:
+            view = decode_view(message.view)
+            held = await collect_report(self.node, view, message.view_revision)
+        except (ConfigError, PeerError) as error:
+            held, reply.reason = None, str(error)
+        if held is not None:
+            reply.reported = True
+            reply.held.update(held)
+        await stream.send_message(reply)
+
+    async def FetchConfig(self, stream: Any) -> None:  # noqa: N802
+        """Send the configuration that the other daemon lacks."""
+        message = await stream.recv_message()
+        replica = self.node.replica
+        records, full = replica.newer_than(message.after)
+        reply = pb.ConfigReply(revision=replica.revision, full=full)
+        reply.records.extend(convert.to_config_record(record) for record in records)
+        await stream.send_message(reply)
+
+    async def ClaimKey(self, stream: Any) -> None:  # noqa: N802
+        """Record a key."""
+        message = await stream.recv_message()
+        await stream.send_message(self.node.keyed.record_claim(message))
+
+    async def SettleKey(self, stream: Any) -> None:  # noqa: N802
+        """Note the outcome of a keyed job."""
+        message = await stream.recv_message()
+        self.node.book.settle(message.key, message.job, KeyState(message.state))
+        await stream.send_message(pb.Done())
+
+    async def PutRecords(self, stream: Any) -> None:  # noqa: N802
+        """Take records that another member held."""
+        message = await stream.recv_message()
+        now = self.node.clock.now()
+        self.node.book.put(convert.from_key_record(record, now) for record in message.records)
+        await stream.send_message(pb.Done())
+
+    async def AwaitAnswer(self, stream: Any) -> None:  # noqa: N802
+        """Tell the answer of a keyed job that this daemon runs or ran."""
+        message = await stream.recv_message()
+        wait = min(max(0.0, message.wait_seconds), MAX_WAIT_SECONDS)
+        reply = await self.node.keyed.await_answer(message.key, message.job, wait)
+        await stream.send_message(reply)
+
+    async def HandOver(self, stream: Any) -> None:  # noqa: N802
+        """Take over the membership of a daemon that leaves."""
+        message = await stream.recv_message()
+        taken = self.node.take_over(message)
+        await stream.send_message(pb.HandoverReply(taken=taken))
+
+
+async def collect_report(node: Node, view: View, revision: int) -> dict[str, int] | None:
+    """Return what this member holds, once its records are where the view wants them.
+
+    :returns: None if this member may not report for the view
+    :raises PeerError: if a record could not be moved
+    """
+    held = node.member.report(view, revision)
+    node.on_view()
+    if held is None:
+        return None
+    await push_records(node, view)
+    return held
+
+
+async def push_records(node: Node, view: View) -> None:
+    """Send the records held here to the members that newly hold them in a view.
+
+    :raises PeerError: if one of them does not answer
+    """
+    previous = [(info.member, info.data_centre) for info in view.previous]
+    following = [(info.member, info.data_centre) for info in view.members]
+    batches: dict[str, list[pb.KeyRecord]] = {}
+    now = node.clock.now()
+    for record in node.book.all():
+        before = set(choose_holders(record.key, previous))
+        for holder in set(choose_holders(record.key, following)) - before - {node.member.name}:
+            batches.setdefault(holder, []).append(convert.to_key_record(record, now))
+    for holder, records in batches.items():
+        info = view.find(holder)
+        assert info is not None
+        await _push_records(node, info, records)
+
+
+async def _push_records(node: Node, info: MemberInfo, records: list[pb.KeyRecord]) -> None:
+    found = node.peers.find(info.member) or info
+    for start in range(0, len(records), RECORD_BATCH):
+        batch = pb.RecordBatch(records=records[start : start + RECORD_BATCH])
+        await node.client.call(found.peer_address, "PutRecords", batch)
+        await anyio.sleep(0)
+    logging.info("decision=records to=%s count=%d reason=new-epoch", info.member, len(records))
--- /dev/null
+++ b/limpetpulley/daemon/heartbeat.py
@@ -0,0 +1,99 @@
+"""Heartbeats between daemons."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import anyio
+from absl import logging
+
+from ..exception import ConfigError, PeerError
+from ..peer import convert
+from ..peer import peer_pb2 as pb
+
+if TYPE_CHECKING:
+    from .node import Node
+
+__all__ = ["Heartbeats"]
+
+HEARTBEAT_SECONDS = 1.0
+
+
+class Heartbeats:
+    """Tells every other daemon regularly what it needs to know, and fetches what is missing.
+
+    :param node: the daemon
+    """
+
+    def __init__(self, node: Node):
+        self.node = node
+        self.fetching = False
+
+    async def run(self) -> None:
+        """Send heartbeats until cancelled."""
+        while True:
+            self.beat()
+            await anyio.sleep(HEARTBEAT_SECONDS)
+
+    def beat(self) -> None:
+        """Send one heartbeat to each other daemon."""
+        addresses = self.node.peers.addresses()
+        for name, address in addresses.items():
+            self.node.tasks.start_soon(self._exchange, name, address)
+        known = {*addresses.values(), self.node.member.info.peer_address}
+        for address in self.node.settings.peers:
+            if address not in known:
+                self.node.tasks.start_soon(self._exchange, "", address)
+
+    async def _exchange(self, name: str, address: str) -> None:
+        node, member = self.node, self.node.member
+        sent_at = node.clock.now()
+        epoch = member.view.epoch if member.view else 0
+        message = pb.Heartbeat(
+            sender=convert.to_member_info(member.info),
+            epoch=epoch,
+            config_revision=node.replica.revision,
+            leaving=node.leaving,
+            view_revision=member.view_revision,
+            is_member=member.is_member,
+        )
+        if name and member.is_member:
+            reports = node.trader.reports_for(name, node.groups)
+            message.reports.extend(convert.to_report(report) for report in reports)
+        try:
+            reply = await node.client.call(address, "Exchange", message)
+        except PeerError as error:
+            logging.debug("peers: %s", error)
+            return
+        if reply.sender.member == member.name:
+            return
+        info = convert.from_member_info(reply.sender)
+        node.peers.hear(info, reply.config_revision, reply.is_member, reply.leaving)
+        if reply.view:
+            node.link.take_view(reply.view, reply.view_revision)
+        if reply.acknowledged:
+            member.take_ack(info.member, sent_at, epoch)
+        if reply.config_revision > node.replica.revision:
+            await self.fetch_config(address)
+
+    async def fetch_config(self, address: str) -> None:
+        """Fetch from a peer the configuration that is missing here."""
+        node = self.node
+        if self.fetching:
+            return
+        self.fetching = True
+        try:
+            request = pb.ConfigRequest(after=node.replica.revision)
+            reply = await node.client.call(address, "FetchConfig", request)
+            records = [convert.from_config_record(message) for message in reply.records]
+            if reply.full:
+                node.replica.apply_snapshot(records, reply.revision)
+            for record in records:
+                node.replica.apply(record)
+            node.replica.advance(reply.revision)
+            node.link.config_loaded = True
+            node.on_config()
+        except (PeerError, ConfigError) as error:
+            logging.warning("peers: configuration: %s", error)
+        finally:
+            self.fetching = False
--- /dev/null
+++ b/limpetpulley/daemon/main.py
@@ -0,0 +1,87 @@
+"""Command line of the daemon."""
+
+from __future__ import annotations
+
+import os
+import signal
+import sys
+from typing import Any
+
+import anyio
+import attrs
+import cappa
+from absl import logging
+
+from .. import __version__
+from ..exception import LimpetpulleyError, SettingsError
+from ..platform import EtcdStore, HttpPlatform
+from ..settings import Settings, load_settings
+from ..settings.daemon import flag_of, variable_of
+from .node import Node
+
+__all__ = ["main", "run_daemon"]
+
+OPTIONAL_TEXT: Any = str | None
+EXIT_USAGE = 2
+EXIT_FAILURE = 1
+
+
+def make_flags() -> type:
+    """Return the class of the command line: one flag of text for each setting."""
+    fields = {
+        field.name: attrs.field(
+            default=None,
+            type=OPTIONAL_TEXT,
+            metadata={
+                "cappa": cappa.Arg(
+                    long=flag_of(field.name),
+                    help=f"{field.metadata['help']} (or {variable_of(field.name)})",
+                )
+            },
+        )
+        for field in attrs.fields(Settings)
+    }
+    made = attrs.make_class("Flags", fields)
+    return cappa.command(name="limpetpulleyd", help="The limpetpulley daemon.")(made)
+
+
+def read_settings(argv: list[str]) -> Settings:
+    """Return the settings, or end with one line on what is wrong.
+
+    :param argv: arguments without the program's name
+    """
+    flags: Any = cappa.parse(make_flags(), argv=argv, version=__version__)
+    try:
+        return load_settings(attrs.asdict(flags), os.environ)
+    except SettingsError as error:
+        print(f"limpetpulleyd: {error}", file=sys.stderr)
+        sys.exit(EXIT_USAGE)
+
+
+async def run_daemon(settings: Settings) -> None:
+    """Run a daemon until SIGTERM or SIGINT, then stop gracefully."""
+    store = EtcdStore(settings.store_url)
+    platform = HttpPlatform(settings.platform_url)
+    async with anyio.create_task_group() as tasks:
+        node = Node(settings, store, platform, platform, tasks)
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            await tasks.start(node.run)
+            async for _ in signals:
+                break
+            await node.stop()
+        tasks.cancel_scope.cancel()
+    await store.aclose()
+    await platform.aclose()
+
+
+def main() -> None:
+    """Run the daemon."""
+    settings = read_settings(sys.argv[1:])
+    logging.use_absl_handler()
+    logging.set_verbosity(getattr(logging, settings.log_level.upper()))
+    try:
+        anyio.run(run_daemon, settings)
+    except* (OSError, LimpetpulleyError) as group:
+        for error in group.exceptions:
+            print(f"limpetpulleyd: {error}", file=sys.stderr)
+        sys.exit(EXIT_FAILURE)
--- /dev/null
+++ b/limpetpulley/fleet/__init__.py
@@ -0,0 +1,5 @@
+"""Pools, moves, maintenance waves and the spare buffer."""
+
+from .report import FleetReport
+
+__all__ = ["FleetReport"]
--- /dev/null
+++ b/limpetpulley/membership/__init__.py
@@ -0,0 +1,32 @@
+"""Views of the members, and the validity of this one."""
+
+from .member import Collecting, Member, Proposal
+from .planner import (
+    append_grants,
+    divide,
+    open_view,
+    propose_view,
+    release_quarantine,
+    start_view,
+)
+from .view import Grant, MemberInfo, Quarantine, Shadow, View, ViewState, decode_view, encode_view
+
+__all__ = [
+    "Collecting",
+    "Grant",
+    "Member",
+    "MemberInfo",
+    "Proposal",
+    "Quarantine",
+    "Shadow",
+    "View",
+    "ViewState",
+    "append_grants",
+    "decode_view",
+    "divide",
+    "encode_view",
+    "open_view",
+    "propose_view",
+    "release_quarantine",
+    "start_view",
+]
--- /dev/null
+++ b/limpetpulley/membership/member.py
@@ -0,0 +1,416 @@
+"""One daemon's part in the membership: its validity, its promises and what it should propose.
+
+The class does no I/O. The daemon feeds it what the store and the peers say, and asks it what
+to do next.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+
+import attrs
+from absl import logging
+
+from ..clock import Clock
+from ..quota import Ledger
+from .planner import append_grants, propose_view, release_quarantine, start_view
+from .view import MemberInfo, Quarantine, Shadow, View, ViewState
+
+__all__ = ["Collecting", "Member", "Proposal"]
+
+SILENCE_MARGIN = 0.5
+COLLECT_TIMEOUT_SECONDS = 3.0
+RANK_DELAY_SECONDS = 0.7
+CLOCK_RATE_MARGIN = 1.02
+GONE_MARGIN_SECONDS = 5.0
+REPAIR_SECONDS = 5.0
+
+
+@attrs.frozen
+class Proposal:
+    """A view to write, and the conditions under which it may be written.
+
+    :param view: the view
+    :param view_revision: revision of the view that it follows, 0 for none
+    :param member_revisions: last revision of each lost member's key
+    :param reason: why, for the log
+    """
+
+    view: View
+    view_revision: int
+    member_revisions: Mapping[str, int]
+    reason: str
+
+
+@attrs.define
+class Collecting:
+    """Reports collected so far for a view."""
+
+    view: View
+    view_revision: int
+    reports: dict[str, Mapping[str, int]] = attrs.field(factory=dict)
+
+    def complete(self) -> bool:
+        """Return whether each member that stays has reported."""
+        return self.view.names <= self.reports.keys()
+
+
+@attrs.define
+class _Seen:
+    revision: int
+    since: float
+
+
+class Member:
+    """What one daemon knows of the membership.
+
+    :param info: this daemon
+    :param clock: its clock, which counts pauses
+    :param ledger: its permits
+    :param validity: seconds for which a confirmation lets it start jobs
+    :param list_lag: longest lag of the platform's list, in seconds
+    """
+
+    def __init__(
+        self, info: MemberInfo, clock: Clock, ledger: Ledger, validity: float, list_lag: float
+    ):
+        self.info = info
+        self.clock = clock
+        self.ledger = ledger
+        self.validity = validity
+        self.list_lag = list_lag
+        self.view: View | None = None
+        self.view_revision = 0
+        self.view_since = 0.0
+        self.applied_serial = 0
+        self.reported_epoch = 0
+        self.confirmed_at = -float("inf")
+        self.acks: dict[str, float] = {}
+        self.acknowledged: dict[str, float] = {}
+        self.seen: dict[str, _Seen] = {}
+        self.missing_since: dict[str, float] = {}
+        self.timers: dict[int, float] = {}
+        self.stopped = False
+        self.permits_lost = False
+        self.started_at = clock.now()
+
+    @property
+    def name(self) -> str:
+        """Return this member's name."""
+        return self.info.member
+
+    @property
+    def is_member(self) -> bool:
+        """Return whether this daemon is in the view that it knows."""
+        return self.view is not None and self.name in self.view.names
+
+    @property
+    def silence(self) -> float:
+        """Return the seconds of silence at the store after which a member may be left out."""
+        return self.validity * CLOCK_RATE_MARGIN + SILENCE_MARGIN
+
+    def is_valid(self) -> bool:
+        """Return whether this member may start jobs now."""
+        if not self.is_member or self.stopped or not self.ledger.epoch:
+            return False
+        now = self.clock.now()
+        if now - self.confirmed_at <= self.validity:
+            return True
+        return self.acknowledged_by_majority(now)
+
+    def acknowledged_by_majority(self, now: float) -> bool:
+        """Return whether a majority of the view acknowledged this member in time."""
+        assert self.view is not None
+        others = self.view.names - {self.name}
+        recent = sum(1 for peer in others if now - self.acks.get(peer, -1e9) <= self.validity)
+        return 2 * (recent + 1) > len(self.view.members)
+
+    # What the store says
+
+    def take_view(self, view: View, revision: int) -> bool:
+        """Take a view if it is newer than the one known; return whether it was."""
+        if revision <= self.view_revision:
+            return False
+        if self.view is None or view.epoch != self.view.epoch:
+            self.acks.clear()
+        if self.is_member and self.name not in view.names:
+            self.ledger.abandon()
+        self.view = view
+        self.view_revision = revision
+        self.view_since = self.clock.now()
+        self.seen = {name: seen for name, seen in self.seen.items() if name in view.names}
+        self._time_quarantine(view)
+        if self.is_member and view.state is ViewState.OPEN:
+            self._apply_grants(view)
+        logging.info(
+            "decision=view epoch=%d state=%s members=%d reason=revision-%d",
+            view.epoch,
+            view.state,
+            len(view.members),
+            revision,
+        )
+        return True
+
+    def confirm(self, sent_at: float, view_revision: int) -> None:
+        """Take a renewal at the store that compared the view's revision.
+
+        :param sent_at: when the renewal was sent
+        :param view_revision: the revision that it compared
+        """
+        if view_revision == self.view_revision and self.is_member:
+            self.confirmed_at = max(self.confirmed_at, sent_at)
+
+    def see_members(self, revisions: Mapping[str, int]) -> None:
+        """Take the revisions of the members' keys as read from the store."""
+        now = self.clock.now()
+        for name in self.view.names if self.view else ():
+            revision = revisions.get(name, 0)
+            seen = self.seen.get(name)
+            if seen is None or seen.revision != revision:
+                self.seen[name] = _Seen(revision, now)
+
+    def see_list(self, vms: Iterable[str]) -> None:
+        """Take the names of the VMs on the platform's list."""
+        listed = set(vms)
+        now = self.clock.now()
+        if self.info.vm not in listed or self.view is None:
+            self.missing_since.clear()
+            return
+        for info in self.view.members:
+            if info.vm in listed:
+                self.missing_since.pop(info.member, None)
+            else:
+                self.missing_since.setdefault(info.member, now)
+
+    # What peers say
+
+    def acknowledge(self, member: str, epoch: int) -> bool:
+        """Return whether a member's heartbeat is acknowledged.
+
+        An acknowledgement is a promise not to report without the member while it may count.
+        """
+        if self.view is None or member not in self.view.names or epoch > self.view.epoch:
+            return False
+        if self.reported_epoch > epoch and self.view.epoch > epoch:
+            return False
+        self.acknowledged[member] = self.clock.now()
+        return True
+
+    def take_ack(self, peer: str, sent_at: float, epoch: int) -> None:
+        """Take a peer's acknowledgement of a heartbeat.
+
+        :param sent_at: when the heartbeat was sent
+        :param epoch: epoch that the heartbeat named
+        """
+        if self.view is not None and epoch == self.view.epoch:
+            self.acks[peer] = max(self.acks.get(peer, -1e9), sent_at)
+
+    def report_wait(self, view: View) -> float:
+        """Return how long this member must wait before it may report for a view, in seconds."""
+        now = self.clock.now()
+        times = [
+            self.acknowledged.get(name, -1e9) + self.validity * CLOCK_RATE_MARGIN - now
+            for name in view.lost
+        ]
+        return max(0.0, max(times, default=0.0))
+
+    def report(self, view: View, revision: int) -> dict[str, int] | None:
+        """Stop trading and return the permits held, for a collecting view.
+
+        :returns: None if this member may not report for it
+        """
+        self.take_view(view, revision)
+        if self.view is None or self.view.epoch != view.epoch or not self.is_member:
+            return None
+        if self.view.state is not ViewState.COLLECTING or self.report_wait(view) > 0:
+            return None
+        self.reported_epoch = view.epoch
+        self.ledger.stop_trading(view.limits, view.old_limits)
+        return self.ledger.report()
+
+    # What to do next
+
+    def propose(self, limits: Mapping[str, int], joinable: bool) -> Proposal | None:
+        """Return the view that this daemon should write now, if any.
+
+        :param limits: limits of the configuration, by resource
+        :param joinable: whether this daemon wants to be a member
+        """
+        if self.stopped:
+            return None
+        if self.view is None:
+            if not joinable:
+                return None
+            view = start_view(self.info, limits)
+            return Proposal(view, 0, {}, "first-view")
+        if not self.is_member:
+            return self._propose_join(limits) if joinable else None
+        if self.view.state is ViewState.COLLECTING:
+            return self._propose_instead(limits)
+        lost = self.silent_members()
+        if lost and self._is_due(lost):
+            return self._propose_without(lost, limits, "members-silent")
+        if self.permits_lost and self.clock.now() - self.view_since > REPAIR_SECONDS:
+            return self._propose_without(set(), limits, "permits-lost")
+        if not self._is_due(set()):
+            return None
+        return self._propose_limits(limits) or self._propose_release()
+
+    def propose_leaving(self, limits: Mapping[str, int]) -> Proposal | None:
+        """Return the view without this member, which has finished all its jobs."""
+        if not self.is_member or self.view is None or len(self.view.members) == 1:
+            return None
+        self.stopped = True
+        others = sorted(self.view.names - {self.name})
+        view = propose_view(self.view, others[0], self._limits_to_keep(limits), leaving={self.name})
+        return Proposal(view, self.view_revision, {}, "leaving")
+
+    def silent_members(self) -> set[str]:
+        """Return the members whose keys did not change for longer than any validity."""
+        now = self.clock.now()
+        assert self.view is not None
+        return {
+            name
+            for name in self.view.names
+            if name != self.name
+            and name in self.seen
+            and now - self.seen[name].since > self.silence
+        }
+
+    def gone_members(self) -> set[str]:
+        """Return the members whose VMs the platform's list has dropped for good."""
+        now = self.clock.now()
+        longest = self.list_lag + GONE_MARGIN_SECONDS
+        return {name for name, since in self.missing_since.items() if now - since > longest}
+
+    def collects(self) -> Collecting | None:
+        """Return an empty collection if it is this member's turn to collect reports."""
+        view = self.view
+        if view is None or view.state is not ViewState.COLLECTING or view.proposer != self.name:
+            return None
+        return Collecting(view, self.view_revision)
+
+    def _propose_join(self, limits: Mapping[str, int]) -> Proposal | None:
+        assert self.view is not None
+        if self.view.state is ViewState.COLLECTING and not self._collecting_too_long():
+            return None
+        silent = self.silent_members()
+        stay = self.view.names - silent
+        proposer = min(stay) if stay else self.name
+        if not self._may_leave_out(silent):
+            silent = set()
+        if silent and not stay:
+            logging.warning("decision=restart reason=all-members-lost")
+        view = propose_view(
+            self.view, proposer, self._limits_to_keep(limits), joining=[self.info], lost=silent
+        )
+        return Proposal(view, self.view_revision, self._revisions(silent), "join")
+
+    def _propose_instead(self, limits: Mapping[str, int]) -> Proposal | None:
+        """Return a new collecting view if the present one does not open."""
+        if not self._collecting_too_long():
+            return None
+        lost = self.silent_members()
+        if not self._may_leave_out(lost):
+            lost = set()
+        return self._propose_without(lost, limits, "collecting-too-long")
+
+    def _propose_without(
+        self, lost: set[str], limits: Mapping[str, int], reason: str
+    ) -> Proposal | None:
+        if not self._may_leave_out(lost):
+            return None
+        assert self.view is not None
+        view = propose_view(self.view, self.name, self._limits_to_keep(limits), lost=lost)
+        return Proposal(view, self.view_revision, self._revisions(lost), reason)
+
+    def _propose_limits(self, limits: Mapping[str, int]) -> Proposal | None:
+        assert self.view is not None
+        raised = append_grants(self.view, limits)
+        if raised is not None:
+            return Proposal(raised, self.view_revision, {}, "limits-raised")
+        if self.lowered_limits(limits):
+            return self._propose_without(set(), limits, "limits-lowered")
+        return None
+
+    def _propose_release(self) -> Proposal | None:
+        now = self.clock.now()
+        due = [serial for serial, at in self.timers.items() if at <= now]
+        if not due:
+            return None
+        assert self.view is not None
+        view = release_quarantine(self.view, due)
+        return Proposal(view, self.view_revision, {}, "quarantine-over")
+
+    def lowered_limits(self, limits: Mapping[str, int]) -> dict[str, tuple[int, int]]:
+        """Return the limits that are below the view's, as new and old, by resource."""
+        if self.view is None:
+            return {}
+        return {
+            resource: (limits.get(resource, 0), old)
+            for resource, old in self.view.limits.items()
+            if limits.get(resource, 0) < old
+        }
+
+    def _limits_to_keep(self, limits: Mapping[str, int]) -> dict[str, int]:
+        """Return the limits for the next epoch; without configuration, those in force."""
+        assert self.view is not None
+        return dict(limits) if limits else dict(self.view.limits)
+
+    def _may_leave_out(self, lost: set[str]) -> bool:
+        """Return whether enough of the last open view stays to leave members out."""
+        assert self.view is not None
+        if not lost:
+            return True
+        view = self.view
+        base = view.members if view.state is ViewState.OPEN else view.previous
+        names = {info.member for info in base}
+        stay = (names & view.names) - lost
+        certain = len(stay) + len(names & lost & self.gone_members())
+        return 2 * certain > len(names)
+
+    def _revisions(self, lost: set[str]) -> dict[str, int]:
+        return {name: self.seen[name].revision for name in lost}
+
+    def _collecting_too_long(self) -> bool:
+        return self.clock.now() - self.view_since > COLLECT_TIMEOUT_SECONDS + self._rank_delay()
+
+    def _is_due(self, lost: set[str]) -> bool:
+        """Return whether it is this member's turn, so that seldom two propose at once."""
+        assert self.view is not None
+        others = sorted(self.view.names - lost)
+        delay = others.index(self.name) * RANK_DELAY_SECONDS if self.name in others else 0.0
+        if not lost:
+            return self.clock.now() - self.view_since >= delay
+        now = self.clock.now()
+        longest = min(now - self.seen[name].since for name in lost)
+        return longest > self.silence + delay
+
+    def _rank_delay(self) -> float:
+        assert self.view is not None
+        names = sorted(self.view.names | {self.name})
+        return names.index(self.name) * RANK_DELAY_SECONDS
+
+    def _time_quarantine(self, view: View) -> None:
+        now = self.clock.now()
+        items: list[Quarantine | Shadow] = [*view.quarantine, *view.shadows]
+        kept = {item.serial for item in items}
+        self.timers = {serial: at for serial, at in self.timers.items() if serial in kept}
+        for item in items:
+            self.timers.setdefault(item.serial, now + item.seconds * CLOCK_RATE_MARGIN)
+
+    def _apply_grants(self, view: View) -> None:
+        """Take what an open view grants to this member and was not taken yet."""
+        mine = [grant for grant in view.grants if grant.member == self.name]
+        if view.epoch > self.ledger.epoch:
+            permits: dict[str, int] = {}
+            for grant in mine:
+                for resource, count in grant.permits.items():
+                    permits[resource] = permits.get(resource, 0) + count
+            self.ledger.open_epoch(view.epoch, permits)
+            self.permits_lost = False
+        else:
+            for grant in mine:
+                if grant.serial > self.applied_serial:
+                    self.ledger.grant(grant.permits)
+        self.applied_serial = view.serial
--- /dev/null
+++ b/limpetpulley/peer/client.py
@@ -0,0 +1,69 @@
+"""Calls to other daemons."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import anyio
+from grpclib.client import Channel
+from grpclib.exceptions import GRPCError, StreamTerminatedError
+
+from ..exception import PeerError
+from .peer_grpc import PeerStub
+
+__all__ = ["PeerClient"]
+
+CALL_TIMEOUT_SECONDS = 1.0
+
+
+class PeerClient:
+    """Channels to other daemons by address.
+
+    A channel on which a call timed out is closed, because its connection may have gone silent
+    while new ones work.
+    """
+
+    def __init__(self) -> None:
+        self.channels: dict[str, tuple[Channel, PeerStub]] = {}
+        self.calls = 0
+
+    async def call(
+        self, address: str, method: str, message: Any, timeout: float = CALL_TIMEOUT_SECONDS
+    ) -> Any:
+        """Return the reply to a message.
+
+        :param address: ``host:port`` of the daemon
+        :param method: name of the method
+        :param timeout: longest time, in seconds
+        :raises PeerError: if there is no reply; the message may have arrived
+        """
+        channel, stub = self._channel(address)
+        self.calls += 1
+        try:
+            with anyio.fail_after(timeout):
+                return await getattr(stub, method)(message)
+        except TimeoutError:
+            self._drop(address, channel)
+            raise PeerError(f"{address}: no reply to {method}") from None
+        except (GRPCError, StreamTerminatedError, OSError) as error:
+            raise PeerError(f"{address}: {method} failed: {error}") from None
+
+    def close(self) -> None:
+        """Close all channels."""
+        for channel, _ in self.channels.values():
+            channel.close()
+        self.channels.clear()
+
+    def _channel(self, address: str) -> tuple[Channel, PeerStub]:
+        found = self.channels.get(address)
+        if found is None:
+            host, _, port = address.rpartition(":")
+            channel = Channel(host, int(port))
+            found = self.channels[address] = (channel, PeerStub(channel))
+        return found
+
+    def _drop(self, address: str, channel: Channel) -> None:
+        held = self.channels.get(address)
+        if held is not None and held[0] is channel:
+            del self.channels[address]
+        channel.close()
--- /dev/null
+++ b/limpetpulley/peer/server.py
@@ -0,0 +1,34 @@
+"""Server for other daemons' calls."""
+
+from __future__ import annotations
+
+import socket
+
+from grpclib.server import Server
+
+from .peer_grpc import PeerBase
+
+__all__ = ["PeerServer"]
+
+
+class PeerServer:
+    """Listens for other daemons.
+
+    :param service: what answers the calls
+    :param host: address to listen on
+    :param port: port, 0 for any free one
+    """
+
+    def __init__(self, service: PeerBase, host: str, port: int):
+        self.socket = socket.create_server((host, port))
+        self.port = self.socket.getsockname()[1]
+        self.server = Server([service])
+
+    async def start(self) -> None:
+        """Start to listen."""
+        await self.server.start(sock=self.socket)
+
+    async def stop(self) -> None:
+        """Stop to listen and end the calls that are running."""
+        self.server.close()
+        await self.server.wait_closed()
--- /dev/null
+++ b/limpetpulley/platform/etcd.py
@@ -0,0 +1,189 @@
+"""Store over the JSON gateway of the etcd v3 API."""
+
+from __future__ import annotations
+
+import base64
+import json
+from collections.abc import AsyncIterator, Sequence
+from typing import Any
+
+import httpcore
+
+from ..exception import StoreError, StoreUnavailable
+from .store import Compare, Delete, Entry, Event, Put, Snapshot, TxnResult
+
+__all__ = ["EtcdStore"]
+
+CALL_TIMEOUT_SECONDS = 2.0
+MAX_CONNECTIONS = 8
+
+
+class EtcdStore:
+    """A :class:`~limpetpulley.platform.store.Store` behind an etcd v3 JSON gateway.
+
+    :param url: base address of the gateway, such as ``http://127.0.0.1:2379``
+    :param timeout: longest time for one call, in seconds
+    """
+
+    def __init__(self, url: str, timeout: float = CALL_TIMEOUT_SECONDS):
+        self.url = url.rstrip("/")
+        self.timeout = timeout
+        self.kept = httpcore.AsyncConnectionPool(max_connections=MAX_CONNECTIONS)
+        self.fresh = httpcore.AsyncConnectionPool(
+            max_connections=MAX_CONNECTIONS, max_keepalive_connections=0
+        )
+
+    async def aclose(self) -> None:
+        """Close all connections."""
+        await self.kept.aclose()
+        await self.fresh.aclose()
+
+    async def read(self, prefix: str) -> Snapshot:
+        """Return all entries under a prefix, always over a fresh connection."""
+        answer = await self._call(
+            self.fresh, "/v3/kv/range", {"key": _b64(prefix), "range_end": _b64_end(prefix)}
+        )
+        entries = tuple(
+            Entry(_text(kv["key"]), _bytes(kv.get("value", "")), int(kv["mod_revision"]))
+            for kv in answer.get("kvs", [])
+        )
+        return Snapshot(entries, _revision(answer))
+
+    async def commit(
+        self, compares: Sequence[Compare], writes: Sequence[Put | Delete]
+    ) -> TxnResult:
+        """Apply all writes if all conditions hold."""
+        body = {
+            "compare": [
+                {
+                    "key": _b64(compare.key),
+                    "target": "MOD",
+                    "result": "EQUAL",
+                    "modRevision": str(compare.revision),
+                }
+                for compare in compares
+            ],
+            "success": [_write(write) for write in writes],
+        }
+        answer = await self._call(self.kept, "/v3/kv/txn", body)
+        return TxnResult(bool(answer.get("succeeded")), _revision(answer))
+
+    async def grant_lease(self, seconds: float) -> int:
+        """Return the identifier of a new lease; its time is rounded up to whole seconds."""
+        answer = await self._call(self.kept, "/v3/lease/grant", {"TTL": str(int(-(-seconds // 1)))})
+        return int(answer["ID"])
+
+    async def renew_lease(self, lease: int) -> bool:
+        """Renew a lease; return whether it still existed."""
+        answer = await self._call(self.kept, "/v3/lease/keepalive", {"ID": str(lease)})
+        return int(answer.get("result", {}).get("TTL", 0)) > 0
+
+    async def watch(self, prefix: str, after: int) -> AsyncIterator[list[Event]]:
+        """Yield the changes under a prefix after a revision, in order."""
+        body = {
+            "create_request": {
+                "key": _b64(prefix),
+                "range_end": _b64_end(prefix),
+                "start_revision": str(after + 1),
+            }
+        }
+        timeout = {"connect": self.timeout, "write": self.timeout, "read": None, "pool": None}
+        try:
+            async with self.fresh.stream(
+                "POST",
+                self.url + "/v3/watch",
+                headers={"content-type": "application/json"},
+                content=json.dumps(body).encode(),
+                extensions={"timeout": timeout},
+            ) as response:
+                async for message in _read_messages(response):
+                    events = _read_events(message)
+                    if events:
+                        yield events
+        except (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException) as error:
+            raise StoreUnavailable(f"watch ended: {error!r}") from None
+
+    async def _call(
+        self, pool: httpcore.AsyncConnectionPool, path: str, body: dict[str, Any]
+    ) -> dict[str, Any]:
+        timeout = dict.fromkeys(("connect", "write", "read", "pool"), self.timeout)
+        try:
+            response = await pool.request(
+                "POST",
+                self.url + path,
+                headers={"content-type": "application/json"},
+                content=json.dumps(body).encode(),
+                extensions={"timeout": timeout},
+            )
+        except (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException) as error:
+            raise StoreUnavailable(f"no answer from the store: {error!r}") from None
+        if response.status >= 500:
+            raise StoreUnavailable(f"the store answered {response.status}")
+        try:
+            answer = json.loads(response.content.splitlines()[0] if response.content else b"{}")
+        except ValueError:
+            raise StoreUnavailable("the store's answer is not JSON") from None
+        if not isinstance(answer, dict):
+            raise StoreUnavailable("the store's answer is not an object")
+        if response.status >= 400:
+            raise StoreError(f"the store refused: {answer.get('message', response.status)}")
+        return answer
+
+
+async def _read_messages(response: httpcore.Response) -> AsyncIterator[dict[str, Any]]:
+    buffer = b""
+    async for chunk in response.aiter_stream():
+        buffer += chunk
+        *lines, buffer = buffer.split(b"\n")
+        for line in lines:
+            if line.strip():
+                try:
+                    yield json.loads(line)
+                except ValueError:
+                    raise StoreUnavailable("the watch sent a line that is not JSON") from None
+
+
+def _read_events(message: dict[str, Any]) -> list[Event]:
+    result = message.get("result", {})
+    if result.get("canceled") or "error" in message:
+        raise StoreError(f"watch refused: {result.get('cancel_reason', message.get('error'))}")
+    events = []
+    for event in result.get("events", []):
+        kv = event["kv"]
+        deleted = event.get("type") == "DELETE"
+        value = None if deleted else _bytes(kv.get("value", ""))
+        events.append(Event(_text(kv["key"]), value, int(kv["mod_revision"])))
+    return events
+
+
+def _write(write: Put | Delete) -> dict[str, Any]:
+    if isinstance(write, Delete):
+        return {"requestDeleteRange": {"key": _b64(write.key)}}
+    put = {"key": _b64(write.key), "value": base64.b64encode(write.value).decode()}
+    if write.lease:
+        put["lease"] = str(write.lease)
+    return {"requestPut": put}
+
+
+def _revision(answer: dict[str, Any]) -> int:
+    try:
+        return int(answer["header"]["revision"])
+    except (KeyError, TypeError, ValueError):
+        raise StoreUnavailable("the store's answer has no revision") from None
+
+
+def _b64(text: str) -> str:
+    return base64.b64encode(text.encode()).decode()
+
+
+def _b64_end(prefix: str) -> str:
+    raw = prefix.encode()
+    return base64.b64encode(raw[:-1] + bytes([raw[-1] + 1])).decode()
+
+
+def _bytes(text: str) -> bytes:
+    return base64.b64decode(text)
+
+
+def _text(text: str) -> str:
+    return base64.b64decode(text).decode()
--- /dev/null
+++ b/limpetpulley/quota/adviser.py
@@ -0,0 +1,259 @@
+"""Matching of free permits to waiting jobs across daemons.
+
+One daemon advises on each group of permits. It sees from reports what is free and what
+waits everywhere, and sends orders to move or to use permits. An order is only advice: the
+permits stay in the members' ledgers, so two advisers at once, or none, break no limit.
+"""
+
+from __future__ import annotations
+
+import itertools
+import math
+import random
+from collections import defaultdict
+from collections.abc import Mapping
+
+import attrs
+
+from .resource import is_team_group
+
+__all__ = ["Adviser", "Claim", "GroupReport", "Order"]
+
+REPORT_LIFETIME_SECONDS = 1.0
+ORDER_LIFETIME_SECONDS = 0.3
+
+
+@attrs.frozen
+class Claim:
+    """Jobs of one team that wait at one member.
+
+    :param team: the team
+    :param ready: whether they lack nothing but permits of this group
+    :param deadlines: earliest deadlines, ascending, in seconds from the report
+    :param count: how many jobs wait in all
+    """
+
+    team: str
+    ready: bool
+    deadlines: tuple[float, ...]
+    count: int
+
+
+@attrs.frozen
+class GroupReport:
+    """What one member has free and waiting in one group.
+
+    :param group: the group
+    :param member: the reporting member
+    :param data_centre: where the member runs
+    :param free: free permits by resource
+    :param running: running jobs by team
+    :param claims: waiting jobs
+    :param done: identifiers of recent orders that this report already includes
+    """
+
+    group: str
+    member: str
+    data_centre: str
+    free: Mapping[str, int]
+    running: Mapping[str, int]
+    claims: tuple[Claim, ...]
+    done: tuple[str, ...] = ()
+
+
+@attrs.frozen
+class Order:
+    """Advice to give one permit to a waiting job.
+
+    :param order_id: unique identifier
+    :param group: the group
+    :param resource: what the permit is for
+    :param source: member that holds the permit
+    :param target: member at which the job waits; may be the source
+    :param team: team whose job is to start
+    """
+
+    order_id: str
+    group: str
+    resource: str
+    source: str
+    target: str
+    team: str
+
+
+@attrs.define
+class _Pending:
+    order: Order
+    expires: float
+    source_done: bool = False
+    target_done: bool = False
+
+
+class Adviser:
+    """Decides for one group who gets the permits that are free.
+
+    Among the teams with ready jobs, the one with the fewest running jobs for its weight goes
+    first; this fills the weighted max-min shares. Within a team the earliest deadline goes
+    first. In the group of a team's limit, ready jobs go before those that also wait for a slot.
+
+    :param group: the group
+    :param name: name that makes order identifiers unique
+    :param rng: random source for the choice between endpoints
+    """
+
+    def __init__(self, group: str, name: str, rng: random.Random):
+        self.group = group
+        self.name = name
+        self.rng = rng
+        self.weights: dict[str, float] = {}
+        self.reports: dict[str, tuple[float, GroupReport]] = {}
+        self.pending: dict[str, _Pending] = {}
+        self.numbers = itertools.count(1)
+        self.contended = False
+        self.unmet: dict[tuple[str, str], float] = {}
+        self.by_limit = is_team_group(group)
+
+    def receive(self, report: GroupReport, now: float) -> None:
+        """Take a member's newest report."""
+        self.reports[report.member] = (now, report)
+        done = set(report.done)
+        for order_id in done & self.pending.keys():
+            pending = self.pending[order_id]
+            pending.source_done |= pending.order.source == report.member
+            pending.target_done |= pending.order.target == report.member
+            if pending.source_done and pending.target_done:
+                del self.pending[order_id]
+
+    def forget(self, member: str) -> None:
+        """Drop the report of a member that is gone."""
+        self.reports.pop(member, None)
+
+    def waiting(self, team: str | None = None) -> int:
+        """Return the jobs that wait everywhere, of one team or of all."""
+        return sum(
+            claim.count
+            for _, report in self.reports.values()
+            for claim in report.claims
+            if team is None or claim.team == team
+        )
+
+    def running(self) -> dict[str, int]:
+        """Return the running jobs everywhere by team."""
+        total: dict[str, int] = defaultdict(int)
+        for _, report in self.reports.values():
+            for team, count in report.running.items():
+                total[team] += count
+        return dict(total)
+
+    def match(self, now: float) -> list[Order]:
+        """Return the orders that the newest reports call for."""
+        self._expire(now)
+        free = self._free()
+        running = self._running_with_pending()
+        claims = self._claims(now)
+        orders = []
+        while claims and free:
+            key = min(claims, key=lambda key: self._rank(key, running, claims[key]))
+            target, team = key
+            choice = self._choose(free, target)
+            if not (self.by_limit and choice[0] == target):
+                orders.append(self._order(choice, target, team, now))
+            running[team] += 1
+            _use(free, choice)
+            claims[key].pop(0)
+            if not claims[key]:
+                del claims[key]
+        self.unmet = {
+            key: now + deadlines[0] for key, deadlines in claims.items() if self._is_ready(key)
+        }
+        self.contended = bool(self.unmet)
+        return orders
+
+    def elsewhere(self, member: str) -> float:
+        """Return the earliest deadline of ready jobs at other members that got no permit.
+
+        :returns: on the clock given to :meth:`match`, infinite if there is none
+        """
+        return min(
+            (due for (found, _), due in self.unmet.items() if found != member), default=math.inf
+        )
+
+    def _is_ready(self, key: tuple[str, str]) -> bool:
+        member, team = key
+        return any(c.ready for c in self.reports[member][1].claims if c.team == team)
+
+    def _rank(
+        self, key: tuple[str, str], running: Mapping[str, int], deadlines: list[float]
+    ) -> tuple[float, float, str]:
+        member, team = key
+        if self.by_limit:
+            return (0.0 if self._is_ready(key) else 1.0, deadlines[0], member)
+        return ((running.get(team, 0) + 1) / self.weights.get(team, 1.0), deadlines[0], member)
+
+    def _choose(self, free: Mapping[tuple[str, str], int], target: str) -> tuple[str, str]:
+        """Return the holder and resource to take the permit from."""
+        own = [key for key in free if key[0] == target]
+        candidates = own or list(free)
+        if len(candidates) > 2:
+            candidates = self.rng.sample(candidates, 2)
+        totals: dict[str, int] = defaultdict(int)
+        for (_, resource), count in free.items():
+            totals[resource] += count
+        return max(candidates, key=lambda key: (totals[key[1]], free[key]))
+
+    def _order(self, choice: tuple[str, str], target: str, team: str, now: float) -> Order:
+        source, resource = choice
+        order = Order(
+            f"{self.name}:{next(self.numbers)}", self.group, resource, source, target, team
+        )
+        self.pending[order.order_id] = _Pending(order, now + ORDER_LIFETIME_SECONDS)
+        return order
+
+    def _expire(self, now: float) -> None:
+        for member, (received, _) in list(self.reports.items()):
+            if now - received > REPORT_LIFETIME_SECONDS:
+                del self.reports[member]
+        for order_id, pending in list(self.pending.items()):
+            if pending.expires <= now:
+                del self.pending[order_id]
+
+    def _free(self) -> dict[tuple[str, str], int]:
+        free = {
+            (member, resource): count
+            for member, (_, report) in self.reports.items()
+            for resource, count in report.free.items()
+            if count > 0
+        }
+        for pending in self.pending.values():
+            key = (pending.order.source, pending.order.resource)
+            if not pending.source_done and key in free:
+                _use(free, key)
+        return free
+
+    def _running_with_pending(self) -> dict[str, int]:
+        running: dict[str, int] = defaultdict(int, self.running())
+        for pending in self.pending.values():
+            if not pending.target_done:
+                running[pending.order.team] += 1
+        return running
+
+    def _claims(self, now: float) -> dict[tuple[str, str], list[float]]:
+        claims: dict[tuple[str, str], list[float]] = {}
+        for member, (received, report) in self.reports.items():
+            for claim in report.claims:
+                if (claim.ready or self.by_limit) and claim.deadlines:
+                    age = now - received
+                    claims[member, claim.team] = [left - age for left in claim.deadlines]
+        for pending in self.pending.values():
+            deadlines = claims.get((pending.order.target, pending.order.team))
+            if not pending.target_done and deadlines:
+                deadlines.pop(0)
+                if not deadlines:
+                    del claims[pending.order.target, pending.order.team]
+        return claims
+
+
+def _use(free: dict[tuple[str, str], int], key: tuple[str, str]) -> None:
+    free[key] -= 1
+    if free[key] <= 0:
+        del free[key]
--- /dev/null
+++ b/limpetpulley/scheduling/starter.py
@@ -0,0 +1,297 @@
+"""Starting of waiting jobs with the permits that this daemon holds."""
+
+from __future__ import annotations
+
+import math
+import random
+from collections import Counter
+from collections.abc import Callable, Iterable
+from typing import Protocol
+
+from absl import logging
+
+from ..clock import Clock
+from ..quota import (
+    Claim,
+    GroupReport,
+    Ledger,
+    Order,
+    pool_group,
+    slot_resource,
+    team_group,
+    team_resource,
+)
+from ..quota.resource import POOL_PREFIX, TEAM_PREFIX, is_team_group, vm_of
+from .waiting import WaitingJob, WaitingJobs
+
+__all__ = ["Starter", "VmChoice"]
+
+ADVICE_LIFETIME_SECONDS = 0.6
+REPORTED_DEADLINES = 16
+DONE_LIFETIME_SECONDS = 1.0
+
+
+class VmChoice(Protocol):
+    """What the starter asks about VMs."""
+
+    def in_pool(self, pool: str) -> Iterable[str]:
+        """Return the VMs of a pool whose endpoints take jobs now."""
+
+    def takes_jobs(self, vm: str) -> bool:
+        """Return whether a VM's endpoint takes jobs now."""
+
+    def is_near(self, vm: str) -> bool:
+        """Return whether a VM is in this daemon's data centre."""
+
+
+class Starter:
+    """Starts waiting jobs as far as permits, shares and advice allow.
+
+    A group without contention is served from the permits held here. In a contended group of
+    slots a job starts only on an order of the group's adviser, so that the share and the
+    deadlines of the whole fleet decide. Advice that is not renewed lapses.
+
+    :param member: name of this member
+    :param data_centre: where it runs
+    :param clock: the daemon's clock
+    :param ledger: permits held here
+    :param vms: the endpoints
+    :param rng: random source for the choice between endpoints
+    :param may_start: whether this daemon may start jobs at this moment
+    """
+
+    def __init__(
+        self,
+        member: str,
+        data_centre: str,
+        clock: Clock,
+        ledger: Ledger,
+        vms: VmChoice,
+        rng: random.Random,
+        may_start: Callable[[], bool] = lambda: True,
+    ):
+        self.member = member
+        self.data_centre = data_centre
+        self.clock = clock
+        self.ledger = ledger
+        self.vms = vms
+        self.rng = rng
+        self.may_start = may_start
+        self.waiting = WaitingJobs()
+        self.running: Counter[tuple[str, str]] = Counter()
+        self.weights: dict[str, float] = {}
+        self.contended_until: dict[str, float] = {}
+        self.elsewhere: dict[str, tuple[float, float]] = {}
+        self.changed: set[str] = set()
+        self.done: dict[str, dict[str, float]] = {}
+        self.notify: Callable[[], None] = lambda: None
+
+    def submit(self, job: WaitingJob) -> None:
+        """Let a job wait, and start it at once if it may."""
+        self.waiting.add(job)
+        self._touch(job.pool, job.team)
+        self.start_ready(job.pool)
+
+    def cancel(self, job: WaitingJob) -> None:
+        """Take a job that has not started out of the queue."""
+        if job.waits:
+            self.waiting.remove(job)
+            self._touch(job.pool, job.team)
+
+    def finish(self, job: WaitingJob, vm: str) -> None:
+        """Give the permits of an ended job back and start what may start now."""
+        self.ledger.give_back(slot_resource(vm))
+        self.ledger.give_back(team_resource(job.team))
+        self._count_running(job.pool, job.team, -1)
+        self._touch(job.pool, job.team)
+        self.start_ready(job.pool)
+        for pool in self.waiting.pools(job.team):
+            if pool != job.pool:
+                self.start_ready(pool)
+
+    def give_up_hopeless(self) -> None:
+        """Give up the jobs that can no longer finish in time."""
+        for job in self.waiting.take_hopeless(self.clock.now()):
+            self._touch(job.pool, job.team)
+            job.give_up()
+
+    def start_ready(self, pool: str) -> None:
+        """Start the jobs of a pool that permits held here allow."""
+        if self.is_contended(pool_group(pool)):
+            return
+        passed_over: set[str] = set()
+        while self.may_start():
+            teams = [
+                team
+                for team in self.waiting.teams(pool)
+                if team not in passed_over and self._team_may_start(pool, team)
+            ]
+            if not teams:
+                return
+            team = min(teams, key=lambda team: self._load(pool, team))
+            job = self.waiting.first(pool, team)
+            vm = self.choose_vm(job) if job else None
+            if job is None or vm is None:
+                passed_over.add(team)
+                continue
+            self._start(job, vm, "free-permit")
+
+    def start_all_ready(self) -> None:
+        """Start the jobs of all pools that permits held here allow."""
+        for pool in {pool for pool, _ in self.waiting.counts}:
+            self.start_ready(pool)
+
+    def follow(self, order: Order) -> None:
+        """Start the job that an order is for, if its permits are here."""
+        self.note_done(order)
+        if is_team_group(order.group):
+            for pool in self.waiting.pools(order.team):
+                self._touch(pool, order.team)
+                self.start_ready(pool)
+            return
+        pool = order.group.removeprefix(POOL_PREFIX)
+        vm = vm_of(order.resource)
+        self._touch(pool, order.team)
+        job = self.waiting.first(pool, order.team, vm)
+        if job is None or not self.may_start() or not self.vms.takes_jobs(vm):
+            return
+        startable = self.ledger.startable
+        if startable(order.resource) > 0 and startable(team_resource(order.team)) > 0:
+            self._start(job, vm, "order")
+
+    def note_done(self, order: Order) -> None:
+        """Note an order as handled, for the next report to its group's adviser."""
+        self.done.setdefault(order.group, {})[order.order_id] = self.clock.now()
+        self.changed.add(order.group)
+        self.notify()
+
+    def advise(self, group: str, contended: bool, elsewhere_seconds: float) -> None:
+        """Take advice on a group.
+
+        :param contended: whether ready jobs lack permits of the group somewhere
+        :param elsewhere_seconds: time to the earliest deadline of those at other daemons
+        """
+        expires = self.clock.now() + ADVICE_LIFETIME_SECONDS
+        if contended:
+            self.contended_until[group] = expires
+        else:
+            self.contended_until.pop(group, None)
+        self.elsewhere[group] = (self.clock.now() + elsewhere_seconds, expires)
+
+    def is_contended(self, group: str) -> bool:
+        """Return whether unexpired advice says that a group is contended."""
+        return self.contended_until.get(group, 0.0) > self.clock.now()
+
+    def choose_vm(self, job: WaitingJob) -> str | None:
+        """Return the endpoint for a job: this data centre first, the freer of two at random."""
+        found = [
+            vm
+            for vm in self.vms.in_pool(job.pool)
+            if vm not in job.excluded and self.ledger.startable(slot_resource(vm)) > 0
+        ]
+        if not found:
+            return None
+        candidates = [vm for vm in found if self.vms.is_near(vm)] or found
+        if len(candidates) > 2:
+            candidates = self.rng.sample(candidates, 2)
+        return max(candidates, key=lambda vm: self.ledger.free(slot_resource(vm)))
+
+    def report(self, group: str) -> GroupReport:
+        """Return what is free, running and waiting here in a group."""
+        done = self._recent_done(group)
+        if is_team_group(group):
+            team = group.removeprefix(TEAM_PREFIX)
+            resource = team_resource(team)
+            free = {resource: self.ledger.free(resource)}
+            running = {team: self.ledger.holding(resource).used}
+            claims = self._team_claims(team)
+        else:
+            pool = group.removeprefix(POOL_PREFIX)
+            free = {
+                slot_resource(vm): count
+                for vm in self.vms.in_pool(pool)
+                if (count := self.ledger.free(slot_resource(vm))) > 0
+            }
+            running = {team: n for (found, team), n in self.running.items() if found == pool}
+            claims = self._pool_claims(pool)
+        return GroupReport(group, self.member, self.data_centre, free, running, tuple(claims), done)
+
+    def take_changed(self) -> set[str]:
+        """Return and clear the groups that changed since the last call."""
+        changed, self.changed = self.changed, set()
+        return changed
+
+    def _pool_claims(self, pool: str) -> Iterable[Claim]:
+        for team in self.waiting.teams(pool):
+            permits = self.ledger.startable(team_resource(team))
+            count = self.waiting.counts[pool, team]
+            shown = self._seconds_left(pool, team, min(count, permits or count))
+            yield Claim(team, permits > 0, shown, count)
+
+    def _team_claims(self, team: str) -> Iterable[Claim]:
+        for ready in (True, False):
+            pools = [p for p in self.waiting.pools(team) if self._has_slot(p, team) is ready]
+            count = sum(self.waiting.counts[pool, team] for pool in pools)
+            if count:
+                shown = sorted(s for pool in pools for s in self._seconds_left(pool, team, count))
+                yield Claim(team, ready, tuple(shown[:REPORTED_DEADLINES]), count)
+                return
+
+    def _seconds_left(self, pool: str, team: str, count: int) -> tuple[float, ...]:
+        now = self.clock.now()
+        shown = self.waiting.deadlines(pool, team, min(count, REPORTED_DEADLINES))
+        return tuple(deadline - now for deadline in shown)
+
+    def _has_slot(self, pool: str, team: str) -> bool:
+        if not self.is_contended(pool_group(pool)):
+            return True
+        job = self.waiting.first(pool, team)
+        return job is not None and self.choose_vm(job) is not None
+
+    def _team_may_start(self, pool: str, team: str) -> bool:
+        if self.ledger.startable(team_resource(team)) < 1:
+            return False
+        earliest, expires = self.elsewhere.get(team_group(team), (math.inf, 0.0))
+        if expires <= self.clock.now():
+            return True
+        job = self.waiting.first(pool, team)
+        return job is None or job.deadline <= earliest
+
+    def _load(self, pool: str, team: str) -> float:
+        return (self.running[pool, team] + 1) / self.weights.get(team, 1.0)
+
+    def _start(self, job: WaitingJob, vm: str, reason: str) -> None:
+        self.ledger.take(slot_resource(vm))
+        self.ledger.take(team_resource(job.team))
+        self.waiting.remove(job)
+        self._count_running(job.pool, job.team, 1)
+        self._touch(job.pool, job.team)
+        logging.info(
+            "decision=route job=%s team=%s queue=%s pool=%s vm=%s reason=%s left=%.3f free=%d",
+            job.job_id,
+            job.team,
+            job.queue,
+            job.pool,
+            vm,
+            reason,
+            job.deadline - self.clock.now(),
+            self.ledger.free(slot_resource(vm)),
+        )
+        job.start(vm)
+
+    def _count_running(self, pool: str, team: str, change: int) -> None:
+        self.running[pool, team] += change
+        if not self.running[pool, team]:
+            del self.running[pool, team]
+
+    def _touch(self, pool: str, team: str) -> None:
+        self.changed.add(pool_group(pool))
+        self.changed.add(team_group(team))
+        self.notify()
+
+    def _recent_done(self, group: str) -> tuple[str, ...]:
+        done = self.done.get(group, {})
+        oldest = self.clock.now() - DONE_LIFETIME_SECONDS
+        for order_id in [order_id for order_id, at in done.items() if at < oldest]:
+            del done[order_id]
+        return tuple(done)
--- /dev/null
+++ b/limpetpulley/standin/__init__.py
@@ -0,0 +1,9 @@
+"""Small stand-ins for the platform and for endpoints, for demonstration and tests."""
+
+from .endpoint import EndpointStandin
+from .faults import Faults
+from .fleet import MemoryFleet
+from .platform import PlatformStandin
+from .proxy import FaultProxy
+
+__all__ = ["EndpointStandin", "FaultProxy", "Faults", "MemoryFleet", "PlatformStandin"]
--- /dev/null
+++ b/limpetpulley/standin/proxy.py
@@ -0,0 +1,86 @@
+"""A TCP proxy on loopback that delays, cuts and silences what passes through it."""
+
+from __future__ import annotations
+
+import anyio
+import attrs
+
+__all__ = ["FaultProxy"]
+
+CHUNK_BYTES = 65536
+POLL_SECONDS = 0.02
+
+
+@attrs.define
+class FaultProxy:
+    """Passes connections on to one address.
+
+    :param target_port: port on loopback to pass connections on to
+    :param delay_seconds: added to each chunk
+    :param silent: whether open connections pass nothing on; new ones work
+    :param half_open: whether nothing passes from target to caller on any connection
+    :param refuse: whether new connections are closed at once
+    """
+
+    target_port: int
+    delay_seconds: float = 0.0
+    half_open: bool = False
+    refuse: bool = False
+    port: int = 0
+    silenced: set[int] = attrs.field(factory=set)
+    connections: dict[int, anyio.abc.SocketStream] = attrs.field(factory=dict)
+    accepted: int = 0
+
+    async def serve(self, *, task_status=anyio.TASK_STATUS_IGNORED) -> None:
+        """Serve until cancelled."""
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1", local_port=self.port)
+        self.port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        task_status.started()
+        await listener.serve(self._handle)
+
+    def silence(self) -> None:
+        """Let the connections that are open now pass nothing more; new ones work."""
+        self.silenced.update(self.connections)
+
+    async def cut(self) -> None:
+        """Close the connections that are open now."""
+        for connection in list(self.connections.values()):
+            await anyio.aclose_forcefully(connection)
+
+    async def _handle(self, caller: anyio.abc.SocketStream) -> None:
+        if self.refuse:
+            await anyio.aclose_forcefully(caller)
+            return
+        self.accepted += 1
+        number = self.accepted
+        self.connections[number] = caller
+        try:
+            target = await anyio.connect_tcp("127.0.0.1", self.target_port)
+            async with target, anyio.create_task_group() as tasks:
+                tasks.start_soon(self._pass_on, number, caller, target, False, tasks)
+                tasks.start_soon(self._pass_on, number, target, caller, True, tasks)
+        except* (OSError, anyio.BrokenResourceError, anyio.ClosedResourceError):
+            pass
+        finally:
+            self.connections.pop(number, None)
+            self.silenced.discard(number)
+            await anyio.aclose_forcefully(caller)
+
+    async def _pass_on(
+        self,
+        number: int,
+        source: anyio.abc.SocketStream,
+        target: anyio.abc.SocketStream,
+        backward: bool,
+        tasks: anyio.abc.TaskGroup,
+    ) -> None:
+        try:
+            while True:
+                chunk = await source.receive(CHUNK_BYTES)
+                if self.delay_seconds:
+                    await anyio.sleep(self.delay_seconds)
+                while number in self.silenced or (backward and self.half_open):
+                    await anyio.sleep(POLL_SECONDS)
+                await target.send(chunk)
+        except (anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError, OSError):
+            tasks.cancel_scope.cancel()
