--- a/limpetpulley/api/callers.py
+++ b/limpetpulley/api/callers.py
@@ -49,15 +49,23 @@
 class CallersApp:
     """ASGI application for callers.
 
-    :param jobs: what runs the jobs
-    :param readiness: whether the daemon takes jobs
     :param max_body_bytes: largest request body
     """
 
-    def __init__(self, jobs: JobService, readiness: Readiness, max_body_bytes: int):
+    jobs: JobService
+    readiness: Readiness
+
+    def __init__(self, max_body_bytes: int):
+        self.max_body_bytes = max_body_bytes
+
+    def connect(self, jobs: JobService, readiness: Readiness) -> None:
+        """Set what answers the requests, before the first one.
+
+        :param jobs: what runs the jobs
+        :param readiness: whether the daemon takes jobs
+        """
         self.jobs = jobs
         self.readiness = readiness
-        self.max_body_bytes = max_body_bytes
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Answer one request."""
--- a/limpetpulley/api/server.py
+++ b/limpetpulley/api/server.py
@@ -111,5 +111,10 @@
         """Take no more connections and end once running requests are answered."""
         self.server.should_exit = True
 
+    @property
+    def busy(self) -> bool:
+        """Return whether a request is being answered."""
+        return bool(self.server.server_state.tasks)
+
     async def _run(self) -> None:
         await self.server.serve(sockets=[self.socket])
--- a/limpetpulley/config/writer.py
+++ b/limpetpulley/config/writer.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import json
-import secrets
+import random
 from collections.abc import Sequence
 from datetime import UTC, datetime
 
@@ -21,7 +21,7 @@
 
 ATTEMPTS = 5
 REMEMBERED_CHANGES = 64
-CHANGE_ID_BYTES = 12
+CHANGE_ID_BITS = 96
 
 
 @attrs.frozen
@@ -52,11 +52,13 @@
 
     :param store: the platform's store
     :param keyspace: its keys
+    :param rng: random source for identifiers
     """
 
-    def __init__(self, store: Store, keyspace: Keyspace):
+    def __init__(self, store: Store, keyspace: Keyspace, rng: random.Random):
         self.store = store
         self.keyspace = keyspace
+        self.rng = rng
 
     async def apply(
         self, changes: Sequence[Change], changed_by: str, conditions: Sequence[Compare] = ()
@@ -70,7 +72,7 @@
         :raises InvalidConfig: if the configuration would not hold together
         :raises StoreUnavailable: if the store does not answer; nothing is known of the change
         """
-        change_id = secrets.token_urlsafe(CHANGE_ID_BYTES)
+        change_id = f"{self.rng.getrandbits(CHANGE_ID_BITS):024x}"
         for attempt in range(ATTEMPTS):
             try:
                 written = await self._try(changes, changed_by, change_id, conditions)
--- a/limpetpulley/daemon/__init__.py
+++ b/limpetpulley/daemon/__init__.py
@@ -1,5 +1,6 @@
 """The daemon: everything else put together."""
 
-from .node import Node
+from .node import Node, Surroundings
+from .server import Daemon
 
-__all__ = ["Node"]
+__all__ = ["Daemon", "Node", "Surroundings"]
--- a/limpetpulley/daemon/forwarding.py
+++ b/limpetpulley/daemon/forwarding.py
@@ -12,7 +12,8 @@
 from ..jobs import Submission
 from ..membership import Member
 from ..routing.attempt import Answer, Attempt
-from ..routing.connections import EndpointConnections
+from ..routing.connections import Connections
+from ..tasks import start_guarded
 from .peers import PeerTable
 
 __all__ = ["MemberForwarder"]
@@ -28,6 +29,7 @@
     :param clock: the daemon's clock
     :param member: this daemon's part in the membership
     :param peers: the other daemons
+    :param connections: connections to the members' callers' interface
     :param tasks: task group for the attempts
     """
 
@@ -36,6 +38,7 @@
         clock: Clock,
         member: Member,
         peers: PeerTable,
+        connections: Connections,
         tasks: anyio.abc.TaskGroup,
         rng: random.Random,
     ):
@@ -44,7 +47,7 @@
         self.peers = peers
         self.tasks = tasks
         self.rng = rng
-        self.connections = EndpointConnections(clock)
+        self.connections = connections
 
     def needed(self) -> bool:
         """Return whether this daemon may not start jobs itself."""
@@ -106,5 +109,5 @@
             lambda: None,
             lambda ended: None,
         )
-        self.tasks.start_soon(attempt.run)
+        start_guarded(self.tasks, attempt.run)
         return attempt
--- a/limpetpulley/daemon/handlers.py
+++ b/limpetpulley/daemon/handlers.py
@@ -23,13 +23,9 @@
 
 
 class PeerHandlers(PeerBase):
-    """The daemon's side of the protocol between daemons.
+    """The daemon's side of the protocol between daemons; :attr:`node` is set before use."""
 
-    :param node: the daemon
-    """
-
-    def __init__(self, node: Node):
-        self.node = node
+    node: Node
 
     async def Exchange(self, stream: Any) -> None:  # noqa: N802
         """Answer a heartbeat."""
@@ -123,7 +119,9 @@
     async def HandOver(self, stream: Any) -> None:  # noqa: N802
         """Take over the membership of a daemon that leaves."""
         message = await stream.recv_message()
-        taken = self.node.take_over(message)
+        from .departure import take_over
+
+        taken = take_over(self.node, message)
         await stream.send_message(pb.HandoverReply(taken=taken))
 
 
--- a/limpetpulley/daemon/heartbeat.py
+++ b/limpetpulley/daemon/heartbeat.py
@@ -11,6 +11,7 @@
 from ..exception import ConfigError, PeerError
 from ..peer import convert
 from ..peer import peer_pb2 as pb
+from ..tasks import start_guarded
 
 if TYPE_CHECKING:
     from .node import Node
@@ -50,11 +51,11 @@
         """Send one heartbeat to each other daemon."""
         addresses = self.node.peers.addresses()
         for name, address in addresses.items():
-            self.node.tasks.start_soon(self._exchange, name, address)
+            start_guarded(self.node.tasks, self._exchange, name, address)
         known = {*addresses.values(), self.node.member.info.peer_address}
         for address in self.node.settings.peers:
             if address not in known:
-                self.node.tasks.start_soon(self._exchange, "", address)
+                start_guarded(self.node.tasks, self._exchange, "", address)
 
     async def _exchange(self, name: str, address: str) -> None:
         node, member = self.node, self.node.member
--- a/limpetpulley/daemon/main.py
+++ b/limpetpulley/daemon/main.py
@@ -17,7 +17,7 @@
 from ..platform import EtcdStore, HttpPlatform
 from ..settings import Settings, load_settings
 from ..settings.daemon import flag_of, variable_of
-from .node import Node
+from .server import Daemon
 
 __all__ = ["main", "run_daemon"]
 
@@ -63,12 +63,12 @@
     store = EtcdStore(settings.store_url)
     platform = HttpPlatform(settings.platform_url)
     async with anyio.create_task_group() as tasks:
-        node = Node(settings, store, platform, platform, tasks)
+        daemon = Daemon(settings, store, platform, platform, tasks)
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-            await tasks.start(node.run)
+            await daemon.start()
             async for _ in signals:
                 break
-            await node.stop()
+            await daemon.stop()
         tasks.cancel_scope.cancel()
     await store.aclose()
     await platform.aclose()
--- a/limpetpulley/daemon/node.py
+++ b/limpetpulley/daemon/node.py
@@ -1,113 +1,123 @@
-"""One daemon, put together from its parts."""
+"""One daemon's logic, put together from its parts; everything but its sockets."""
 
 from __future__ import annotations
 
 import random
-import secrets
 
 import anyio
+import attrs
 from absl import logging
 
-from ..api import CallersApp, HttpServer, OperatorsApp
-from ..clock import Clock, SystemClock
+from ..clock import Clock
 from ..config import ConfigReplica, Queue, Team, Vm, VmPhase
 from ..config.writer import ConfigWriter
-from ..exception import PeerError, PlatformError
+from ..exception import PlatformError
 from ..fleet import FleetPlanner, FleetReport
 from ..idempotency import RecordBook
 from ..jobs import JobService
 from ..keyspace import Keyspace
-from ..membership import Collecting, Member, MemberInfo, decode_view, encode_view
-from ..metrics import make_metrics
-from ..peer import PeerClient, PeerServer, convert
+from ..membership import Collecting, Member, MemberInfo, encode_view
+from ..metrics import Metrics, NullMetrics
+from ..peer import PeerCaller, convert
 from ..peer import peer_pb2 as pb
 from ..platform import Store, VmList, Workers
 from ..quota import Ledger, pool_group, slot_resource, team_group, team_resource
-from ..routing import Dispatcher, EndpointConnections, EndpointSet, Health
+from ..routing import Connections, Dispatcher, EndpointSet, Health
 from ..scheduling import Admission, PoolLoad, RunTimes
 from ..scheduling.starter import Starter
 from ..settings import Settings
+from ..tasks import keep_running
 from .forwarding import MemberForwarder
-from .handlers import PeerHandlers, collect_report, push_records
+from .handlers import collect_report
 from .heartbeat import Heartbeats
 from .once import RECORD_SECONDS, KeyedJobs
 from .peers import PeerTable
-from .status import build_status
 from .store_link import StoreLink
 from .trading import Trader
 
-__all__ = ["Node"]
+__all__ = ["Node", "Surroundings"]
 
 SWEEP_SECONDS = 0.02
 PRUNE_SECONDS = 1.0
 LIST_SECONDS = 1.0
 QUARANTINE_MARGIN_SECONDS = 5.0
-LEAVE_NOTICE_SECONDS = 0.5
-POLL_SECONDS = 0.05
 
 
-class Node:
-    """A daemon that has not started yet.
+@attrs.define
+class Surroundings:
+    """What a daemon meets outside itself.
 
-    :param settings: its settings
     :param store: the platform's store
     :param vm_list: the platform's list of VMs
     :param workers: the platform's controls of its workers
-    :param clock: clock that decisions are made against
+    :param client: calls to other daemons
+    :param endpoints: connections to endpoints
+    :param members: connections to other daemons' callers' interface
     :param tasks: task group that everything runs in
+    :param clock: clock that decisions are made against
+    :param rng: random source
+    :param metrics: where counts go
+    """
+
+    store: Store
+    vm_list: VmList
+    workers: Workers
+    client: PeerCaller
+    endpoints: Connections
+    members: Connections
+    tasks: anyio.abc.TaskGroup
+    clock: Clock
+    rng: random.Random
+    metrics: Metrics = attrs.field(factory=NullMetrics)
+
+
+class Node:
+    """A daemon without its sockets.
+
+    :param settings: its settings
+    :param around: what it meets outside
+    :param peer_address: ``host:port`` that other daemons reach it at
+    :param caller_address: ``host:port`` that jobs are passed on to
     """
 
     def __init__(
-        self,
-        settings: Settings,
-        store: Store,
-        vm_list: VmList,
-        workers: Workers,
-        tasks: anyio.abc.TaskGroup,
-        clock: Clock | None = None,
+        self, settings: Settings, around: Surroundings, peer_address: str, caller_address: str
     ):
         self.settings = settings
-        self.store = store
-        self.vm_list = vm_list
-        self.workers = workers
-        self.tasks = tasks
-        self.clock = clock or SystemClock()
-        self.rng = random.Random()
+        self.around = around
+        self.tasks = around.tasks
+        self.clock = around.clock
+        self.rng = around.rng
+        self.metrics = around.metrics
+        self.client = around.client
         self.leaving = False
         self.groups: list[str] = []
         self.view_bytes: tuple[int, bytes] = (0, b"")
-        self.metrics = make_metrics(settings.statsd)
+        self.loops = anyio.CancelScope()
         self.replica = ConfigReplica()
         self.keyspace = Keyspace(settings.prefix)
-        self.peer_server = PeerServer(PeerHandlers(self), settings.host, settings.peers_port)
-        self._build_membership()
+        self.writer = ConfigWriter(around.store, self.keyspace, self.rng)
+        self._build_membership(peer_address, caller_address)
+        self._build_starting()
         self._build_jobs()
-        self._build_servers()
+        self._build_fleet()
 
-    def _build_membership(self) -> None:
+    def _build_membership(self, peer_address: str, caller_address: str) -> None:
         settings, clock = self.settings, self.clock
-        name = f"{settings.name}-{secrets.token_hex(4)}"
-        self.callers_socket = HttpServer(
-            lambda *args: self.callers_app(*args),
-            settings.host,
-            settings.callers_port,
-            settings.max_connections,
-        )
         info = MemberInfo(
-            name,
+            f"{settings.name}-{self.rng.getrandbits(32):08x}",
             settings.name,
             settings.data_centre,
-            f"{settings.host}:{self.peer_server.port}",
-            f"{settings.host}:{self.callers_socket.port}",
+            peer_address,
+            caller_address,
         )
-        self.ledger = Ledger(name)
+        self.ledger = Ledger(info.member)
         self.member = Member(
             info, clock, self.ledger, settings.validity_seconds, settings.vm_list_lag_seconds
         )
         self.peers = PeerTable(clock, self.member)
-        self.client = PeerClient()
         self.link = StoreLink(
-            self.store,
+            self.around.store,
             self.keyspace,
             clock,
             self.replica,
@@ -120,38 +130,47 @@
         self.link.record_seconds = RECORD_SECONDS
         self.heartbeats = Heartbeats(self)
 
-    def _build_jobs(self) -> None:
-        settings, clock, member = self.settings, self.clock, self.member
-        self.health = Health(clock)
-        self.endpoints = EndpointSet(settings.data_centre, clock, self.health)
+    def _build_starting(self) -> None:
+        self.health = Health(self.clock)
+        self.endpoints = EndpointSet(self.settings.data_centre, self.clock, self.health)
         self.starter = Starter(
-            member.name,
-            settings.data_centre,
-            clock,
+            self.member.name,
+            self.settings.data_centre,
+            self.clock,
             self.ledger,
             self.endpoints,
             self.rng,
-            member.is_valid,
+            self.member.is_valid,
         )
         self.trader = Trader(
-            clock, member, self.ledger, self.starter, self.peers, self.client, self.tasks, self.rng
+            self.clock,
+            self.member,
+            self.ledger,
+            self.starter,
+            self.peers,
+            self.client,
+            self.tasks,
+            self.rng,
         )
-        self.connections = EndpointConnections(clock)
+
+    def _build_jobs(self) -> None:
+        clock, member = self.clock, self.member
         self.run_times = RunTimes()
         self.admission = Admission()
         self.dispatcher = Dispatcher(
             clock,
             self.starter,
             self.endpoints,
-            self.connections,
+            self.around.endpoints,
             self.run_times,
             self.tasks,
             self.metrics,
-            self.rng,
         )
         self.book = RecordBook(clock)
         self.keyed = KeyedJobs(clock, member, self.book, self.peers, self.client, self.tasks)
-        self.forwarder = MemberForwarder(clock, member, self.peers, self.tasks, self.rng)
+        self.forwarder = MemberForwarder(
+            clock, member, self.peers, self.around.members, self.tasks, self.rng
+        )
         self.jobs = JobService(
             clock,
             self.replica,
@@ -164,191 +183,39 @@
             self.metrics,
             self.is_fresh,
             self.pool_load,
+            self.rng,
         )
 
-    def _build_servers(self) -> None:
-        settings = self.settings
-        self.callers_app = CallersApp(self.jobs, self, settings.max_body_bytes)
-        self.writer = ConfigWriter(self.store, self.keyspace)
+    def _build_fleet(self) -> None:
         self.planner = FleetPlanner(
             self.member.name,
             self.clock,
-            self.store,
+            self.around.store,
             self.keyspace,
             self.replica,
             self.writer,
             self.endpoints,
-            self.workers,
+            self.around.workers,
             self.metrics,
-            self.peers_are_idle,
+            self.is_idle_everywhere,
             self.pool_demand,
         )
-        operators = OperatorsApp(
-            self.replica,
-            self.writer,
-            self.jobs,
-            lambda: build_status(self),
-            self,
-            settings.operator_key,
-            FleetReport(self.planner),
-        )
-        self.operators_server = HttpServer(operators, settings.host, settings.operators_port)
-
-    # Life
-
-    async def run(self, *, task_status=anyio.TASK_STATUS_IGNORED) -> None:
-        """Run until the task group is cancelled."""
-        await self.peer_server.start()
-        await self.tasks.start(self.callers_socket.serve)
-        await self.tasks.start(self.operators_server.serve)
-        for job in (
-            self.link.run,
-            self.heartbeats.run,
-            self.trader.run,
-            self._sweep,
-            self._prune,
-            self._keep_list,
-            self.planner.run,
-        ):
-            self.tasks.start_soon(job)
-        info = self.member.info
-        logging.info(
-            "started member=%s callers=%s operators=%d peers=%s",
-            info.member,
-            info.caller_address,
-            self.operators_server.port,
-            info.peer_address,
-        )
-        task_status.started()
-
-    async def stop(self) -> None:
-        """Leave without cutting off a request, within the time that the settings allow."""
-        logging.info("decision=leave member=%s reason=stop", self.member.name)
-        self.leaving = True
-        self.link.joinable = False
-        self.heartbeats.beat()
-        await anyio.sleep(LEAVE_NOTICE_SECONDS)
-        self.callers_socket.stop()
-        with anyio.move_on_after(self.settings.stop_seconds):
-            while not self.idle():
-                await anyio.sleep(POLL_SECONDS)
-            await self._leave()
-        self.operators_server.stop()
-        await self.peer_server.stop()
-        await self.connections.aclose()
-        await self.forwarder.connections.aclose()
-        self.client.close()
-        logging.info("stopped member=%s", self.member.name)
-
-    def idle(self) -> bool:
-        """Return whether no caller's request and no job is running."""
-        busy = self.callers_socket.server.server_state.tasks
-        dispatcher = self.dispatcher
-        return not (busy or dispatcher.active or dispatcher.held or len(self.starter.waiting))
-
-    async def _leave(self) -> None:
-        """Give up the membership: at the store, or to another daemon if the store is away."""
-        if not self.member.is_member:
-            return
-        view = self.member.view
-        if view is not None and self.link.available and len(view.members) > 1:
-            self.trader.hand_out()
-            await anyio.sleep(LEAVE_NOTICE_SECONDS)
-            if await self._leave_at_store():
-                return
-        await self._hand_over()
-
-    async def _leave_at_store(self) -> bool:
-        for _ in range(20):
-            proposal = self.member.propose_leaving(self.limits())
-            if proposal is None:
-                return not self.member.is_member
-            try:
-                if await self.link.write(proposal):
-                    await self._push_all_records()
-                    return True
-            except Exception as error:  # noqa: BLE001
-                logging.warning("leaving: %s", error)
-                return False
-            await anyio.sleep(POLL_SECONDS)
-        return False
-
-    async def _push_all_records(self) -> None:
-        """Send the records held here to their holders in the view without this member."""
-        view = self.member.view
-        if view is not None:
-            try:
-                await push_records(self, view)
-            except PeerError as error:
-                logging.warning("leaving: %s", error)
-
-    async def _hand_over(self) -> None:
-        """Hand this membership on to a daemon that has none."""
-        member = self.member
-        if member.view is None or not self.ledger.trading:
-            return
-        member.stopped = True
-        message = pb.Handover(
-            member=member.name,
-            epoch=self.ledger.epoch,
-            view=self.encoded_view(),
-            view_revision=member.view_revision,
-            permits=[
-                pb.Permits(resource=resource, held=held)
-                for resource, held in self.ledger.report().items()
-            ],
-            records=[convert.to_key_record(record, self.clock.now()) for record in self.book.all()],
-            incarnation=member.info.incarnation + 1,
-        )
-        successor = None
-        while True:
-            candidates = self.peers.successors()
-            successor = successor or (candidates[0] if candidates else None)
-            if successor is not None:
-                try:
-                    reply = await self.client.call(successor.peer_address, "HandOver", message)
-                    if reply.taken:
-                        logging.info(
-                            "decision=hand-over member=%s to=%s reason=leaving",
-                            member.name,
-                            successor.member,
-                        )
-                        return
-                    successor = None
-                except PeerError as error:
-                    logging.info("decision=hand-over member=%s reason=%s", member.name, error)
-            await anyio.sleep(POLL_SECONDS * 4)
-
-    def take_over(self, message: pb.Handover) -> bool:
-        """Take over the membership of a daemon that leaves; return whether it is taken."""
-        if self.member.name == message.member:
-            return True
-        if self.member.is_member or self.leaving:
-            return False
-        now = self.clock.now()
-        member = self.member
-        view = decode_view(message.view)
-        member.info = MemberInfo(
-            message.member,
-            self.settings.name,
-            self.settings.data_centre,
-            member.info.peer_address,
-            member.info.caller_address,
-            message.incarnation,
-        )
-        self.starter.member = message.member
-        self.ledger.owner = f"{message.member}.{message.incarnation}"
-        member.view, member.view_revision, member.view_since = view, message.view_revision, now
-        member.applied_serial = view.serial
-        member.acknowledged = dict.fromkeys(view.names, now)
-        self.ledger.open_epoch(
-            message.epoch, {permits.resource: permits.held for permits in message.permits}
-        )
-        self.book.put(convert.from_key_record(record, now) for record in message.records)
-        self.on_view()
-        self.heartbeats.beat()
-        logging.info("decision=take-over member=%s reason=handed-over", message.member)
-        return True
+        self.fleet_report = FleetReport(self.planner)
+
+    async def run(self) -> None:
+        """Run until :attr:`loops` is cancelled."""
+        with self.loops:
+            async with anyio.create_task_group() as tasks:
+                for loop in (
+                    self.link.run,
+                    self.heartbeats.run,
+                    self.trader.run,
+                    self.planner.run,
+                    self._sweep,
+                    self._prune,
+                    self._keep_list,
+                ):
+                    tasks.start_soon(keep_running, loop)
 
     # What the parts ask of the whole
 
@@ -358,7 +225,7 @@
             return "leaving"
         if not self.link.config_loaded:
             return "no configuration yet"
-        if self.forwarder.needed() and len(self.peers.live()) < 1:
+        if self.forwarder.needed() and not self.peers.live():
             return "not a member yet"
         return ""
 
@@ -389,7 +256,7 @@
             and self.ledger.holding(slot_resource(vm.name)).used > 0
         ]
 
-    def peers_are_idle(self, vm: str, revision: int) -> bool:
+    def is_idle_everywhere(self, vm: str, revision: int) -> bool:
         """Return whether no daemon runs a job on a VM, nor starts one, as of a revision."""
         view = self.member.view
         if view is None or self.ledger.holding(slot_resource(vm)).used > 0:
@@ -464,7 +331,7 @@
         self._apply_reductions()
         view = self.member.view
         if view is not None:
-            self.connections.share(len(view.members))
+            self.around.endpoints.share(len(view.members))
         self.starter.start_all_ready()
 
     def _apply_reductions(self) -> None:
@@ -486,8 +353,8 @@
     async def _prune(self) -> None:
         while True:
             await anyio.sleep(PRUNE_SECONDS)
-            await self.connections.prune()
-            await self.forwarder.connections.prune()
+            await self.around.endpoints.prune()
+            await self.around.members.prune()
             self.book.expire()
             self.metrics.gauge("jobs.waiting", len(self.starter.waiting))
             self.metrics.gauge("jobs.running", self.dispatcher.active)
@@ -495,7 +362,7 @@
     async def _keep_list(self) -> None:
         while True:
             try:
-                listed = await self.vm_list.list_vms()
+                listed = await self.around.vm_list.list_vms()
                 self.endpoints.update_list(listed)
                 self.planner.observe()
                 self.member.see_list(vm.name for vm in listed)
--- a/limpetpulley/daemon/once.py
+++ b/limpetpulley/daemon/once.py
@@ -23,10 +23,11 @@
 )
 from ..idempotency.answers import MAX_ANSWER_BYTES
 from ..membership import Member
-from ..peer import PeerClient, convert
+from ..peer import PeerCaller, convert
 from ..peer import peer_pb2 as pb
 from ..routing.attempt import Answer
 from ..routing.dispatch import JobRequest
+from ..tasks import start_guarded
 from .peers import PeerTable
 
 __all__ = ["KeyedJobs"]
@@ -76,7 +77,7 @@
         member: Member,
         book: RecordBook,
         peers: PeerTable,
-        client: PeerClient,
+        client: PeerCaller,
         tasks: anyio.abc.TaskGroup,
     ):
         self.clock = clock
@@ -104,7 +105,7 @@
             _check_digest(job.digest, digest)
             return await self._join_here(job, request.deadline)
         job = self._remember(_Job(key, digest, request))
-        self.tasks.start_soon(self._own, job, call)
+        start_guarded(self.tasks, self._own, job, call)
         return await self._join_here(job, request.deadline)
 
     async def await_answer(self, key: str, job_id: str, wait_seconds: float) -> pb.AnswerReply:
--- a/limpetpulley/daemon/store_link.py
+++ b/limpetpulley/daemon/store_link.py
@@ -82,6 +82,7 @@
             tasks.start_soon(self._keep_config)
             tasks.start_soon(self._keep_renewed)
             tasks.start_soon(self._keep_view, tasks)
+            tasks.start_soon(self._watch_view)
 
     # Configuration
 
@@ -153,9 +154,10 @@
                 logging.warning("store: renewal: %s", error)
             await anyio.sleep(max(0.05, RENEW_SECONDS - (self.clock.now() - started)))
 
-    async def renew(self) -> None:
+    async def renew(self, again: bool = True) -> None:
         """Renew this member's key if the view that it knows is still in force.
 
+        :param again: whether to try once more with the newest view
         :raises StoreError: if the store does not answer
         """
         member = self.member
@@ -169,8 +171,9 @@
         self.heard_at = sent_at
         if result.ok:
             member.confirm(sent_at, revision)
-        else:
+        elif again:
             await self.load_view()
+            await self.renew(again=False)
 
     async def probe(self) -> None:
         """Read the small keys, and what they show to be out of date.
@@ -214,6 +217,22 @@
         if self.member.take_view(view, revision):
             self.on_view()
 
+    async def _watch_view(self) -> None:
+        backoff = FIRST_BACKOFF_SECONDS
+        while True:
+            try:
+                await self.load_view()
+                backoff = FIRST_BACKOFF_SECONDS
+                after = self.member.view_revision
+                async for events in self.store.watch(self.keyspace.view, after):
+                    for event in events:
+                        if event.value is not None:
+                            self.take_view(event.value, event.revision)
+            except StoreError as error:
+                logging.warning("store: view: %s", error)
+            await anyio.sleep(backoff)
+            backoff = min(2 * backoff, LONGEST_BACKOFF_SECONDS)
+
     async def _keep_view(self, tasks: anyio.abc.TaskGroup) -> None:
         while True:
             await anyio.sleep(PROPOSE_SECONDS)
--- a/limpetpulley/daemon/trading.py
+++ b/limpetpulley/daemon/trading.py
@@ -13,18 +13,20 @@
 from ..clock import Clock
 from ..exception import PeerError, PermitError
 from ..membership import Member
-from ..peer import PeerClient, convert
+from ..peer import PeerCaller, convert
 from ..peer import peer_pb2 as pb
 from ..quota import Adviser, GroupReport, Ledger, Order, Transfer
 from ..quota.resource import POOL_PREFIX, is_team_group, team_group
 from ..scheduling import PoolLoad
 from ..scheduling.starter import Starter
+from ..tasks import start_guarded
 from .peers import PeerTable
 
 __all__ = ["Trader"]
 
 GATHER_SECONDS = 0.002
 ADVICE_SECONDS = 0.2
+BALANCE_SECONDS = 2.0
 LOAD_LIFETIME_SECONDS = 1.0
 TRANSFER_TRIES = 5
 TRANSFER_RETRY_SECONDS = 0.3
@@ -56,7 +58,7 @@
         ledger: Ledger,
         starter: Starter,
         peers: PeerTable,
-        client: PeerClient,
+        client: PeerCaller,
         tasks: anyio.abc.TaskGroup,
         rng: random.Random,
     ):
@@ -77,7 +79,7 @@
 
     async def run(self) -> None:
         """Report changes until cancelled."""
-        self.tasks.start_soon(self._refresh)
+        start_guarded(self.tasks, self._refresh)
         while True:
             await self.wake.wait()
             await anyio.sleep(GATHER_SECONDS)
@@ -148,10 +150,11 @@
             return
         self.starter.note_done(order)
         try:
-            transfer = self.ledger.debit(order.resource, 1)
+            free = self.ledger.free(order.resource)
+            transfer = self.ledger.debit(order.resource, min(order.count, free))
         except PermitError:
             return
-        self.tasks.start_soon(self._send, order.target, transfer, order)
+        start_guarded(self.tasks, self._send, order.target, transfer, order)
 
     def receive_transfer(self, transfer: Transfer, order: Order | None) -> bool:
         """Take permits that another member sent; return whether they were credited."""
@@ -183,10 +186,11 @@
             if holding.free > 0 and self.ledger.trading:
                 transfer = self.ledger.debit(resource, holding.free)
                 target = others[index % len(others)]
-                self.tasks.start_soon(self._send, target, transfer, None)
+                start_guarded(self.tasks, self._send, target, transfer, None)
 
     async def _refresh(self) -> None:
         """Repeat advice on contended groups, and report again where something waits."""
+        balance_at = self.clock.now() + BALANCE_SECONDS
         while True:
             await anyio.sleep(ADVICE_SECONDS)
             waiting = {POOL_PREFIX + pool for pool, _ in self.starter.waiting.counts}
@@ -195,6 +199,9 @@
                 self.report(waiting)
             mine = {group for group, was in self.advised.items() if was}
             self._advise(mine, refresh=True)
+            if self.clock.now() >= balance_at:
+                balance_at = self.clock.now() + BALANCE_SECONDS
+                self._balance()
 
     def _advise(self, groups: Iterable[str], refresh: bool) -> None:
         """Match the permits of groups, then send orders and advice to the members."""
@@ -212,16 +219,35 @@
                 for member in adviser.reports:
                     advice[member].append(self._advice(adviser, member, now))
         for member in {*orders, *advice}:
-            batch = pb.AdviceBatch(
-                adviser=self.member.name,
-                epoch=self.ledger.epoch,
-                advice=advice.get(member, ()),
-                orders=[convert.to_order(order) for order in orders.get(member, ())],
-            )
-            if member == self.member.name:
-                self.receive_advice(batch)
-            else:
-                self._post(member, "Advise", batch)
+            self._give_orders(member, orders.get(member, []), advice.get(member, []))
+
+    def _balance(self) -> None:
+        """Spread the free permits of the groups that this member advises on."""
+        now = self.clock.now()
+        members = set(self.peers.live())
+        orders: dict[str, list[Order]] = defaultdict(list)
+        for group, adviser in self.advisers.items():
+            if self.peers.adviser_of(group) != self.member.name:
+                continue
+            self.receive_reports([self.starter.report(group)])
+            if members <= adviser.reports.keys():
+                for order in adviser.balance(now):
+                    orders[order.source].append(order)
+                    self._log_order(order)
+        for member, found in orders.items():
+            self._give_orders(member, found, [])
+
+    def _give_orders(self, member: str, orders: list[Order], advice: list[pb.Advice]) -> None:
+        batch = pb.AdviceBatch(
+            adviser=self.member.name,
+            epoch=self.ledger.epoch,
+            advice=advice,
+            orders=[convert.to_order(order) for order in orders],
+        )
+        if member == self.member.name:
+            self.receive_advice(batch)
+        else:
+            self._post(member, "Advise", batch)
 
     def _advice(self, adviser: Adviser, member: str, now: float) -> pb.Advice:
         return pb.Advice(
@@ -283,7 +309,7 @@
         self.member.permits_lost = True
 
     def _post(self, member: str, method: str, message: object) -> None:
-        self.tasks.start_soon(self._call, member, method, message)
+        start_guarded(self.tasks, self._call, member, method, message)
 
     async def _call(self, member: str, method: str, message: object) -> None:
         info = self.peers.find(member)
@@ -315,5 +341,11 @@
             order.source,
             order.target,
             order.team,
-            "use" if order.source == order.target else "move",
+            _reason(order),
         )
+
+
+def _reason(order: Order) -> str:
+    if not order.team:
+        return "spread"
+    return "use" if order.source == order.target else "move"
--- a/limpetpulley/demo/story.py
+++ b/limpetpulley/demo/story.py
@@ -71,6 +71,11 @@
     async def sample() -> None:
         while True:
             await anyio.sleep(0.02)
+            waiting = Counter[str]()
+            for node in system.nodes:
+                waiting.update(node.starter.waiting.team_counts)
+            if len(waiting) < len(secrets):
+                continue
             for node in system.nodes:
                 for (_, team), count in node.starter.running.items():
                     samples[team] += count
@@ -83,7 +88,7 @@
                 jobs.start_soon(submit, "agents", 0)
         tasks.cancel_scope.cancel()
     console.print(f"[bold]Sharing.[/] Each team hands in {JOBS} jobs at once, agents through one")
-    console.print("daemon only. While the pool was full, slots went:")
+    console.print("daemon only. While both had jobs waiting, slots went:")
     total = samples.total() or 1
     for team in ("studios", "agents"):
         part = samples[team] / total
--- a/limpetpulley/demo/system.py
+++ b/limpetpulley/demo/system.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import anyio
 import attrs
 import httpcore
 
@@ -17,7 +18,7 @@
     Vm,
     digest_secret,
 )
-from ..daemon import Node
+from ..daemon import Daemon, Node
 from ..platform import MemoryStore
 from ..settings import Settings
 from ..standin import EndpointStandin, MemoryFleet
@@ -36,23 +37,28 @@
     :param tasks: task group that it runs in
     """
 
-    tasks: object
+    tasks: anyio.abc.TaskGroup
     store: MemoryStore = attrs.field(factory=MemoryStore)
     fleet: MemoryFleet = attrs.field(factory=MemoryFleet)
     endpoints: dict[str, EndpointStandin] = attrs.field(factory=dict)
     addresses: dict[str, str] = attrs.field(factory=dict)
-    nodes: list[Node] = attrs.field(factory=list)
+    daemons: list[Daemon] = attrs.field(factory=list)
     http: httpcore.AsyncConnectionPool = attrs.field(
         factory=lambda: httpcore.AsyncConnectionPool(max_connections=200)
     )
 
+    @property
+    def nodes(self) -> list[Node]:
+        """Return the daemons' logic."""
+        return [daemon.node for daemon in self.daemons]
+
     async def start(self) -> None:
         """Start endpoints and daemons."""
         for index in range(ENDPOINTS):
             name = f"desk-{index + 1}"
             endpoint = self.endpoints[name] = EndpointStandin()
             server = HttpServer(endpoint, "127.0.0.1", 0)
-            await self.tasks.start(server.serve)  # type: ignore[attr-defined]
+            await self.tasks.start(server.serve)
             self.addresses[name] = f"127.0.0.1:{server.port}"
             self.fleet.machine(name)
         for index, data_centre in enumerate(DATA_CENTRES):
@@ -64,14 +70,14 @@
                 operators_port=0,
                 peers_port=0,
             )
-            node = Node(settings, self.store, self.fleet, self.fleet, self.tasks)  # type: ignore[arg-type]
-            self.nodes.append(node)
-            await self.tasks.start(node.run)  # type: ignore[attr-defined]
+            daemon = Daemon(settings, self.store, self.fleet, self.fleet, self.tasks)
+            self.daemons.append(daemon)
+            await daemon.start()
 
     async def stop(self) -> None:
         """Stop the daemons one by one."""
-        for node in self.nodes:
-            await node.stop()
+        for daemon in self.daemons:
+            await daemon.stop()
         await self.http.aclose()
 
     def objects(self, secrets: dict[str, str]) -> list[ConfigObject]:
--- a/limpetpulley/jobs.py
+++ b/limpetpulley/jobs.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import secrets
+import random
 from collections import OrderedDict
 from collections.abc import Awaitable, Callable
 from typing import Protocol
@@ -22,7 +22,7 @@
 __all__ = ["Explanation", "Forwarder", "JobService", "OnceGuard", "Submission"]
 
 REMEMBERED_JOBS = 2000
-JOB_ID_BYTES = 9
+JOB_ID_BITS = 72
 
 
 @attrs.define(eq=False)
@@ -128,6 +128,7 @@
         metrics: Metrics,
         fresh: Callable[[], bool],
         pool_load: Callable[[str], PoolLoad],
+        rng: random.Random,
     ):
         self.clock = clock
         self.replica = replica
@@ -140,11 +141,12 @@
         self.metrics = metrics
         self.fresh = fresh
         self.pool_load = pool_load
+        self.rng = rng
         self.remembered: OrderedDict[str, Explanation] = OrderedDict()
 
     def new_job_id(self) -> str:
         """Return a new unique identifier."""
-        return secrets.token_urlsafe(JOB_ID_BYTES)
+        return f"{self.rng.getrandbits(JOB_ID_BITS):018x}"
 
     def check_access(self, submission: Submission) -> Access:
         """Return who a job runs for.
--- a/limpetpulley/membership/member.py
+++ b/limpetpulley/membership/member.py
@@ -109,6 +109,26 @@
         """Return the seconds of silence at the store after which a member may be left out."""
         return self.validity * CLOCK_RATE_MARGIN + SILENCE_MARGIN
 
+    def take_over(
+        self, info: MemberInfo, view: View, revision: int, epoch: int, permits: Mapping[str, int]
+    ) -> None:
+        """Become a member that another daemon has stopped to be.
+
+        The other's promises are not known, so every member counts as acknowledged just now.
+
+        :param epoch: epoch of the permits
+        :param permits: permits held, by resource
+        """
+        now = self.clock.now()
+        self.info = info
+        self.view, self.view_revision, self.view_since = view, revision, now
+        self.applied_serial = view.serial
+        self.acks.clear()
+        self.acknowledged = dict.fromkeys(view.names, now)
+        self.ledger.owner = f"{info.member}.{info.incarnation}"
+        self.ledger.open_epoch(epoch, permits)
+        self._time_quarantine(view)
+
     def is_valid(self) -> bool:
         """Return whether this member may start jobs now."""
         if not self.is_member or self.stopped or not self.ledger.epoch:
@@ -258,11 +278,12 @@
 
     def propose_leaving(self, limits: Mapping[str, int]) -> Proposal | None:
         """Return the view without this member, which has finished all its jobs."""
-        if not self.is_member or self.view is None or len(self.view.members) == 1:
+        if not self.is_member or self.view is None:
             return None
         self.stopped = True
         others = sorted(self.view.names - {self.name})
-        view = propose_view(self.view, others[0], self._limits_to_keep(limits), leaving={self.name})
+        proposer = others[0] if others else ""
+        view = propose_view(self.view, proposer, self._limits_to_keep(limits), leaving={self.name})
         return Proposal(view, self.view_revision, {}, "leaving")
 
     def silent_members(self) -> set[str]:
@@ -292,7 +313,8 @@
 
     def _propose_join(self, limits: Mapping[str, int]) -> Proposal | None:
         assert self.view is not None
-        if self.view.state is ViewState.COLLECTING and not self._collecting_too_long():
+        collecting = self.view.state is ViewState.COLLECTING and self.view.members
+        if collecting and not self._collecting_too_long():
             return None
         silent = self.silent_members()
         stay = self.view.names - silent
--- a/limpetpulley/peer/__init__.py
+++ b/limpetpulley/peer/__init__.py
@@ -1,8 +1,8 @@
 """The protocol between daemons: messages, client and server."""
 
 from . import convert, peer_pb2
-from .client import PeerClient
+from .client import PeerCaller, PeerClient
 from .peer_grpc import PeerBase, PeerStub
 from .server import PeerServer
 
-__all__ = ["PeerBase", "PeerClient", "PeerServer", "PeerStub", "convert", "peer_pb2"]
+__all__ = ["PeerBase", "PeerCaller", "PeerClient", "PeerServer", "PeerStub", "convert", "peer_pb2"]
--- a/limpetpulley/peer/client.py
+++ b/limpetpulley/peer/client.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import Any
+from typing import Any, Protocol
 
 import anyio
 from grpclib.client import Channel
@@ -11,11 +11,26 @@
 from ..exception import PeerError
 from .peer_grpc import PeerStub
 
-__all__ = ["PeerClient"]
+__all__ = ["PeerCaller", "PeerClient"]
 
 CALL_TIMEOUT_SECONDS = 1.0
 
 
+class PeerCaller(Protocol):
+    """Calls other daemons."""
+
+    async def call(
+        self, address: str, method: str, message: Any, timeout: float = CALL_TIMEOUT_SECONDS
+    ) -> Any:
+        """Return the reply to a message.
+
+        :raises PeerError: if there is no reply; the message may have arrived
+        """
+
+    def close(self) -> None:
+        """Close all channels."""
+
+
 class PeerClient:
     """Channels to other daemons by address.
 
--- a/limpetpulley/peer/convert.py
+++ b/limpetpulley/peer/convert.py
@@ -93,6 +93,7 @@
         source=order.source,
         target=order.target,
         team=order.team,
+        count=order.count,
     )
 
 
@@ -105,6 +106,7 @@
         message.source,
         message.target,
         message.team,
+        max(1, message.count),
     )
 
 
--- a/limpetpulley/quota/adviser.py
+++ b/limpetpulley/quota/adviser.py
@@ -19,8 +19,9 @@
 
 __all__ = ["Adviser", "Claim", "GroupReport", "Order"]
 
-REPORT_LIFETIME_SECONDS = 1.0
+REPORT_LIFETIME_SECONDS = 3.0
 ORDER_LIFETIME_SECONDS = 0.3
+UNEVEN_SHARE = 0.25
 
 
 @attrs.frozen
@@ -63,14 +64,15 @@
 
 @attrs.frozen
 class Order:
-    """Advice to give one permit to a waiting job.
+    """Advice to give a permit to a waiting job, or to spread permits that nobody needs now.
 
     :param order_id: unique identifier
     :param group: the group
     :param resource: what the permit is for
     :param source: member that holds the permit
     :param target: member at which the job waits; may be the source
-    :param team: team whose job is to start
+    :param team: team whose job is to start; empty if permits are only spread
+    :param count: how many permits
     """
 
     order_id: str
@@ -79,6 +81,7 @@
     source: str
     target: str
     team: str
+    count: int = 1
 
 
 @attrs.define
@@ -178,6 +181,40 @@
             (due for (found, _), due in self.unmet.items() if found != member), default=math.inf
         )
 
+    def balance(self, now: float) -> list[Order]:
+        """Return orders that spread free permits evenly, while no job waits.
+
+        Permits that are spread are near where the next job comes in, and few are lost with a
+        member.
+        """
+        self._expire(now)
+        if self.contended or self.pending or self.waiting():
+            return []
+        held: dict[str, dict[str, int]] = defaultdict(dict)
+        for member, (_, report) in self.reports.items():
+            for resource in report.free:
+                held[resource][member] = report.free[resource]
+        orders = []
+        for resource, parts in held.items():
+            for member in self.reports:
+                parts.setdefault(member, 0)
+            orders += self._spread(resource, parts, now)
+        return orders
+
+    def _spread(self, resource: str, parts: dict[str, int], now: float) -> list[Order]:
+        orders: list[Order] = []
+        mean = sum(parts.values()) / len(parts)
+        slack = max(1.0, mean * UNEVEN_SHARE)
+        while True:
+            most = max(parts, key=lambda member: (parts[member], member))
+            least = min(parts, key=lambda member: (parts[member], member))
+            if parts[most] - parts[least] <= 2 * slack:
+                return orders
+            count = max(1, min(int(parts[most] - mean), int(mean - parts[least] + 0.999)))
+            parts[most] -= count
+            parts[least] += count
+            orders.append(self._order((most, resource), least, "", now, count))
+
     def _is_ready(self, key: tuple[str, str]) -> bool:
         member, team = key
         return any(c.ready for c in self.reports[member][1].claims if c.team == team)
@@ -201,10 +238,12 @@
             totals[resource] += count
         return max(candidates, key=lambda key: (totals[key[1]], free[key]))
 
-    def _order(self, choice: tuple[str, str], target: str, team: str, now: float) -> Order:
+    def _order(
+        self, choice: tuple[str, str], target: str, team: str, now: float, count: int = 1
+    ) -> Order:
         source, resource = choice
         order = Order(
-            f"{self.name}:{next(self.numbers)}", self.group, resource, source, target, team
+            f"{self.name}:{next(self.numbers)}", self.group, resource, source, target, team, count
         )
         self.pending[order.order_id] = _Pending(order, now + ORDER_LIFETIME_SECONDS)
         return order
@@ -233,7 +272,7 @@
     def _running_with_pending(self) -> dict[str, int]:
         running: dict[str, int] = defaultdict(int, self.running())
         for pending in self.pending.values():
-            if not pending.target_done:
+            if not pending.target_done and pending.order.team:
                 running[pending.order.team] += 1
         return running
 
--- a/limpetpulley/routing/__init__.py
+++ b/limpetpulley/routing/__init__.py
@@ -1,6 +1,6 @@
 """Endpoints, their health, connections to them, retries and dispatch."""
 
-from .connections import EndpointConnections
+from .connections import Connection, Connections, EndpointConnections
 from .dispatch import Answer, Dispatcher, JobRequest
 from .endpoints import EndpointSet
 from .health import Health
@@ -8,6 +8,8 @@
 
 __all__ = [
     "Answer",
+    "Connection",
+    "Connections",
     "Dispatcher",
     "EndpointConnections",
     "EndpointSet",
--- a/limpetpulley/routing/attempt.py
+++ b/limpetpulley/routing/attempt.py
@@ -7,11 +7,12 @@
 import anyio
 import attrs
 import httpcore
+from absl import logging
 from anyio.streams.memory import MemoryObjectReceiveStream
 
 from ..clock import Clock
 from ..exception import EndpointError
-from .connections import CONNECT_TIMEOUT_SECONDS, EndpointConnections, close
+from .connections import CONNECT_TIMEOUT_SECONDS, Connection, Connections, close
 
 __all__ = ["Answer", "Attempt", "Body"]
 
@@ -33,7 +34,7 @@
 )
 LEAVING_HEADER = b"endpoint-leaving"
 NOT_RUN_HEADER = b"not-run"
-OWN_REASONS = frozenset(("not-a-valid-member", "deadline-passed", "cancelled"))
+OWN_REASONS = frozenset(("not-a-valid-member", "deadline-passed", "cancelled", "internal-error"))
 SEND_EVENT = "http11.send_request_headers.started"
 
 Headers = list[tuple[bytes, bytes]]
@@ -132,7 +133,7 @@
     careful: bool
     run_high: float
     clock: Clock
-    connections: EndpointConnections
+    connections: Connections
     before_send: Callable[[], None]
     on_end: Callable[[bool], None]
     sent: bool = False
@@ -168,6 +169,9 @@
             self.error = EndpointError("no-answer", self.sent)
         except (httpcore.NetworkError, httpcore.ProtocolError) as error:
             self.error = EndpointError(f"broken-{type(error).__name__}", self.sent)
+        except Exception:
+            logging.exception("an attempt failed")
+            self.error = EndpointError("internal-error", self.sent)
         finally:
             self.settled.set()
             self.on_end(ended or not self.sent)
@@ -188,7 +192,7 @@
         if self.answer is not None:
             self.answer.discard()
 
-    async def _exchange(self, connection: httpcore.AsyncHTTPConnection) -> None:
+    async def _exchange(self, connection: Connection) -> None:
         request = httpcore.Request(
             "POST",
             httpcore.URL(
--- a/limpetpulley/routing/connections.py
+++ b/limpetpulley/routing/connections.py
@@ -4,6 +4,7 @@
 
 import socket
 from collections import defaultdict
+from typing import Protocol
 
 import anyio
 import attrs
@@ -11,7 +12,7 @@
 
 from ..clock import Clock
 
-__all__ = ["EndpointConnections"]
+__all__ = ["Connection", "Connections", "EndpointConnections"]
 
 CONNECT_TIMEOUT_SECONDS = 1.0
 UNACKNOWLEDGED_MILLISECONDS = 3000
@@ -28,9 +29,44 @@
 ]
 
 
+class Connection(Protocol):
+    """An HTTP connection."""
+
+    async def handle_async_request(self, request: httpcore.Request) -> httpcore.Response:
+        """Send a request and return the head of its answer."""
+
+    def is_available(self) -> bool:
+        """Return whether another request can be sent."""
+
+    def has_expired(self) -> bool:
+        """Return whether the other end has closed it."""
+
+    async def aclose(self) -> None:
+        """Close it."""
+
+
+class Connections(Protocol):
+    """Connections by address."""
+
+    async def take(self, address: str, careful: bool) -> tuple[Connection, bool]:
+        """Return a connection and whether it was used before."""
+
+    async def give_back(self, address: str, connection: Connection) -> None:
+        """Take back a connection whose answer was read whole."""
+
+    def share(self, daemons: int) -> None:
+        """Note how many daemons connect to the same endpoints."""
+
+    async def prune(self) -> None:
+        """Close connections that have been idle too long."""
+
+    async def aclose(self) -> None:
+        """Close all idle connections."""
+
+
 @attrs.define
 class _Idle:
-    connection: httpcore.AsyncHTTPConnection
+    connection: Connection
     since: float
 
 
@@ -56,7 +92,7 @@
         """
         self.max_idle = max(1, IDLE_PER_ENDPOINT // max(1, daemons))
 
-    async def take(self, address: str, careful: bool) -> tuple[httpcore.AsyncHTTPConnection, bool]:
+    async def take(self, address: str, careful: bool) -> tuple[Connection, bool]:
         """Return a connection and whether it was used before.
 
         :param address: ``host:port``
@@ -79,7 +115,7 @@
             False,
         )
 
-    async def give_back(self, address: str, connection: httpcore.AsyncHTTPConnection) -> None:
+    async def give_back(self, address: str, connection: Connection) -> None:
         """Keep a connection whose answer was read whole, or close it if there are enough."""
         idle = self.idle[address]
         if len(idle) < self.max_idle and connection.is_available():
@@ -106,7 +142,7 @@
         self.idle.clear()
 
 
-async def close(connection: httpcore.AsyncHTTPConnection) -> None:
+async def close(connection: Connection) -> None:
     """Close a connection whatever state it is in."""
     with anyio.CancelScope(shield=True), anyio.move_on_after(CONNECT_TIMEOUT_SECONDS):
         await connection.aclose()
--- a/limpetpulley/routing/dispatch.py
+++ b/limpetpulley/routing/dispatch.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import random
-
 import anyio
 import attrs
 from absl import logging
@@ -15,8 +13,9 @@
 from ..scheduling.runtimes import RunTimes
 from ..scheduling.starter import Starter
 from ..scheduling.waiting import WaitingJob
+from ..tasks import start_guarded
 from .attempt import LEAVING_HEADER, NOT_RUN_HEADER, Answer, Attempt, Body, Headers
-from .connections import EndpointConnections
+from .connections import Connections
 from .endpoints import EndpointSet
 from .retries import RetryBudget
 
@@ -90,11 +89,10 @@
         clock: Clock,
         starter: Starter,
         endpoints: EndpointSet,
-        connections: EndpointConnections,
+        connections: Connections,
         run_times: RunTimes,
         tasks: anyio.abc.TaskGroup,
         metrics: Metrics,
-        rng: random.Random,
     ):
         self.clock = clock
         self.starter = starter
@@ -103,7 +101,6 @@
         self.run_times = run_times
         self.tasks = tasks
         self.metrics = metrics
-        self.rng = rng
         self.budget = RetryBudget()
         self.active = 0
         self.held = 0
@@ -190,7 +187,7 @@
         )
         self.active += 1
         self.endpoints.health.started(vm)
-        self.tasks.start_soon(attempt.run)
+        start_guarded(self.tasks, attempt.run)
         return attempt
 
     def _end(
@@ -208,7 +205,7 @@
         if ended:
             self.starter.finish(job, vm)
         else:
-            self.tasks.start_soon(self._hold, request, job, vm)
+            start_guarded(self.tasks, self._hold, request, job, vm)
 
     def _judge(self, request: JobRequest, vm: str, attempt: Attempt, started: float) -> None:
         answer = attempt.answer
--- a/limpetpulley/scheduling/starter.py
+++ b/limpetpulley/scheduling/starter.py
@@ -144,6 +144,8 @@
     def follow(self, order: Order) -> None:
         """Start the job that an order is for, if its permits are here."""
         self.note_done(order)
+        if not order.team:
+            return
         if is_team_group(order.group):
             for pool in self.waiting.pools(order.team):
                 self._touch(pool, order.team)
--- /dev/null
+++ b/limpetpulley/standin/store.py
@@ -0,0 +1,85 @@
+"""One daemon's way to the store in memory, with the platform's faults."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import AsyncIterator, Sequence
+
+import anyio
+import attrs
+
+from ..exception import StoreUnavailable
+from ..platform import Compare, Delete, Event, MemoryStore, Put, Snapshot, TxnResult
+from .faults import Faults
+from .network import MemoryNetwork
+
+__all__ = ["FaultyStore", "STORE_HOST"]
+
+STORE_HOST = "store"
+TIMEOUT_SECONDS = 2.0
+
+
+@attrs.define
+class FaultyStore:
+    """A :class:`~limpetpulley.platform.Store` that fails on request.
+
+    :param store: what holds the keys
+    :param faults: what goes wrong now
+    :param network: network that calls travel over
+    :param host: host that the calls come from
+    :param counts: calls by kind, over all daemons
+    """
+
+    store: MemoryStore
+    faults: Faults
+    network: MemoryNetwork
+    host: str
+    counts: Counter[str]
+
+    async def read(self, prefix: str) -> Snapshot:
+        """Return all entries under a prefix."""
+        self.counts["read"] += 1
+        return await self._call(self.store.read, prefix)
+
+    async def commit(
+        self, compares: Sequence[Compare], writes: Sequence[Put | Delete]
+    ) -> TxnResult:
+        """Apply all writes if all conditions hold."""
+        self.counts["write"] += 1
+        return await self._call(self.store.commit, compares, writes, writes=True)
+
+    async def grant_lease(self, seconds: float) -> int:
+        """Return the identifier of a new lease."""
+        self.counts["write"] += 1
+        return await self._call(self.store.grant_lease, seconds)
+
+    async def renew_lease(self, lease: int) -> bool:
+        """Renew a lease; return whether it still existed."""
+        self.counts["write"] += 1
+        return await self._call(self.store.renew_lease, lease)
+
+    async def watch(self, prefix: str, after: int) -> AsyncIterator[list[Event]]:
+        """Yield the changes under a prefix after a revision, in order."""
+        self.counts["watch"] += 1
+        async for events in self.store.watch(prefix, after):
+            while self.faults.silent_watch or self._away():
+                await anyio.sleep(0.05)
+            await self.network.travel(STORE_HOST, self.host)
+            yield events
+
+    async def _call(self, method, *args, writes: bool = False):
+        with anyio.move_on_after(TIMEOUT_SECONDS):
+            await self.network.travel(self.host, STORE_HOST)
+            await anyio.sleep(self.faults.slow_seconds)
+            if self.faults.outage:
+                await anyio.sleep_forever()
+            result = await method(*args)
+            if writes and result.ok and self.faults.lose_answers > 0:
+                self.faults.lose_answers -= 1
+                await anyio.sleep_forever()
+            await self.network.travel(STORE_HOST, self.host)
+            return result
+        raise StoreUnavailable("no answer from the store")
+
+    def _away(self) -> bool:
+        return self.faults.outage or self.network.is_cut(self.host, STORE_HOST)
--- /dev/null
+++ b/measure/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements: ``python -m measure`` runs them all."""
--- /dev/null
+++ b/measure/sharing.py
@@ -0,0 +1,163 @@
+"""Closeness to share, lateness, refusals and idle slots, over daemons on virtual time."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter, defaultdict
+
+import anyio
+import attrs
+
+from limpetpulley.config import Vm
+from limpetpulley.scheduling import due_shares
+from limpetpulley.standin.cluster import Cluster, Outcome
+from limpetpulley.standin.virtual import run_virtual
+
+from .deployments import DEPLOYMENTS, Deployment
+from .load import Job, Pattern, make_jobs
+
+__all__ = ["ShareResult", "measure_sharing"]
+
+SAMPLE_SECONDS = 0.05
+TAIL_SECONDS = 12.0
+
+
+@attrs.define
+class ShareResult:
+    """What one run shows.
+
+    :param closeness: half the sum of absolute differences of shares, over full periods
+    :param late: jobs accepted and answered late or not
+    :param answered: jobs answered in time
+    :param refused: jobs refused unrun
+    :param idle: part of the slots idle while an allowed job waits
+    """
+
+    closeness: float = 0.0
+    late: int = 0
+    answered: int = 0
+    refused: int = 0
+    idle: float = 0.0
+    jobs: int = 0
+    messages: int = 0
+
+
+@attrs.define
+class _Samples:
+    actual: defaultdict[tuple[str, str], float] = attrs.field(factory=lambda: defaultdict(float))
+    due: defaultdict[tuple[str, str], float] = attrs.field(factory=lambda: defaultdict(float))
+    idle: float = 0.0
+    offered: float = 0.0
+
+    def closeness(self) -> float:
+        """Return half the sum of absolute differences, as parts of all slots."""
+        actual, due = sum(self.actual.values()), sum(self.due.values())
+        if not actual or not due:
+            return 0.0
+        keys = {*self.actual, *self.due}
+        return sum(abs(self.actual[key] - self.due[key]) for key in keys) / due / 2
+
+
+def sample(cluster: Cluster, deployment: Deployment, samples: _Samples) -> None:
+    """Compare what runs now with what is due, for each full pool."""
+    running: Counter[tuple[str, str]] = Counter()
+    waiting: Counter[tuple[str, str]] = Counter()
+    for node in cluster.nodes.values():
+        running.update(node.starter.running)
+        waiting.update(node.starter.waiting.counts)
+    totals: Counter[str] = Counter()
+    for (_, team), count in running.items():
+        totals[team] += count
+    endpoints = next(iter(cluster.nodes.values())).endpoints
+    weights = {name: weight for name, (weight, _) in deployment.teams.items()}
+    for pool in deployment.pools:
+        allowed = {
+            team
+            for (found, team) in waiting
+            if found == pool and totals[team] < deployment.teams[team][1]
+        }
+        if not allowed:
+            continue
+        demands = {}
+        for team, (_, limit) in deployment.teams.items():
+            elsewhere = totals[team] - running[pool, team]
+            wanted = running[pool, team] + waiting[pool, team]
+            demands[team] = min(wanted, limit - elsewhere)
+        slots = endpoints.slots(pool)
+        busy = sum(running[pool, team] for team in deployment.teams)
+        samples.idle += slots - busy
+        samples.offered += slots
+        for team, due in due_shares(slots, weights, demands).items():
+            samples.due[pool, team] += due
+            samples.actual[pool, team] += running[pool, team]
+
+
+def measure_sharing(name: str, pattern: Pattern, seed: int) -> ShareResult:
+    """Return what the daemons' own code does with a trace, on virtual time."""
+    return run_virtual(_run, DEPLOYMENTS[name], pattern, seed)
+
+
+async def _run(deployment: Deployment, pattern: Pattern, seed: int) -> ShareResult:
+    jobs = make_jobs(deployment, pattern, random.Random(seed))
+    result, samples = ShareResult(jobs=len(jobs)), _Samples()
+    async with anyio.create_task_group() as tasks:
+        cluster = await start_cluster(deployment, tasks, seed, pattern.run_seconds)
+        before = sum(cluster.network.messages.values())
+        began = cluster.clock.now()
+        with anyio.move_on_after(pattern.seconds + TAIL_SECONDS):
+            async with anyio.create_task_group() as running:
+                running.start_soon(_submit_all, cluster, jobs, began, result, running)
+                while cluster.clock.now() < began + pattern.seconds + TAIL_SECONDS:
+                    await anyio.sleep(SAMPLE_SECONDS)
+                    sample(cluster, deployment, samples)
+        result.messages = sum(cluster.network.messages.values()) - before
+        tasks.cancel_scope.cancel()
+    result.closeness = samples.closeness()
+    result.idle = samples.idle / samples.offered if samples.offered else 0.0
+    return result
+
+
+async def start_cluster(
+    deployment: Deployment, tasks: anyio.abc.TaskGroup, seed: int, run_seconds: float
+) -> Cluster:
+    """Start a deployment's daemons and endpoints and wait until they have settled."""
+    cluster = Cluster(tasks, seed)
+    cluster.network.delay_seconds = deployment.delay_seconds
+    addresses = {name: cluster.add_endpoint(name) for name in deployment.vm_names()}
+    for index in range(deployment.daemons):
+        centre = deployment.data_centres[index % len(deployment.data_centres)]
+        cluster.start(f"entry-{index + 1}", centre)
+    keys = [cluster.key(team) for team in deployment.teams]
+    await cluster.apply([*deployment.objects(addresses, run_seconds), *keys])
+    await cluster.settle()
+    await anyio.sleep(3.0)
+    assert len(cluster.nodes["entry-1"].replica.all(Vm.kind)) == len(addresses)
+    return cluster
+
+
+async def _submit_all(
+    cluster: Cluster,
+    jobs: list[Job],
+    began: float,
+    result: ShareResult,
+    tasks: anyio.abc.TaskGroup,
+) -> None:
+    for job in jobs:
+        await anyio.sleep(max(0.0, began + job.arrival - cluster.clock.now()))
+        tasks.start_soon(_submit, cluster, job, result)
+
+
+async def _submit(cluster: Cluster, job: Job, result: ShareResult) -> None:
+    outcome: Outcome = await cluster.submit(
+        f"entry-{job.daemon + 1}",
+        job.pool,
+        job.team,
+        job.time_left,
+        run_seconds=f"{job.run_seconds:.4f}",
+    )
+    if outcome.status == 200 and outcome.seconds <= job.time_left:
+        result.answered += 1
+    elif outcome.run == "no":
+        result.refused += 1
+    else:
+        result.late += 1
