--- a/limpetpulley/config/objects.py
+++ b/limpetpulley/config/objects.py
@@ -269,9 +269,16 @@
     return value
 
 
-_converter.register_structure_hook_func(
-    lambda wanted: wanted in (str, int, float, bool), _check_type
-)
+def _check_choice(value: Any, wanted: type[enum.StrEnum]) -> enum.StrEnum:
+    if value not in list(wanted):
+        raise ConfigError(f"{value!r} is not one of {', '.join(wanted)}")
+    return wanted(value)
+
+
+for plain in (str, int, float, bool):
+    _converter.register_structure_hook(plain, _check_type)
+for choice in (VmPhase, WaveState):
+    _converter.register_structure_hook(choice, _check_choice)
 
 
 def structure_object(kind: str, fields: Any) -> ConfigObject:
