--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,9 @@
 PYTHON ?= python3
 BIN = $(VENV)/bin
 
+# The order of sets must not differ between runs.
+export PYTHONHASHSEED = 0
+
 .PHONY: demo test lint measure capacity generate clean
 
 $(VENV)/installed: pyproject.toml constraints.txt
--- a/limpetpulley/daemon/main.py
+++ b/limpetpulley/daemon/main.py
@@ -82,6 +82,14 @@
     try:
         anyio.run(run_daemon, settings)
     except* (OSError, LimpetpulleyError) as group:
-        for error in group.exceptions:
+        for error in leaves(group):
             print(f"limpetpulleyd: {error}", file=sys.stderr)
         sys.exit(EXIT_FAILURE)
+
+
+def leaves(group: BaseExceptionGroup) -> list[BaseException]:
+    """Return the errors of a group and of the groups within it."""
+    found: list[BaseException] = []
+    for error in group.exceptions:
+        found += leaves(error) if isinstance(error, BaseExceptionGroup) else [error]
+    return found
--- a/limpetpulley/daemon/server.py
+++ b/limpetpulley/daemon/server.py
@@ -68,7 +68,7 @@
         self.node = Node(
             settings,
             around,
-            f"{settings.host}:{self.peer_server.port}",
+            settings.peer_address or f"{settings.host}:{self.peer_server.port}",
             f"{settings.host}:{self.callers_server.port}",
         )
         handlers.node = self.node
--- a/limpetpulley/peer/client.py
+++ b/limpetpulley/peer/client.py
@@ -9,6 +9,7 @@
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 
 from ..exception import PeerError
+from ..tasks import absorb_cancellation
 from .peer_grpc import PeerStub
 
 __all__ = ["PeerCaller", "PeerClient"]
@@ -56,7 +57,12 @@
         self.calls += 1
         try:
             with anyio.fail_after(timeout):
-                return await getattr(stub, method)(message)
+                try:
+                    return await getattr(stub, method)(message)
+                except anyio.get_cancelled_exc_class():
+                    if absorb_cancellation():
+                        raise PeerError(f"{address}: connection lost in {method}") from None
+                    raise
         except TimeoutError:
             self._drop(address, channel)
             raise PeerError(f"{address}: no reply to {method}") from None
--- a/limpetpulley/settings/daemon.py
+++ b/limpetpulley/settings/daemon.py
@@ -86,6 +86,11 @@
         _parse_addresses,
         default=(),
     )
+    peer_address: str = _setting(
+        "host:port to tell other daemons; empty for host and peers-port",
+        _matching(r"([^\s:]+:\d{1,5})?", "host:port, or empty"),
+        default="",
+    )
     store_url: str = _setting("the platform's store", _url, default="http://127.0.0.1:2379")
     platform_url: str = _setting(
         "the platform's list of VMs and controls", _url, default="http://127.0.0.1:2380"
--- a/limpetpulley/tasks.py
+++ b/limpetpulley/tasks.py
@@ -2,13 +2,15 @@
 
 from __future__ import annotations
 
+import asyncio
+import math
 from collections.abc import Awaitable, Callable
 from typing import Any
 
 import anyio
 from absl import logging
 
-__all__ = ["keep_running", "start_guarded"]
+__all__ = ["absorb_cancellation", "keep_running", "start_guarded"]
 
 RESTART_SECONDS = 1.0
 
@@ -28,7 +30,26 @@
 
 
 async def _guard(function: Callable[..., Awaitable[Any]], *args: Any) -> None:
+    name = getattr(function, "__qualname__", function)
     try:
         await function(*args)
     except Exception:
-        logging.exception("a task failed: %s", getattr(function, "__qualname__", function))
+        logging.exception("a task failed: %s", name)
+    except anyio.get_cancelled_exc_class():
+        if not absorb_cancellation():
+            raise
+        logging.error("a task was cancelled from outside: %s", name)
+
+
+def absorb_cancellation() -> bool:
+    """Return whether the cancellation being handled came from no scope, after undoing it.
+
+    A library may cancel the task that waits for it when a connection is lost. Left alone,
+    that would end every task of the group.
+    """
+    if anyio.current_effective_deadline() == -math.inf:
+        return False
+    task = asyncio.current_task()
+    if task is not None:
+        task.uncancel()
+    return True
