--- a/limpetpulley/api/server.py
+++ b/limpetpulley/api/server.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import contextlib
-import socket
 from collections.abc import Callable
 from typing import Any
 
@@ -11,12 +10,13 @@
 import uvicorn
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
+from ..sockets import listen
+
 __all__ = ["HttpServer"]
 
 HEAD_TIMEOUT_SECONDS = 10.0
 MAX_HEAD_BYTES = 32 * 1024
 KEEP_ALIVE_SECONDS = 30
-BACKLOG = 1024
 
 
 class GuardedProtocol(HttpToolsProtocol):
@@ -79,7 +79,7 @@
     """
 
     def __init__(self, app: Callable, host: str, port: int, max_connections: int | None = None):
-        self.socket = socket.create_server((host, port), backlog=BACKLOG)
+        self.socket = listen(host, port)
         self.port = self.socket.getsockname()[1]
         config = uvicorn.Config(
             app,
--- a/limpetpulley/fleet/planner.py
+++ b/limpetpulley/fleet/planner.py
@@ -26,6 +26,7 @@
 __all__ = ["FleetPlanner", "Observed", "apply_step"]
 
 STEP_SECONDS = 0.5
+STANDBY_SECONDS = 2.0
 LEASE_SECONDS = 5.0
 RENEW_SECONDS = 1.5
 LIST_AGE_SECONDS = 10.0
@@ -99,7 +100,7 @@
     async def run(self) -> None:
         """Try to plan until cancelled."""
         while True:
-            await anyio.sleep(STEP_SECONDS)
+            await anyio.sleep(STEP_SECONDS if self.plans else STANDBY_SECONDS)
             try:
                 if await self._hold_lease():
                     await self.step()
--- a/limpetpulley/peer/server.py
+++ b/limpetpulley/peer/server.py
@@ -2,10 +2,9 @@
 
 from __future__ import annotations
 
-import socket
-
 from grpclib.server import Server
 
+from ..sockets import listen
 from .peer_grpc import PeerBase
 
 __all__ = ["PeerServer"]
@@ -20,7 +19,7 @@
     """
 
     def __init__(self, service: PeerBase, host: str, port: int):
-        self.socket = socket.create_server((host, port))
+        self.socket = listen(host, port)
         self.port = self.socket.getsockname()[1]
         self.server = Server([service])
 
--- /dev/null
+++ b/limpetpulley/sockets.py
@@ -0,0 +1,33 @@
+"""Listening sockets."""
+
+from __future__ import annotations
+
+import socket
+
+__all__ = ["listen"]
+
+BACKLOG = 1024
+
+
+def listen(host: str, port: int) -> socket.socket:
+    """Return a listening TCP socket.
+
+    The protocol is named, because the event loop turns off the delay of small segments only
+    on sockets that name it, and accepted ones take it over.
+
+    :param host: IP number or host name
+    :param port: port, 0 for any free one
+    :raises OSError: if the address cannot be listened on
+    """
+    family, kind, _, _, address = socket.getaddrinfo(
+        host, port, type=socket.SOCK_STREAM, flags=socket.AI_PASSIVE
+    )[0]
+    listener = socket.socket(family, kind, socket.IPPROTO_TCP)
+    try:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind(address)
+        listener.listen(BACKLOG)
+    except OSError:
+        listener.close()
+        raise
+    return listener
--- a/measure/sharing.py
+++ b/measure/sharing.py
@@ -16,7 +16,7 @@
 from .deployments import DEPLOYMENTS, Deployment
 from .load import Job, Pattern, make_jobs
 
-__all__ = ["ShareResult", "measure_sharing"]
+__all__ = ["ShareResult", "due_in_pool", "measure_sharing"]
 
 SAMPLE_SECONDS = 0.05
 TAIL_SECONDS = 12.0
@@ -65,33 +65,45 @@
     for node in cluster.nodes.values():
         running.update(node.starter.running)
         waiting.update(node.starter.waiting.counts)
-    totals: Counter[str] = Counter()
-    for (_, team), count in running.items():
-        totals[team] += count
     endpoints = next(iter(cluster.nodes.values())).endpoints
-    weights = {name: weight for name, (weight, _) in deployment.teams.items()}
     for pool in deployment.pools:
-        allowed = {
-            team
-            for (found, team) in waiting
-            if found == pool and totals[team] < deployment.teams[team][1]
-        }
-        if not allowed:
-            continue
-        demands = {}
-        for team, (_, limit) in deployment.teams.items():
-            elsewhere = totals[team] - running[pool, team]
-            wanted = running[pool, team] + waiting[pool, team]
-            demands[team] = min(wanted, limit - elsewhere)
+        counts = Counter({team: n for (found, team), n in waiting.items() if found == pool})
         slots = endpoints.slots(pool)
-        busy = sum(running[pool, team] for team in deployment.teams)
-        samples.idle += slots - busy
+        due = due_in_pool(deployment, pool, slots, running, counts)
+        if due is None:
+            continue
+        samples.idle += slots - sum(running[pool, team] for team in deployment.teams)
         samples.offered += slots
-        for team, due in due_shares(slots, weights, demands).items():
-            samples.due[pool, team] += due
+        for team, share in due.items():
+            samples.due[pool, team] += share
             samples.actual[pool, team] += running[pool, team]
 
 
+def due_in_pool(
+    deployment: Deployment,
+    pool: str,
+    slots: int,
+    running: Counter[tuple[str, str]],
+    waiting: Counter[str],
+) -> dict[str, float] | None:
+    """Return what is due to each team in a pool, or None if no allowed job waits there.
+
+    :param running: running jobs by pool and team, everywhere
+    :param waiting: jobs that wait for the pool, by team
+    """
+    totals: Counter[str] = Counter()
+    for (_, team), count in running.items():
+        totals[team] += count
+    if not any(totals[team] < deployment.teams[team][1] for team in waiting if waiting[team]):
+        return None
+    weights = {name: weight for name, (weight, _) in deployment.teams.items()}
+    demands = {}
+    for team, (_, limit) in deployment.teams.items():
+        elsewhere = totals[team] - running[pool, team]
+        demands[team] = min(running[pool, team] + waiting[team], limit - elsewhere)
+    return due_shares(slots, weights, demands)
+
+
 def measure_sharing(name: str, pattern: Pattern, seed: int) -> ShareResult:
     """Return what the daemons' own code does with a trace, on virtual time."""
     return run_virtual(_run, DEPLOYMENTS[name], pattern, seed)
--- a/tests/integration/system.py
+++ b/tests/integration/system.py
@@ -147,13 +147,23 @@
         self.daemons[name] = daemon
         return daemon
 
-    def objects(self, limits: dict[str, int], slots: int) -> list:
-        """Return the configuration of the test."""
+    def objects(self, limits: dict[str, int], slots: int, direct: bool = False) -> list:
+        """Return the configuration of the test.
+
+        :param direct: whether endpoints are reached without their proxies
+        """
         teams = [Team(name, 1.0, limit) for name, limit in limits.items()]
         keys = [AccessKey(f"{n}-key", n, digest_secret(f"secret-{n}")) for n in limits]
         vms = [
-            Vm(name, "main", f"127.0.0.1:{proxy.port}", f"rack-{i // 2}", f"dc{i % 3 + 1}", slots)
-            for i, (name, proxy) in enumerate(self.endpoints.items())
+            Vm(
+                name,
+                "main",
+                f"127.0.0.1:{proxy.target_port if direct else proxy.port}",
+                f"rack-{index // 2}",
+                f"dc{index % 3 + 1}",
+                slots,
+            )
+            for index, (name, proxy) in enumerate(self.endpoints.items())
         ]
         return [
             *teams,
