Measure slopes and the target size; send less between daemons

Cause: the slopes show heartbeats of 23.8 KB a second a node at the target size, over the 19 KB that a node may spend, because every heartbeat repeats the reports on all pools; and advice on a full pool that grows with the square of the members (1.5 ms at 32).

Change: a heartbeat carries the reports that changed, the adviser keeps the others; totals of free slots are counted once a round; a team's limit is reported at once only while few of its permits are at hand.

The advice still grows faster than a line (residual 7 %): each order ranks all claims.

--- a/limpetpulley/daemon/heartbeat.py
+++ b/limpetpulley/daemon/heartbeat.py
@@ -56,7 +56,7 @@
             reports = self.node.trader.reports_by_adviser(self.node.groups)
         for name, address in addresses.items():
             message = self._message(name, reports.get(name, []))
-            start_guarded(self.node.tasks, self._exchange, address, message)
+            start_guarded(self.node.tasks, self._exchange, address, message, name)
         known = {*addresses.values(), self.node.member.info.peer_address}
         for address in self.node.settings.peers:
             if address not in known:
@@ -78,13 +78,14 @@
             message.demand.extend(self._demand())
         return message
 
-    async def _exchange(self, address: str, message: pb.Heartbeat) -> None:
+    async def _exchange(self, address: str, message: pb.Heartbeat, name: str = "") -> None:
         node, member = self.node, self.node.member
         sent_at = node.clock.now()
         try:
             reply = await node.client.call(address, "Exchange", message)
         except PeerError as error:
             logging.debug("peers: %s", error)
+            node.trader.forget_known(name)
             return
         if reply.sender.member == member.name:
             return
--- a/limpetpulley/daemon/node.py
+++ b/limpetpulley/daemon/node.py
@@ -284,6 +284,7 @@
             frozenset(message.busy_vms),
             {item.pool: (item.running, item.waiting) for item in message.demand},
         )
+        self.trader.touch_reports(info.member)
         if message.reports:
             self.trader.receive_reports(
                 convert.from_report(report, info.member, info.data_centre)
--- a/limpetpulley/daemon/trading.py
+++ b/limpetpulley/daemon/trading.py
@@ -16,7 +16,7 @@
 from ..peer import PeerCaller, convert
 from ..peer import peer_pb2 as pb
 from ..quota import Adviser, GroupReport, Ledger, Order, Transfer, make_adviser
-from ..quota.resource import POOL_PREFIX, is_team_group, team_group
+from ..quota.resource import POOL_PREFIX, is_team_group, team_group, team_resource
 from ..scheduling import PoolLoad
 from ..scheduling.starter import Starter
 from ..tasks import start_guarded
@@ -28,6 +28,7 @@
 ADVICE_SECONDS = 0.2
 BALANCE_SECONDS = 2.0
 LOAD_LIFETIME_SECONDS = 1.0
+FEW_PERMITS = 2
 TRANSFER_TRIES = 5
 TRANSFER_RETRY_SECONDS = 0.3
 
@@ -74,6 +75,7 @@
         self.advised: dict[str, bool] = {}
         self.loads: dict[str, _Load] = {}
         self.unreported: set[str] = set()
+        self.known: dict[str, dict[str, GroupReport]] = {}
         self.wake = anyio.Event()
         starter.notify = self._wake
 
@@ -102,6 +104,7 @@
             adviser = self.peers.adviser_of(group)
             if adviser is not None:
                 batches[adviser].append(self.starter.report(group))
+                self.known.get(adviser, {}).pop(group, None)
         for adviser, reports in batches.items():
             if adviser == self.member.name:
                 self.receive_reports(reports)
@@ -115,14 +118,29 @@
                 self._post(adviser, "Report", batch)
 
     def reports_by_adviser(self, groups: Iterable[str]) -> dict[str, list[GroupReport]]:
-        """Return reports of groups by the member that advises on them, for heartbeats."""
+        """Return the reports that changed by the member that advises, for heartbeats."""
         reports: dict[str, list[GroupReport]] = defaultdict(list)
         for group in groups:
             adviser = self.peers.adviser_of(group)
-            if adviser is not None and adviser != self.member.name:
-                reports[adviser].append(self.starter.report(group))
+            if adviser is None or adviser == self.member.name:
+                continue
+            report = self.starter.report(group)
+            known = self.known.setdefault(adviser, {})
+            if known.get(group) != report:
+                known[group] = report
+                reports[adviser].append(report)
         return reports
 
+    def forget_known(self, adviser: str) -> None:
+        """Report everything anew to a member that may have missed a heartbeat."""
+        self.known.pop(adviser, None)
+
+    def touch_reports(self, member: str) -> None:
+        """Note that what a member reported and did not report anew still holds."""
+        now = self.clock.now()
+        for adviser in self.advisers.values():
+            adviser.touch(member, now)
+
     def receive_reports(self, reports: Iterable[GroupReport]) -> None:
         """Take members' reports and give the advice that they call for."""
         now = self.clock.now()
@@ -271,7 +289,9 @@
         if self.starter.is_contended(group) or self.starter.done.get(group):
             return True
         if is_team_group(group):
-            return group.partition("/")[2] in self.starter.waiting.team_counts
+            team = group.partition("/")[2]
+            few = self.ledger.free(team_resource(team)) < FEW_PERMITS
+            return few and team in self.starter.waiting.team_counts
         pool = group.removeprefix(POOL_PREFIX)
         return any(found == pool for found, _ in self.starter.waiting.counts)
 
--- a/limpetpulley/quota/adviser.py
+++ b/limpetpulley/quota/adviser.py
@@ -134,9 +134,11 @@
             if pending.source_done and pending.target_done:
                 del self.pending[order_id]
 
-    def forget(self, member: str) -> None:
-        """Drop the report of a member that is gone."""
-        self.reports.pop(member, None)
+    def touch(self, member: str, now: float) -> None:
+        """Note that a member's last report still holds."""
+        held = self.reports.get(member)
+        if held is not None:
+            self.reports[member] = (now, held[1])
 
     def waiting(self, team: str | None = None) -> int:
         """Return the jobs that wait everywhere, of one team or of all."""
@@ -282,12 +284,16 @@
     def _give(self, free: Free, claims: Claims, now: float) -> list[Order]:
         orders = []
         running = self._running_with_pending()
+        totals: dict[str, int] = defaultdict(int)
+        for (_, resource), count in free.items():
+            totals[resource] += count
         while claims and free:
             key = min(claims, key=lambda key: self._rank(key, running, claims[key]))
             target, team = key
-            choice = self._choose(free, target)
+            choice = self._choose(free, totals, target)
             orders.append(self._order(choice, target, team, now))
             running[team] += 1
+            totals[choice[1]] -= 1
             _use(free, choice)
             _drop_first(claims, key)
         return orders
@@ -298,15 +304,12 @@
         member, team = key
         return ((running.get(team, 0) + 1) / self.weights.get(team, 1.0), deadlines[0], member)
 
-    def _choose(self, free: Free, target: str) -> tuple[str, str]:
+    def _choose(self, free: Free, totals: Mapping[str, int], target: str) -> tuple[str, str]:
         """Return a holder and resource: the target's own first, the freer of two at random."""
         own = [key for key in free if key[0] == target]
         candidates = own or list(free)
         if len(candidates) > 2:
             candidates = self.rng.sample(candidates, 2)
-        totals: dict[str, int] = defaultdict(int)
-        for (_, resource), count in free.items():
-            totals[resource] += count
         return max(candidates, key=lambda key: (totals[key[1]], free[key]))
 
 
--- a/limpetpulley/standin/proxy.py
+++ b/limpetpulley/standin/proxy.py
@@ -17,9 +17,9 @@
 
     :param target_port: port on loopback to pass connections on to
     :param delay_seconds: added to each chunk
-    :param silent: whether open connections pass nothing on; new ones work
     :param half_open: whether nothing passes from target to caller on any connection
     :param refuse: whether new connections are closed at once
+    :param passed: bytes passed on, both ways
     """
 
     target_port: int
@@ -30,6 +30,7 @@
     silenced: set[int] = attrs.field(factory=set)
     connections: dict[int, anyio.abc.SocketStream] = attrs.field(factory=dict)
     accepted: int = 0
+    passed: int = 0
 
     async def serve(self, *, task_status=anyio.TASK_STATUS_IGNORED) -> None:
         """Serve until cancelled."""
@@ -82,5 +83,6 @@
                 while number in self.silenced or (backward and self.half_open):
                     await anyio.sleep(POLL_SECONDS)
                 await target.send(chunk)
+                self.passed += len(chunk)
         except (anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError, OSError):
             tasks.cancel_scope.cancel()
--- /dev/null
+++ b/measure/capacity.py
@@ -0,0 +1,373 @@
+"""Slopes of state, messages and processor time, and what they come to at the target size."""
+
+from __future__ import annotations
+
+import random
+import time
+
+import anyio
+import attrs
+from absl import logging
+
+from limpetpulley.clock import ManualClock
+from limpetpulley.config import AccessKey, ConfigReplica, Pool, Record, Team, Vm
+from limpetpulley.config.replica import decode_record, encode_record
+from limpetpulley.fleet import decide
+from limpetpulley.idempotency import RecordBook
+from limpetpulley.membership import MemberInfo, encode_view, start_view
+from limpetpulley.peer import PeerBase, PeerClient, PeerServer, convert
+from limpetpulley.peer import peer_pb2 as pb
+from limpetpulley.quota import Claim, GroupReport, Ledger, make_adviser, slot_resource
+from limpetpulley.quota.resource import pool_group, team_resource
+from limpetpulley.routing import EndpointSet, Health
+from limpetpulley.scheduling.starter import Starter
+from limpetpulley.scheduling.waiting import WaitingJob, WaitingJobs
+from limpetpulley.standin import FaultProxy
+
+from .fleet import _large_state
+from .slopes import Slope, fit, measure_memory, measure_time, print_slopes
+
+__all__ = ["main"]
+
+DIGEST = "0" * 64
+EXCHANGES = 150
+BLOCKS = 6
+CHANGED_PART = 0.3
+
+
+def vm(index: int, pools: int = 8) -> Vm:
+    """Return a VM of a made-up fleet."""
+    return Vm(f"vm-{index}", f"pool-{index % pools}", f"192.0.2.1:{index + 1}", "r", "d")
+
+
+def replica_of(values: list) -> ConfigReplica:
+    """Return a replica with some objects, read as from the store."""
+    replica = ConfigReplica()
+    for number, value in enumerate(values):
+        data = encode_record(Record(value.kind, value.name, 0, value, "operator", "2026", "id"))
+        replica.apply(decode_record(value.kind, value.name, number + 1, data))
+    return replica
+
+
+def held_vms(count: int) -> tuple:
+    """Return what a daemon holds for some VMs: records, endpoints and permits."""
+    replica = replica_of([vm(index) for index in range(count)])
+    endpoints = EndpointSet("d", ManualClock(), Health(ManualClock()))
+    endpoints.update(replica)
+    ledger = Ledger("a")
+    ledger.grant({slot_resource(f"vm-{index}"): 1 for index in range(count)})
+    view = start_view(
+        MemberInfo("a", "a", "d", "h:1", "h:2"),
+        {slot_resource(f"vm-{index}"): 8 for index in range(count)},
+    )
+    return replica, endpoints, ledger, view
+
+
+def waiting_jobs(count: int) -> WaitingJobs:
+    """Return a queue with some jobs."""
+    waiting = WaitingJobs()
+    for index in range(count):
+        name = f"job-{index:015d}"
+        job = WaitingJob(name, "t", "p", "q", index * 0.1, index * 0.1, print, print)
+        waiting.add(job)
+    return waiting
+
+
+def records(count: int) -> RecordBook:
+    """Return a book with some records of keys."""
+    book = RecordBook(ManualClock())
+    for index in range(count):
+        book.claim(f"team/queue/key-{index:012d}", bytes(32), "member", f"job-{index}", 60.0)
+    return book
+
+
+def memory_slopes() -> list[Slope]:
+    """Return bytes per object of each kind."""
+    sizes = (200, 400, 800, 1600)
+    return [
+        measure_memory("VM with endpoint, permits and limit", held_vms, sizes),
+        measure_memory(
+            "team", lambda n: replica_of([Team(f"t-{i}") for i in range(n)]), (50, 100, 200, 400)
+        ),
+        measure_memory(
+            "pool", lambda n: replica_of([Pool(f"p-{i}") for i in range(n)]), (50, 100, 200, 400)
+        ),
+        measure_memory(
+            "access key",
+            lambda n: replica_of([AccessKey(f"k-{i}", "t", f"{i:064x}") for i in range(n)]),
+            sizes,
+        ),
+        measure_memory("waiting job in the queue", waiting_jobs, (1000, 2000, 4000, 8000)),
+        measure_memory("record of an idempotency key", records, (1000, 2000, 4000, 8000)),
+    ]
+
+
+def adviser_with(members: int):
+    """Return a round of advice on a full pool that so many members report on."""
+    rng = random.Random(1)
+    adviser = make_adviser(pool_group("p"), "a", rng)
+    reports = [
+        GroupReport(
+            pool_group("p"),
+            f"m-{index}",
+            "d",
+            {slot_resource(f"vm-{index % 6}"): 1},
+            {"t": 5, "u": 2},
+            (Claim("t", 4, (1.0, 2.0, 3.0, 4.0), 9), Claim("u", 1, (2.0,), 1)),
+        )
+        for index in range(members)
+    ]
+    now = 0.0
+
+    def run() -> None:
+        nonlocal now
+        now += 1.0
+        for report in reports:
+            adviser.receive(report, now)
+        adviser.match(now)
+
+    return run
+
+
+def starter_with(vms: int):
+    """Return the start and end of a job in a pool of so many VMs."""
+    clock = ManualClock()
+    endpoints = EndpointSet("d", clock, Health(clock))
+    endpoints.update(replica_of([vm(index, 1) for index in range(vms)]))
+    ledger = Ledger("a")
+    ledger.grant({slot_resource(f"vm-{index}"): 8 for index in range(vms)})
+    ledger.grant({team_resource("t"): 1000})
+    starter = Starter("a", "d", clock, ledger, endpoints, random.Random(1))
+
+    def run() -> None:
+        started: list[str] = []
+        job = WaitingJob("j", "t", "pool-0", "q", 10.0, 9.0, started.append, print)
+        starter.submit(job)
+        starter.finish(job, started[0])
+
+    return run
+
+
+def change_in(objects: int):
+    """Return the taking of one change into a configuration of so many VMs."""
+    replica = replica_of([vm(index) for index in range(objects)])
+    endpoints = EndpointSet("d", ManualClock(), Health(ManualClock()))
+    data = encode_record(Record("vm", "vm-1", 0, vm(1)))
+    revision = objects + 1
+
+    def run() -> None:
+        nonlocal revision
+        revision += 1
+        replica.apply(decode_record("vm", "vm-1", revision, data))
+        endpoints.update(replica)
+
+    return run
+
+
+def planning_of(workers: int):
+    """Return one planning round."""
+    state = _large_state(workers, max(1, 264 * workers // 910), random.Random(1))
+    return lambda: decide(state)
+
+
+def time_slopes() -> list[Slope]:
+    """Return processor time of each decision by the size that it works on."""
+    return [
+        measure_time("start and end of a job, by VMs of its pool", starter_with, (4, 8, 16, 32)),
+        measure_time("advice on one full pool, by members", adviser_with, (4, 8, 16, 32)),
+        measure_time("one configuration change, by VMs", change_in, (114, 228, 455, 910)),
+        measure_time("planning round, by VMs", planning_of, (114, 228, 455, 910)),
+    ]
+
+
+class _Peer(PeerBase):
+    """Answers heartbeats; the other calls are not used here."""
+
+    async def Exchange(self, stream) -> None:  # noqa: N802
+        await stream.recv_message()
+        info = pb.MemberInfo(member="entry-2-0a1b2c3d", vm="entry-2", data_centre="almaty-1")
+        await stream.send_message(pb.HeartbeatReply(sender=info, epoch=7, acknowledged=True))
+
+    async def _unused(self, stream) -> None:
+        raise NotImplementedError
+
+    Report = Advise = Send = Collect = FetchConfig = _unused  # noqa: N815
+    ClaimKey = SettleKey = PutRecords = AwaitAnswer = HandOver = _unused  # noqa: N815
+
+
+def heartbeat(groups: int) -> pb.Heartbeat:
+    """Return a heartbeat with reports on so many idle pools of four VMs."""
+    reports = [
+        convert.to_report(
+            GroupReport(
+                pool_group(f"pool-{index}"),
+                "m",
+                "d",
+                {slot_resource(f"vm-{4 * index + n}"): 1 for n in range(4)},
+                {},
+                (),
+            )
+        )
+        for index in range(groups)
+    ]
+    info = pb.MemberInfo(
+        member="entry-1-0a1b2c3d",
+        vm="entry-1",
+        data_centre="almaty-1",
+        peer_address="192.0.2.10:8402",
+        caller_address="192.0.2.10:8400",
+    )
+    return pb.Heartbeat(sender=info, epoch=7, config_revision=1234, reports=reports)
+
+
+async def exchange_slopes() -> list[Slope]:
+    """Return processor time and bytes of a heartbeat, both ends, over real connections."""
+    sizes, spent, sent = (1, 10, 20, 40), [], []
+    async with anyio.create_task_group() as tasks:
+        server = PeerServer(_Peer(), "127.0.0.1", 0)
+        await server.start()
+        proxy = FaultProxy(server.port)
+        await tasks.start(proxy.serve)
+        client = PeerClient()
+        for size in sizes:
+            message = heartbeat(size)
+            await client.call(f"127.0.0.1:{proxy.port}", "Exchange", message)
+            before = proxy.passed
+            for _ in range(EXCHANGES):
+                await client.call(f"127.0.0.1:{proxy.port}", "Exchange", message)
+            sent.append((proxy.passed - before) / EXCHANGES)
+            blocks = []
+            for _ in range(BLOCKS):
+                began = time.process_time()
+                for _ in range(EXCHANGES):
+                    await client.call(f"127.0.0.1:{server.port}", "Exchange", message)
+                blocks.append((time.process_time() - began) / EXCHANGES * 1e6)
+            spent.append(min(blocks))
+        client.close()
+        await server.stop()
+        tasks.cancel_scope.cancel()
+    return [
+        fit("heartbeat and reply, both ends, by groups reported", "us", sizes, spent),
+        fit("bytes of a heartbeat and reply with framing, by groups", "B", sizes, sent),
+    ]
+
+
+def message_sizes() -> list[tuple[str, int]]:
+    """Return the encoded size of each kind of message."""
+    order = pb.Order(
+        order_id="entry-1-0a1b2c3d:123",
+        group="pool/quotes",
+        resource="slot/quotes-1",
+        source="entry-1-0a1b2c3d",
+        target="entry-2-0a1b2c3d",
+        team="studio-a",
+        count=1,
+    )
+    report = GroupReport(
+        "pool/quotes",
+        "m",
+        "d",
+        {slot_resource(f"quotes-{n}"): 1 for n in range(6)},
+        {"studio-a": 5, "agents": 2},
+        (Claim("studio-a", 16, tuple(float(n) for n in range(16)), 40),),
+        ("entry-1-0a1b2c3d:123",) * 5,
+    )
+    batch = pb.ReportBatch(member="entry-1-0a1b2c3d", reports=[convert.to_report(report)])
+    transfer = pb.PermitTransfer(
+        transfer_id="entry-1-0a1b2c3d:7:55", epoch=7, resource="slot/quotes-1", count=1, order=order
+    )
+    view = start_view(
+        MemberInfo("entry-1-0a1b2c3d", "entry-1", "d", "192.0.2.10:8402", "192.0.2.10:8400"),
+        {slot_resource(f"vm-{n}"): 8 for n in range(910)},
+    )
+    return [
+        ("report on one full pool", batch.ByteSize()),
+        ("order", order.ByteSize()),
+        ("transfer of a permit", transfer.ByteSize()),
+        ("claim of a key", pb.KeyClaim(key="t/q/" + "k" * 24, body_digest=bytes(32)).ByteSize()),
+        ("view with 910 VMs and one member", len(encode_view(view))),
+        ("record of a VM in the store", len(encode_record(Record("vm", "vm-1", 1, vm(1))))),
+    ]
+
+
+@attrs.frozen
+class Target:
+    """The size of two years from now."""
+
+    vms: int = 910
+    pools: int = 264
+    teams: int = 32
+    daemons: int = 12
+    changes_a_day: int = 2400
+    waves_a_day: float = 910 / 56
+
+
+def print_target(slopes: dict[str, Slope], target: Target) -> None:
+    """Print what one daemon spends at the target size, with the arithmetic."""
+    beat = slopes["heartbeat and reply, both ends, by groups reported"]
+    wire = slopes["bytes of a heartbeat and reply with framing, by groups"]
+    groups = (target.pools + target.teams) / target.daemons
+    peers = target.daemons - 1
+    beat_us = beat.intercept + beat.slope * groups
+    beat_bytes = wire.intercept + wire.slope * groups * CHANGED_PART
+    change = slopes["one configuration change, by VMs"]
+    change_us = change.intercept + change.slope * target.vms
+    plan = slopes["planning round, by VMs"]
+    plan_us = plan.intercept + plan.slope * target.vms
+    memory = slopes["VM with endpoint, permits and limit"].slope * target.vms
+    print(f"\nTarget: {target}\n")
+    print("| line | arithmetic | figure |")
+    print("|---|---|---:|")
+    print(
+        f"| heartbeats, processor | {peers} peers x ({beat.intercept:.0f} + {beat.slope:.1f} x "
+        f"{groups:.1f} groups) us a second, an exchange being half at each end, sent and received "
+        f"| {peers * beat_us / 1e4:.2f} % of a core |"
+    )
+    print(
+        f"| heartbeats, bytes | {peers} x ({wire.intercept:.0f} + {wire.slope:.0f} x "
+        f"{groups:.1f} x {CHANGED_PART:.0%} that changed) B a second "
+        f"| {peers * beat_bytes / 1000:.1f} KB/s |"
+    )
+    full = wire.intercept + wire.slope * groups
+    print(
+        f"| the same if every group changes | {peers} x ({wire.intercept:.0f} + "
+        f"{wire.slope:.0f} x {groups:.1f}) B a second | {peers * full / 1000:.1f} KB/s |"
+    )
+    print(
+        f"| configuration changes | {target.changes_a_day} a day x ({change.intercept:.0f} + "
+        f"{change.slope:.2f} x {target.vms}) us "
+        f"| {target.changes_a_day * change_us / 864e8 * 100:.4f} % of a core |"
+    )
+    print(
+        f"| planning, the planner only | 2 rounds a second x ({plan.intercept:.0f} + "
+        f"{plan.slope:.2f} x {target.vms}) us | {2 * plan_us / 1e4:.2f} % of a core |"
+    )
+    print(
+        f"| state of the fleet | {target.vms} VMs x "
+        f"{slopes['VM with endpoint, permits and limit'].slope:.0f} B | {memory / 2**20:.2f} MB |"
+    )
+    print(
+        f"| store, writes | {target.daemons} renewals a second, 2 of the planner in 3 s, 5 for "
+        f"each of {target.waves_a_day:.1f} maintained VMs a day | "
+        f"{target.daemons + 0.67 + 5 * target.waves_a_day / 86400:.1f} /s |"
+    )
+    print(
+        f"| store, reads | {target.daemons} probes a second, {target.daemons - 1} standby planners "
+        f"in 2 s, {2 * target.daemons} waiting watches | "
+        f"{target.daemons * 1.5 - 0.5:.1f} /s and {2 * target.daemons} watches |"
+    )
+
+
+def main() -> None:
+    """Measure all slopes and print them."""
+    logging.set_verbosity(logging.FATAL)
+    slopes = [*memory_slopes(), *time_slopes(), *anyio.run(exchange_slopes)]
+    print_slopes(slopes)
+    print("\n| message | bytes |\n|---|---:|")
+    for name, size in message_sizes():
+        print(f"| {name} | {size} |")
+    print_target({found.name: found for found in slopes}, Target())
+
+
+if __name__ == "__main__":
+    main()
