Test the store's client, settings, routing, keys, documents and peers' nonsense

Found by the table test and mended: a retry budget of a fifth of 50 attempts allowed 9 retries, because the fractions are summed in floating point.

--- /dev/null
+++ b/limpetpulley/platform/tests/test_etcd.py
@@ -0,0 +1,121 @@
+"""The store's client against the stand-in and against answers that make no sense."""
+
+import anyio
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, Is
+
+from ...api.http import send_bytes
+from ...api.server import HttpServer
+from ...exception import StoreError, StoreUnavailable
+from ...standin import MemoryFleet, PlatformStandin
+from ..etcd import EtcdStore
+from ..memory import MemoryStore
+from ..store import Compare, Delete, Put
+
+
+async def with_store(app, function):
+    """Run a function on a client of an application that listens on loopback."""
+    async with anyio.create_task_group() as tasks:
+        server = HttpServer(app, "127.0.0.1", 0)
+        await tasks.start(server.serve)
+        store = EtcdStore(f"http://127.0.0.1:{server.port}", timeout=0.5)
+        result = await function(store)
+        await store.aclose()
+        tasks.cancel_scope.cancel()
+    return result
+
+
+def standin():
+    return PlatformStandin(MemoryStore(), MemoryFleet())
+
+
+def test_writes_are_compared_and_read_back():
+    async def run(store):
+        first = await store.commit([Compare("/a", 0)], [Put("/a", b"1"), Put("/b", b"2")])
+        again = await store.commit([Compare("/a", 0)], [Put("/a", b"3")])
+        await store.commit([Compare("/a", first.revision)], [Delete("/b")])
+        snapshot = await store.read("/")
+        return first.ok, again.ok, [(entry.key, entry.value) for entry in snapshot.entries]
+
+    result = anyio.run(with_store, standin(), run)
+    assert_that(result, Equals((True, False, [("/a", b"1")])))
+
+
+def test_watch_brings_changes_and_deletions_in_order():
+    async def run(store):
+        start = (await store.read("/")).revision
+        seen = []
+        async with anyio.create_task_group() as tasks:
+
+            async def watch():
+                async for events in store.watch("/", start):
+                    seen.extend((event.key, event.value) for event in events)
+                    if len(seen) == 3:
+                        tasks.cancel_scope.cancel()
+
+            tasks.start_soon(watch)
+            await anyio.sleep(0.1)
+            await store.commit([], [Put("/a", b"1")])
+            await store.commit([], [Put("/a", b"2")])
+            await store.commit([], [Delete("/a")])
+        return seen
+
+    result = anyio.run(with_store, standin(), run)
+    assert_that(result, Equals([("/a", b"1"), ("/a", b"2"), ("/a", None)]))
+
+
+def test_keys_of_a_lapsed_lease_are_gone():
+    async def run(store):
+        lease = await store.grant_lease(1)
+        await store.commit([], [Put("/a", b"1", lease)])
+        alive = await store.renew_lease(lease)
+        await anyio.sleep(1.2)
+        return alive, await store.renew_lease(lease), len((await store.read("/")).entries)
+
+    assert_that(anyio.run(with_store, standin(), run), Equals((True, False, 0)))
+
+
+def test_answer_lost_after_the_write_is_unavailable_and_took_effect():
+    app = standin()
+    app.faults.lose_answers = 1
+
+    async def run(store):
+        with pytest.raises(StoreUnavailable):
+            await store.commit([], [Put("/a", b"1")])
+        return len((await store.read("/")).entries)
+
+    assert_that(anyio.run(with_store, app, run), Is(1))
+
+
+ANSWERS = [
+    (200, b""),
+    (200, b"not json"),
+    (200, b"[]"),
+    (200, b"{}"),
+    (200, b'{"header": {}}'),
+    (200, b'{"header": {"revision": "x"}}'),
+    (500, b"{}"),
+    (404, b"{}"),
+    (400, b'{"message": "no"}'),
+]
+
+
+@pytest.mark.parametrize(("status", "content"), ANSWERS)
+def test_nonsense_from_the_store_is_a_store_error(status, content):
+    async def app(scope, receive, send):
+        await send_bytes(send, status, content, b"application/json")
+
+    async def run(store):
+        for call in (store.read("/"), store.commit([], []), _watch(store)):
+            with pytest.raises(StoreError):
+                await call
+        return True
+
+    assert_that(anyio.run(with_store, app, run), Is(True))
+
+
+async def _watch(store):
+    async for _ in store.watch("/", 1):
+        pass
+    raise StoreError("the watch ended")
--- a/limpetpulley/routing/retries.py
+++ b/limpetpulley/routing/retries.py
@@ -6,6 +6,7 @@
 
 RETRY_FRACTION = 0.2
 MAX_SAVED_RETRIES = 20.0
+ROUNDING = 1e-9
 
 
 class RetryBudget:
@@ -25,7 +26,7 @@
 
     def spend(self) -> bool:
         """Take one retry; return whether there was one."""
-        if self.saved < 1:
+        if self.saved < 1 - ROUNDING:
             return False
         self.saved -= 1
         return True
--- a/limpetpulley/standin/network.py
+++ b/limpetpulley/standin/network.py
@@ -13,6 +13,7 @@
 
 from ..exception import PeerError
 from ..peer import PeerBase
+from ..tasks import start_guarded
 
 __all__ = ["AsgiConnections", "MemoryNetwork", "NetworkCaller", "call_app"]
 
@@ -105,7 +106,7 @@
             if network.rng.random() < network.doubled:
                 self.tasks.start_soon(self._repeat, service, method, message, target)
             stream = _MemoryStream(type(message).FromString(message.SerializeToString()))
-            self.tasks.start_soon(getattr(service, method), stream)
+            start_guarded(self.tasks, getattr(service, method), stream)
             await stream.replied.wait()
             if network.rng.random() < network.loss:
                 await anyio.sleep_forever()
