Tell operators at once that the store is away; mend commands found wrong by hand

Ruled out: the store's client (its time-out is 2 s). Change: a change that was not sent fails at the first read; one that was sent is settled or called unknown. Options have a default of None; commands are decorated once. Tests parse each command line.

--- a/limpetpulley/api/operators.py
+++ b/limpetpulley/api/operators.py
@@ -13,6 +13,7 @@
 from ..config import Change, ConfigReplica, structure_object, unstructure_object
 from ..config.writer import ConfigWriter
 from ..exception import (
+    ChangeUnknown,
     ConfigError,
     ConflictError,
     InvalidConfig,
@@ -110,6 +111,9 @@
                 changed_by=error.changed_by,
                 changed_at=error.changed_at,
             )
+        except ChangeUnknown as error:
+            detail = f"whether the change is accepted is not known yet: {error}"
+            await send_problem(send, 503, "change-unknown", detail, [(b"retry-after", b"5")])
         except StoreError as error:
             detail = f"the change is not accepted: {error}"
             await send_problem(send, 503, "store-unavailable", detail, [(b"retry-after", b"5")])
--- a/limpetpulley/cli/client.py
+++ b/limpetpulley/cli/client.py
@@ -15,7 +15,7 @@
 
 __all__ = ["ExitStatus", "OperatorsClient", "OperatorsError"]
 
-CALL_TIMEOUT_SECONDS = 10.0
+CALL_TIMEOUT_SECONDS = 20.0
 POLL_SECONDS = 0.1
 
 
--- a/limpetpulley/cli/fleet.py
+++ b/limpetpulley/cli/fleet.py
@@ -99,7 +99,7 @@
     """Grants a key."""
 
     team: str
-    name: str = attrs.field(default="", metadata={"cappa": cappa.Arg(long=True)})
+    name: str | None = attrs.field(default=None, metadata={"cappa": cappa.Arg(long=True)})
 
     def run(self, session: Session) -> int:
         """Make a secret here; only its digest is sent."""
@@ -205,14 +205,14 @@
     name: str
     pools: list[str] = attrs.field(factory=list)
     max_failures: int = attrs.field(default=2, metadata={"cappa": cappa.Arg(long=True)})
-    window_start: str = attrs.field(
-        default="", metadata={"cappa": cappa.Arg(long=True, help="HH:MM in UTC")}
+    window_start: str | None = attrs.field(
+        default=None, metadata={"cappa": cappa.Arg(long=True, help="HH:MM in UTC")}
     )
-    window_end: str = attrs.field(
-        default="", metadata={"cappa": cappa.Arg(long=True, help="HH:MM in UTC")}
+    window_end: str | None = attrs.field(
+        default=None, metadata={"cappa": cappa.Arg(long=True, help="HH:MM in UTC")}
     )
-    finish_by: str = attrs.field(
-        default="", metadata={"cappa": cappa.Arg(long=True, help="ISO 8601 with zone")}
+    finish_by: str | None = attrs.field(
+        default=None, metadata={"cappa": cappa.Arg(long=True, help="ISO 8601 with zone")}
     )
 
     def run(self, session: Session) -> int:
@@ -223,9 +223,9 @@
                 tuple(self.pools),
                 WaveState.RUNNING,
                 self.max_failures,
-                self.window_start,
-                self.window_end,
-                self.finish_by,
+                self.window_start or "",
+                self.window_end or "",
+                self.finish_by or "",
             )
         except ConfigError as error:
             raise OperatorsError(f"wave {self.name}: {error}", ExitStatus.INVALID) from None
@@ -236,6 +236,9 @@
     made: Any = attrs.make_class(f"{verb.title()}Wave", {"name": attrs.field(type=str)})
 
     def run(self: Any, session: Session) -> int:
+        held, _ = find(session, Wave.kind, self.name)
+        if held.state in (WaveState.DONE, WaveState.ABORTED):
+            raise OperatorsError(f"wave {self.name} is {held.state}", ExitStatus.INVALID)
         text = f"wave {self.name} is {done}"
         return change_object(session, Wave.kind, self.name, text, state=state, reason="")
 
--- a/limpetpulley/cli/objects.py
+++ b/limpetpulley/cli/objects.py
@@ -29,7 +29,6 @@
 }
 
 
-@cappa.command(name="list", help="List them.")
 @attrs.define
 class List:
     """Lists the objects of a kind."""
@@ -50,7 +49,6 @@
         return ExitStatus.OK
 
 
-@cappa.command(name="remove", help="Remove one.")
 @attrs.define
 class Remove:
     """Removes an object."""
@@ -75,9 +73,9 @@
     """
     kind = cls.kind  # type: ignore[attr-defined]
     subcommands = [
-        _named(List, kind),
+        _named(List, kind, "list", "List them."),
         _set_command(cls),
-        _named(Remove, kind),
+        _named(Remove, kind, "remove", "Remove one."),
         *further,
     ]
     union: Any = cappa.Subcommands[functools.reduce(operator.or_, subcommands)]  # type: ignore[misc]
@@ -85,11 +83,10 @@
     return cappa.command(name=kind, help=HELP[cls])(made)
 
 
-def _named(base: type, kind: str) -> type:
-    made = types.new_class(f"{base.__name__}{kind.title()}", (base,))
-    made.kind = kind  # type: ignore[attr-defined]
-    command: Any = cappa.Command.get(base)
-    return cappa.command(name=command.real_name(), help=command.help)(attrs.define(made))
+def _named(base: type, kind: str, name: str, help_text: str) -> type:
+    made: Any = types.new_class(f"{base.__name__}{kind.title()}", (base,))
+    made.kind = kind
+    return cappa.command(name=name, help=help_text)(attrs.define(made))
 
 
 def _set_command(cls: type) -> type:
--- a/limpetpulley/cli/questionnaire.py
+++ b/limpetpulley/cli/questionnaire.py
@@ -22,11 +22,11 @@
 class Questionnaire:
     """Turns answers into a document for ``config apply``."""
 
-    answers: str = attrs.field(
-        default="", metadata={"cappa": cappa.Arg(long=True, help="JSON file, instead of asking")}
+    answers: str | None = attrs.field(
+        default=None, metadata={"cappa": cappa.Arg(long=True, help="JSON file, instead of asking")}
     )
-    config: str = attrs.field(
-        default="",
+    config: str | None = attrs.field(
+        default=None,
         metadata={"cappa": cappa.Arg(long=True, help="document to check against, not a daemon")},
     )
     output: str = attrs.field(
--- /dev/null
+++ b/limpetpulley/cli/tests/test_command_line.py
@@ -0,0 +1,52 @@
+"""Tests of the command line's arguments."""
+
+import cappa
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Equals
+
+from ..main import Limpetpulley, run
+
+
+@pytest.mark.parametrize(
+    ("line", "name"),
+    [
+        ("status", "Status"),
+        ("team list", "ListTeam"),
+        ("team set desk --limit 5", "SetTeam"),
+        ("team remove desk", "RemoveTeam"),
+        ("key grant desk", "GrantKey"),
+        ("key grant desk --name k", "GrantKey"),
+        ("key withdraw k", "WithdrawKey"),
+        ("vm drain a", "DrainVm"),
+        ("vm move a main", "MoveVm"),
+        ("config export", "Export"),
+        ("config diff a.json --prune", "Diff"),
+        ("--wait config apply a.json", "Apply"),
+        ("wave plan", "PlanWave"),
+        ("wave start spring main other --finish-by 2026-12-06T00:00:00+00:00", "StartWave"),
+        ("wave start spring", "StartWave"),
+        ("wave pause spring", "PauseWave"),
+        ("wave abort spring", "AbortWave"),
+        ("explain desk-1", "Explain"),
+        ("questionnaire --answers a.json", "Questionnaire"),
+        ("questionnaire", "Questionnaire"),
+    ],
+)
+def test_command_line_is_understood(line, name):
+    command = cappa.parse(Limpetpulley, argv=line.split())
+    while not hasattr(command, "run"):
+        command = command.command
+    assert_that(type(command).__name__, Equals(name))
+
+
+@pytest.mark.parametrize(
+    ("line", "status"),
+    [
+        ("--operators 127.0.0.1:1 status", 5),
+        ("--operators 127.0.0.1:1 config apply /nowhere.json", 5),
+        ("--operators 127.0.0.1:1 questionnaire --answers /nowhere.json", 2),
+    ],
+)
+def test_exit_status_tells_what_is_wrong(line, status):
+    assert_that(run(line.split()), Equals(status))
--- a/limpetpulley/config/writer.py
+++ b/limpetpulley/config/writer.py
@@ -10,7 +10,7 @@
 import attrs
 from absl import logging
 
-from ..exception import ConfigError, ConflictError, StoreUnavailable
+from ..exception import ChangeUnknown, ConfigError, ConflictError, StoreUnavailable
 from ..keyspace import Keyspace
 from ..platform import Compare, Delete, Put, Store
 from .check import check_objects
@@ -19,7 +19,7 @@
 
 __all__ = ["ConfigWriter", "Written"]
 
-ATTEMPTS = 5
+ATTEMPTS = 3
 REMEMBERED_CHANGES = 64
 CHANGE_ID_BITS = 96
 
@@ -70,14 +70,19 @@
         :param conditions: further conditions under which the changes may be made
         :raises ConflictError: if an object was changed after it was read
         :raises InvalidConfig: if the configuration would not hold together
-        :raises StoreUnavailable: if the store does not answer; nothing is known of the change
+        :raises StoreUnavailable: if the store does not answer; nothing was changed
+        :raises ChangeUnknown: if it stopped to answer once the change was sent
         """
         change_id = f"{self.rng.getrandbits(CHANGE_ID_BITS):024x}"
-        for attempt in range(ATTEMPTS):
+        sent = False
+        for _ in range(ATTEMPTS):
             try:
                 written = await self._try(changes, changed_by, change_id, conditions)
+            except ChangeUnknown:
+                sent = True
+                continue
             except StoreUnavailable:
-                if attempt == ATTEMPTS - 1:
+                if not sent:
                     raise
                 continue
             if written is not None:
@@ -90,6 +95,8 @@
                         written.revision,
                     )
                 return written
+        if sent:
+            raise ChangeUnknown("the store stopped to answer once the change was sent")
         raise StoreUnavailable("other changes kept getting in between; try again")
 
     async def _try(
@@ -136,7 +143,10 @@
                 writes.append(Put(key, encode_record(record)))
         recent = [*head.changes, change_id][-REMEMBERED_CHANGES:]
         writes.append(Put(self.keyspace.head, json.dumps(recent).encode()))
-        result = await self.store.commit(compares, writes)
+        try:
+            result = await self.store.commit(compares, writes)
+        except StoreUnavailable as error:
+            raise ChangeUnknown(str(error)) from None
         return Written(result.revision, change_id) if result.ok else None
 
     async def _read_head(self) -> _Head:
--- a/limpetpulley/exception.py
+++ b/limpetpulley/exception.py
@@ -15,6 +15,7 @@
     "ConflictError",
     "StoreError",
     "StoreUnavailable",
+    "ChangeUnknown",
     "PlatformError",
     "PeerError",
     "PermitError",
@@ -73,6 +74,10 @@
     """The store gave no answer; a write may or may not have taken effect."""
 
 
+class ChangeUnknown(StoreUnavailable):  # noqa: N818
+    """A change was sent to the store, and whether it took effect could not be settled."""
+
+
 class PlatformError(LimpetpulleyError):
     """The platform's list or controls gave no usable answer."""
 
--- a/limpetpulley/standin/main.py
+++ b/limpetpulley/standin/main.py
@@ -22,7 +22,8 @@
 
     port: int = attrs.field(metadata={"cappa": cappa.Arg(long=True)}, default=2379)
     vms: str = attrs.field(
-        metadata={"cappa": cappa.Arg(long=True, help="names, by comma")}, default=""
+        metadata={"cappa": cappa.Arg(long=True, help="names, by comma")},
+        default="desk-1,desk-2,desk-3",
     )
 
 
