--- a/limpetpulley/standin/cluster.py
+++ b/limpetpulley/standin/cluster.py
@@ -48,6 +48,23 @@
     content: bytes = b""
 
 
+@attrs.define
+class CountingMetrics:
+    """Counts of all daemons together."""
+
+    counts: Counter[str] = attrs.field(factory=Counter)
+
+    def incr(self, name: str, count: int = 1) -> None:
+        """Count events."""
+        self.counts[name] += count
+
+    def timing(self, name: str, milliseconds: float) -> None:
+        """Do nothing."""
+
+    def gauge(self, name: str, value: float) -> None:
+        """Do nothing."""
+
+
 @attrs.define
 class Cluster:
     """Daemons, store, fleet and endpoints.
@@ -63,6 +80,7 @@
     apps: dict[str, CallersApp] = attrs.field(factory=dict)
     endpoints: dict[str, EndpointStandin] = attrs.field(factory=dict)
     counts: Counter[str] = attrs.field(factory=Counter)
+    metrics: CountingMetrics = attrs.field(factory=lambda: CountingMetrics())
     faults: Faults = attrs.field(factory=Faults)
     clock: VirtualClock = attrs.field(factory=VirtualClock)
     rng: random.Random = attrs.field(init=False)
@@ -97,6 +115,7 @@
             self.tasks,
             VirtualClock(clock_rate, self.rng.random() * 1000),
             random.Random(self.rng.random()),
+            self.metrics,
         )
         node = Node(settings, around, f"{name}:2", f"{name}:0")
         handlers = PeerHandlers()
--- a/measure/__main__.py
+++ b/measure/__main__.py
@@ -43,6 +43,24 @@
     ]
 
 
+def maintenance_rows(name: str) -> list[Row]:
+    """Return the figures of one deployment while a wave runs under peaks in turn."""
+    pattern = Pattern(seconds=TRACE_SECONDS)
+    ours = measure_sharing(name, pattern, SEED, wave=True)
+    quiet = measure_sharing(name, pattern, SEED)
+    vms = len(DEPLOYMENTS[name].vm_names())
+    return [
+        Row("VMs maintained in the trace", ours.maintained, f"of {vms}"),
+        Row("late because of maintenance", ours.late - quiet.late, "jobs", "0"),
+        Row(
+            "refused because of maintenance", (ours.refused - quiet.refused) / ours.jobs * 100, "%"
+        ),
+        Row("moves a minute with the wave", ours.moves / TRACE_SECONDS * 60),
+        Row("moves a minute without", quiet.moves / TRACE_SECONDS * 60),
+        Row("spare buffer", DEPLOYMENTS[name].vms * 24, "VM-hours a day"),
+    ]
+
+
 def main() -> None:
     """Run what the arguments name, or everything."""
     parser = argparse.ArgumentParser(prog="python -m measure")
@@ -61,6 +79,8 @@
     if "fleet" in wanted:
         for name in DEPLOYMENTS:
             print_rows(f"A wave over the whole fleet, {name}", measure_fleet(name))
+            title = f"Maintenance under peaks, {name} (seed {SEED}, {TRACE_SECONDS:.0f} s)"
+            print_rows(title, maintenance_rows(name))
         print_rows("Planning", measure_planning())
     print(f"\nmeasured in {time.monotonic() - began:.0f} s")
 
--- a/measure/sharing.py
+++ b/measure/sharing.py
@@ -8,7 +8,7 @@
 import anyio
 import attrs
 
-from limpetpulley.config import Vm
+from limpetpulley.config import Vm, Wave
 from limpetpulley.scheduling import due_shares
 from limpetpulley.standin.cluster import Cluster, Outcome
 from limpetpulley.standin.virtual import run_virtual
@@ -20,6 +20,7 @@
 
 SAMPLE_SECONDS = 0.05
 TAIL_SECONDS = 12.0
+REBOOT_SECONDS = 5.0
 
 
 @attrs.define
@@ -31,6 +32,10 @@
     :param answered: jobs answered in time
     :param refused: jobs refused unrun
     :param idle: part of the slots idle while an allowed job waits
+    :param jobs: jobs of the trace
+    :param messages: calls between daemons
+    :param moves: VMs moved between pools
+    :param maintained: VMs that a wave maintained
     """
 
     closeness: float = 0.0
@@ -40,6 +45,8 @@
     idle: float = 0.0
     jobs: int = 0
     messages: int = 0
+    moves: int = 0
+    maintained: int = 0
 
 
 @attrs.define
@@ -104,24 +111,33 @@
     return due_shares(slots, weights, demands)
 
 
-def measure_sharing(name: str, pattern: Pattern, seed: int) -> ShareResult:
-    """Return what the daemons' own code does with a trace, on virtual time."""
-    return run_virtual(_run, DEPLOYMENTS[name], pattern, seed)
+def measure_sharing(name: str, pattern: Pattern, seed: int, wave: bool = False) -> ShareResult:
+    """Return what the daemons' own code does with a trace, on virtual time.
+
+    :param wave: whether a wave over the whole fleet is started with the trace
+    """
+    return run_virtual(_run, DEPLOYMENTS[name], pattern, seed, wave)
 
 
-async def _run(deployment: Deployment, pattern: Pattern, seed: int) -> ShareResult:
+async def _run(deployment: Deployment, pattern: Pattern, seed: int, wave: bool) -> ShareResult:
     jobs = make_jobs(deployment, pattern, random.Random(seed))
     result, samples = ShareResult(jobs=len(jobs)), _Samples()
     async with anyio.create_task_group() as tasks:
         cluster = await start_cluster(deployment, tasks, seed, pattern.run_seconds)
         before = sum(cluster.network.messages.values())
         began = cluster.clock.now()
+        if wave:
+            cluster.fleet.reboot_seconds = REBOOT_SECONDS
+            await cluster.apply([Wave("wave")])
         with anyio.move_on_after(pattern.seconds + TAIL_SECONDS):
             async with anyio.create_task_group() as running:
                 running.start_soon(_submit_all, cluster, jobs, began, result, running)
                 while cluster.clock.now() < began + pattern.seconds + TAIL_SECONDS:
                     await anyio.sleep(SAMPLE_SECONDS)
                     sample(cluster, deployment, samples)
+        result.moves = cluster.metrics.counts["fleet.join"] - cluster.metrics.counts["fleet.reboot"]
+        vms = next(iter(cluster.nodes.values())).replica.all(Vm.kind)
+        result.maintained = sum(vm.maintained_in == "wave" for vm in vms)
         result.messages = sum(cluster.network.messages.values()) - before
         tasks.cancel_scope.cancel()
     result.closeness = samples.closeness()
--- a/tests/scenarios/runner.py
+++ b/tests/scenarios/runner.py
@@ -12,6 +12,7 @@
 
 from limpetpulley.config import Budget, Pool, Queue, Team, Vm, VmPhase, Wave, WaveState
 from limpetpulley.exception import LimpetpulleyError
+from limpetpulley.idempotency import choose_holders
 from limpetpulley.quota import slot_resource, team_resource
 from limpetpulley.standin.cluster import Cluster, Outcome
 from limpetpulley.standin.virtual import run_virtual
@@ -171,6 +172,8 @@
         body = options.get("body", "x").encode()
         queue = options.get("into", "jobs")
         show = "" if queue.startswith("open") else team
+        if daemon not in self.cluster.nodes:
+            daemon = next(iter(self.cluster.nodes))
         outcome = await self.cluster.submit(
             daemon, queue, show, float(within), body, batch.gone, **headers
         )
@@ -190,6 +193,14 @@
     def kill(self, name: str) -> None:
         self.cluster.kill(name)
 
+    def kill_holders(self, count: str, key: str, team: str) -> None:
+        view = next(iter(self.cluster.nodes.values())).member.view
+        members = [(info.member, info.data_centre) for info in view.members]
+        for holder in choose_holders(f"{team}/jobs/{key}", members)[: int(count)]:
+            info = view.find(holder)
+            if info.vm in self.cluster.nodes:
+                self.cluster.kill(info.vm)
+
     def freeze(self, name: str) -> None:
         self.cluster.network.frozen.add(name)
 
