--- a/limpetpulley/daemon/departure.py
+++ b/limpetpulley/daemon/departure.py
@@ -44,7 +44,7 @@
 
 async def _leave_at_store(node: Node) -> bool:
     for _ in range(WRITE_TRIES):
-        proposal = node.member.propose_leaving(node.limits())
+        proposal = node.link.proposer.propose_leaving(node.limits())
         if proposal is None:
             return not node.member.is_member
         try:
--- a/limpetpulley/daemon/handlers.py
+++ b/limpetpulley/daemon/handlers.py
@@ -94,7 +94,7 @@
     async def ClaimKey(self, stream: Any) -> None:  # noqa: N802
         """Record a key."""
         message = await stream.recv_message()
-        await stream.send_message(self.node.keyed.record_claim(message))
+        await stream.send_message(self.node.claims.record(message))
 
     async def SettleKey(self, stream: Any) -> None:  # noqa: N802
         """Note the outcome of a keyed job."""
--- a/limpetpulley/daemon/node.py
+++ b/limpetpulley/daemon/node.py
@@ -27,10 +27,11 @@
 from ..scheduling.starter import Starter
 from ..settings import Settings
 from ..tasks import keep_running
+from .claims import DEADLINES_KEPT, RECORD_SECONDS, KeyClaims
 from .forwarding import MemberForwarder
 from .handlers import collect_report
 from .heartbeat import Heartbeats
-from .once import RECORD_SECONDS, KeyedJobs
+from .once import KeyedJobs
 from .peers import PeerTable
 from .store_link import StoreLink
 from .trading import Trader
@@ -127,7 +128,6 @@
             self.on_config,
             self.on_view,
         )
-        self.link.record_seconds = RECORD_SECONDS
         self.heartbeats = Heartbeats(self)
 
     def _build_starting(self) -> None:
@@ -167,7 +167,8 @@
             self.metrics,
         )
         self.book = RecordBook(clock)
-        self.keyed = KeyedJobs(clock, member, self.book, self.peers, self.client, self.tasks)
+        self.claims = KeyClaims(clock, member, self.book, self.peers, self.client)
+        self.keyed = KeyedJobs(clock, member, self.claims, self.peers, self.client, self.tasks)
         self.forwarder = MemberForwarder(
             clock, member, self.peers, self.around.members, self.tasks, self.rng
         )
@@ -321,6 +322,7 @@
         self.admission.limits = {team.name: team.limit for team in teams}
         longest = max((queue.max_seconds for queue in self.replica.all(Queue.kind)), default=0.0)
         self.link.quarantine_seconds = longest + QUARANTINE_MARGIN_SECONDS
+        self.link.record_seconds = max(RECORD_SECONDS, DEADLINES_KEPT * longest)
         self.groups = [pool_group(pool) for pool in self.endpoints.pools]
         self.groups += [team_group(team.name) for team in teams]
         self._apply_reductions()
--- a/limpetpulley/daemon/once.py
+++ b/limpetpulley/daemon/once.py
@@ -11,32 +11,22 @@
 
 from ..clock import Clock
 from ..exception import EndpointError, JobRefused, PeerError
-from ..idempotency import (
-    AnswerCache,
-    KeptAnswer,
-    KeyRecord,
-    KeyState,
-    RecordBook,
-    choose_holders,
-    is_uncertain,
-    needed,
-)
+from ..idempotency import AnswerCache, KeptAnswer, KeyRecord, KeyState
 from ..idempotency.answers import MAX_ANSWER_BYTES
 from ..membership import Member
-from ..peer import PeerCaller, convert
+from ..peer import PeerCaller
 from ..peer import peer_pb2 as pb
 from ..routing.attempt import Answer
 from ..routing.dispatch import JobRequest
 from ..tasks import start_guarded
+from .claims import RECORD_LOST, KeyClaims
 from .peers import PeerTable
 
 __all__ = ["KeyedJobs"]
 
 RETRY_SECONDS = 0.1
-CLAIM_TIMEOUT_SECONDS = 0.5
 AWAIT_MARGIN_SECONDS = 0.5
 LONGEST_WAIT_SECONDS = 1.0
-RECORD_SECONDS = 3600.0
 RECENT_JOBS = 20_000
 
 
@@ -56,17 +46,12 @@
     scope: anyio.CancelScope = attrs.field(factory=anyio.CancelScope)
 
 
-@attrs.frozen
-class _Conflict:
-    record: KeyRecord
-
-
 class KeyedJobs:
     """Runs a keyed job once and gives every request with its key the same answer.
 
     :param clock: the daemon's clock
     :param member: this daemon's part in the membership
-    :param book: records that this daemon holds
+    :param claims: claims of keys at their holders
     :param peers: the other daemons
     :param client: calls to them
     :param tasks: task group in which jobs outlive their callers
@@ -76,14 +61,14 @@
         self,
         clock: Clock,
         member: Member,
-        book: RecordBook,
+        claims: KeyClaims,
         peers: PeerTable,
         client: PeerCaller,
         tasks: anyio.abc.TaskGroup,
     ):
         self.clock = clock
         self.member = member
-        self.book = book
+        self.claims = claims
         self.peers = peers
         self.client = client
         self.tasks = tasks
@@ -159,6 +144,7 @@
                 await self._keep(job, answer)
             except JobRefused as refused:
                 job.refused = refused
+                job.foreign |= refused.reason == RECORD_LOST
                 job.state = KeyState.UNKNOWN if refused.run == "unknown" else KeyState.RELEASED
         if job.scope.cancelled_caught and job.refused is None:
             job.refused = JobRefused(499, "caller-gone", "the caller broke off before the start")
@@ -173,97 +159,24 @@
             job.state,
             job.refused.reason if job.refused else "answered",
         )
-        await self._settle(job)
+        await self.claims.settle(job.key, job.request.job_id, job.state)
 
     async def _claim_and_run(self, job: _Job, call: Callable[[], Awaitable[Answer]]) -> Answer:
         while True:
-            conflict = await self._claim(job)
-            if conflict is None:
+            job.foreign = False
+            held = await self.claims.claim(
+                job.key, job.digest, job.request.job_id, job.request.deadline
+            )
+            if held is None:
                 return await call()
             job.foreign = True
-            _check_digest(conflict.record.body_digest, job.digest)
-            if not await self._join_elsewhere(job, conflict.record):
-                job.foreign = False
+            _check_digest(held.body_digest, job.digest)
+            if not await self._join_elsewhere(job, held):
                 continue
             kept = self.answers.get(job.key)
             assert kept is not None
             return _replay(kept)
 
-    async def _claim(self, job: _Job) -> _Conflict | None:
-        """Have the key recorded at enough holders.
-
-        :returns: the record of another job with the key, if there is one
-        :raises JobRefused: if not enough holders answer in time
-        """
-        while self.clock.now() < job.request.deadline:
-            view = self.member.view
-            if view is None or not self.member.is_valid():
-                break
-            for shadow in view.shadows:
-                if is_uncertain(job.key, shadow.members, shadow.lost):
-                    job.foreign = True
-                    raise _lost_record()
-            members = [(info.member, info.data_centre) for info in view.members]
-            holders = choose_holders(job.key, members)
-            accepted: list[str] = []
-            retry = False
-            for holder in holders:
-                reply = await self._claim_at(holder, job)
-                if reply is None:
-                    continue
-                if reply.accepted:
-                    accepted.append(holder)
-                    if len(accepted) >= needed(len(holders)):
-                        return None
-                elif reply.epoch_passed:
-                    retry = True
-                    break
-                else:
-                    await self._release(job, accepted)
-                    return _Conflict(convert.from_key_record(reply.held, self.clock.now()))
-            await self._release(job, accepted)
-            if not retry:
-                break
-            await anyio.sleep(RETRY_SECONDS)
-        raise JobRefused(
-            503, "key-not-recorded", "the key could not be recorded; try again", retry_after=2
-        )
-
-    async def _claim_at(self, holder: str, job: _Job) -> pb.KeyClaimReply | None:
-        claim = pb.KeyClaim(
-            key=job.key,
-            body_digest=job.digest,
-            owner=self.member.name,
-            job=job.request.job_id,
-            epoch=self.member.ledger.epoch,
-            lifetime_seconds=RECORD_SECONDS,
-        )
-        if holder == self.member.name:
-            return self.record_claim(claim)
-        info = self.peers.find(holder)
-        if info is None or not self.peers.is_live(holder):
-            return None
-        try:
-            return await self.client.call(
-                info.peer_address, "ClaimKey", claim, CLAIM_TIMEOUT_SECONDS
-            )
-        except PeerError:
-            return None
-
-    def record_claim(self, claim: pb.KeyClaim) -> pb.KeyClaimReply:
-        """Record a key here, unless it is recorded or this member moved to a later epoch."""
-        if claim.epoch < self.member.reported_epoch or claim.epoch != self.member.ledger.epoch:
-            return pb.KeyClaimReply(epoch_passed=True)
-        try:
-            record = self.book.claim(
-                claim.key, claim.body_digest, claim.owner, claim.job, claim.lifetime_seconds
-            )
-        except JobRefused:
-            return pb.KeyClaimReply(epoch_passed=True)
-        if record.job == claim.job:
-            return pb.KeyClaimReply(accepted=True)
-        return pb.KeyClaimReply(held=convert.to_key_record(record, self.clock.now()))
-
     async def _join_elsewhere(self, job: _Job, record: KeyRecord) -> bool:
         """Take over the answer of a job that another daemon runs.
 
@@ -278,8 +191,7 @@
                 return True
             raise _ran_already()
         if reply.state == KeyState.RELEASED:
-            released = pb.KeySettlement(key=job.key, job=record.job, state=KeyState.RELEASED)
-            await self._settle_at(job.key, released)
+            await self.claims.settle(job.key, record.job, KeyState.RELEASED)
             return False
         if reply.state == KeyState.CLAIMED:
             raise JobRefused(504, "deadline-passed", "the job with this key is not done", "unknown")
@@ -331,32 +243,6 @@
         self.answers.put(job.key, kept)
         job.state = KeyState.ANSWERED
 
-    async def _settle(self, job: _Job) -> None:
-        settlement = pb.KeySettlement(key=job.key, job=job.request.job_id, state=job.state)
-        await self._settle_at(job.key, settlement)
-
-    async def _release(self, job: _Job, holders: list[str]) -> None:
-        settlement = pb.KeySettlement(key=job.key, job=job.request.job_id, state=KeyState.RELEASED)
-        for holder in holders:
-            await self._tell(holder, settlement)
-
-    async def _settle_at(self, key: str, settlement: pb.KeySettlement) -> None:
-        view = self.member.view
-        members = [(info.member, info.data_centre) for info in view.members] if view else []
-        for holder in choose_holders(key, members):
-            await self._tell(holder, settlement)
-
-    async def _tell(self, holder: str, settlement: pb.KeySettlement) -> None:
-        if holder == self.member.name:
-            self.book.settle(settlement.key, settlement.job, KeyState(settlement.state))
-            return
-        info = self.peers.find(holder)
-        if info is not None:
-            try:
-                await self.client.call(info.peer_address, "SettleKey", settlement)
-            except PeerError as error:
-                logging.info("decision=key-settle to=%s reason=%s", holder, error)
-
     @staticmethod
     def _drop_unread(job: _Job) -> None:
         """Let go of a large answer that no caller waits for, so that its attempt can end."""
@@ -385,15 +271,6 @@
     )
 
 
-def _lost_record() -> JobRefused:
-    return JobRefused(
-        409,
-        "record-lost",
-        "whether a job with this key has run is not known since some daemons were lost",
-        "unknown",
-    )
-
-
 def _replay(kept: KeptAnswer) -> Answer:
     send, receive = anyio.create_memory_object_stream[bytes | EndpointError](1)
     if kept.content:
--- a/limpetpulley/daemon/store_link.py
+++ b/limpetpulley/daemon/store_link.py
@@ -14,7 +14,16 @@
 from ..config.replica import decode_record
 from ..exception import ConfigError, PeerError, StoreError
 from ..keyspace import Keyspace
-from ..membership import Collecting, Member, Proposal, View, decode_view, encode_view, open_view
+from ..membership import (
+    Collecting,
+    Member,
+    Proposal,
+    Proposer,
+    View,
+    decode_view,
+    encode_view,
+    open_view,
+)
 from ..platform import Compare, Delete, Put, Store
 
 __all__ = ["StoreLink"]
@@ -58,6 +67,7 @@
         self.clock = clock
         self.replica = replica
         self.member = member
+        self.proposer = Proposer(member)
         self.limits = limits
         self.collect = collect
         self.on_config = on_config
@@ -248,7 +258,7 @@
 
         :raises StoreError: if the store does not answer
         """
-        proposal = self.member.propose(self.limits(), self.joinable)
+        proposal = self.proposer.propose(self.limits(), self.joinable)
         if proposal is not None:
             await self.write(proposal)
         collecting = self.member.collects()
--- a/limpetpulley/membership/__init__.py
+++ b/limpetpulley/membership/__init__.py
@@ -1,6 +1,6 @@
 """Views of the members, and the validity of this one."""
 
-from .member import Collecting, Member, Proposal
+from .member import Collecting, Member
 from .planner import (
     append_grants,
     divide,
@@ -9,6 +9,7 @@
     release_quarantine,
     start_view,
 )
+from .proposer import Proposal, Proposer
 from .view import Grant, MemberInfo, Quarantine, Shadow, View, ViewState, decode_view, encode_view
 
 __all__ = [
@@ -17,6 +18,7 @@
     "Member",
     "MemberInfo",
     "Proposal",
+    "Proposer",
     "Quarantine",
     "Shadow",
     "View",
--- a/limpetpulley/membership/member.py
+++ b/limpetpulley/membership/member.py
@@ -1,7 +1,6 @@
-"""One daemon's part in the membership: its validity, its promises and what it should propose.
+"""One daemon's part in the membership: its validity and its promises.
 
-The class does no I/O. The daemon feeds it what the store and the peers say, and asks it what
-to do next.
+The class does no I/O. The daemon feeds it what the store and the peers say.
 """
 
 from __future__ import annotations
@@ -13,33 +12,13 @@
 
 from ..clock import Clock
 from ..quota import Ledger
-from .planner import append_grants, propose_view, release_quarantine, start_view
 from .view import MemberInfo, Quarantine, Shadow, View, ViewState
 
-__all__ = ["Collecting", "Member", "Proposal"]
+__all__ = ["Collecting", "Member"]
 
 SILENCE_MARGIN = 0.5
-COLLECT_TIMEOUT_SECONDS = 3.0
-RANK_DELAY_SECONDS = 0.7
 CLOCK_RATE_MARGIN = 1.02
 GONE_MARGIN_SECONDS = 5.0
-REPAIR_SECONDS = 5.0
-
-
-@attrs.frozen
-class Proposal:
-    """A view to write, and the conditions under which it may be written.
-
-    :param view: the view
-    :param view_revision: revision of the view that it follows, 0 for none
-    :param member_revisions: last revision of each lost member's key
-    :param reason: why, for the log
-    """
-
-    view: View
-    view_revision: int
-    member_revisions: Mapping[str, int]
-    reason: str
 
 
 @attrs.define
@@ -248,43 +227,7 @@
         self.ledger.stop_trading(view.limits, view.old_limits)
         return self.ledger.report()
 
-    # What to do next
-
-    def propose(self, limits: Mapping[str, int], joinable: bool) -> Proposal | None:
-        """Return the view that this daemon should write now, if any.
-
-        :param limits: limits of the configuration, by resource
-        :param joinable: whether this daemon wants to be a member
-        """
-        if self.stopped:
-            return None
-        if self.view is None:
-            if not joinable:
-                return None
-            view = start_view(self.info, limits)
-            return Proposal(view, 0, {}, "first-view")
-        if not self.is_member:
-            return self._propose_join(limits) if joinable else None
-        if self.view.state is ViewState.COLLECTING:
-            return self._propose_instead(limits)
-        lost = self.silent_members()
-        if lost and self._is_due(lost):
-            return self._propose_without(lost, limits, "members-silent")
-        if self._needs_repair():
-            return self._propose_without(set(), limits, "permits-lost")
-        if not self._is_due(set()):
-            return None
-        return self._propose_limits(limits) or self._propose_release()
-
-    def propose_leaving(self, limits: Mapping[str, int]) -> Proposal | None:
-        """Return the view without this member, which has finished all its jobs."""
-        if not self.is_member or self.view is None:
-            return None
-        self.stopped = True
-        others = sorted(self.view.names - {self.name})
-        proposer = others[0] if others else ""
-        view = propose_view(self.view, proposer, self._limits_to_keep(limits), leaving={self.name})
-        return Proposal(view, self.view_revision, {}, "leaving")
+    # What follows from it
 
     def silent_members(self) -> set[str]:
         """Return the members whose keys did not change for longer than any validity."""
@@ -311,67 +254,6 @@
             return None
         return Collecting(view, self.view_revision)
 
-    def _needs_repair(self) -> bool:
-        """Return whether permits are missing that a new epoch would bring back."""
-        assert self.view is not None
-        if self.clock.now() - self.view_since <= REPAIR_SECONDS:
-            return False
-        over = bool(self.view.excess) and not any(self.ledger.debts.values())
-        return self.permits_lost or (over and self._is_due(set()))
-
-    def _propose_join(self, limits: Mapping[str, int]) -> Proposal | None:
-        assert self.view is not None
-        collecting = self.view.state is ViewState.COLLECTING and self.view.members
-        if collecting and not self._collecting_too_long():
-            return None
-        silent = self.silent_members()
-        stay = self.view.names - silent
-        proposer = min(stay) if stay else self.name
-        if not self._may_leave_out(silent):
-            silent = set()
-        if silent and not stay:
-            logging.warning("decision=restart reason=all-members-lost")
-        view = propose_view(
-            self.view, proposer, self._limits_to_keep(limits), joining=[self.info], lost=silent
-        )
-        return Proposal(view, self.view_revision, self._revisions(silent), "join")
-
-    def _propose_instead(self, limits: Mapping[str, int]) -> Proposal | None:
-        """Return a new collecting view if the present one does not open."""
-        if not self._collecting_too_long():
-            return None
-        lost = self.silent_members()
-        if not self._may_leave_out(lost):
-            lost = set()
-        return self._propose_without(lost, limits, "collecting-too-long")
-
-    def _propose_without(
-        self, lost: set[str], limits: Mapping[str, int], reason: str
-    ) -> Proposal | None:
-        if not self._may_leave_out(lost):
-            return None
-        assert self.view is not None
-        view = propose_view(self.view, self.name, self._limits_to_keep(limits), lost=lost)
-        return Proposal(view, self.view_revision, self._revisions(lost), reason)
-
-    def _propose_limits(self, limits: Mapping[str, int]) -> Proposal | None:
-        assert self.view is not None
-        raised = append_grants(self.view, limits)
-        if raised is not None:
-            return Proposal(raised, self.view_revision, {}, "limits-raised")
-        if self.lowered_limits(limits):
-            return self._propose_without(set(), limits, "limits-lowered")
-        return None
-
-    def _propose_release(self) -> Proposal | None:
-        now = self.clock.now()
-        due = [serial for serial, at in self.timers.items() if at <= now]
-        if not due:
-            return None
-        assert self.view is not None
-        view = release_quarantine(self.view, due)
-        return Proposal(view, self.view_revision, {}, "quarantine-over")
-
     def lowered_limits(self, limits: Mapping[str, int]) -> dict[str, tuple[int, int]]:
         """Return the limits that are below the view's, as new and old, by resource."""
         if self.view is None:
@@ -382,45 +264,6 @@
             if limits.get(resource, 0) < old
         }
 
-    def _limits_to_keep(self, limits: Mapping[str, int]) -> dict[str, int]:
-        """Return the limits for the next epoch; without configuration, those in force."""
-        assert self.view is not None
-        return dict(limits) if limits else dict(self.view.limits)
-
-    def _may_leave_out(self, lost: set[str]) -> bool:
-        """Return whether enough of the last open view stays to leave members out."""
-        assert self.view is not None
-        if not lost:
-            return True
-        view = self.view
-        base = view.members if view.state is ViewState.OPEN else view.previous
-        names = {info.member for info in base}
-        stay = (names & view.names) - lost
-        certain = len(stay) + len(names & lost & self.gone_members())
-        return 2 * certain > len(names)
-
-    def _revisions(self, lost: set[str]) -> dict[str, int]:
-        return {name: self.seen[name].revision for name in lost}
-
-    def _collecting_too_long(self) -> bool:
-        return self.clock.now() - self.view_since > COLLECT_TIMEOUT_SECONDS + self._rank_delay()
-
-    def _is_due(self, lost: set[str]) -> bool:
-        """Return whether it is this member's turn, so that seldom two propose at once."""
-        assert self.view is not None
-        others = sorted(self.view.names - lost)
-        delay = others.index(self.name) * RANK_DELAY_SECONDS if self.name in others else 0.0
-        if not lost:
-            return self.clock.now() - self.view_since >= delay
-        now = self.clock.now()
-        longest = min(now - self.seen[name].since for name in lost)
-        return longest > self.silence + delay
-
-    def _rank_delay(self) -> float:
-        assert self.view is not None
-        names = sorted(self.view.names | {self.name})
-        return names.index(self.name) * RANK_DELAY_SECONDS
-
     def _time_quarantine(self, view: View) -> None:
         now = self.clock.now()
         items: list[Quarantine | Shadow] = [*view.quarantine, *view.shadows]
--- a/limpetpulley/membership/planner.py
+++ b/limpetpulley/membership/planner.py
@@ -109,13 +109,7 @@
     :param quarantine_seconds: longest time that a lost member's jobs may still run
     :param record_seconds: longest time that a lost member's records of keys could last
     """
-    held: dict[str, int] = defaultdict(int)
-    for report in reports.values():
-        for resource, count in report.items():
-            held[resource] += count
-    for item in view.quarantine:
-        for resource, count in item.permits.items():
-            held[resource] += count
+    held = _add_up([*reports.values(), *(item.permits for item in view.quarantine)])
     missing = {
         resource: limit - held[resource]
         for resource, limit in view.limits.items()
@@ -149,6 +143,14 @@
     )
 
 
+def _add_up(parts: Iterable[Mapping[str, int]]) -> dict[str, int]:
+    total: dict[str, int] = defaultdict(int)
+    for part in parts:
+        for resource, count in part.items():
+            total[resource] += count
+    return total
+
+
 def append_grants(view: View, limits: Mapping[str, int]) -> View | None:
     """Return an open view with what raised limits add, or None if no limit was raised.
 
@@ -173,11 +175,7 @@
 def release_quarantine(view: View, serials: Iterable[int]) -> View:
     """Return an open view in which quarantined permits are granted again."""
     released = set(serials)
-    added: dict[str, int] = defaultdict(int)
-    for item in view.quarantine:
-        if item.serial in released:
-            for resource, count in item.permits.items():
-                added[resource] += count
+    added = _add_up(item.permits for item in view.quarantine if item.serial in released)
     left = tuple(item for item in view.quarantine if item.serial not in released)
     shadows = tuple(item for item in view.shadows if item.serial not in released)
     return attrs.evolve(_grant(view, added, view.limits, left), shadows=shadows)
--- a/limpetpulley/membership/tests/test_member.py
+++ b/limpetpulley/membership/tests/test_member.py
@@ -8,6 +8,7 @@
 from ...quota import Ledger
 from ..member import Member
 from ..planner import append_grants, divide, open_view, propose_view, start_view
+from ..proposer import Proposer
 from ..view import MemberInfo, View, ViewState, decode_view, encode_view
 
 LIMITS = {"team/t": 6}
@@ -80,11 +81,11 @@
     member.see_members({"a": 1, "b": 1})
     clock.advance(20.0)
     member.see_members({"a": 2, "b": 2})
-    assert_that(member.propose(LIMITS, True), Is(None))
+    assert_that(Proposer(member).propose(LIMITS, True), Is(None))
     member.see_list(["a", "b"])
     clock.advance(16.0)
     member.see_members({"a": 3, "b": 3})
-    proposal = member.propose(LIMITS, True)
+    proposal = Proposer(member).propose(LIMITS, True)
     assert_that(proposal.view.names, Equals({"a", "b"}))
 
 
--- a/limpetpulley/membership/tests/test_protocol.py
+++ b/limpetpulley/membership/tests/test_protocol.py
@@ -23,6 +23,7 @@
 from ...quota import Ledger
 from ..member import Member
 from ..planner import open_view
+from ..proposer import Proposer
 from ..view import MemberInfo, ViewState
 
 LIMIT = 6
@@ -130,7 +131,7 @@
     def propose(self, daemon):
         if self.away:
             return
-        proposal = daemon.member.propose({RESOURCE: LIMIT}, True)
+        proposal = Proposer(daemon.member).propose({RESOURCE: LIMIT}, True)
         if proposal is None or proposal.view_revision != self.revision:
             return
         for name, revision in proposal.member_revisions.items():
@@ -142,7 +143,7 @@
     def leave(self, daemon):
         if self.away or daemon.jobs or not daemon.member.is_member:
             return
-        proposal = daemon.member.propose_leaving({RESOURCE: LIMIT})
+        proposal = Proposer(daemon.member).propose_leaving({RESOURCE: LIMIT})
         if proposal is not None and proposal.view_revision == self.revision:
             self.write(proposal.view)
 
