--- a/measure/capacity.py
+++ b/measure/capacity.py
@@ -10,16 +10,19 @@
 from absl import logging
 
 from limpetpulley.clock import ManualClock
-from limpetpulley.config import AccessKey, ConfigReplica, Pool, Record, Team, Vm
+from limpetpulley.config import AccessKey, ConfigReplica, Pool, Queue, Record, Team, Vm
 from limpetpulley.config.replica import decode_record, encode_record
+from limpetpulley.daemon.peers import PeerTable
+from limpetpulley.exception import EndpointError
 from limpetpulley.fleet import decide
 from limpetpulley.idempotency import RecordBook
-from limpetpulley.membership import MemberInfo, encode_view, start_view
+from limpetpulley.membership import Member, MemberInfo, encode_view, start_view
 from limpetpulley.peer import PeerBase, PeerClient, PeerServer, convert
 from limpetpulley.peer import peer_pb2 as pb
 from limpetpulley.quota import Claim, GroupReport, Ledger, make_adviser, slot_resource
 from limpetpulley.quota.resource import pool_group, team_resource
-from limpetpulley.routing import EndpointSet, Health
+from limpetpulley.routing import EndpointConnections, EndpointSet, Health, JobRequest
+from limpetpulley.routing.attempt import Answer, Attempt, Body
 from limpetpulley.scheduling.starter import Starter
 from limpetpulley.scheduling.waiting import WaitingJob, WaitingJobs
 from limpetpulley.standin import FaultProxy
@@ -81,6 +84,51 @@
     return book
 
 
+def running_jobs(count: int) -> list:
+    """Return what a daemon holds for some jobs that run: request, permits, attempt, answer."""
+    clock = ManualClock()
+    connections = EndpointConnections(clock)
+    queue = Queue("q", "p")
+    held = []
+    for index in range(count):
+        name = f"job-{index:015d}"
+        headers = [(b"content-type", b"text/plain"), (b"job-id", name.encode())]
+        request = JobRequest(name, "t", queue, 1.0, True, headers, Body(bytes(200)), 1.0)
+        job = WaitingJob(name, "t", "p", "q", 1.0, 0.5, print, print)
+        attempt = Attempt(
+            f"h:{index + 1}",
+            "/",
+            list(headers),
+            request.body,
+            1.0,
+            False,
+            1.0,
+            clock,
+            connections,
+            print,
+            print,
+        )
+        _, receive = anyio.create_memory_object_stream[bytes | EndpointError](4)
+        attempt.answer = Answer(200, list(headers), receive)
+        held.append((request, job, attempt))
+    return held
+
+
+def peers_with_reports(count: int) -> tuple:
+    """Return what a daemon holds for some peers, each with a report on thirty pools."""
+    clock = ManualClock()
+    table = PeerTable(
+        clock, Member(MemberInfo("a", "a", "d", "h:1", "h:2"), clock, Ledger("a"), 4, 9)
+    )
+    advisers = [make_adviser(pool_group(f"p-{n}"), "a", random.Random(1)) for n in range(30)]
+    for index in range(count):
+        table.hear(MemberInfo(f"m-{index}", f"m-{index}", "d", f"h{index}:1", f"h{index}:2"))
+        for number, adviser in enumerate(advisers):
+            free = {slot_resource(f"vm-{4 * number + n}"): 1 for n in range(4)}
+            adviser.receive(GroupReport(adviser.group, f"m-{index}", "d", free, {}, ()), 0.0)
+    return table, advisers
+
+
 def memory_slopes() -> list[Slope]:
     """Return bytes per object of each kind."""
     sizes = (200, 400, 800, 1600)
@@ -98,6 +146,8 @@
             sizes,
         ),
         measure_memory("waiting job in the queue", waiting_jobs, (1000, 2000, 4000, 8000)),
+        measure_memory("running job, without its socket", running_jobs, (250, 500, 1000, 2000)),
+        measure_memory("peer, with reports on 30 pools", peers_with_reports, (8, 16, 32, 64)),
         measure_memory("record of an idempotency key", records, (1000, 2000, 4000, 8000)),
     ]
 
@@ -304,58 +354,59 @@
 
 def print_target(slopes: dict[str, Slope], target: Target) -> None:
     """Print what one daemon spends at the target size, with the arithmetic."""
+    print(f"\nTarget: {target}\n")
+    print("| line | arithmetic | figure |")
+    print("|---|---|---:|")
+    for line in [*_message_lines(slopes, target), *_state_lines(slopes, target)]:
+        print(line)
+
+
+def _message_lines(slopes: dict[str, Slope], target: Target) -> list[str]:
     beat = slopes["heartbeat and reply, both ends, by groups reported"]
     wire = slopes["bytes of a heartbeat and reply with framing, by groups"]
+    change = slopes["one configuration change, by VMs"]
+    plan = slopes["planning round, by VMs"]
     groups = (target.pools + target.teams) / target.daemons
     peers = target.daemons - 1
-    beat_us = beat.intercept + beat.slope * groups
-    beat_bytes = wire.intercept + wire.slope * groups * CHANGED_PART
-    change = slopes["one configuration change, by VMs"]
+    beat_us = beat.intercept + max(0.0, beat.slope) * groups * CHANGED_PART
+    some = wire.intercept + wire.slope * groups * CHANGED_PART
+    every = wire.intercept + wire.slope * groups
     change_us = change.intercept + change.slope * target.vms
-    plan = slopes["planning round, by VMs"]
     plan_us = plan.intercept + plan.slope * target.vms
-    memory = slopes["VM with endpoint, permits and limit"].slope * target.vms
-    print(f"\nTarget: {target}\n")
-    print("| line | arithmetic | figure |")
-    print("|---|---|---:|")
-    print(
-        f"| heartbeats, processor | {peers} peers x ({beat.intercept:.0f} + {beat.slope:.1f} x "
-        f"{groups:.1f} groups) us a second, an exchange being half at each end, sent and received "
-        f"| {peers * beat_us / 1e4:.2f} % of a core |"
-    )
-    print(
-        f"| heartbeats, bytes | {peers} x ({wire.intercept:.0f} + {wire.slope:.0f} x "
-        f"{groups:.1f} x {CHANGED_PART:.0%} that changed) B a second "
-        f"| {peers * beat_bytes / 1000:.1f} KB/s |"
-    )
-    full = wire.intercept + wire.slope * groups
-    print(
-        f"| the same if every group changes | {peers} x ({wire.intercept:.0f} + "
-        f"{wire.slope:.0f} x {groups:.1f}) B a second | {peers * full / 1000:.1f} KB/s |"
-    )
-    print(
+    return [
+        f"| heartbeats, processor | {peers} sent and {peers} received a second, "
+        f"{beat_us:.0f} us for both ends of one | {peers * beat_us / 1e4:.2f} % of a core |",
+        f"| heartbeats, bytes, {CHANGED_PART:.0%} of the groups changed | {peers} x "
+        f"({wire.intercept:.0f} + {wire.slope:.0f} x {groups:.1f} x {CHANGED_PART}) B a second "
+        f"| {peers * some / 1000:.1f} KB/s |",
+        f"| heartbeats, bytes, every group changed | {peers} x ({wire.intercept:.0f} + "
+        f"{wire.slope:.0f} x {groups:.1f}) B a second | {peers * every / 1000:.1f} KB/s |",
+        f"| messages of contended jobs | 7 a job (measured under peaks), {beat_us:.0f} us each "
+        f"| {7 * beat_us / 1e4:.2f} % of a core for each such job a second |",
         f"| configuration changes | {target.changes_a_day} a day x ({change.intercept:.0f} + "
         f"{change.slope:.2f} x {target.vms}) us "
-        f"| {target.changes_a_day * change_us / 864e8 * 100:.4f} % of a core |"
-    )
-    print(
+        f"| {target.changes_a_day * change_us / 864e8 * 100:.4f} % of a core |",
         f"| planning, the planner only | 2 rounds a second x ({plan.intercept:.0f} + "
-        f"{plan.slope:.2f} x {target.vms}) us | {2 * plan_us / 1e4:.2f} % of a core |"
-    )
-    print(
-        f"| state of the fleet | {target.vms} VMs x "
-        f"{slopes['VM with endpoint, permits and limit'].slope:.0f} B | {memory / 2**20:.2f} MB |"
-    )
-    print(
+        f"{plan.slope:.2f} x {target.vms}) us | {2 * plan_us / 1e4:.2f} % of a core |",
+    ]
+
+
+def _state_lines(slopes: dict[str, Slope], target: Target) -> list[str]:
+    vm_bytes = slopes["VM with endpoint, permits and limit"].slope
+    peer_bytes = slopes["peer, with reports on 30 pools"].slope
+    standby = (target.daemons - 1) / 2
+    writes = target.daemons + 2 / 3 + 5 * target.waves_a_day / 86400
+    return [
+        f"| state of the fleet | {target.vms} VMs x {vm_bytes:.0f} B "
+        f"| {target.vms * vm_bytes / 2**20:.2f} MB |",
+        f"| state of the peers | {target.daemons - 1} x {peer_bytes:.0f} B "
+        f"| {(target.daemons - 1) * peer_bytes / 2**20:.2f} MB |",
         f"| store, writes | {target.daemons} renewals a second, 2 of the planner in 3 s, 5 for "
-        f"each of {target.waves_a_day:.1f} maintained VMs a day | "
-        f"{target.daemons + 0.67 + 5 * target.waves_a_day / 86400:.1f} /s |"
-    )
-    print(
+        f"each of {target.waves_a_day:.1f} maintained VMs a day | {writes:.1f} /s |",
         f"| store, reads | {target.daemons} probes a second, {target.daemons - 1} standby planners "
-        f"in 2 s, {2 * target.daemons} waiting watches | "
-        f"{target.daemons * 1.5 - 0.5:.1f} /s and {2 * target.daemons} watches |"
-    )
+        f"in 2 s, {2 * target.daemons} waiting watches "
+        f"| {target.daemons + standby:.1f} /s and {2 * target.daemons} watches |",
+    ]
 
 
 def main() -> None:
