--- a/limpetpulley/config/tests/test_replica.py
+++ b/limpetpulley/config/tests/test_replica.py
@@ -1,6 +1,8 @@
 """Tests of the configuration replica."""
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, Is
 
@@ -75,3 +77,43 @@
 def test_phase_survives_the_store(phase):
     record = Record("vm", "a", 7, Vm("a", "p", "192.0.2.1:80", "r", "d", phase=phase))
     assert_that(decode_record("vm", "a", 7, encode_record(record)), Equals(record))
+
+
+@settings(max_examples=200, deadline=None, derandomize=True)
+@given(data=st.data())
+def test_configuration_never_goes_back(data):
+    """Late, doubled and reordered news, snapshots and transfers never lower a revision."""
+    history = {}
+    truth = []
+    for revision in range(2, 12):
+        name = data.draw(st.sampled_from("ab"))
+        history[name] = data.draw(st.booleans())
+        value = Pool(name) if history[name] else None
+        truth.append(Record("pool", name, revision, value))
+    replicas = [ConfigReplica(), ConfigReplica()]
+    for _ in range(30):
+        replica, other = data.draw(st.permutations(replicas))
+        before = {key: found.revision for key, found in replica.records.items()}
+        action = data.draw(st.sampled_from(["news", "snapshot", "transfer"]))
+        if action == "news":
+            replica.apply(data.draw(st.sampled_from(truth)))
+        elif action == "snapshot":
+            count = data.draw(st.integers(1, len(truth)))
+            newest = {record.key: record for record in truth[:count]}
+            present = [record for record in newest.values() if record.value is not None]
+            replica.apply_snapshot(present, truth[count - 1].revision)
+        else:
+            records, full = other.newer_than(replica.revision)
+            if full:
+                replica.apply_snapshot(records, other.revision)
+            for record in records:
+                replica.apply(record)
+            replica.advance(other.revision)
+        for key, revision in before.items():
+            assert replica.records[key].revision >= revision
+    for replica in replicas:
+        replica.apply_snapshot(
+            [r for r in {t.key: t for t in truth}.values() if r.value is not None], 11
+        )
+        found = {value.name for value in replica.all("pool")}
+        assert found == {name for name, exists in history.items() if exists}
