--- a/limpetpulley/scheduling/runtimes.py
+++ b/limpetpulley/scheduling/runtimes.py
@@ -16,6 +16,7 @@
 FEW_FACTOR = 1.2
 PROBE_SECONDS = 5.0
 SHORTEST_SECONDS = 1e-4
+ALL_TEAMS = ""
 
 
 @attrs.define
@@ -32,6 +33,15 @@
             self.current = DDSketch(RELATIVE_ACCURACY)
         self.current.add(seconds)
 
+    def high(self) -> float:
+        """Return a high quantile with a margin, in seconds."""
+        seen = float(self.fullest().get_quantile_value(HIGH_QUANTILE) or 0.0)
+        return seen * MARGIN_FACTOR + MARGIN_SECONDS
+
+    def longest(self) -> float:
+        """Return the longest run time, in seconds."""
+        return float(self.fullest().get_quantile_value(1.0) or 0.0)
+
     def fullest(self) -> DDSketch:
         if self.previous is not None and self.current.count < WINDOW_JOBS // 2:
             return self.previous
@@ -51,9 +61,10 @@
 
     def learn(self, team: str, queue: str, seconds: float, now: float) -> None:
         """Add the run time of a job that finished now, on the daemon's clock."""
-        window = self.windows.setdefault((team, queue), _Window())
-        window.add(max(seconds, SHORTEST_SECONDS))
-        window.probe_at = now + PROBE_SECONDS
+        for name in (team, ALL_TEAMS):
+            window = self.windows.setdefault((name, queue), _Window())
+            window.add(max(seconds, SHORTEST_SECONDS))
+            window.probe_at = now + PROBE_SECONDS
 
     def may_probe(self, team: str, queue: str, now: float) -> bool:
         """Return whether to let one job through against the estimate.
@@ -69,16 +80,19 @@
     def high(self, team: str, queue: str, declared: float) -> float:
         """Return a run time that few jobs exceed, in seconds, with a margin for the estimate.
 
-        While few were seen, the longest of them with a wider margin stands in for the quantile.
+        While few of the team's jobs were seen, the longest of them and the jobs of all teams
+        in the queue stand in for its quantile.
         """
-        window = self.windows.get((team, queue))
-        if window is None:
+        own = self.windows.get((team, queue))
+        everyone = self.windows.get((ALL_TEAMS, queue))
+        if own is None and everyone is None:
             return declared * MARGIN_FACTOR + MARGIN_SECONDS
-        sketch = window.fullest()
-        if sketch.count < MIN_JOBS:
-            return float(sketch.get_quantile_value(1.0) or declared) * FEW_FACTOR
-        seen = float(sketch.get_quantile_value(HIGH_QUANTILE) or declared)
-        return seen * MARGIN_FACTOR + MARGIN_SECONDS
+        if own is not None and own.fullest().count >= MIN_JOBS:
+            return own.high()
+        longest = own.longest() * FEW_FACTOR if own is not None else 0.0
+        if everyone is not None and everyone.fullest().count >= MIN_JOBS:
+            return max(longest, everyone.high())
+        return longest or declared * MARGIN_FACTOR + MARGIN_SECONDS
 
     def typical(self, team: str, queue: str, declared: float) -> float:
         """Return the mean run time, in seconds."""
