--- a/limpetpulley/demo/story.py
+++ b/limpetpulley/demo/story.py
@@ -16,6 +16,7 @@
 __all__ = ["tell"]
 
 JOBS = 60
+LONGEST_WAIT_SECONDS = 2.0
 
 
 async def tell() -> None:
@@ -157,7 +158,9 @@
     async with anyio.create_task_group() as tasks:
         for index in range(16):
             tasks.start_soon(submit, index)
-        await anyio.sleep(0.1)
+        with anyio.move_on_after(LONGEST_WAIT_SECONDS):
+            while not system.endpoints["desk-2"].running:
+                await anyio.sleep(0.01)
         await system.apply([attrs.evolve(vm, phase=VmPhase.LEAVING)])
         began = time.monotonic()
         await anyio.sleep(0.1)
