Let ended keyed jobs keep no bodies, and fewer of them

Found in reading: a daemon kept up to 20,000 ended keyed jobs with bodies of up to a megabyte each. Now 5,000 without their bodies; a key whose job is forgotten is answered as unknown, not run again.

--- a/limpetpulley/daemon/once.py
+++ b/limpetpulley/daemon/once.py
@@ -16,7 +16,7 @@
 from ..membership import Member
 from ..peer import PeerCaller
 from ..peer import peer_pb2 as pb
-from ..routing.attempt import Answer
+from ..routing.attempt import Answer, Body
 from ..routing.dispatch import JobRequest
 from ..tasks import start_guarded
 from .claims import RECORD_LOST, KeyClaims
@@ -27,7 +27,7 @@
 RETRY_SECONDS = 0.1
 AWAIT_MARGIN_SECONDS = 0.5
 LONGEST_WAIT_SECONDS = 1.0
-RECENT_JOBS = 20_000
+RECENT_JOBS = 5_000
 
 
 @attrs.define(eq=False)
@@ -151,6 +151,7 @@
             job.state = KeyState.RELEASED
         if job.foreign and job.state is not KeyState.ANSWERED:
             self.jobs.pop(job.key, None)
+        job.request.body = Body()
         job.done.set()
         self._drop_unread(job)
         logging.info(
