--- a/limpetpulley/membership/member.py
+++ b/limpetpulley/membership/member.py
@@ -17,6 +17,7 @@
 __all__ = ["Collecting", "Member"]
 
 SILENCE_MARGIN = 0.5
+PROMISE_FACTOR = 4.0
 CLOCK_RATE_MARGIN = 1.02
 GONE_MARGIN_SECONDS = 5.0
 
@@ -138,6 +139,8 @@
         self.view_revision = revision
         self.view_since = self.clock.now()
         self.seen = {name: seen for name, seen in self.seen.items() if name in view.names}
+        oldest = self.clock.now() - PROMISE_FACTOR * self.validity
+        self.acknowledged = {name: at for name, at in self.acknowledged.items() if at > oldest}
         self._time_quarantine(view)
         if self.is_member and view.state is ViewState.OPEN:
             self._apply_grants(view)
--- a/limpetpulley/peer/client.py
+++ b/limpetpulley/peer/client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from typing import Any, Protocol
 
 import anyio
@@ -28,6 +29,9 @@
         :raises PeerError: if there is no reply; the message may have arrived
         """
 
+    def keep(self, addresses: Iterable[str]) -> None:
+        """Close the channels to all other addresses."""
+
     def close(self) -> None:
         """Close all channels."""
 
@@ -69,6 +73,11 @@
         except (GRPCError, StreamTerminatedError, OSError) as error:
             raise PeerError(f"{address}: {method} failed: {error}") from None
 
+    def keep(self, addresses: Iterable[str]) -> None:
+        """Close the channels to all other addresses."""
+        for address in self.channels.keys() - set(addresses):
+            self._drop(address, self.channels[address][0])
+
     def close(self) -> None:
         """Close all channels."""
         for channel, _ in self.channels.values():
--- a/limpetpulley/standin/network.py
+++ b/limpetpulley/standin/network.py
@@ -4,7 +4,7 @@
 
 import random
 from collections import Counter
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Iterable
 from typing import Any
 
 import anyio
@@ -115,6 +115,9 @@
             return stream.reply
         raise PeerError(f"{address}: no reply to {method}")
 
+    def keep(self, addresses: Iterable[str]) -> None:
+        """Do nothing."""
+
     def close(self) -> None:
         """Do nothing."""
 
