--- a/limpetpulley/fleet/moves.py
+++ b/limpetpulley/fleet/moves.py
@@ -13,6 +13,7 @@
 SHORT_SHARE = 0.95
 AMPLE_SHARE = 0.7
 LEND_AFTER_SECONDS = 1.0
+RELEND_AFTER_SECONDS = 3.0
 RETURN_AFTER_SECONDS = 60.0
 MAX_MOVES_AT_ONCE = 4
 
@@ -83,22 +84,37 @@
 def _choose_spare(
     state: FleetState, by_pool: dict[str, list[VmStatus]], pool: str, count: BudgetCount
 ) -> VmStatus | None:
-    """Return a spare VM, from the rack and data centre where the pool has the fewest."""
+    """Return a spare VM, or one lent to a pool that has had room for a while.
+
+    An idle one goes first, then one from the rack and data centre where the pool has fewest.
+    """
     racks = Counter(status.vm.rack for status in by_pool[pool])
     centres = Counter(status.vm.data_centre for status in by_pool[pool])
     spare = [
         status
-        for name, found in state.pools.items()
-        if found.spare
-        for status in by_pool[name]
-        if status.available and status.idle and count.blocking(status.vm) is None
+        for name, statuses in by_pool.items()
+        if name != pool
+        for status in statuses
+        if _may_be_lent(status, state) and count.blocking(status.vm) is None
     ]
     return min(
         spare,
         key=lambda status: (
+            not status.idle,
             centres[status.vm.data_centre],
             racks[status.vm.rack],
             status.vm.name,
         ),
         default=None,
     )
+
+
+def _may_be_lent(status: VmStatus, state: FleetState) -> bool:
+    """Return whether a VM can be spared: one at home that is idle, or one lent in vain."""
+    if not status.available:
+        return False
+    pool = state.pools.get(status.vm.pool)
+    if pool is not None and pool.spare:
+        return status.idle
+    demand = state.demand.get(status.vm.pool, PoolDemand())
+    return bool(status.vm.home) and demand.ample_seconds >= RELEND_AFTER_SECONDS
--- a/limpetpulley/fleet/tests/test_decisions.py
+++ b/limpetpulley/fleet/tests/test_decisions.py
@@ -170,3 +170,12 @@
     vms[step.name] = attrs.evolve(
         status, vm=attrs.evolve(status.vm, **fields), was_away=False, idle=True
     )
+
+
+@pytest.mark.parametrize(("ample", "lent"), [(1.0, 0), (5.0, 1)])
+def test_vm_lent_in_vain_goes_straight_to_a_short_pool(ample, lent):
+    vms = [VmStatus(make_vm("a")), VmStatus(make_vm("b", "q")), VmStatus(make_vm("s", "q"))]
+    vms[2] = VmStatus(make_vm("s", "q", home="spare"))
+    demand = {"p": PoolDemand(8, 8, short_seconds=3.0), "q": PoolDemand(1, 0, 0.0, ample)}
+    steps = decide(make_state(vms, demand=demand, spare=["spare"]))
+    assert_that([step.name for step in steps if step.pool == "p"], Equals(["s"] * lent))
--- a/limpetpulley/scheduling/runtimes.py
+++ b/limpetpulley/scheduling/runtimes.py
@@ -16,7 +16,6 @@
 FEW_FACTOR = 1.2
 PROBE_SECONDS = 5.0
 SHORTEST_SECONDS = 1e-4
-ALL_TEAMS = ""
 
 
 @attrs.define
@@ -61,10 +60,9 @@
 
     def learn(self, team: str, queue: str, seconds: float, now: float) -> None:
         """Add the run time of a job that finished now, on the daemon's clock."""
-        for name in (team, ALL_TEAMS):
-            window = self.windows.setdefault((name, queue), _Window())
-            window.add(max(seconds, SHORTEST_SECONDS))
-            window.probe_at = now + PROBE_SECONDS
+        window = self.windows.setdefault((team, queue), _Window())
+        window.add(max(seconds, SHORTEST_SECONDS))
+        window.probe_at = now + PROBE_SECONDS
 
     def may_probe(self, team: str, queue: str, now: float) -> bool:
         """Return whether to let one job through against the estimate.
@@ -80,19 +78,14 @@
     def high(self, team: str, queue: str, declared: float) -> float:
         """Return a run time that few jobs exceed, in seconds, with a margin for the estimate.
 
-        While few of the team's jobs were seen, the longest of them and the jobs of all teams
-        in the queue stand in for its quantile.
+        While few were seen, the longest of them stands in for the quantile.
         """
-        own = self.windows.get((team, queue))
-        everyone = self.windows.get((ALL_TEAMS, queue))
-        if own is None and everyone is None:
+        window = self.windows.get((team, queue))
+        if window is None:
             return declared * MARGIN_FACTOR + MARGIN_SECONDS
-        if own is not None and own.fullest().count >= MIN_JOBS:
-            return own.high()
-        longest = own.longest() * FEW_FACTOR if own is not None else 0.0
-        if everyone is not None and everyone.fullest().count >= MIN_JOBS:
-            return max(longest, everyone.high())
-        return longest or declared * MARGIN_FACTOR + MARGIN_SECONDS
+        if window.fullest().count < MIN_JOBS:
+            return window.longest() * FEW_FACTOR
+        return window.high()
 
     def typical(self, team: str, queue: str, declared: float) -> float:
         """Return the mean run time, in seconds."""
