--- a/limpetpulley/standin/proxy.py
+++ b/limpetpulley/standin/proxy.py
@@ -20,6 +20,7 @@
     :param half_open: whether nothing passes from target to caller on any connection
     :param refuse: whether new connections are closed at once
     :param passed: bytes passed on, both ways
+    :param most_open: most connections that were open at once
     """
 
     target_port: int
@@ -31,6 +32,7 @@
     connections: dict[int, anyio.abc.SocketStream] = attrs.field(factory=dict)
     accepted: int = 0
     passed: int = 0
+    most_open: int = 0
 
     async def serve(self, *, task_status=anyio.TASK_STATUS_IGNORED) -> None:
         """Serve until cancelled."""
@@ -55,6 +57,7 @@
         self.accepted += 1
         number = self.accepted
         self.connections[number] = caller
+        self.most_open = max(self.most_open, len(self.connections))
         try:
             target = await anyio.connect_tcp("127.0.0.1", self.target_port)
             async with target, anyio.create_task_group() as tasks:
--- a/tests/integration/test_processes.py
+++ b/tests/integration/test_processes.py
@@ -14,6 +14,7 @@
 from .system import Answered, ProcessSystem, now
 
 SLOTS = 4
+CONNECTIONS = 64
 LIMITS = {"large": 12, "small": 6}
 LOAD_SECONDS = 70.0
 SEED = 7
@@ -166,4 +167,6 @@
     noted: dict[str, float] = {}
     system, records = anyio.run(run_system, tmp_path, noted)
     check_limits(records, noted)
+    most = max(proxy.most_open for proxy in system.endpoints.values())
+    assert most <= CONNECTIONS, f"{most} connections to one endpoint"
     check_answers(system.answered, records, noted)
