--- a/measure/capacity.py
+++ b/measure/capacity.py
@@ -34,7 +34,6 @@
 
 __all__ = ["main"]
 
-DIGEST = "0" * 64
 EXCHANGES = 150
 BLOCKS = 6
 CHANGED_PART = 0.3
--- a/measure/load.py
+++ b/measure/load.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 import random
 from collections.abc import Iterator
 
@@ -86,8 +85,3 @@
         entries = pattern.large_daemons
     run = pattern.run_seconds * rng.lognormvariate(-(RUN_SPREAD**2) / 2, RUN_SPREAD)
     return Job(arrival, pool, team, rng.randrange(entries), run, pattern.time_left)
-
-
-def mean_rate(jobs: list[Job]) -> float:
-    """Return the mean arrivals a second of a trace."""
-    return len(jobs) / max(math.ceil(jobs[-1].arrival), 1) if jobs else 0.0
