--- a/tests/scenarios/runner.py
+++ b/tests/scenarios/runner.py
@@ -149,7 +149,7 @@
         queue = options.get("into", "jobs")
         show = "" if queue.startswith("open") else team
         if daemon not in self.cluster.nodes:
-            daemon = next(iter(self.cluster.nodes))
+            daemon = list(self.cluster.nodes)[-1]
         outcome = await self.cluster.submit(
             daemon, queue, show, float(within), body, batch.gone, **headers
         )
