--- a/Makefile
+++ b/Makefile
@@ -37,7 +37,7 @@
 	$(BIN)/pip install --quiet --disable-pip-version-check -c constraints.txt -e '.[generate]'
 	$(BIN)/python -m grpc_tools.protoc -I. --python_out=. --pyi_out=. --grpclib_python_out=. \
 	    --plugin=protoc-gen-grpclib_python=$(BIN)/protoc-gen-grpclib_python \
-	    limpetpulley/peer/peer.proto
+	    limpetpulley/peer/peer.proto limpetpulley/peer/batch.proto
 
 clean:
 	rm -rf $(VENV)
--- /dev/null
+++ b/limpetpulley/batch/keys.py
@@ -0,0 +1,62 @@
+"""Keys of the batch path in the platform's store."""
+
+from __future__ import annotations
+
+from .model import JobKey
+
+__all__ = ["BatchKeys"]
+
+
+class BatchKeys:
+    """Names of keys under one prefix.
+
+    :param prefix: ends with ``/``
+
+    >>> BatchKeys("lp/").owner("desk")
+    'lp/dir/owner/desk'
+    """
+
+    def __init__(self, prefix: str):
+        self.directory = prefix + "dir/"
+        self.members = prefix + "dir/member/"
+        self.owners = prefix + "dir/owner/"
+        self.planner = prefix + "dir/planner"
+        self.descriptions = prefix + "job/"
+        self.progresses = prefix + "progress/"
+        self.shares = prefix + "share/"
+        self.rosters = prefix + "roster/"
+        self.waves = prefix + "wave/"
+
+    def member(self, name: str) -> str:
+        """Return the key of a live daemon."""
+        return self.members + name
+
+    def owner(self, pool: str) -> str:
+        """Return the key of a pool's owner."""
+        return self.owners + pool
+
+    def description(self, job: JobKey) -> str:
+        """Return the key of a job's description."""
+        return f"{self.descriptions}{job.queue}/{job.job_id}"
+
+    def progress(self, job: JobKey) -> str:
+        """Return the key of a job's progress."""
+        return f"{self.progresses}{job.queue}/{job.job_id}"
+
+    def share(self, team: str) -> str:
+        """Return the key of the division of a team's limit."""
+        return self.shares + team
+
+    def roster(self, pool: str) -> str:
+        """Return the key of the list of workers that may hold a pool's runs."""
+        return self.rosters + pool
+
+    def wave(self, wave: str) -> str:
+        """Return the key of a wave's progress."""
+        return self.waves + wave
+
+    @staticmethod
+    def job_key(rest: str) -> JobKey:
+        """Return the job that the part of a key after its prefix names."""
+        queue, _, job_id = rest.rpartition("/")
+        return JobKey(queue, job_id)
--- a/limpetpulley/config/writer.py
+++ b/limpetpulley/config/writer.py
@@ -12,7 +12,7 @@
 
 from ..exception import ChangeUnknown, ConfigError, ConflictError, StoreUnavailable
 from ..keyspace import Keyspace
-from ..platform import Compare, Delete, Put, Store
+from ..store import Compare, Delete, Put, Store
 from .check import check_objects
 from .document import Change
 from .replica import Record, decode_record, encode_record
--- a/limpetpulley/daemon/main.py
+++ b/limpetpulley/daemon/main.py
@@ -14,9 +14,10 @@
 
 from .. import __version__
 from ..exception import LimpetpulleyError, SettingsError
-from ..platform import EtcdStore, HttpPlatform
 from ..settings import Settings, load_settings
 from ..settings.daemon import flag_of, variable_of
+from ..store import EtcdStore
+from ..vms import HttpPlatform
 from .server import Daemon
 
 __all__ = ["main", "run_daemon"]
--- a/limpetpulley/daemon/node.py
+++ b/limpetpulley/daemon/node.py
@@ -20,13 +20,14 @@
 from ..metrics import Metrics, NullMetrics
 from ..peer import PeerCaller, convert
 from ..peer import peer_pb2 as pb
-from ..platform import Store, VmList, Workers
 from ..quota import Ledger, pool_group, slot_resource, team_group, team_resource
 from ..routing import Connections, Dispatcher, EndpointSet, Health
 from ..scheduling import Admission, PoolLoad, RunTimes
 from ..scheduling.starter import Starter
 from ..settings import Settings
+from ..store import Store
 from ..tasks import keep_running
+from ..vms import VmList, Workers
 from .claims import DEADLINES_KEPT, RECORD_SECONDS, KeyClaims
 from .forwarding import MemberForwarder
 from .heartbeat import Heartbeats
--- a/limpetpulley/daemon/server.py
+++ b/limpetpulley/daemon/server.py
@@ -12,9 +12,10 @@
 from ..exception import LimpetpulleyError
 from ..metrics import make_metrics
 from ..peer import PeerClient, PeerServer
-from ..platform import Store, VmList, Workers
 from ..routing import EndpointConnections
 from ..settings import Settings
+from ..store import Store
+from ..vms import VmList, Workers
 from .departure import leave
 from .handlers import PeerHandlers
 from .node import Node, Surroundings
@@ -60,7 +61,7 @@
             make_metrics(settings.statsd),
         )
         handlers = PeerHandlers()
-        self.peer_server = PeerServer(handlers, settings.host, settings.peers_port)
+        self.peer_server = PeerServer([handlers], settings.host, settings.peers_port)
         self.callers = CallersApp(settings.max_body_bytes)
         self.callers_server = HttpServer(
             self.callers, settings.host, settings.callers_port, settings.max_connections
--- a/limpetpulley/daemon/store_link.py
+++ b/limpetpulley/daemon/store_link.py
@@ -24,7 +24,7 @@
     encode_view,
     open_view,
 )
-from ..platform import Compare, Delete, Put, Store
+from ..store import Compare, Delete, Put, Store
 
 __all__ = ["StoreLink"]
 
--- a/limpetpulley/demo/system.py
+++ b/limpetpulley/demo/system.py
@@ -19,9 +19,9 @@
     digest_secret,
 )
 from ..daemon import Daemon, Node
-from ..platform import MemoryStore
 from ..settings import Settings
 from ..standin import EndpointStandin, MemoryFleet
+from ..store import MemoryStore
 
 __all__ = ["DemoSystem"]
 
--- a/limpetpulley/exception.py
+++ b/limpetpulley/exception.py
@@ -21,6 +21,10 @@
     "PermitError",
     "JobRefused",
     "EndpointError",
+    "RecordError",
+    "WorkerError",
+    "NotOwnerError",
+    "HttpError",
 ]
 
 
@@ -127,3 +131,19 @@
         self.reason = reason
         self.sent = sent
         super().__init__(reason)
+
+
+class RecordError(LimpetpulleyError):
+    """A record in the store, or a message from outside, cannot be read."""
+
+
+class HttpError(LimpetpulleyError):
+    """An HTTP call got no answer; the request may have been carried out."""
+
+
+class WorkerError(LimpetpulleyError):
+    """A worker gave no answer; the order may have been carried out, or may be later."""
+
+
+class NotOwnerError(LimpetpulleyError):
+    """This daemon does not own the pool, or owns it no longer."""
--- a/limpetpulley/fleet/planner.py
+++ b/limpetpulley/fleet/planner.py
@@ -17,8 +17,9 @@
 from ..exception import ConflictError, InvalidConfig, PlatformError, StoreError
 from ..keyspace import Keyspace
 from ..metrics import Metrics
-from ..platform import Compare, Put, Store, VmState, Workers
 from ..routing import EndpointSet
+from ..store import Compare, Put, Store
+from ..vms import VmState, Workers
 from .decide import decide
 from .moves import AMPLE_SHARE, SHORT_SHARE
 from .state import FleetState, PoolDemand, Step, StepKind, VmStatus
--- /dev/null
+++ b/limpetpulley/ownership/__init__.py
@@ -0,0 +1,20 @@
+"""Which daemon schedules which pool: leases, claims, takeover and hand-over."""
+
+from .around import Around, Timing
+from .directory import Directory, Member
+from .node import BatchNode
+from .owner import PoolOwner, Submission
+from .service import BatchService, Outcome, SubmitResult
+
+__all__ = [
+    "Around",
+    "BatchNode",
+    "BatchService",
+    "Directory",
+    "Member",
+    "Outcome",
+    "PoolOwner",
+    "SubmitResult",
+    "Submission",
+    "Timing",
+]
--- /dev/null
+++ b/limpetpulley/ownership/agent.py
@@ -0,0 +1,145 @@
+"""One worker's conversation: holds that wait for ends, and the orders in between."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import anyio
+
+from ..exception import WorkerError
+from ..pool import Order, PoolBook
+from ..workers import PaceOrder, RunPhase, StartOrder, StopOrder, Worker
+from .around import Around
+
+__all__ = ["WorkerAgent", "lease_seconds"]
+
+#: part of the longest lease that is asked for; what is left covers a worker's slow clock
+LEASE_PART = 0.9
+#: longest lease that is asked for: bridges the lapse of a lost owner's claim, its takeover and a
+#: renewal, and bounds how long the tasks of a lost worker wait
+LONGEST_LEASE_SECONDS = 5.0
+#: longest time that a hold waits for an end
+WAIT_SECONDS = 1.0
+#: the same where tasks that serve share a worker with tasks that fill
+SHORT_WAIT_SECONDS = 0.5
+#: time for an answer beyond the time that a hold waits
+ANSWER_SECONDS = 1.0
+#: longest time that a hold is put off until ends are stored
+STORE_WAIT_SECONDS = 0.1
+#: pause after a hold without an answer
+RETRY_SECONDS = 0.2
+
+
+def lease_seconds(longest_hold: float) -> float:
+    """Return the lease that is asked for on a worker."""
+    return min(LONGEST_LEASE_SECONDS, longest_hold * LEASE_PART)
+
+
+class WorkerAgent:
+    """Keeps one worker's lease, takes its ends and passes orders on.
+
+    :param worker: the worker's entry in the book
+    :param changed: called when the book has changed
+    :param stored: returns an event that is set when progress was stored
+    """
+
+    def __init__(
+        self,
+        around: Around,
+        book: PoolBook,
+        worker: Worker,
+        changed: Callable[[], None],
+        stored: Callable[[], anyio.Event],
+    ):
+        self.around = around
+        self.book = book
+        self.worker = worker
+        self.changed = changed
+        self.stored = stored
+        self.failing = False
+
+    async def run(self) -> None:
+        """Hold the worker until it is gone."""
+        while self.book.workers.get(self.worker.worker_id) is self.worker:
+            try:
+                await self.hold()
+            except (WorkerError, TimeoutError) as error:
+                self._note_failure(str(error) or "timeout")
+                await anyio.sleep(RETRY_SECONDS)
+
+    async def hold(self) -> None:
+        """Extend the lease, and take what the worker lists."""
+        worker, now = self.worker, self.around.clock.now()
+        until = None
+        if worker.reconciled and worker.lease.worker_seconds is not None:
+            until = worker.lease.extend(now, lease_seconds(self.around.timing.longest_hold))
+        wait = self.wait_seconds() if worker.reconciled else 0.0
+        with anyio.fail_after(wait + ANSWER_SECONDS):
+            reply = await self.around.orders.hold(
+                worker.listed, self.book.token, worker.stored_through, until, wait
+            )
+        if self.failing:
+            self.failing = False
+            self.around.log.write("worker-answers", worker=worker.worker_id)
+        self.book.note_hold(worker, reply, self.around.clock.now(), self.around.day())
+        self.changed()
+        if worker.stored_through < worker.seen_through:
+            with anyio.move_on_after(STORE_WAIT_SECONDS):
+                await self.stored().wait()
+
+    def wait_seconds(self) -> float:
+        """Return how long a hold may wait: less where tasks that serve may be disturbed."""
+        serving = filling = False
+        for run in self.worker.runs.values():
+            job = self.book.jobs.get(run.task.job_id)
+            if job is not None:
+                step = job.step_of(run.task)
+                serving |= step.latency_target_seconds > 0
+                filling |= step.filler
+        starting = any(run.phase is RunPhase.STARTING for run in self.worker.runs.values())
+        return SHORT_WAIT_SECONDS if (serving and filling) or starting else WAIT_SECONDS
+
+    async def send(self, order: Order) -> None:
+        """Carry one order to the worker."""
+        listed, token = self.worker.listed, self.book.token
+        try:
+            with anyio.fail_after(ANSWER_SECONDS):
+                if isinstance(order, StartOrder):
+                    await self._start(order)
+                elif isinstance(order, StopOrder):
+                    when = await self.around.orders.stop(listed, order, token)
+                    self.book.note_stop(order, when, self.around.clock.now())
+                elif isinstance(order, PaceOrder):
+                    await self.around.orders.pace(listed, order, token)
+        except (WorkerError, TimeoutError) as error:
+            self.around.log.write(
+                "order-unanswered",
+                worker=self.worker.worker_id,
+                order=type(order).__name__,
+                task=name_task(order),
+                run=order.number,
+                reason=str(error) or "timeout",
+            )
+
+    async def _start(self, order: StartOrder) -> None:
+        run = self.book.runs.get(order.task)
+        if run is None or run.number != order.number or self.worker.lease.worker_seconds is None:
+            return
+        now = self.around.clock.now()
+        until = self.worker.lease.extend(now, lease_seconds(self.around.timing.longest_hold))
+        reply = await self.around.orders.start(self.worker.listed, order, self.book.token, until)
+        self.book.note_start(run, reply.outcome, reply.worker_seconds, self.around.clock.now())
+        self.changed()
+
+    def _note_failure(self, reason: str) -> None:
+        if not self.failing:
+            self.failing = True
+            silent = self.around.clock.now() - self.worker.heard_at
+            self.around.log.write(
+                "worker-silent", worker=self.worker.worker_id, reason=reason, age=round(silent, 2)
+            )
+
+
+def name_task(order: Order) -> str:
+    """Return a task's name for the log."""
+    return ".".join(str(part) for part in order.task)
--- /dev/null
+++ b/limpetpulley/ownership/around.py
@@ -0,0 +1,56 @@
+"""What the ownership of pools works with, gathered in one place."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import anyio.abc
+import attrs
+
+from ..batch import BatchConfig
+from ..batch.keys import BatchKeys
+from ..clock import Clock
+from ..store import Store
+from ..telemetry import EventLog
+from ..workers import ListedWorker, WorkerOrders
+
+__all__ = ["Around", "Timing"]
+
+
+@attrs.frozen
+class Timing:
+    """Bounds that the platform sets, in seconds.
+
+    :param longest_hold: longest lease that a worker grants
+    :param stop: longest time that a worker takes for a stop
+    :param gang: longest time that a gang's tasks wait for each other
+    :param keep_ended: time for which the state of an ended job can be asked
+    :param grace: time between the order to stop and the end of a process
+    """
+
+    longest_hold: float = 10.0
+    stop: float = 0.2
+    gang: float = 3.0
+    keep_ended: float = 120.0
+    grace: float = 6.0
+
+
+@attrs.define
+class Around:
+    """A daemon's surroundings.
+
+    :param workers: workers as the platform lists them now, by name
+    :param config: the configuration in force, None before the first
+    :param day: returns the time of day in seconds since 1970
+    """
+
+    store: Store
+    keys: BatchKeys
+    orders: WorkerOrders
+    clock: Clock
+    log: EventLog
+    timing: Timing
+    tasks: anyio.abc.TaskGroup
+    day: Callable[[], float]
+    workers: dict[str, ListedWorker] = attrs.field(factory=dict)
+    config: BatchConfig | None = None
--- /dev/null
+++ b/limpetpulley/ownership/directory.py
@@ -0,0 +1,143 @@
+"""Who is alive and who owns which pool, as the store says. No I/O."""
+
+from __future__ import annotations
+
+import json
+from collections import Counter
+from collections.abc import Iterable
+
+import attrs
+import xxhash
+
+from ..batch.keys import BatchKeys
+from ..exception import RecordError
+from ..store import Event
+
+__all__ = ["Directory", "Member", "Ownership", "choose_claims", "decode_member", "encode_member"]
+
+#: time that a pool may be without an owner before the next daemon in line claims it, in seconds
+PATIENCE_SECONDS = 0.4
+
+
+@attrs.frozen
+class Member:
+    """A live daemon.
+
+    :param incarnation: its start, in milliseconds since 1970
+    :param address: ``host:port`` for other daemons
+    """
+
+    name: str
+    incarnation: int
+    address: str
+    data_centre: str = ""
+
+
+@attrs.frozen
+class Ownership:
+    """A claim: who holds it, and the fencing token.
+
+    :param token: revision of the claim in the store; a later claim has a higher one
+    """
+
+    member: str
+    incarnation: int
+    token: int
+
+
+def encode_member(member: Member) -> bytes:
+    """Return the value of a member's key and of the keys that it claims."""
+    return json.dumps(attrs.asdict(member), separators=(",", ":")).encode()
+
+
+def decode_member(value: bytes) -> Member:
+    """Return the member that a value describes.
+
+    :raises RecordError: if it cannot be read
+    """
+    try:
+        return Member(**json.loads(value))
+    except (ValueError, TypeError) as error:
+        raise RecordError(f"unreadable record of a member: {error}") from None
+
+
+class Directory:
+    """Members and owners by what the store's keys say.
+
+    :param keys: names of the keys
+    """
+
+    def __init__(self, keys: BatchKeys):
+        self.keys = keys
+        self.members: dict[str, Member] = {}
+        self.owners: dict[str, Ownership] = {}
+        self.planner: Ownership | None = None
+        self.unowned_since: dict[str, float] = {}
+
+    def apply(self, events: Iterable[Event], now: float) -> None:
+        """Apply changes under the directory's prefix."""
+        for event in events:
+            member = decode_member(event.value) if event.value is not None else None
+            claim = None
+            if member is not None:
+                claim = Ownership(member.name, member.incarnation, event.revision)
+            if event.key.startswith(self.keys.members):
+                _put(self.members, event.key.removeprefix(self.keys.members), member)
+            elif event.key.startswith(self.keys.owners):
+                pool = event.key.removeprefix(self.keys.owners)
+                _put(self.owners, pool, claim)
+                if claim is None:
+                    self.unowned_since[pool] = now
+            elif event.key == self.keys.planner:
+                self.planner = claim
+
+    def address_of(self, name: str) -> str | None:
+        """Return a member's address for other daemons, or None if it is not alive."""
+        found = self.members.get(name)
+        return found.address if found else None
+
+    def owner_of(self, pool: str) -> Member | None:
+        """Return the live member that owns a pool, or None."""
+        claim = self.owners.get(pool)
+        return self.members.get(claim.member) if claim else None
+
+    def left_over(self, claim: Ownership) -> bool:
+        """Return whether a claim belongs to an earlier incarnation of a live daemon."""
+        member = self.members.get(claim.member)
+        return member is not None and member.incarnation > claim.incarnation
+
+
+def choose_claims(directory: Directory, me: Member, pools: Iterable[str], now: float) -> list[str]:
+    """Return the pools that a daemon should claim now.
+
+    Pools go to the daemons with the fewest; among equals rendezvous hashing decides, so that all
+    daemons choose alike. A pool that stays without an owner is claimed by the next in line.
+
+    :param pools: all pools
+    :param now: local time
+    """
+    members = {**directory.members, me.name: me}
+    load = Counter(claim.member for claim in directory.owners.values())
+    claims = []
+    for pool in sorted(pools):
+        claim = directory.owners.get(pool)
+        if claim is not None and not directory.left_over(claim):
+            continue
+        waited = now - directory.unowned_since.setdefault(pool, now)
+        line = sorted(members, key=lambda name: (load[name], _weight(name, pool)))
+        turn = int(waited / PATIENCE_SECONDS)
+        if me.name in line[: turn + 1]:
+            claims.append(pool)
+        load[line[0]] += 1
+    return claims
+
+
+def _weight(name: str, pool: str) -> int:
+    return xxhash.xxh64_intdigest(f"{name}/{pool}".encode())
+
+
+def _put(table: dict, key: str, value: object) -> None:
+    if value is None:
+        table.pop(key, None)
+    else:
+        table[key] = value
--- /dev/null
+++ b/limpetpulley/ownership/handlers.py
@@ -0,0 +1,79 @@
+"""Answers to other daemons about the pools that this one owns."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from ..batch.records import decode_spec
+from ..exception import RecordError
+from ..peer import BatchBase
+from ..peer import batch_pb2 as pb
+from .around import Around
+from .owner import PoolOwner, Submission
+from .service import cancel_locally, count_locally, find_locally, submit_locally
+
+__all__ = ["BatchHandlers"]
+
+
+class BatchHandlers(BatchBase):
+    """The owner's side of the protocol between daemons.
+
+    :param owned: the pools that this daemon owns
+    """
+
+    def __init__(self, around: Around, owned: dict[str, PoolOwner]):
+        self.around = around
+        self.owned = owned
+        self.plan_pool: Callable[[pb.PoolReport], pb.PoolPlan] = lambda report: pb.PoolPlan()
+
+    async def Submit(self, stream: Any) -> None:  # noqa: N802
+        """Take a job."""
+        message = await stream.recv_message()
+        config = self.around.config
+        queue = config.queues.get(message.queue) if config else None
+        owner = self._owner(message.pool)
+        if owner is None or queue is None or queue.pool != message.pool:
+            await stream.send_message(pb.SubmitReply(outcome=pb.NOT_OWNER))
+            return
+        try:
+            spec = decode_spec(message.spec)
+        except RecordError as error:
+            self.around.log.write("message-unreadable", method="Submit", reason=str(error))
+            await stream.send_message(pb.SubmitReply(outcome=pb.UNKNOWN, reason="unreadable"))
+            return
+        submission = Submission(queue, message.job_id, spec, message.team, message.elapsed_seconds)
+        await stream.send_message(
+            await submit_locally(owner, submission, message.time_left_seconds)
+        )
+
+    async def Find(self, stream: Any) -> None:  # noqa: N802
+        """Tell a job's state."""
+        await self._answer(stream, find_locally, pb.StateReply(outcome=pb.NOT_OWNER))
+
+    async def Cancel(self, stream: Any) -> None:  # noqa: N802
+        """Cancel a job."""
+        await self._answer(stream, cancel_locally, pb.StateReply(outcome=pb.NOT_OWNER))
+
+    async def CountPending(self, stream: Any) -> None:  # noqa: N802
+        """Count a queue's pending jobs."""
+        await self._answer(stream, count_locally, pb.PendingReply(outcome=pb.NOT_OWNER))
+
+    async def ReportPool(self, stream: Any) -> None:  # noqa: N802
+        """Take a pool's report as the planner of the fleet."""
+        message = await stream.recv_message()
+        await stream.send_message(self.plan_pool(message))
+
+    def _owner(self, pool: str) -> PoolOwner | None:
+        owner = self.owned.get(pool)
+        if owner is None or not owner.ready.is_set() or owner.finished.is_set():
+            return None
+        return owner
+
+    async def _answer(
+        self, stream: Any, locally: Callable[[PoolOwner, Any], Awaitable[Any]], otherwise: Any
+    ) -> None:
+        message = await stream.recv_message()
+        owner = self._owner(message.pool)
+        reply = otherwise if owner is None else await locally(owner, message)
+        await stream.send_message(reply)
--- /dev/null
+++ b/limpetpulley/ownership/node.py
@@ -0,0 +1,171 @@
+"""A daemon's part in the ownership of pools: its lease, its claims, and their end."""
+
+from __future__ import annotations
+
+import anyio
+
+from ..batch import BatchConfig
+from ..exception import RecordError, StoreError, StoreUnavailable
+from ..peer import PeerCaller
+from ..store import Event, Mirror
+from ..tasks import keep_running, start_guarded
+from ..workers import ListedWorker
+from .around import Around
+from .directory import Directory, Member, choose_claims
+from .handlers import BatchHandlers
+from .owner import PoolOwner
+from .service import BatchService
+from .session import Session
+
+__all__ = ["BatchNode"]
+
+#: time between two looks at pools without an owner, in seconds
+LOOK_SECONDS = 0.2
+#: time between two writes of log lines, in seconds
+LOG_FLUSH_SECONDS = 0.1
+#: longest time for storing what an owner knows before it gives its pool up
+GIVE_UP_SECONDS = 1.0
+#: time in which members make themselves known before pools are claimed for the first time; all
+#: daemons of a deployment start within 0.3 s of each other
+SETTLE_SECONDS = 0.7
+
+
+class BatchNode:
+    """Claims pools, runs their owners and serves callers.
+
+    :param member: this daemon
+    :param peers: calls other daemons
+    """
+
+    def __init__(self, around: Around, member: Member, peers: PeerCaller):
+        self.around = around
+        self.member = member
+        self.directory = Directory(around.keys)
+        self.owned: dict[str, PoolOwner] = {}
+        self.handlers = BatchHandlers(around, self.owned)
+        self.service = BatchService(around, member, self.directory, self.owned, peers)
+        self.session = Session(
+            around.store, around.keys, member, around.clock, around.log, self.lose_all
+        )
+        self.mirror = Mirror(
+            around.store,
+            around.keys.directory,
+            around.clock,
+            self._directory_changed,
+            self._directory_lost,
+        )
+        self.begun_at = around.clock.now()
+        self.leaving = False
+        self.look = anyio.Event()
+
+    def start(self) -> None:
+        """Start to take part."""
+        for loop in (self.mirror.run, self.session.run, self._claim_pools, self._flush_log):
+            self.around.tasks.start_soon(keep_running, loop)
+
+    async def leave(self) -> None:
+        """Hand all pools over and end the lease."""
+        self.leaving = True
+        claims = {}
+        for pool, owner in list(self.owned.items()):
+            with anyio.move_on_after(GIVE_UP_SECONDS):
+                await owner.give_up()
+            owner.stop()
+            claims[self.around.keys.owner(pool)] = owner.token
+            self.owned.pop(pool, None)
+        try:
+            await self.session.release(claims)
+            await self.session.end()
+        except (StoreUnavailable, StoreError) as error:
+            self.around.log.write("claims-not-released", reason=str(error))
+
+    @property
+    def is_ready(self) -> bool:
+        """Return whether callers can be served: each pool has a live owner."""
+        config = self.around.config
+        if config is None or self.leaving:
+            return False
+        return all(self.directory.owner_of(pool) is not None for pool in config.pools)
+
+    def use_config(self, config: BatchConfig) -> None:
+        """Take a newer configuration."""
+        if self.around.config is not None and config.version <= self.around.config.version:
+            return
+        self.around.config = config
+        self.around.log.write("config-in-force", version=config.version, queues=len(config.queues))
+        self.look.set()
+        for owner in self.owned.values():
+            owner.wake()
+
+    def use_workers(self, workers: dict[str, ListedWorker]) -> None:
+        """Take the platform's list of workers as it is now."""
+        self.around.workers = workers
+        for owner in self.owned.values():
+            owner.follow_workers()
+
+    def lose_all(self) -> None:
+        """Stop all owners, because the lease has ended."""
+        for owner in self.owned.values():
+            owner.stop()
+
+    async def _claim_pools(self) -> None:
+        while True:
+            with anyio.move_on_after(LOOK_SECONDS):
+                await self.look.wait()
+            self.look = anyio.Event()
+            if not self.leaving and self._may_claim():
+                await self._claim_open_pools()
+
+    def _may_claim(self) -> bool:
+        settled = self.around.clock.now() - self.begun_at >= SETTLE_SECONDS
+        return settled and self.around.config is not None and self.mirror.loaded.is_set()
+
+    async def _claim_open_pools(self) -> None:
+        assert self.around.config is not None
+        now = self.around.clock.now()
+        for pool in choose_claims(self.directory, self.member, self.around.config.pools, now):
+            if pool in self.owned:
+                continue
+            held = self.directory.owners.get(pool)
+            try:
+                token = await self.session.claim(
+                    self.around.keys.owner(pool), held.token if held else 0
+                )
+            except (StoreUnavailable, StoreError) as error:
+                self.around.log.write("claim-failed", pool=pool, reason=str(error))
+                return
+            if token:
+                self.around.log.write("pool-claimed", pool=pool, token=token)
+                owner = self.owned[pool] = PoolOwner(self.around, pool, token)
+                start_guarded(self.around.tasks, self._own, owner)
+
+    async def _own(self, owner: PoolOwner) -> None:
+        try:
+            await owner.run()
+        finally:
+            if self.owned.get(owner.pool) is owner:
+                del self.owned[owner.pool]
+            self.around.log.write("pool-left", pool=owner.pool, token=owner.token)
+
+    def _directory_changed(self, events: list[Event]) -> None:
+        try:
+            self.directory.apply(events, self.around.clock.now())
+        except RecordError as error:
+            self.around.log.write("record-unreadable", reason=str(error))
+        for pool, owner in self.owned.items():
+            claim = self.directory.owners.get(pool)
+            if claim is None or claim.token > owner.token:
+                owner.stop()
+        self.look.set()
+
+    def _directory_lost(self, reason: str) -> None:
+        self.around.log.write(
+            "directory-away" if reason else "directory-back",
+            reason=reason,
+            age=round(self.around.clock.now() - self.mirror.heard_at, 2),
+        )
+
+    async def _flush_log(self) -> None:
+        while True:
+            self.around.log.flush()
+            await anyio.sleep(LOG_FLUSH_SECONDS)
--- /dev/null
+++ b/limpetpulley/ownership/owner.py
@@ -0,0 +1,371 @@
+"""A pool's owner: takes the pool over, decides, and keeps what must last in the store."""
+
+from __future__ import annotations
+
+import math
+
+import anyio
+import attrs
+
+from ..batch import Job, JobKey, JobSpec, JobState, QueueRule
+from ..batch.records import decode_job, decode_roster, encode_roster
+from ..exception import NotOwnerError, RecordError, StoreError, StoreUnavailable
+from ..pool import Change, PlanningLimits, PoolBook, plan_orders
+from ..pool.outlook import backlog_ahead, job_outlook
+from ..quota.shares import TeamShares
+from ..scheduling.backlog import LONGEST_RETRY_SECONDS, Verdict, assess_job
+from ..scheduling.pacing import pace_fillers
+from ..scheduling.placement import fits_empty
+from ..store import Compare, Event, Put
+from ..workers import StartOrder, Worker
+from .agent import WorkerAgent, lease_seconds, name_task
+from .around import Around
+from .sharing import ShareKeeper
+from .writer import OwnerWriter
+
+__all__ = ["PoolOwner", "Submission"]
+
+#: time between two plans, so that ends and submissions that come together make one
+PLAN_GAP_SECONDS = 0.005
+#: longest time between two plans, for orders to send again and leases that lapse
+PLAN_PAUSE_SECONDS = 0.25
+#: time without its claim's renewal after which an owner that the store does not hear stops to
+#: extend leases; with the lease's length it bounds how long unseen runs may live
+UNSEEN_OWNER_SECONDS = 12.0
+#: time between two looks for ended jobs whose records can go
+CLEAN_SECONDS = 10.0
+#: time until which a caller is told to come back after an owner's failure, in whole seconds
+FAILURE_RETRY_SECONDS = 1
+
+
+@attrs.frozen
+class Submission:
+    """A job that a caller hands in.
+
+    :param team: team that it is charged to, empty for none
+    :param elapsed_seconds: time since the caller first asked
+    """
+
+    queue: QueueRule
+    job_id: str
+    spec: JobSpec
+    team: str = ""
+    elapsed_seconds: float = 0.0
+
+
+class PoolOwner:
+    """Owns one pool under one claim.
+
+    :param token: revision of the claim: the fencing token for workers
+    """
+
+    def __init__(self, around: Around, pool: str, token: int):
+        self.around = around
+        self.pool = pool
+        self.token = token
+        timing = around.timing
+        self.book = PoolBook(pool, token, timing.stop, timing.longest_hold, self.log_change)
+        claim = Compare(around.keys.owner(pool), token)
+        self.writer = OwnerWriter(around, self.book, claim, self.progress_stored)
+        self.shares = TeamShares(pool)
+        self.keeper = ShareKeeper(around, self.book, self.shares, self.writer)
+        self.agents: dict[str, WorkerAgent] = {}
+        self.roster: dict[str, str] = {}
+        self.roster_stored: set[str] = set()
+        self.dirty = anyio.Event()
+        self.progress_event = anyio.Event()
+        self.ready = anyio.Event()
+        self.finished = anyio.Event()
+        self.scope = anyio.CancelScope()
+        self.limits = PlanningLimits()
+
+    # Life
+
+    async def run(self) -> None:
+        """Own the pool until the claim is lost or given up."""
+        try:
+            with self.scope:
+                await self._take_over()
+                async with anyio.create_task_group() as tasks:
+                    self.tasks = tasks
+                    for loop in (
+                        self.writer.run_creations,
+                        self.writer.run_flushes,
+                        self.keeper.run,
+                        self._run_plans,
+                        self._run_cleaning,
+                    ):
+                        tasks.start_soon(loop)
+                    self.follow_workers()
+        except* NotOwnerError as group:
+            self.around.log.write(
+                "owner-deposed", pool=self.pool, token=self.token, reason=str(group.exceptions[0])
+            )
+        except* (StoreError, StoreUnavailable) as group:
+            self.around.log.write(
+                "takeover-failed", pool=self.pool, reason=str(group.exceptions[0])
+            )
+        finally:
+            self.finished.set()
+
+    async def give_up(self) -> None:
+        """Store what is known and stop; the claim is released by whoever calls this."""
+        if self.ready.is_set() and not self.finished.is_set():
+            await self.writer.flush()
+        self.scope.cancel()
+        await self.finished.wait()
+
+    def stop(self) -> None:
+        """Stop at once, because the claim is lost."""
+        self.scope.cancel()
+
+    async def _take_over(self) -> None:
+        store, keys, begun = self.around.store, self.around.keys, self.around.clock.now()
+        roster = await store.get(keys.roster(self.pool))
+        if roster is not None:
+            self.roster = decode_roster(roster.value)
+            self.roster_stored = set(self.roster)
+        await self._read_jobs()
+        for worker_id in self.roster:
+            if worker_id in self.around.workers or not self.book.jobs:
+                continue
+            self.around.log.write("worker-unlisted", pool=self.pool, worker=worker_id)
+        unseen = UNSEEN_OWNER_SECONDS + lease_seconds(self.around.timing.longest_hold)
+        if self.book.inherited:
+            self.book.awaited = dict.fromkeys(self.roster, begun + unseen)
+        await self.keeper.read()
+        self.ready.set()
+        self.around.log.write(
+            "pool-taken-over",
+            pool=self.pool,
+            token=self.token,
+            jobs=len(self.book.jobs),
+            workers=len(self.roster),
+            seconds=round(self.around.clock.now() - begun, 3),
+        )
+
+    async def _read_jobs(self) -> None:
+        keys, day = self.around.keys, self.around.day()
+        described = await self.around.store.read(keys.descriptions)
+        noted = await self.around.store.read(keys.progresses)
+        progress = {entry.key.removeprefix(keys.progresses): entry.value for entry in noted.entries}
+        for entry in described.entries:
+            rest = entry.key.removeprefix(keys.descriptions)
+            try:
+                job = decode_job(keys.job_key(rest), entry.value, progress.get(rest))
+            except RecordError as error:
+                self.around.log.write("record-unreadable", key=entry.key, reason=str(error))
+                continue
+            if job.pool == self.pool:
+                self.book.add_job(job, day, inherited=True)
+
+    # Callers
+
+    async def submit(self, submission: Submission, wait_seconds: float) -> Verdict | None:
+        """Accept or refuse a job; return None if it is not known whether it is stored.
+
+        :param wait_seconds: longest time until the answer
+        """
+        key = JobKey(submission.queue.name, submission.job_id)
+        known = self.book.jobs.get(submission.job_id)
+        if known is not None:
+            return Verdict(known.key == key, 0.0, 0.0, LONGEST_RETRY_SECONDS)
+        verdict = self.assess(submission)
+        self._log_verdict(submission, verdict)
+        if not verdict.accepted:
+            return verdict
+        job = self._make_job(key, submission)
+        with anyio.move_on_after(wait_seconds):
+            outcome = await self.writer.create(job)
+            if outcome.stored:
+                if job.key.job_id not in self.book.jobs:
+                    self.book.add_job(job, self.around.day())
+                self.wake()
+                return verdict
+            if outcome.stored is False:
+                return attrs.evolve(verdict, accepted=False, retry_seconds=FAILURE_RETRY_SECONDS)
+        self.around.log.write("job-in-doubt", job=submission.job_id, queue=key.queue)
+        return None
+
+    def assess(self, submission: Submission) -> Verdict:
+        """Decide about a job by its predicted end."""
+        queue, spec = submission.queue, submission.spec
+        workers = [worker for worker in self.book.workers.values() if worker.present]
+        if not all(fits_empty(step, workers) for step in spec.steps):
+            return Verdict(False, math.inf, 0.0, LONGEST_RETRY_SECONDS)
+        if spec.lasting or spec.timed:
+            return Verdict(True, 0.0, 0.0)
+        self.keeper.use_config()
+        outlook = job_outlook(
+            self.book, self.shares, queue, spec, submission.team, submission.elapsed_seconds
+        )
+        backlog = backlog_ahead(self.book, self.shares, queue.priority, submission.team)
+        return assess_job(outlook, backlog)
+
+    async def cancel(self, key: JobKey) -> JobState | None:
+        """Cancel a job; return its state once that is stored, None if there is no such job."""
+        job = self.find(key)
+        if job is None:
+            return None
+        if self.book.cancel(job, self.around.day()):
+            self.around.log.write("job-cancelled", job=key.job_id, queue=key.queue)
+            self.wake()
+            await self.writer.wait_stored(job)
+        return job.state
+
+    def find(self, key: JobKey) -> Job | None:
+        """Return a job of this pool, or None."""
+        job = self.book.jobs.get(key.job_id)
+        return job if job is not None and job.key == key else None
+
+    def state_of(self, job: Job) -> JobState:
+        """Return what a caller is told: an end only once it is stored."""
+        job_id = job.key.job_id
+        if job.state.final and self.book.stored[job_id] < self.book.changed[job_id]:
+            return JobState.RUNNING
+        return job.state
+
+    def count_pending(self, queue: str) -> int:
+        """Return how many accepted jobs of a queue have not begun."""
+        return sum(
+            1
+            for job in self.book.jobs.values()
+            if job.key.queue == queue and job.state is JobState.QUEUED
+        )
+
+    def _make_job(self, key: JobKey, submission: Submission) -> Job:
+        queue, day = submission.queue, self.around.day()
+        outlook = job_outlook(
+            self.book,
+            self.shares,
+            queue,
+            submission.spec,
+            submission.team,
+            submission.elapsed_seconds,
+        )
+        return Job(
+            key,
+            submission.spec,
+            self.pool,
+            submission.team,
+            max(1, queue.max_attempts),
+            accepted_at=round(day, 3),
+            priority=queue.priority,
+            due_by=round(day - submission.elapsed_seconds + outlook.objective_seconds, 3),
+        )
+
+    # Workers
+
+    def follow_workers(self, events: list[Event] | None = None) -> None:
+        """Take over what the platform lists now."""
+        if not self.ready.is_set():
+            return
+        listed = {
+            name: worker for name, worker in self.around.workers.items() if worker.pool == self.pool
+        }
+        for name in [name for name in self.book.workers if name not in listed]:
+            self.book.unlist_worker(name)
+        for name, found in listed.items():
+            worker = self.book.list_worker(found)
+            agent = self.agents.get(name)
+            if agent is None or agent.worker is not worker:
+                self._begin_agent(worker)
+        self.wake()
+
+    def _begin_agent(self, worker: Worker) -> None:
+        agent = WorkerAgent(self.around, self.book, worker, self.wake, lambda: self.progress_event)
+        self.agents[worker.worker_id] = agent
+        self.tasks.start_soon(agent.run)
+
+    # Decisions
+
+    def wake(self) -> None:
+        """Plan again soon."""
+        self.dirty.set()
+
+    def progress_stored(self) -> None:
+        """Let holds acknowledge what was stored."""
+        event, self.progress_event = self.progress_event, anyio.Event()
+        event.set()
+
+    async def _run_plans(self) -> None:
+        while True:
+            with anyio.move_on_after(PLAN_PAUSE_SECONDS):
+                await self.dirty.wait()
+            self.dirty = anyio.Event()
+            await self._plan()
+            await anyio.sleep(PLAN_GAP_SECONDS)
+
+    async def _plan(self) -> None:
+        clock, day = self.around.clock, self.around.day()
+        self.keeper.use_config()
+        orders = plan_orders(self.book, self.shares, clock.now(), day, self.limits)
+        orders += pace_fillers(self.book, clock.now())
+        if self.book.unstored_jobs():
+            self.writer.flush_needed.set()
+        self.keeper.wake_if_short()
+        await self._store_roster({order.worker_id for order in orders})
+        for order in orders:
+            agent = self.agents.get(order.worker_id)
+            if agent is None:
+                continue
+            if isinstance(order, StartOrder):
+                self.around.log.write(
+                    "run-ordered",
+                    task=name_task(order),
+                    run=order.number,
+                    worker=order.worker_id,
+                    pool=self.pool,
+                )
+            self.tasks.start_soon(agent.send, order)
+
+    async def _store_roster(self, used: set[str]) -> None:
+        """Store which workers may hold runs before the first run is ordered on one."""
+        if used <= self.roster_stored:
+            return
+        self.roster.update(
+            {name: worker.listed.address for name, worker in self.book.workers.items()}
+        )
+        self.roster = {name: at for name, at in self.roster.items() if name in self.book.workers}
+        key, value = self.around.keys.roster(self.pool), encode_roster(self.roster)
+        while True:
+            try:
+                await self.writer.commit([], [Put(key, value)])
+                break
+            except (StoreUnavailable, StoreError) as error:
+                self.around.log.write("roster-not-stored", pool=self.pool, reason=str(error))
+                await anyio.sleep(FAILURE_RETRY_SECONDS)
+        self.roster_stored = set(self.roster)
+
+    async def _run_cleaning(self) -> None:
+        keep = self.around.timing.keep_ended
+        while True:
+            await anyio.sleep(CLEAN_SECONDS)
+            oldest = self.around.day() - keep
+            old = [job for job in self.book.jobs.values() if 0 < job.ended_at < oldest]
+            try:
+                await self.writer.remove(old)
+            except (StoreUnavailable, StoreError) as error:
+                self.around.log.write("records-not-removed", pool=self.pool, reason=str(error))
+
+    # Logs
+
+    def log_change(self, change: Change) -> None:
+        """Log what was learned about a run or a worker."""
+        fields: dict[str, object] = {"pool": self.pool, "worker": change.worker_id}
+        if change.task is not None:
+            fields |= {"task": ".".join(map(str, change.task)), "run": change.number}
+        self.around.log.write(change.what, **fields, detail=change.detail)
+
+    def _log_verdict(self, submission: Submission, verdict: Verdict) -> None:
+        self.around.log.write(
+            "job-accepted" if verdict.accepted else "job-refused",
+            job=submission.job_id,
+            queue=submission.queue.name,
+            pool=self.pool,
+            team=submission.team,
+            wait=round(verdict.wait_seconds, 3) if math.isfinite(verdict.wait_seconds) else "never",
+            allowed=round(verdict.allowed_seconds, 3),
+            elapsed=round(submission.elapsed_seconds, 3),
+            retry=verdict.retry_seconds,
+        )
--- /dev/null
+++ b/limpetpulley/ownership/session.py
@@ -0,0 +1,107 @@
+"""A daemon's lease in the store, and the keys that live with it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import anyio
+
+from ..batch.keys import BatchKeys
+from ..clock import Clock
+from ..exception import StoreError, StoreUnavailable
+from ..store import Compare, Delete, Put, Store
+from ..telemetry import EventLog
+from .directory import Member, encode_member
+
+__all__ = ["LEASE_SECONDS", "Session"]
+
+#: length of a daemon's lease; it bounds the time until a lost owner's pool is claimed
+LEASE_SECONDS = 2.0
+#: time between renewals, so that several may be lost
+RENEW_SECONDS = 0.4
+#: pause after a renewal without an answer
+RETRY_SECONDS = 0.1
+
+
+class Session:
+    """Keeps a daemon's lease and member key, and claims keys under the lease.
+
+    :param member: this daemon
+    :param ended: called when the lease was lost, so that everything claimed is given up
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        keys: BatchKeys,
+        member: Member,
+        clock: Clock,
+        log: EventLog,
+        ended: Callable[[], None],
+    ):
+        self.store = store
+        self.keys = keys
+        self.member = member
+        self.clock = clock
+        self.log = log
+        self.ended = ended
+        self.lease = 0
+        self.renewed_at = clock.now()
+
+    async def run(self) -> None:
+        """Keep the lease until cancelled."""
+        while True:
+            try:
+                if not self.lease:
+                    await self._begin()
+                elif await self.store.renew_lease(self.lease):
+                    self.renewed_at = self.clock.now()
+                else:
+                    self.lose("lease-ended")
+                    continue
+            except (StoreUnavailable, StoreError) as error:
+                age = self.clock.now() - self.renewed_at
+                self.log.write("lease-not-renewed", reason=str(error), age=round(age, 2))
+                await anyio.sleep(RETRY_SECONDS)
+                continue
+            await anyio.sleep(RENEW_SECONDS)
+
+    def lose(self, reason: str) -> None:
+        """Give up the lease and everything that was claimed under it."""
+        self.log.write("session-lost", lease=self.lease, reason=reason)
+        self.lease = 0
+        self.ended()
+
+    async def claim(self, key: str, replaced: int) -> int:
+        """Claim a key; return the claim's token, or 0 if another was faster.
+
+        :param replaced: revision of the claim that is replaced, 0 for none
+        """
+        lease = self.lease
+        if not lease:
+            return 0
+        value = encode_member(self.member)
+        result = await self.store.commit([Compare(key, replaced)], [Put(key, value, lease)])
+        return result.revision if result.ok else 0
+
+    async def release(self, claims: dict[str, int]) -> None:
+        """Delete claimed keys, each only if the claim is still this daemon's.
+
+        :param claims: token by key
+        """
+        for key, token in claims.items():
+            await self.store.commit([Compare(key, token)], [Delete(key)])
+
+    async def end(self) -> None:
+        """End the lease and the member key with it."""
+        if self.lease:
+            await self.store.end_lease(self.lease)
+            self.lease = 0
+
+    async def _begin(self) -> None:
+        lease = await self.store.grant_lease(LEASE_SECONDS)
+        key = self.keys.member(self.member.name)
+        await self.store.commit([], [Put(key, encode_member(self.member), lease)])
+        self.lease = lease
+        self.renewed_at = self.clock.now()
+        self.log.write("session-begun", lease=lease, incarnation=self.member.incarnation)
--- /dev/null
+++ b/limpetpulley/ownership/writer.py
@@ -0,0 +1,177 @@
+"""Writes of a pool's owner: each compares the owner's claim, so a deposed owner writes nothing."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+
+import anyio
+import attrs
+
+from ..batch import Job
+from ..batch.records import encode_description, encode_progress
+from ..exception import NotOwnerError, StoreError, StoreUnavailable
+from ..pool import PoolBook
+from ..store import Compare, Delete, Put
+from .around import Around
+
+__all__ = ["OwnerWriter", "StoreOutcome"]
+
+#: entries that one transaction may have, the comparison with the claim included; from the
+#: platform's description of its store
+TRANSACTION_ENTRIES = 32
+#: time between two writes of progress, unless a job has ended
+FLUSH_SECONDS = 0.06
+#: pause after a write without an answer
+RETRY_SECONDS = 0.15
+
+
+@attrs.define
+class StoreOutcome:
+    """What became of a job's description.
+
+    :param stored: whether it is stored, None if that is not known
+    """
+
+    job: Job
+    stored: bool | None = None
+    settled: anyio.Event = attrs.field(factory=anyio.Event)
+
+    def settle(self, stored: bool | None) -> None:
+        """Note the outcome and wake whoever waits for it."""
+        self.stored = stored
+        self.settled.set()
+
+
+class OwnerWriter:
+    """Stores descriptions and progress of one pool's jobs.
+
+    :param claim: the owner's key in the store and its token
+    :param stored: called after progress was stored
+    """
+
+    def __init__(self, around: Around, book: PoolBook, claim: Compare, stored: Callable[[], None]):
+        self.around = around
+        self.book = book
+        self.claim = claim
+        self.stored = stored
+        self.created: list[StoreOutcome] = []
+        self.create_needed = anyio.Event()
+        self.flush_needed = anyio.Event()
+        self.flushed = anyio.Event()
+        self.failing = False
+
+    async def create(self, job: Job) -> StoreOutcome:
+        """Store a new job's description; return once the outcome is known."""
+        outcome = StoreOutcome(job)
+        self.created.append(outcome)
+        self.create_needed.set()
+        await outcome.settled.wait()
+        return outcome
+
+    async def wait_stored(self, job: Job) -> None:
+        """Return once the job's progress of now is stored."""
+        job_id = job.key.job_id
+        version = self.book.changed.get(job_id, 0)
+        self.flush_needed.set()
+        while self.book.stored.get(job_id, version) < version:
+            await self.flushed.wait()
+
+    async def run_creations(self) -> None:
+        """Store descriptions, as many in one transaction as fit."""
+        while True:
+            await self.create_needed.wait()
+            self.create_needed = anyio.Event()
+            while self.created:
+                batch = self.created[: (TRANSACTION_ENTRIES - 1) // 2]
+                del self.created[: len(batch)]
+                try:
+                    await self._create_batch(batch)
+                finally:
+                    for outcome in batch:
+                        if not outcome.settled.is_set():
+                            outcome.settle(None)
+
+    async def run_flushes(self) -> None:
+        """Store progress: at once when a job has ended, otherwise every so often."""
+        while True:
+            await self.flush_needed.wait()
+            self.flush_needed = anyio.Event()
+            jobs = self.book.unstored_jobs()
+            if jobs and not any(job.state.final for job in jobs):
+                with anyio.move_on_after(FLUSH_SECONDS):
+                    await self.flush_needed.wait()
+            await self.flush()
+
+    async def flush(self) -> None:
+        """Store all progress that is not stored yet."""
+        while jobs := self.book.unstored_jobs()[: TRANSACTION_ENTRIES - 1]:
+            versions = {job.key.job_id: self.book.changed[job.key.job_id] for job in jobs}
+            keys = self.around.keys
+            writes = [Put(keys.progress(job.key), encode_progress(job)) for job in jobs]
+            try:
+                await self.commit([], writes)
+            except (StoreUnavailable, StoreError) as error:
+                self._note_failure(error, len(jobs))
+                await anyio.sleep(RETRY_SECONDS)
+                continue
+            self.failing = False
+            self.book.mark_stored(versions)
+            flushed, self.flushed = self.flushed, anyio.Event()
+            flushed.set()
+            self.stored()
+
+    async def remove(self, jobs: Sequence[Job]) -> None:
+        """Remove the records of ended jobs."""
+        keys = self.around.keys
+        step = (TRANSACTION_ENTRIES - 1) // 2
+        for first in range(0, len(jobs), step):
+            part = jobs[first : first + step]
+            removals = [Delete(keys.description(job.key)) for job in part]
+            removals += [Delete(keys.progress(job.key)) for job in part]
+            await self.commit([], removals)
+            for job in part:
+                self.book.forget_job(job.key.job_id)
+
+    async def commit(self, compares: Sequence[Compare], writes: Sequence[Put | Delete]) -> bool:
+        """Apply writes if the claim stands; return whether the other conditions held.
+
+        :raises NotOwnerError: if the claim stands no longer
+        """
+        result = await self.around.store.commit([self.claim, *compares], writes)
+        if result.ok:
+            return True
+        found = await self.around.store.get(self.claim.key)
+        if found is None or found.revision != self.claim.revision:
+            raise NotOwnerError(f"the claim of pool {self.book.pool} stands no longer")
+        return False
+
+    async def _create_batch(self, batch: list[StoreOutcome]) -> None:
+        try:
+            if await self._create(batch):
+                for outcome in batch:
+                    outcome.settle(True)
+                return
+            for outcome in batch:
+                outcome.settle(await self._create([outcome]) or await self._is_stored(outcome.job))
+        except (StoreUnavailable, StoreError) as error:
+            self._note_failure(error, len(batch))
+
+    async def _create(self, batch: list[StoreOutcome]) -> bool:
+        keys = [self.around.keys.description(outcome.job.key) for outcome in batch]
+        writes = [
+            Put(key, encode_description(outcome.job))
+            for key, outcome in zip(keys, batch, strict=True)
+        ]
+        return await self.commit([Compare(key, 0) for key in keys], writes)
+
+    async def _is_stored(self, job: Job) -> bool:
+        """Return whether the job is stored as it is, by a write whose answer was lost."""
+        found = await self.around.store.get(self.around.keys.description(job.key))
+        return found is not None and found.value == encode_description(job)
+
+    def _note_failure(self, error: Exception, count: int) -> None:
+        if not self.failing:
+            self.failing = True
+            self.around.log.write(
+                "store-write-failed", pool=self.book.pool, reason=str(error), jobs=count
+            )
--- a/limpetpulley/peer/client.py
+++ b/limpetpulley/peer/client.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Any, Protocol
 
 import anyio
@@ -41,10 +41,13 @@
 
     A channel on which a call timed out is closed, because its connection may have gone silent
     while new ones work.
+
+    :param stub: class of the stubs that know the service's methods
     """
 
-    def __init__(self) -> None:
-        self.channels: dict[str, tuple[Channel, PeerStub]] = {}
+    def __init__(self, stub: Callable[[Channel], Any] = PeerStub) -> None:
+        self.stub = stub
+        self.channels: dict[str, tuple[Channel, Any]] = {}
         self.calls = 0
 
     async def call(
@@ -84,12 +87,12 @@
             channel.close()
         self.channels.clear()
 
-    def _channel(self, address: str) -> tuple[Channel, PeerStub]:
+    def _channel(self, address: str) -> tuple[Channel, Any]:
         found = self.channels.get(address)
         if found is None:
             host, _, port = address.rpartition(":")
             channel = Channel(host, int(port))
-            found = self.channels[address] = (channel, PeerStub(channel))
+            found = self.channels[address] = (channel, self.stub(channel))
         return found
 
     def _drop(self, address: str, channel: Channel) -> None:
--- a/limpetpulley/peer/server.py
+++ b/limpetpulley/peer/server.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
+from typing import Any
+
 from grpclib.server import Server
 
 from ..sockets import listen
-from .peer_grpc import PeerBase
 
 __all__ = ["PeerServer"]
 
@@ -13,15 +15,15 @@
 class PeerServer:
     """Listens for other daemons.
 
-    :param service: what answers the calls
+    :param services: what answers the calls
     :param host: address to listen on
     :param port: port, 0 for any free one
     """
 
-    def __init__(self, service: PeerBase, host: str, port: int):
+    def __init__(self, services: Sequence[Any], host: str, port: int):
         self.socket = listen(host, port)
         self.port = self.socket.getsockname()[1]
-        self.server = Server([service])
+        self.server = Server(list(services))
 
     async def start(self) -> None:
         """Start to listen."""
--- /dev/null
+++ b/limpetpulley/platform/__main__.py
@@ -0,0 +1,7 @@
+"""Start the daemon on the platform: ``python -m limpetpulley.platform``."""
+
+from .daemon import main
+
+__all__: list[str] = []
+
+main()
--- /dev/null
+++ b/limpetpulley/platform/decode.py
@@ -0,0 +1,90 @@
+"""Reading values that come from the platform, which may be of any type."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+from ..batch import Amount
+from ..exception import RecordError
+
+__all__ = ["amount", "flag", "load", "number", "rows", "text", "whole"]
+
+
+def load(content: bytes | str) -> dict[str, Any]:
+    """Return a JSON object.
+
+    :raises RecordError: if the content is none
+    """
+    try:
+        value = json.loads(content)
+    except ValueError as error:
+        raise RecordError(f"not JSON: {error}") from None
+    if not isinstance(value, dict):
+        raise RecordError("not a JSON object")
+    return value
+
+
+def text(source: dict[str, Any], name: str, default: str | None = None) -> str:
+    """Return a field that holds text.
+
+    :raises RecordError: if it holds something else, or is missing and has no default
+    """
+    value = source.get(name, default)
+    if not isinstance(value, str):
+        raise RecordError(f"{name} is not text")
+    return value
+
+
+def number(source: dict[str, Any], name: str, default: float | None = None) -> float:
+    """Return a field that holds a number.
+
+    :raises RecordError: if it holds something else, or is missing and has no default
+    """
+    value = source.get(name, default)
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise RecordError(f"{name} is not a number")
+    return value
+
+
+def whole(source: dict[str, Any], name: str, default: int | None = None) -> int:
+    """Return a field that holds a whole number.
+
+    :raises RecordError: if it holds something else, or is missing and has no default
+    """
+    value = number(source, name, default)
+    if value != int(value):
+        raise RecordError(f"{name} is not a whole number")
+    return int(value)
+
+
+def flag(source: dict[str, Any], name: str) -> bool:
+    """Return a field that holds true or false; false if it is missing.
+
+    :raises RecordError: if it holds something else
+    """
+    value = source.get(name, False)
+    if not isinstance(value, bool):
+        raise RecordError(f"{name} is neither true nor false")
+    return value
+
+
+def rows(source: dict[str, Any], name: str) -> list[Any]:
+    """Return a field that holds a list; an empty one if it is missing.
+
+    :raises RecordError: if it holds something else
+    """
+    value = source.get(name) or []
+    if not isinstance(value, list):
+        raise RecordError(f"{name} is not a list")
+    return value
+
+
+def amount(source: Any) -> Amount:
+    """Return an amount of processors, memory and accelerators.
+
+    :raises RecordError: if it cannot be read
+    """
+    if not isinstance(source, dict):
+        raise RecordError("an amount is not an object")
+    return Amount(whole(source, "cpu", 0), whole(source, "memMb", 0), whole(source, "gpu", 0))
--- a/limpetpulley/platform/store.py
+++ b/limpetpulley/platform/store.py
@@ -1,100 +1,162 @@
-"""Interface of the platform's key-value store."""
+"""The store's interface over the platform's store."""
 
 from __future__ import annotations
 
+import base64
+import binascii
+import json
 from collections.abc import AsyncIterator, Sequence
-from typing import Protocol
+from typing import Any
+from urllib.parse import quote
 
-import attrs
+from ..exception import HttpError, RecordError, StoreError, StoreUnavailable
+from ..http_client import HttpAnswer, HttpCaller
+from ..store import Compare, Delete, Entry, Event, Put, Snapshot, TxnResult
+from .decode import load, rows, text, whole
 
-__all__ = ["Compare", "Delete", "Entry", "Event", "Put", "Snapshot", "Store", "TxnResult"]
+__all__ = ["PlatformStore"]
 
+#: longest time for one call, in seconds
+CALL_SECONDS = 1.5
+#: longest time that a watch waits for a change; a silent connection is found after it
+WATCH_SECONDS = 8.0
+#: time for an answer beyond the time that a watch waits
+ANSWER_SECONDS = 2.0
+JSON_HEADERS = {"Content-Type": "application/json"}
+OK, NOT_FOUND, GONE, CONDITION_FAILED = 200, 404, 410, 412
+TOO_MANY, AWAY = 429, 503
 
-@attrs.frozen
-class Entry:
-    """A key with its value and the revision of its last change."""
 
-    key: str
-    value: bytes
-    revision: int
+class PlatformStore:
+    """A :class:`~limpetpulley.store.Store` on the platform.
 
-
-@attrs.frozen
-class Snapshot:
-    """All entries under a prefix at one revision of the store."""
-
-    entries: tuple[Entry, ...]
-    revision: int
-
-
-@attrs.frozen
-class Compare:
-    """A condition: the key's last change is this revision; 0 for an absent key."""
-
-    key: str
-    revision: int
-
-
-@attrs.frozen
-class Put:
-    """A write; ``lease`` is the lease that the key lives with, 0 for none."""
-
-    key: str
-    value: bytes
-    lease: int = 0
-
-
-@attrs.frozen
-class Delete:
-    """A deletion."""
-
-    key: str
-
-
-@attrs.frozen
-class TxnResult:
-    """Outcome of a transaction.
-
-    :param ok: whether the conditions held and the writes took effect
-    :param revision: the store's revision after it
+    :param address: ``host:port`` of the store
     """
 
-    ok: bool
-    revision: int
-
-
-@attrs.frozen
-class Event:
-    """A change seen by a watch; ``value`` is None for a deletion."""
-
-    key: str
-    value: bytes | None
-    revision: int
-
-
-class Store(Protocol):
-    """A key-value service with compare-and-swap, leases and watches.
-
-    Every call raises :class:`~limpetpulley.exception.StoreUnavailable` when no answer came;
-    a write may then have taken effect.
-    """
+    def __init__(self, http: HttpCaller, address: str):
+        self.http = http
+        self.address = address
 
     async def read(self, prefix: str) -> Snapshot:
-        """Return all entries under a prefix."""
+        """Return all entries under a prefix; its pages are no snapshot.
+
+        The revision is the first page's, so that a watch from there misses no change.
+        """
+        entries: dict[str, Entry] = {}
+        revision, after = 0, ""
+        while True:
+            target = f"/api/kv-range?pathPrefix={quote(prefix, safe='')}"
+            if after:
+                target += f"&after={quote(after, safe='')}"
+            page = _body(await self._call("GET", target), OK)
+            revision = revision or whole(page, "currentRev")
+            for item in rows(page, "items"):
+                entry = _entry(item)
+                entries[entry.key] = entry
+                after = entry.key
+            if not page.get("morePages"):
+                return Snapshot(tuple(entries.values()), revision)
+
+    async def get(self, key: str) -> Entry | None:
+        """Return the entry of one key, or None if there is none."""
+        answer = await self._call("GET", f"/api/kv-key?key={quote(key, safe='')}")
+        return None if answer.status == NOT_FOUND else _entry(_body(answer, OK))
 
     async def commit(
         self, compares: Sequence[Compare], writes: Sequence[Put | Delete]
     ) -> TxnResult:
         """Apply all writes if all conditions hold."""
+        body = {
+            "expected": [{"key": item.key, "revision": item.revision} for item in compares],
+            "writes": [_put(write) for write in writes if isinstance(write, Put)],
+            # "remove" lists whole keys to delete; elsewhere the name means dropped routes.
+            "remove": [write.key for write in writes if isinstance(write, Delete)],
+        }
+        answer = await self._call("POST", "/api/kv-txn", body)
+        if answer.status == CONDITION_FAILED:
+            return TxnResult(False, 0)
+        return TxnResult(True, whole(_body(answer, OK), "revision"))
 
     async def grant_lease(self, seconds: float) -> int:
         """Return the identifier of a new lease."""
+        answer = await self._call("POST", "/api/kv-lease", {"ttlMs": int(seconds * 1000)})
+        return whole(_body(answer, OK), "lease")
 
     async def renew_lease(self, lease: int) -> bool:
         """Renew a lease; return whether it still existed."""
-
-    def watch(self, prefix: str, after: int) -> AsyncIterator[list[Event]]:
-        """Yield the changes under a prefix after a revision, in order.
-
-        :raises StoreError: if changes since that revision are no longer known
-        """
+        answer = await self._call("POST", f"/api/kv-keep/{lease}")
+        if answer.status == NOT_FOUND:
+            return False
+        _body(answer, OK)
+        return True
+
+    async def end_lease(self, lease: int) -> None:
+        """End a lease; the keys that live with it are deleted."""
+        answer = await self._call("DELETE", f"/api/kv-lease-end/{lease}")
+        if answer.status != NOT_FOUND:
+            _check(answer, OK)
+
+    async def watch(self, prefix: str, after: int) -> AsyncIterator[list[Event]]:
+        """Yield the changes under a prefix after a revision, in order."""
+        start = f"/api/kv-watch?pathPrefix={quote(prefix, safe='')}"
+        while True:
+            target = f"{start}&after={after}&waitMs={int(WATCH_SECONDS * 1000)}"
+            answer = await self._call("GET", target, seconds=WATCH_SECONDS + ANSWER_SECONDS)
+            if answer.status == GONE:
+                raise StoreError(f"changes after revision {after} are no longer known")
+            page = _body(answer, OK)
+            after = whole(page, "currentRev")
+            yield [_event(item) for item in rows(page, "events")]
+
+    async def _call(
+        self, method: str, target: str, body: Any = None, seconds: float = CALL_SECONDS
+    ) -> HttpAnswer:
+        content = b"" if body is None else json.dumps(body, separators=(",", ":")).encode()
+        headers = JSON_HEADERS if content else {}
+        try:
+            answer = await self.http.request(
+                method, self.address, target, headers, content, seconds
+            )
+        except HttpError as error:
+            raise StoreUnavailable(str(error)) from None
+        if answer.status in (TOO_MANY, AWAY):
+            raise StoreUnavailable(f"the store answered {answer.status}")
+        return answer
+
+
+def _check(answer: HttpAnswer, expected: int) -> None:
+    if answer.status != expected:
+        raise StoreError(f"the store answered {answer.status}: {answer.content[:200]!r}")
+
+
+def _body(answer: HttpAnswer, expected: int) -> dict[str, Any]:
+    _check(answer, expected)
+    try:
+        return load(answer.content)
+    except RecordError as error:
+        raise StoreUnavailable(f"the store's answer: {error}") from None
+
+
+def _entry(item: dict[str, Any]) -> Entry:
+    try:
+        value = base64.b64decode(text(item, "value"), validate=True)
+        return Entry(text(item, "key"), value, whole(item, "revision"))
+    except (RecordError, binascii.Error) as error:
+        raise StoreUnavailable(f"the store's answer: {error}") from None
+
+
+def _event(item: dict[str, Any]) -> Event:
+    if item.get("deleted"):
+        return Event(text(item, "key"), None, whole(item, "revision"))
+    entry = _entry(item)
+    return Event(entry.key, entry.value, entry.revision)
+
+
+def _put(write: Put) -> dict[str, Any]:
+    put: dict[str, Any] = {
+        "key": write.key,
+        "value": base64.b64encode(write.value).decode(),
+    }
+    if write.lease:
+        put["lease"] = write.lease
+    return put
--- /dev/null
+++ b/limpetpulley/pool/__init__.py
@@ -0,0 +1,7 @@
+"""One pool's jobs, workers and runs as its owner keeps them; decisions without I/O."""
+
+from .book import Change, PoolBook
+from .planning import Order, PlanningLimits, plan_orders
+from .times import TaskTimes
+
+__all__ = ["Change", "Order", "PlanningLimits", "PoolBook", "TaskTimes", "plan_orders"]
--- /dev/null
+++ b/limpetpulley/pool/book.py
@@ -0,0 +1,418 @@
+"""One pool's jobs, workers and runs, as the pool's owner keeps them. No I/O.
+
+The book follows what workers list. A task has at most one run at a time: its next run begins only
+when the last one has ended, was rejected for good, or must have been killed because its lease
+has lapsed.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+
+import attrs
+
+from ..batch import Amount, EndKind, Job, TaskId
+from ..workers import (
+    Ended,
+    HoldReply,
+    ListedWorker,
+    Run,
+    Running,
+    RunPhase,
+    StartOutcome,
+    StopOrder,
+    Worker,
+)
+from .times import TaskTimes
+
+__all__ = ["Change", "PoolBook"]
+
+#: run numbers that one owner may use; a new owner's numbers start above them
+RUNS_PER_OWNER = 1 << 20
+#: ends that a worker lists at most in one answer; a longer list may leave some out
+LISTED_ENDS = 500
+#: margin for a worker's clock being read while an order is carried out, in seconds
+SETTLE_SECONDS = 0.1
+#: time without new starts on a worker that had no room, in seconds
+NO_ROOM_SECONDS = 0.3
+#: first time without new starts on a worker that rejects or fails them; doubles each time
+AVOID_SECONDS = 0.5
+LONGEST_AVOID_SECONDS = 4.0
+#: failed runs in a row after which a worker is avoided
+SUSPECT_FAILURES = 3
+
+
+@attrs.frozen
+class Change:
+    """Something that was learned about a run, for the log.
+
+    :param what: short name of the event
+    """
+
+    what: str
+    worker_id: str
+    task: TaskId | None = None
+    number: int = 0
+    detail: str = ""
+
+
+@attrs.define
+class _Unstored:
+    position: int
+    job_id: str
+    version: int
+
+
+class PoolBook:
+    """Jobs, workers and runs of one pool.
+
+    :param pool: the pool's name
+    :param token: the owner's fencing token
+    :param stop_seconds: longest time that a stop takes at a worker
+    :param longest_hold_seconds: longest lease that a worker grants
+    :param report: told of each change, for the log
+    """
+
+    def __init__(
+        self,
+        pool: str,
+        token: int,
+        stop_seconds: float,
+        longest_hold_seconds: float,
+        report: Callable[[Change], None] = lambda change: None,
+    ):
+        self.pool = pool
+        self.token = token
+        self.stop_seconds = stop_seconds
+        self.longest_hold_seconds = longest_hold_seconds
+        self.report = report
+        self.jobs: dict[str, Job] = {}
+        self.workers: dict[str, Worker] = {}
+        self.runs: dict[TaskId, Run] = {}
+        self.ready: dict[str, list[TaskId]] = {}
+        self.usage: dict[str, Amount] = {}
+        self.checkpoints: dict[TaskId, str] = {}
+        self.failed_on: dict[TaskId, set[str]] = {}
+        self.strays: dict[StopOrder, float] = {}
+        self.awaited: dict[str, float] = {}
+        self.inherited: set[str] = set()
+        self.changed: dict[str, int] = {}
+        self.stored: dict[str, int] = {}
+        self.unstored: dict[str, list[_Unstored]] = {}
+        self.next_number = token * RUNS_PER_OWNER + 1
+        self.times = TaskTimes()
+
+    # Jobs
+
+    def add_job(self, job: Job, now: float, inherited: bool = False) -> None:
+        """Add a job that is stored.
+
+        :param now: time of day, in seconds since 1970
+        :param inherited: whether an earlier owner may have started its tasks
+        """
+        self.jobs[job.key.job_id] = job
+        self.changed[job.key.job_id] = self.stored[job.key.job_id] = 0
+        if inherited and not job.state.final:
+            self.inherited.add(job.key.job_id)
+        self.refresh(job, now)
+
+    def forget_job(self, job_id: str) -> None:
+        """Forget a job whose records were removed."""
+        self.jobs.pop(job_id, None)
+        for held in (self.changed, self.stored, self.ready):
+            held.pop(job_id, None)
+
+    def cancel(self, job: Job, now: float) -> bool:
+        """Cancel a job; return whether its progress changed."""
+        if not job.cancel(now):
+            return False
+        self.touch(job)
+        self.refresh(job, now)
+        return True
+
+    def touch(self, job: Job) -> None:
+        """Note that a job's progress has to be stored."""
+        self.changed[job.key.job_id] += 1
+
+    def refresh(self, job: Job, now: float) -> None:
+        """Work out which tasks of a job wait for a start.
+
+        :param now: time of day, in seconds since 1970
+        """
+        waiting = [task for task in job.open_tasks(now) if task not in self.runs]
+        if waiting:
+            self.ready[job.key.job_id] = waiting
+        else:
+            self.ready.pop(job.key.job_id, None)
+        if job.state.final:
+            self.inherited.discard(job.key.job_id)
+            for held in (self.checkpoints, self.failed_on):
+                for task in [task for task in held if task.job_id == job.key.job_id]:
+                    del held[task]
+
+    def refresh_due(self, now: float) -> None:
+        """Let the occurrences begin that have become due."""
+        for job in self.jobs.values():
+            if job.spec.timed and not job.state.final:
+                self.refresh(job, now)
+
+    def may_start(self, job: Job) -> bool:
+        """Return whether no unknown run of a job's tasks can be alive."""
+        return not self.awaited or job.key.job_id not in self.inherited
+
+    def unstored_jobs(self) -> list[Job]:
+        """Return the jobs whose progress is newer than what is stored."""
+        return [
+            self.jobs[job_id]
+            for job_id, version in self.changed.items()
+            if version > self.stored[job_id]
+        ]
+
+    def mark_stored(self, versions: dict[str, int]) -> None:
+        """Note which versions of the jobs' progress are stored now."""
+        for job_id, version in versions.items():
+            if job_id in self.stored:
+                self.stored[job_id] = max(version, self.stored[job_id])
+        for worker_id in list(self.unstored):
+            self._acknowledge(worker_id)
+
+    # Workers
+
+    def list_worker(self, listed: ListedWorker) -> Worker:
+        """Note a worker of this pool as the platform lists it."""
+        worker = self.workers.get(listed.worker_id)
+        if worker is None:
+            worker = self.workers[listed.worker_id] = Worker(listed)
+        elif listed.incarnation > worker.listed.incarnation:
+            worker.listed = listed
+            self.restart_worker(worker, "listed")
+        elif listed.incarnation == worker.listed.incarnation:
+            worker.listed = listed
+        worker.present = True
+        return worker
+
+    def unlist_worker(self, worker_id: str) -> None:
+        """Note that the platform lists a worker no longer; its runs may be alive."""
+        if worker_id in self.workers:
+            self.workers[worker_id].present = False
+
+    def restart_worker(self, worker: Worker, why: str) -> None:
+        """Drop the runs of an earlier incarnation of a worker."""
+        for run in list(worker.runs.values()):
+            self._drop(run, "worker-restarted")
+        for stray in [stray for stray in self.strays if stray.worker_id == worker.worker_id]:
+            del self.strays[stray]
+        worker.lease.restart()
+        worker.seen_through = worker.stored_through = 0
+        worker.reconciled = False
+        self.unstored.pop(worker.worker_id, None)
+        self.awaited.pop(worker.worker_id, None)
+        self.report(Change("worker-restarted", worker.worker_id, detail=why))
+
+    def expire(self, now: float) -> None:
+        """Drop the runs whose leases must have lapsed, and workers that are gone."""
+        for worker in list(self.workers.values()):
+            if worker.runs and worker.lease.has_lapsed(now):
+                for run in list(worker.runs.values()):
+                    self._drop(run, "lease-lapsed")
+            if not worker.present and not worker.runs and worker.lease.has_lapsed(now):
+                del self.workers[worker.worker_id]
+                self.unstored.pop(worker.worker_id, None)
+                self.report(Change("worker-gone", worker.worker_id))
+        for worker_id in [name for name, until in self.awaited.items() if until <= now]:
+            del self.awaited[worker_id]
+            self.report(Change("worker-given-up", worker_id, detail="its runs have lapsed"))
+
+    # What workers say
+
+    def note_hold(self, worker: Worker, reply: HoldReply, now: float, day: float) -> None:
+        """Take a worker's list of what runs and what has ended.
+
+        :param now: local time of the answer
+        :param day: time of day, in seconds since 1970
+        """
+        if reply.incarnation and reply.incarnation < worker.listed.incarnation:
+            return
+        if reply.incarnation > worker.listed.incarnation:
+            worker.listed = attrs.evolve(worker.listed, incarnation=reply.incarnation)
+            self.restart_worker(worker, "answered")
+        worker.lease.note_answer(reply.worker_seconds, now)
+        worker.heard_at = now
+        worker.reconciled = True
+        for end in sorted(reply.ended, key=lambda end: end.position):
+            if end.position > worker.seen_through:
+                self._note_end(worker, end, now, day)
+                worker.seen_through = end.position
+        for row in reply.running:
+            self._note_running(worker, row)
+        if len(reply.ended) < LISTED_ENDS:
+            self._note_absent(worker, reply)
+        self.awaited.pop(worker.worker_id, None)
+        self._acknowledge(worker.worker_id)
+
+    def note_start(self, run: Run, outcome: StartOutcome, worker_seconds: float, now: float):
+        """Take a worker's answer to a start."""
+        if self.runs.get(run.task) is not run:
+            return
+        worker = self.workers[run.worker_id]
+        worker.heard_at = now
+        if outcome is StartOutcome.STARTED:
+            run.settled_at = worker_seconds + SETTLE_SECONDS
+            return
+        if outcome is StartOutcome.NO_ROOM:
+            worker.avoid_until = now + NO_ROOM_SECONDS
+        elif outcome is not StartOutcome.LATE:
+            self._avoid(worker, now)
+        self._drop(run, f"rejected-{outcome.name.lower()}")
+
+    def note_stop(self, order: StopOrder, worker_seconds: float, now: float) -> None:
+        """Take a worker's answer to a stop."""
+        self.strays.pop(order, None)
+        run = self.runs.get(order.task)
+        if run is not None and run.number == order.number and run.worker_id == order.worker_id:
+            run.settled_at = worker_seconds + self.stop_seconds + SETTLE_SECONDS
+            self.workers[order.worker_id].heard_at = now
+
+    # Runs
+
+    def begin(self, task: TaskId, worker: Worker, now: float) -> Run:
+        """Add a run that is about to be ordered."""
+        job = self.jobs[task.job_id]
+        step = job.step_of(task)
+        run = Run(
+            task,
+            self.next_number,
+            worker.worker_id,
+            step.charge,
+            job.team,
+            checkpoint=self.checkpoints.get(task, "") if step.checkpoints else "",
+            begun_at=now,
+        )
+        self.next_number += 1
+        self._add(run, worker)
+        if not job.started:
+            job.started = True
+        return run
+
+    def runs_of(self, job_id: str) -> Iterable[Run]:
+        """Yield the runs of a job."""
+        return (run for run in self.runs.values() if run.task.job_id == job_id)
+
+    def _add(self, run: Run, worker: Worker) -> None:
+        self.runs[run.task] = run
+        worker.add(run)
+        self.usage[run.team] = self.usage.get(run.team, Amount()) + run.charge
+        waiting = self.ready.get(run.task.job_id)
+        if waiting and run.task in waiting:
+            waiting.remove(run.task)
+            if not waiting:
+                del self.ready[run.task.job_id]
+
+    def _remove(self, run: Run) -> None:
+        del self.runs[run.task]
+        self.workers[run.worker_id].remove(run)
+        self.usage[run.team] = self.usage[run.team] - run.charge
+
+    def _drop(self, run: Run, why: str) -> None:
+        """Remove a run that left no end, and let its task wait again."""
+        self._remove(run)
+        self.report(Change("run-dropped", run.worker_id, run.task, run.number, why))
+        self._wait_again(run.task)
+
+    def _wait_again(self, task: TaskId) -> None:
+        job = self.jobs.get(task.job_id)
+        if job is not None and job.wants(task) and task not in self.runs:
+            waiting = self.ready.setdefault(task.job_id, [])
+            if task not in waiting:
+                waiting.insert(0, task)
+
+    def _note_end(self, worker: Worker, end: Ended, now: float, day: float) -> None:
+        run = self.runs.get(end.task)
+        if run is not None and run.number == end.number:
+            if end.kind is EndKind.DONE and run.begun_at is not None:
+                self.times.note(self.jobs.get(end.task.job_id), end.task, now - run.begun_at)
+            self._remove(run)
+        job = self.jobs.get(end.task.job_id)
+        self.report(Change("run-ended", worker.worker_id, end.task, end.number, end.kind))
+        if job is None:
+            return
+        self._judge(worker, end, now)
+        if end.kind is not EndKind.DONE and end.checkpoint and job.wants(end.task):
+            self.checkpoints[end.task] = end.checkpoint
+        if job.note_end(end.task, end.number, end.kind, day):
+            self.touch(job)
+            self.unstored.setdefault(worker.worker_id, []).append(
+                _Unstored(end.position, job.key.job_id, self.changed[job.key.job_id])
+            )
+            self.refresh(job, day)
+        else:
+            self._wait_again(end.task)
+
+    def _judge(self, worker: Worker, end: Ended, now: float) -> None:
+        """Avoid workers on which runs fail one after the other."""
+        if end.kind is EndKind.DONE:
+            worker.rejections = 0
+        elif end.kind is EndKind.FAILED:
+            self.failed_on.setdefault(end.task, set()).add(worker.worker_id)
+            worker.rejections += 1
+            if worker.rejections >= SUSPECT_FAILURES:
+                self._avoid(worker, now)
+
+    def _avoid(self, worker: Worker, now: float) -> None:
+        worker.rejections += 1
+        pause = AVOID_SECONDS * 2 ** min(worker.rejections - 1, 8)
+        worker.avoid_until = now + min(LONGEST_AVOID_SECONDS, pause)
+        self.report(Change("worker-avoided", worker.worker_id, detail=f"{pause:.1f} s"))
+
+    def _note_running(self, worker: Worker, row: Running) -> None:
+        run = self.runs.get(row.task)
+        if run is None:
+            job = self.jobs.get(row.task.job_id)
+            if job is None or not job.wants(row.task):
+                self.strays.setdefault(StopOrder(worker.worker_id, row.task, row.number), 0.0)
+                return
+            run = Run(
+                row.task,
+                row.number,
+                worker.worker_id,
+                job.step_of(row.task).charge,
+                job.team,
+            )
+            self._add(run, worker)
+            worker.lease.allow(self.longest_hold_seconds)
+            self.report(Change("run-adopted", worker.worker_id, row.task, row.number))
+        elif run.number != row.number or run.worker_id != worker.worker_id:
+            self.strays.setdefault(StopOrder(worker.worker_id, row.task, row.number), 0.0)
+            return
+        if run.phase is RunPhase.STARTING:
+            run.phase = RunPhase.RUNNING
+        run.checkpoint = row.checkpoint or run.checkpoint
+        run.percent = row.percent
+        run.gauge = row.gauge
+        if row.checkpoint:
+            self.checkpoints[row.task] = row.checkpoint
+
+    def _note_absent(self, worker: Worker, reply: HoldReply) -> None:
+        """Drop the settled runs that a worker's list does not show."""
+        shown = {row.task for row in reply.running}
+        for run in list(worker.runs.values()):
+            settled = run.settled_at is not None and reply.worker_seconds > run.settled_at
+            if settled and run.task not in shown:
+                self._drop(run, "not-listed")
+
+    def _acknowledge(self, worker_id: str) -> None:
+        worker = self.workers.get(worker_id)
+        if worker is None:
+            self.unstored.pop(worker_id, None)
+            return
+        waiting = [
+            end
+            for end in self.unstored.get(worker_id, ())
+            if end.job_id in self.stored and self.stored[end.job_id] < end.version
+        ]
+        if waiting:
+            self.unstored[worker_id] = waiting
+            worker.stored_through = min(end.position for end in waiting) - 1
+        else:
+            self.unstored.pop(worker_id, None)
+            worker.stored_through = worker.seen_through
--- /dev/null
+++ b/limpetpulley/pool/planning.py
@@ -0,0 +1,192 @@
+"""Which orders a pool's owner gives next. No I/O.
+
+Answers a pool that demand overfills for seconds: lasting tasks are put back to work first, then
+jobs by priority and by when they should end; a job's task that finds no room does not hold up
+smaller ones behind it.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import Protocol
+
+import attrs
+
+from ..batch import Amount, Job, TaskId
+from ..scheduling.placement import choose_worker, is_open
+from ..workers import PaceOrder, Run, RunPhase, StartOrder, StopOrder, Worker
+from .book import PoolBook
+
+__all__ = ["Order", "PlanningLimits", "Shares", "plan_orders"]
+
+Order = StartOrder | StopOrder | PaceOrder
+
+#: time after which a start that got no answer is sent again, in seconds
+RESEND_START_SECONDS = 0.5
+#: time after which a start that got no answer is given up by a stop, in seconds
+GIVE_UP_START_SECONDS = 2.0
+#: time after which a stop whose end is not listed is sent again, in seconds
+RESEND_STOP_SECONDS = 0.5
+
+
+class Shares(Protocol):
+    """What each team may have running in a pool."""
+
+    def allows(self, team: str, running: Amount, more: Amount) -> bool:
+        """Return whether a team that runs so much may run more."""
+
+
+@attrs.frozen
+class PlanningLimits:
+    """Bounds that planning keeps to.
+
+    :param contact_seconds: age of a worker's last answer beyond which nothing starts there
+    :param starts_at_once: most unanswered starts on one worker
+    """
+
+    contact_seconds: float = 2.5
+    starts_at_once: int = 16
+
+
+def plan_orders(
+    book: PoolBook, shares: Shares, now: float, day: float, limits: PlanningLimits
+) -> list[Order]:
+    """Return the orders to give now, the book's runs updated as if they were sent.
+
+    :param now: local time
+    :param day: time of day, in seconds since 1970
+    """
+    book.expire(now)
+    book.refresh_due(day)
+    orders: list[Order] = [*_stops(book, now)]
+    orders += _resends(book, now)
+    orders += _starts(book, shares, now, limits)
+    return orders
+
+
+def _stops(book: PoolBook, now: float) -> list[Order]:
+    orders: list[Order] = []
+    for stray, sent in book.strays.items():
+        if now - sent >= RESEND_STOP_SECONDS:
+            book.strays[stray] = now
+            orders.append(stray)
+    for run in book.runs.values():
+        job = book.jobs.get(run.task.job_id)
+        unwanted = job is None or not job.wants(run.task)
+        if unwanted and run.phase is not RunPhase.STOPPING:
+            stop_run(run, now)
+            orders.append(StopOrder(run.worker_id, run.task, run.number))
+    for worker in book.workers.values():
+        if worker.cordoned or worker.listed.draining:
+            orders += _evacuate(book, worker, now)
+    return orders
+
+
+def stop_run(run: Run, now: float) -> None:
+    """Mark a run as being stopped."""
+    run.phase = RunPhase.STOPPING
+    run.settled_at = None
+    run.sent_at = now
+
+
+def _evacuate(book: PoolBook, worker: Worker, now: float) -> list[Order]:
+    """Stop lasting tasks on a worker that is being emptied, as far as they may be missed."""
+    orders: list[Order] = []
+    for run in worker.runs.values():
+        job = book.jobs.get(run.task.job_id)
+        if job is None or run.phase is not RunPhase.RUNNING:
+            continue
+        step = job.step_of(run.task)
+        if step.lasting and (step.may_miss is None or missing(book, job, run.task) < step.may_miss):
+            stop_run(run, now)
+            orders.append(StopOrder(run.worker_id, run.task, run.number))
+    return orders
+
+
+def missing(book: PoolBook, job: Job, task: TaskId) -> int:
+    """Return how many tasks of a task's step are not at work at full speed."""
+    step = job.step_of(task)
+    at_work = sum(
+        1
+        for position in range(step.count)
+        if (run := book.runs.get(task._replace(position=position))) is not None
+        and run.phase is RunPhase.RUNNING
+        and run.percent >= 100
+    )
+    return step.count - at_work
+
+
+def _resends(book: PoolBook, now: float) -> list[Order]:
+    orders: list[Order] = []
+    for run in book.runs.values():
+        if run.settled_at is not None:
+            continue
+        waited = now - run.sent_at
+        if run.phase is RunPhase.STOPPING and waited >= RESEND_STOP_SECONDS:
+            run.sent_at = now
+            orders.append(StopOrder(run.worker_id, run.task, run.number))
+        elif run.phase is RunPhase.STARTING and waited >= RESEND_START_SECONDS:
+            if run.begun_at is None or now - run.begun_at >= GIVE_UP_START_SECONDS:
+                stop_run(run, now)
+                orders.append(StopOrder(run.worker_id, run.task, run.number))
+            else:
+                run.sent_at = now
+                orders.append(_start_order(book.jobs[run.task.job_id], run))
+    return orders
+
+
+def _starts(book: PoolBook, shares: Shares, now: float, limits: PlanningLimits) -> list[Order]:
+    unanswered = Counter(
+        run.worker_id
+        for run in book.runs.values()
+        if run.phase is RunPhase.STARTING and run.settled_at is None
+    )
+    workers = [
+        worker
+        for worker in book.workers.values()
+        if is_open(worker, now, limits.contact_seconds)
+        and unanswered[worker.worker_id] < limits.starts_at_once
+    ]
+    orders: list[Order] = []
+    for job in sorted((book.jobs[job_id] for job_id in book.ready), key=rank):
+        if book.may_start(job):
+            orders += _start_job(book, job, workers, shares, now)
+    return orders
+
+
+def rank(job: Job) -> tuple:
+    """Return what jobs are started by, the lowest first."""
+    return (not job.spec.lasting, job.priority, job.due_by, job.key)
+
+
+def _start_job(
+    book: PoolBook, job: Job, workers: list[Worker], shares: Shares, now: float
+) -> list[Order]:
+    orders: list[Order] = []
+    beside: dict[tuple[int, int], Counter[str]] = {}
+    full: set[tuple[int, int]] = set()
+    for task in list(book.ready.get(job.key.job_id, ())):
+        place = (task.occurrence, task.step)
+        step = job.step_of(task)
+        running = book.usage.get(job.team, Amount())
+        if place in full or not shares.allows(job.team, running, step.charge):
+            continue
+        if place not in beside:
+            beside[place] = Counter(
+                run.worker_id
+                for run in book.runs_of(job.key.job_id)
+                if (run.task.occurrence, run.task.step) == place
+            )
+        worker = choose_worker(step, workers, beside[place], book.failed_on.get(task, ()))
+        if worker is None:
+            full.add(place)
+            continue
+        run = book.begin(task, worker, now)
+        run.sent_at = now
+        beside[place][worker.worker_id] += 1
+        orders.append(_start_order(job, run))
+    return orders
+
+
+def _start_order(job: Job, run: Run) -> StartOrder:
+    return StartOrder(run.worker_id, run.task, run.number, job.spec.payload, run.checkpoint)
--- a/limpetpulley/routing/endpoints.py
+++ b/limpetpulley/routing/endpoints.py
@@ -9,7 +9,7 @@
 
 from ..clock import Clock
 from ..config import ConfigReplica, Vm, VmPhase
-from ..platform import ListedVm, VmState
+from ..vms import ListedVm, VmState
 from .health import Health
 
 __all__ = ["EndpointSet"]
--- a/limpetpulley/routing/tests/test_routing.py
+++ b/limpetpulley/routing/tests/test_routing.py
@@ -6,7 +6,7 @@
 
 from ...clock import ManualClock
 from ...config import ConfigReplica, Record, Vm, VmPhase
-from ...platform import ListedVm, VmState
+from ...vms import ListedVm, VmState
 from ..endpoints import EndpointSet
 from ..health import Health
 from ..retries import RetryBudget
--- /dev/null
+++ b/limpetpulley/scheduling/pacing.py
@@ -0,0 +1,74 @@
+"""How fast tasks that fill may work beside tasks that serve. No I/O.
+
+Answers workers on which tasks that only use idle processors disturb tasks whose own users need a
+tail latency: the fillers of a worker are slowed before the target is crossed for long, and sped up
+again step by step while there is slack.
+"""
+
+from __future__ import annotations
+
+from ..pool.book import PoolBook
+from ..workers import PaceOrder, RunPhase, Worker
+
+__all__ = ["pace_fillers", "pressure"]
+
+#: part of the latency target above which fillers are slowed
+SLOW_ABOVE = 0.85
+#: part of the latency target below which fillers are sped up
+SPEED_BELOW = 0.6
+#: percent that are added at a time
+SPEED_STEP = 10
+#: speed below which fillers stop altogether, in percent
+LEAST_SPEED = 10
+#: shortest time between two changes on a worker: the reported tail covers half a second
+CHANGE_SECONDS = 0.6
+
+
+def pressure(book: PoolBook, worker: Worker) -> float:
+    """Return the largest tail of the tasks that serve on a worker, as a part of its target."""
+    highest = 0.0
+    for run in worker.runs.values():
+        job = book.jobs.get(run.task.job_id)
+        if job is not None and run.phase is RunPhase.RUNNING:
+            target = job.step_of(run.task).latency_target_seconds
+            if target > 0:
+                highest = max(highest, run.gauge / target)
+    return highest
+
+
+def pace_fillers(book: PoolBook, now: float) -> list[PaceOrder]:
+    """Return the orders that slow or speed up fillers, the runs updated as if they were sent.
+
+    :param now: local time
+    """
+    orders: list[PaceOrder] = []
+    for worker in book.workers.values():
+        if now - worker.paced_at < CHANGE_SECONDS or worker.heard_at <= worker.paced_at:
+            continue
+        fillers = [
+            run
+            for run in worker.runs.values()
+            if run.phase is RunPhase.RUNNING
+            and (job := book.jobs.get(run.task.job_id)) is not None
+            and job.step_of(run.task).filler
+        ]
+        if not fillers:
+            continue
+        high = pressure(book, worker)
+        for run in fillers:
+            speed = next_speed(run.speed, high)
+            if speed != run.speed or run.percent != run.speed:
+                run.speed = speed
+                worker.paced_at = now
+                orders.append(PaceOrder(worker.worker_id, run.task, run.number, speed))
+    return orders
+
+
+def next_speed(speed: int, high: float) -> int:
+    """Return the speed of fillers under a pressure, in percent."""
+    if high > SLOW_ABOVE:
+        slower = int(speed * min(0.7, SLOW_ABOVE / high * 0.7))
+        return slower if slower >= LEAST_SPEED else 0
+    if high < SPEED_BELOW:
+        return min(100, speed + SPEED_STEP)
+    return speed
--- /dev/null
+++ b/limpetpulley/scheduling/placement.py
@@ -0,0 +1,85 @@
+"""Where a task runs. No I/O.
+
+Answers the load of a pool whose queues peak beyond what it holds, with tasks of very unequal size
+among tasks that last: timed tasks go where most processors are free, so that runs slow each other
+little; tasks that last are spread by their limit for one worker.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterable
+
+from ..batch import Amount, Step
+from ..workers import Worker
+
+__all__ = ["choose_worker", "fits_empty", "is_open"]
+
+
+def is_open(worker: Worker, now: float, contact_seconds: float) -> bool:
+    """Return whether anything may start on a worker.
+
+    :param contact_seconds: age of its last answer beyond which it may be gone
+    """
+    return (
+        worker.present
+        and worker.reconciled
+        and not worker.cordoned
+        and not worker.listed.draining
+        and now >= worker.avoid_until
+        and now - worker.heard_at <= contact_seconds
+    )
+
+
+def fits_empty(step: Step, workers: Iterable[Worker]) -> bool:
+    """Return whether a task of a step would fit on any worker that were empty."""
+    return any(
+        step.charge.fits(worker.listed.capacity) and _has_label(step, worker) for worker in workers
+    )
+
+
+def choose_worker(
+    step: Step,
+    workers: Iterable[Worker],
+    beside: Counter[str],
+    shunned: Iterable[str] = (),
+) -> Worker | None:
+    """Return the worker for one more task of a step, or None if there is none now.
+
+    :param workers: workers that are open
+    :param beside: running tasks of this step and occurrence by worker
+    :param shunned: workers on which the task failed; taken only if no other has room
+    """
+    best: Worker | None = None
+    best_rank: tuple = ()
+    for worker in workers:
+        room = worker.room
+        if not step.charge.fits(room) or not _has_label(step, worker):
+            continue
+        if step.max_per_worker and beside[worker.worker_id] >= step.max_per_worker:
+            continue
+        near = not step.near_rack or worker.listed.rack == step.near_rack
+        rank = (
+            worker.worker_id not in shunned,
+            near,
+            -beside[worker.worker_id] if step.lasting else 0,
+            _free_share(room, worker.listed.capacity),
+        )
+        if best is None or rank > best_rank:
+            best, best_rank = worker, rank
+    return best
+
+
+def _has_label(step: Step, worker: Worker) -> bool:
+    return not step.label or step.label in worker.listed.labels
+
+
+def _free_share(room: Amount, capacity: Amount) -> float:
+    return min(
+        have / of
+        for have, of in (
+            (room.cpu_millicores, capacity.cpu_millicores),
+            (room.memory_mb, capacity.memory_mb),
+        )
+        if of
+    )
--- a/limpetpulley/standin/cluster.py
+++ b/limpetpulley/standin/cluster.py
@@ -16,8 +16,8 @@
 from ..daemon import Node, Surroundings
 from ..daemon.departure import leave
 from ..daemon.handlers import PeerHandlers
-from ..platform import MemoryStore
 from ..settings import Settings
+from ..store import MemoryStore
 from .endpoint import EndpointStandin
 from .faults import Faults
 from .fleet import MemoryFleet
--- a/limpetpulley/standin/fleet.py
+++ b/limpetpulley/standin/fleet.py
@@ -8,7 +8,7 @@
 import attrs
 
 from ..clock import Clock, SystemClock
-from ..platform import ListedVm, VmState
+from ..vms import ListedVm, VmState
 
 __all__ = ["MemoryFleet"]
 
--- a/limpetpulley/standin/main.py
+++ b/limpetpulley/standin/main.py
@@ -7,7 +7,7 @@
 import cappa
 
 from ..api.server import HttpServer
-from ..platform import MemoryStore
+from ..store import MemoryStore
 from .endpoint import EndpointStandin
 from .fleet import MemoryFleet
 from .platform import PlatformStandin
--- a/limpetpulley/standin/platform.py
+++ b/limpetpulley/standin/platform.py
@@ -13,7 +13,7 @@
 
 from ..api.http import Receive, Scope, Send, read_body, send_json
 from ..exception import ConfigError, StoreError
-from ..platform import Compare, Delete, Event, MemoryStore, Put
+from ..store import Compare, Delete, Event, MemoryStore, Put
 from .faults import Faults
 from .fleet import MemoryFleet
 
@@ -82,14 +82,19 @@
         store = self.store
         match path:
             case "/v3/kv/range":
-                snapshot = await store.read(_text(document["key"]))
+                key = _text(document["key"])
+                if "range_end" in document:
+                    entries = (await store.read(key)).entries
+                else:
+                    found = await store.get(key)
+                    entries = (found,) if found else ()
                 kvs = [
                     {
                         "key": _b64(entry.key.encode()),
                         "value": _b64(entry.value),
                         "mod_revision": str(entry.revision),
                     }
-                    for entry in snapshot.entries
+                    for entry in entries
                 ]
                 return {"header": self._header(), "kvs": kvs, "count": str(len(kvs))}
             case "/v3/kv/txn":
@@ -98,6 +103,9 @@
             case "/v3/lease/grant":
                 lease = await store.grant_lease(float(document["TTL"]))
                 return {"header": self._header(), "ID": str(lease), "TTL": document["TTL"]}
+            case "/v3/lease/revoke":
+                await store.end_lease(int(document["ID"]))
+                return {"header": self._header()}
             case "/v3/lease/keepalive":
                 alive = await store.renew_lease(int(document["ID"]))
                 return {"result": {"ID": document["ID"], "TTL": "1" if alive else "0"}}
--- a/limpetpulley/standin/store.py
+++ b/limpetpulley/standin/store.py
@@ -9,7 +9,7 @@
 import attrs
 
 from ..exception import StoreUnavailable
-from ..platform import Compare, Delete, Event, MemoryStore, Put, Snapshot, TxnResult
+from ..store import Compare, Delete, Entry, Event, MemoryStore, Put, Snapshot, TxnResult
 from .faults import Faults
 from .network import MemoryNetwork
 
@@ -21,7 +21,7 @@
 
 @attrs.define
 class FaultyStore:
-    """A :class:`~limpetpulley.platform.Store` that fails on request.
+    """A :class:`~limpetpulley.store.Store` that fails on request.
 
     :param store: what holds the keys
     :param faults: what goes wrong now
@@ -36,6 +36,16 @@
     host: str
     counts: Counter[str]
 
+    async def get(self, key: str) -> Entry | None:
+        """Return the entry of one key, or None if there is none."""
+        self.counts["get"] += 1
+        return await self._call(self.store.get, key)
+
+    async def end_lease(self, lease: int) -> None:
+        """End a lease."""
+        self.counts["lease"] += 1
+        await self._call(self.store.end_lease, lease)
+
     async def read(self, prefix: str) -> Snapshot:
         """Return all entries under a prefix."""
         self.counts["read"] += 1
--- a/limpetpulley/platform/etcd.py
+++ b/limpetpulley/store/etcd.py
@@ -19,7 +19,7 @@
 
 
 class EtcdStore:
-    """A :class:`~limpetpulley.platform.store.Store` behind an etcd v3 JSON gateway.
+    """A :class:`~limpetpulley.store.Store` behind an etcd v3 JSON gateway.
 
     :param url: base address of the gateway, such as ``http://127.0.0.1:2379``
     :param timeout: longest time for one call, in seconds
@@ -43,11 +43,12 @@
         answer = await self._call(
             self.fresh, "/v3/kv/range", {"key": _b64(prefix), "range_end": _b64_end(prefix)}
         )
-        entries = tuple(
-            Entry(_text(kv["key"]), _bytes(kv.get("value", "")), int(kv["mod_revision"]))
-            for kv in answer.get("kvs", [])
-        )
-        return Snapshot(entries, _revision(answer))
+        return Snapshot(_read_entries(answer), _revision(answer))
+
+    async def get(self, key: str) -> Entry | None:
+        """Return the entry of one key, or None if there is none."""
+        answer = await self._call(self.kept, "/v3/kv/range", {"key": _b64(key)})
+        return next(iter(_read_entries(answer)), None)
 
     async def commit(
         self, compares: Sequence[Compare], writes: Sequence[Put | Delete]
@@ -78,6 +79,10 @@
         answer = await self._call(self.kept, "/v3/lease/keepalive", {"ID": str(lease)})
         return int(answer.get("result", {}).get("TTL", 0)) > 0
 
+    async def end_lease(self, lease: int) -> None:
+        """End a lease; the keys that live with it are deleted."""
+        await self._call(self.kept, "/v3/lease/revoke", {"ID": str(lease)})
+
     async def watch(self, prefix: str, after: int) -> AsyncIterator[list[Event]]:
         """Yield the changes under a prefix after a revision, in order."""
         body = {
@@ -143,6 +148,13 @@
                     raise StoreUnavailable("the watch sent a line that is not JSON") from None
 
 
+def _read_entries(answer: dict[str, Any]) -> tuple[Entry, ...]:
+    return tuple(
+        Entry(_text(kv["key"]), _bytes(kv.get("value", "")), int(kv["mod_revision"]))
+        for kv in answer.get("kvs", [])
+    )
+
+
 def _read_events(message: dict[str, Any]) -> list[Event]:
     result = message.get("result", {})
     if result.get("canceled") or "error" in message:
--- a/limpetpulley/platform/memory.py
+++ b/limpetpulley/store/memory.py
@@ -25,7 +25,7 @@
 
 
 class MemoryStore:
-    """A :class:`~limpetpulley.platform.store.Store` in one process's memory.
+    """A :class:`~limpetpulley.store.Store` in one process's memory.
 
     :param clock: clock that leases lapse by
     """
@@ -47,6 +47,11 @@
         found = (entry for key, entry in self.entries.items() if key.startswith(prefix))
         return Snapshot(tuple(sorted(found, key=lambda entry: entry.key)), self.revision)
 
+    async def get(self, key: str) -> Entry | None:
+        """Return the entry of one key, or None if there is none."""
+        self.expire_leases()
+        return self.entries.get(key)
+
     async def commit(
         self, compares: Sequence[Compare], writes: Sequence[Put | Delete]
     ) -> TxnResult:
@@ -75,6 +80,12 @@
         held.expires = self.clock.now() + held.seconds
         return True
 
+    async def end_lease(self, lease: int) -> None:
+        """End a lease; the keys that live with it are deleted."""
+        if lease in self.leases:
+            self.leases[lease].expires = self.clock.now()
+            self.expire_leases()
+
     async def watch(self, prefix: str, after: int) -> AsyncIterator[list[Event]]:
         """Yield the changes under a prefix after a revision, in order."""
         position = after
--- /dev/null
+++ b/limpetpulley/telemetry/__init__.py
@@ -0,0 +1,5 @@
+"""Structured logs."""
+
+from .log import EventLog
+
+__all__ = ["EventLog"]
--- a/limpetpulley/platform/vms.py
+++ b/limpetpulley/vms.py
@@ -9,7 +9,7 @@
 import attrs
 import httpcore
 
-from ..exception import PlatformError
+from .exception import PlatformError
 
 __all__ = ["HttpPlatform", "ListedVm", "VmList", "VmState", "Workers"]
 
--- /dev/null
+++ b/limpetpulley/workers/__init__.py
@@ -0,0 +1,31 @@
+"""Workers: leases on them, what runs there, and the orders that they take."""
+
+from .lease import WorkerLease
+from .orders import PaceOrder, StartOrder, StartReply, StopOrder, WorkerOrders
+from .state import (
+    Ended,
+    HoldReply,
+    ListedWorker,
+    Run,
+    Running,
+    RunPhase,
+    StartOutcome,
+    Worker,
+)
+
+__all__ = [
+    "Ended",
+    "HoldReply",
+    "ListedWorker",
+    "PaceOrder",
+    "Run",
+    "RunPhase",
+    "Running",
+    "StartOrder",
+    "StartOutcome",
+    "StartReply",
+    "StopOrder",
+    "Worker",
+    "WorkerLease",
+    "WorkerOrders",
+]
--- /dev/null
+++ b/limpetpulley/workers/state.py
@@ -0,0 +1,197 @@
+"""Workers of a pool and the runs on them, as their owner knows them."""
+
+from __future__ import annotations
+
+import enum
+
+import attrs
+
+from ..batch import Amount, EndKind, TaskId
+from .lease import WorkerLease
+
+__all__ = [
+    "Ended",
+    "HoldReply",
+    "ListedWorker",
+    "Run",
+    "RunPhase",
+    "Running",
+    "StartOutcome",
+    "Worker",
+]
+
+#: full speed, in percent
+FULL_SPEED = 100
+
+
+@attrs.frozen
+class ListedWorker:
+    """A worker as the platform lists it.
+
+    :param worker_id: name of one life of a VM
+    :param address: ``host:port`` where it takes orders
+    :param incarnation: number of its start; a higher one knows nothing of a lower one's runs
+    :param vm: VM that it runs on
+    :param labels: labels that steps may ask for, its rack among them
+    """
+
+    worker_id: str
+    pool: str
+    address: str
+    incarnation: int
+    capacity: Amount
+    vm: str = ""
+    rack: str = ""
+    labels: frozenset[str] = frozenset()
+    data_centre: str = ""
+    draining: bool = False
+
+
+class RunPhase(enum.Enum):
+    """How far a run is."""
+
+    STARTING = enum.auto()
+    RUNNING = enum.auto()
+    STOPPING = enum.auto()
+
+
+class StartOutcome(enum.Enum):
+    """What a worker says to a start.
+
+    ``STALE_OWNER`` is a newer owner's fencing token, ``OLD_RUN`` a run number that is not higher
+    than one ended there, ``LATE`` a lease that has passed, ``NO_ROOM`` a lack of room,
+    ``NO_TICKET`` a missing ticket, ``UNHEALTHY`` a worker that did nothing, ``REFUSED`` an order
+    that it does not understand, ``OTHER_WORKER`` another worker at the address.
+    """
+
+    STARTED = enum.auto()
+    STALE_OWNER = enum.auto()
+    OLD_RUN = enum.auto()
+    LATE = enum.auto()
+    NO_ROOM = enum.auto()
+    NO_TICKET = enum.auto()
+    UNHEALTHY = enum.auto()
+    REFUSED = enum.auto()
+    OTHER_WORKER = enum.auto()
+
+
+@attrs.frozen
+class Running:
+    """A run as its worker lists it.
+
+    :param percent: speed that it works at
+    :param gauge: for a task that serves, its tail latency in seconds over the last half second;
+        for others the processors in use, in thousandths of a core
+    """
+
+    task: TaskId
+    number: int
+    checkpoint: str = ""
+    percent: int = FULL_SPEED
+    gauge: float = 0.0
+
+
+@attrs.frozen
+class Ended:
+    """An end as its worker lists it, until it is acknowledged.
+
+    :param position: number of the end in this incarnation of the worker
+    """
+
+    position: int
+    task: TaskId
+    number: int
+    kind: EndKind
+    checkpoint: str = ""
+
+
+@attrs.frozen
+class HoldReply:
+    """A worker's answer to a hold: what runs there and what has ended.
+
+    :param worker_seconds: the worker's time
+    :param incarnation: its start, 0 if it does not say
+    """
+
+    worker_seconds: float
+    incarnation: int
+    running: tuple[Running, ...] = ()
+    ended: tuple[Ended, ...] = ()
+
+
+@attrs.define(eq=False)
+class Run:
+    """A run of a task that was ordered.
+
+    :param number: run number; numbers of one task rise
+    :param charge: room that it takes
+    :param begun_at: local time of the order, None for a run of an earlier owner
+    :param sent_at: local time when the last order about it was sent, 0 if it must be sent
+    :param settled_at: worker time after which a list without it means that it is gone
+    :param speed: percent that was ordered last
+    """
+
+    task: TaskId
+    number: int
+    worker_id: str
+    charge: Amount
+    team: str = ""
+    phase: RunPhase = RunPhase.STARTING
+    checkpoint: str = ""
+    begun_at: float | None = None
+    sent_at: float = 0.0
+    settled_at: float | None = None
+    percent: int = 0
+    gauge: float = 0.0
+    speed: int = FULL_SPEED
+
+
+@attrs.define(eq=False)
+class Worker:
+    """A worker as its pool's owner knows it.
+
+    :param listed: what the platform lists of it, with its last known address
+    :param present: whether the platform lists it now
+    :param reconciled: whether it has answered a hold with this owner's token
+    :param cordoned: whether nothing more is to start there
+    :param heard_at: local time of its last answer
+    :param seen_through: position of the last end that was taken into account
+    :param stored_through: position up to which ends are stored and may be acknowledged
+    :param avoid_until: local time until which nothing is started there
+    :param rejections: failures and rejections in a row
+    :param paced_at: local time when the speed of its fillers was last changed
+    """
+
+    listed: ListedWorker
+    present: bool = True
+    reconciled: bool = False
+    cordoned: bool = False
+    heard_at: float = 0.0
+    seen_through: int = 0
+    stored_through: int = 0
+    avoid_until: float = 0.0
+    rejections: int = 0
+    paced_at: float = 0.0
+    used: Amount = Amount()
+    lease: WorkerLease = attrs.field(factory=WorkerLease)
+    runs: dict[TaskId, Run] = attrs.field(factory=dict)
+
+    @property
+    def worker_id(self) -> str:
+        """Return its name."""
+        return self.listed.worker_id
+
+    @property
+    def room(self) -> Amount:
+        """Return the room that is free."""
+        return self.listed.capacity - self.used
+
+    def add(self, run: Run) -> None:
+        """Add a run."""
+        self.runs[run.task] = run
+        self.used = self.used + run.charge
+
+    def remove(self, run: Run) -> None:
+        """Remove a run."""
+        del self.runs[run.task]
+        self.used = self.used - run.charge
