--- a/limpetpulley/batch/keys.py
+++ b/limpetpulley/batch/keys.py
@@ -20,7 +20,6 @@
         self.directory = prefix + "dir/"
         self.members = prefix + "dir/member/"
         self.owners = prefix + "dir/owner/"
-        self.planner = prefix + "dir/planner"
         self.descriptions = prefix + "job/"
         self.progresses = prefix + "progress/"
         self.shares = prefix + "share/"
--- /dev/null
+++ b/limpetpulley/fleet/vms.py
@@ -0,0 +1,75 @@
+"""VMs whose pool and maintenance are ordered through the platform."""
+
+from __future__ import annotations
+
+import enum
+from typing import Protocol
+
+import attrs
+
+__all__ = ["FleetVm", "OrderOutcome", "Phase", "VmOrders", "WaveOrder"]
+
+
+class Phase(enum.StrEnum):
+    """What a VM is doing."""
+
+    UP = "up"
+    MOVING = "moving"
+    MAINTENANCE = "maintenance"
+    DOWN = "down"
+
+
+class OrderOutcome(enum.Enum):
+    """What the platform says to an order for a VM."""
+
+    DONE = enum.auto()
+    BUSY = enum.auto()
+    STALE_HOLDER = enum.auto()
+    NOT_IN_WAVE = enum.auto()
+    REFUSED = enum.auto()
+
+
+@attrs.frozen
+class FleetVm:
+    """A VM as the platform lists it.
+
+    :param worker_id: worker that runs on it now, empty while its pool is off or it is not up
+    """
+
+    name: str
+    pool: str
+    phase: Phase
+    worker_id: str = ""
+    rack: str = ""
+    data_centre: str = ""
+
+
+@attrs.frozen
+class WaveOrder:
+    """VMs that are due for maintenance.
+
+    :param seconds: time in which all of them must have begun it
+    :param at_once: most of them that may be down for it at once
+    """
+
+    name: str
+    vms: tuple[str, ...]
+    seconds: float
+    at_once: int
+
+
+class VmOrders(Protocol):
+    """The platform's list of VMs and its orders for them.
+
+    Every call raises :class:`~limpetpulley.exception.PlatformError` when no answer came; an order
+    may then have been carried out.
+    """
+
+    async def list_vms(self) -> list[FleetVm]:
+        """Return all VMs."""
+
+    async def move(self, vm: str, pool: str, holder: str, token: int) -> OrderOutcome:
+        """Move a VM to a pool; everything that runs there ends at once."""
+
+    async def maintain(self, vm: str, wave: str, holder: str, token: int) -> OrderOutcome:
+        """Begin a VM's maintenance; everything that runs there ends at once."""
--- a/limpetpulley/ownership/__init__.py
+++ b/limpetpulley/ownership/__init__.py
@@ -4,6 +4,7 @@
 from .directory import Directory, Member
 from .node import BatchNode
 from .owner import PoolOwner, Submission
+from .planner import WaveBoard
 from .service import BatchService, Outcome, SubmitResult
 
 __all__ = [
@@ -17,4 +18,5 @@
     "SubmitResult",
     "Submission",
     "Timing",
+    "WaveBoard",
 ]
--- a/limpetpulley/ownership/around.py
+++ b/limpetpulley/ownership/around.py
@@ -25,6 +25,9 @@
     :param stop: longest time that a worker takes for a stop
     :param gang: longest time that a gang's tasks wait for each other
     :param keep_ended: time for which the state of an ended job can be asked
+    :param move: time that a VM takes to join another pool
+    :param maintenance: time that a VM's maintenance takes
+    :param holder_lease: time in which two holders must not give orders for VMs in turn
     :param grace: time between the order to stop and the end of a process
     """
 
@@ -32,6 +35,9 @@
     stop: float = 0.2
     gang: float = 3.0
     keep_ended: float = 120.0
+    move: float = 1.5
+    maintenance: float = 2.0
+    holder_lease: float = 3.0
     grace: float = 6.0
 
 
--- a/limpetpulley/ownership/directory.py
+++ b/limpetpulley/ownership/directory.py
@@ -71,7 +71,6 @@
         self.keys = keys
         self.members: dict[str, Member] = {}
         self.owners: dict[str, Ownership] = {}
-        self.planner: Ownership | None = None
         self.unowned_since: dict[str, float] = {}
 
     def apply(self, events: Iterable[Event], now: float) -> None:
@@ -88,8 +87,6 @@
                 _put(self.owners, pool, claim)
                 if claim is None:
                     self.unowned_since[pool] = now
-            elif event.key == self.keys.planner:
-                self.planner = claim
 
     def address_of(self, name: str) -> str | None:
         """Return a member's address for other daemons, or None if it is not alive."""
--- a/limpetpulley/ownership/node.py
+++ b/limpetpulley/ownership/node.py
@@ -6,7 +6,9 @@
 
 from ..batch import BatchConfig
 from ..exception import RecordError, StoreError, StoreUnavailable
+from ..fleet.vms import VmOrders
 from ..peer import PeerCaller
+from ..peer import batch_pb2 as pb
 from ..store import Event, Mirror
 from ..tasks import keep_running, start_guarded
 from ..workers import ListedWorker
@@ -14,6 +16,8 @@
 from .directory import Directory, Member, choose_claims
 from .handlers import BatchHandlers
 from .owner import PoolOwner
+from .planner import PLANNER, FleetPlanning, WaveBoard
+from .reporting import ask_planner
 from .service import BatchService
 from .session import Session
 
@@ -35,14 +39,24 @@
 
     :param member: this daemon
     :param peers: calls other daemons
+    :param vms: lists VMs and takes orders for them
+    :param board: the waves that the operator has ordered
     """
 
-    def __init__(self, around: Around, member: Member, peers: PeerCaller):
+    def __init__(
+        self, around: Around, member: Member, peers: PeerCaller, vms: VmOrders, board: WaveBoard
+    ):
         self.around = around
         self.member = member
+        self.peers = peers
+        self.vms = vms
+        self.board = board
+        self.planning: FleetPlanning | None = None
+        self.planning_scope = anyio.CancelScope()
         self.directory = Directory(around.keys)
         self.owned: dict[str, PoolOwner] = {}
         self.handlers = BatchHandlers(around, self.owned)
+        self.handlers.plan_pool = self.plan_pool
         self.service = BatchService(around, member, self.directory, self.owned, peers)
         self.session = Session(
             around.store, around.keys, member, around.clock, around.log, self.lose_all
@@ -67,6 +81,9 @@
         """Hand all pools over and end the lease."""
         self.leaving = True
         claims = {}
+        self.stop_planning()
+        if self.planning is not None:
+            claims[self.around.keys.owner(PLANNER)] = self.planning.token
         for pool, owner in list(self.owned.items()):
             with anyio.move_on_after(GIVE_UP_SECONDS):
                 await owner.give_up()
@@ -105,9 +122,28 @@
 
     def lose_all(self) -> None:
         """Stop all owners, because the lease has ended."""
+        self.stop_planning()
         for owner in self.owned.values():
             owner.stop()
 
+    def stop_planning(self) -> None:
+        """Give no more orders for VMs."""
+        self.planning_scope.cancel()
+
+    def plan_pool(self, report: pb.PoolReport) -> pb.PoolPlan:
+        """Take a pool's report if this daemon is the planner."""
+        if self.planning is None:
+            return pb.PoolPlan(outcome=pb.NOT_OWNER)
+        return self.planning.take_report(report)
+
+    async def ask_planner(self, report: pb.PoolReport) -> pb.PoolPlan | None:
+        """Send a pool's report to the planner, wherever it is."""
+        if self.planning is not None:
+            return self.planning.take_report(report)
+        planner = self.directory.owner_of(PLANNER)
+        address = planner.address if planner else None
+        return await ask_planner(self.peers, address, report, self.around)
+
     async def _claim_pools(self) -> None:
         while True:
             with anyio.move_on_after(LOOK_SECONDS):
@@ -123,8 +159,9 @@
     async def _claim_open_pools(self) -> None:
         assert self.around.config is not None
         now = self.around.clock.now()
-        for pool in choose_claims(self.directory, self.member, self.around.config.pools, now):
-            if pool in self.owned:
+        pools = [*self.around.config.pools, PLANNER]
+        for pool in choose_claims(self.directory, self.member, pools, now):
+            if pool in self.owned or (pool == PLANNER and self.planning is not None):
                 continue
             held = self.directory.owners.get(pool)
             try:
@@ -136,8 +173,26 @@
                 return
             if token:
                 self.around.log.write("pool-claimed", pool=pool, token=token)
-                owner = self.owned[pool] = PoolOwner(self.around, pool, token)
-                start_guarded(self.around.tasks, self._own, owner)
+                self._begin(pool, token)
+
+    def _begin(self, pool: str, token: int) -> None:
+        if pool == PLANNER:
+            self.planning = FleetPlanning(
+                self.around, self.vms, self.board, self.member.name, token
+            )
+            start_guarded(self.around.tasks, self._plan, self.planning)
+        else:
+            owner = PoolOwner(self.around, pool, token, self.ask_planner)
+            self.owned[pool] = owner
+            start_guarded(self.around.tasks, self._own, owner)
+
+    async def _plan(self, planning: FleetPlanning) -> None:
+        try:
+            with anyio.CancelScope() as self.planning_scope:
+                await planning.run()
+        finally:
+            self.planning = None
+            self.around.log.write("planning-ended", token=planning.token)
 
     async def _own(self, owner: PoolOwner) -> None:
         try:
@@ -156,6 +211,10 @@
             claim = self.directory.owners.get(pool)
             if claim is None or claim.token > owner.token:
                 owner.stop()
+        if self.planning is not None:
+            claim = self.directory.owners.get(PLANNER)
+            if claim is None or claim.token > self.planning.token:
+                self.stop_planning()
         self.look.set()
 
     def _directory_lost(self, reason: str) -> None:
--- a/limpetpulley/ownership/owner.py
+++ b/limpetpulley/ownership/owner.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Awaitable, Callable
 
 import anyio
 import attrs
@@ -10,6 +11,7 @@
 from ..batch import Job, JobKey, JobSpec, JobState, QueueRule
 from ..batch.records import decode_job, decode_roster, encode_roster
 from ..exception import NotOwnerError, RecordError, StoreError, StoreUnavailable
+from ..peer import batch_pb2 as pb
 from ..pool import Change, PlanningLimits, PoolBook, plan_orders
 from ..pool.outlook import backlog_ahead, job_outlook
 from ..quota.shares import TeamShares
@@ -20,6 +22,7 @@
 from ..workers import StartOrder, Worker
 from .agent import WorkerAgent, lease_seconds, name_task
 from .around import Around
+from .reporting import PoolReporter, RefusedWork
 from .sharing import ShareKeeper
 from .writer import OwnerWriter
 
@@ -57,9 +60,16 @@
     """Owns one pool under one claim.
 
     :param token: revision of the claim: the fencing token for workers
+    :param ask_planner: sends a report to the fleet's planner
     """
 
-    def __init__(self, around: Around, pool: str, token: int):
+    def __init__(
+        self,
+        around: Around,
+        pool: str,
+        token: int,
+        ask_planner: Callable[[pb.PoolReport], Awaitable[pb.PoolPlan | None]],
+    ):
         self.around = around
         self.pool = pool
         self.token = token
@@ -69,6 +79,8 @@
         self.writer = OwnerWriter(around, self.book, claim, self.progress_stored)
         self.shares = TeamShares(pool)
         self.keeper = ShareKeeper(around, self.book, self.shares, self.writer)
+        self.refused = RefusedWork()
+        self.reporter = PoolReporter(around, self.book, self.refused, ask_planner)
         self.agents: dict[str, WorkerAgent] = {}
         self.roster: dict[str, str] = {}
         self.roster_stored: set[str] = set()
@@ -92,6 +104,7 @@
                         self.writer.run_creations,
                         self.writer.run_flushes,
                         self.keeper.run,
+                        self.reporter.run,
                         self._run_plans,
                         self._run_cleaning,
                     ):
@@ -173,6 +186,10 @@
         verdict = self.assess(submission)
         self._log_verdict(submission, verdict)
         if not verdict.accepted:
+            work = submission.spec.work_core_seconds(
+                self.book.times.expect(submission.queue.name, submission.spec)
+            )
+            self.refused.note(self.around.clock.now(), submission.job_id, work)
             return verdict
         job = self._make_job(key, submission)
         with anyio.move_on_after(wait_seconds):
@@ -364,6 +381,9 @@
             queue=submission.queue.name,
             pool=self.pool,
             team=submission.team,
+            tasks=sum(step.count for step in submission.spec.steps),
+            lasting=submission.spec.lasting,
+            shape=str(submission.spec.steps)[:2500] if submission.spec.lasting else "",
             wait=round(verdict.wait_seconds, 3) if math.isfinite(verdict.wait_seconds) else "never",
             allowed=round(verdict.allowed_seconds, 3),
             elapsed=round(submission.elapsed_seconds, 3),
--- /dev/null
+++ b/limpetpulley/ownership/planner.py
@@ -0,0 +1,265 @@
+"""The fleet's planner: one daemon at a time moves VMs and has them maintained."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable
+
+import anyio
+import attrs
+
+from ..exception import PlatformError, StoreError, StoreUnavailable
+from ..fleet.demand import PoolLoad, PoolMoves, choose_moves
+from ..fleet.upkeep import WaveProgress, choose_upkeep, is_finished
+from ..fleet.vms import FleetVm, OrderOutcome, Phase, VmOrders, WaveOrder
+from ..peer import batch_pb2 as pb
+from ..store import Compare, Put
+from .around import Around
+
+__all__ = ["PLANNER", "FleetPlanning", "WaveBoard"]
+
+#: name under which the planner's claim stands among the pools' owners
+PLANNER = "@planner"
+#: time between two looks, in seconds
+LOOK_SECONDS = 0.4
+#: age of a pool's report above which the pool is left as it is, in seconds
+REPORT_SECONDS = 2.5
+#: time after an order in which its VM counts as away beyond the maintenance itself
+RETURN_SECONDS = 0.6
+#: time in which a moved VM joins its pool beyond the move itself
+JOIN_SECONDS = 1.0
+
+
+@attrs.define
+class WaveBoard:
+    """The waves that the operator has ordered, and what is told of them.
+
+    :param waves: ordered waves by name
+    :param state_key: returns the key under which a wave's state is told
+    :param encode_state: returns the value that tells whether a wave is completed
+    """
+
+    state_key: Callable[[str], str]
+    encode_state: Callable[[str, bool], bytes]
+    waves: dict[str, WaveOrder] = attrs.field(factory=dict)
+
+
+@attrs.define
+class _Report:
+    message: pb.PoolReport
+    at: float
+
+
+class FleetPlanning:
+    """Plans while this daemon holds the planner's claim.
+
+    :param holder: name of this daemon, told with each order
+    :param token: revision of the claim: the fencing token
+    """
+
+    def __init__(self, around: Around, orders: VmOrders, board: WaveBoard, holder: str, token: int):
+        self.around = around
+        self.orders = orders
+        self.board = board
+        self.holder = holder
+        self.token = token
+        self.claim = Compare(around.keys.owner(PLANNER), token)
+        self.reports: dict[str, _Report] = {}
+        self.vms: dict[str, FleetVm] = {}
+        self.waves: dict[str, WaveProgress] = {}
+        self.emptying: dict[str, str] = {}
+        self.moving: dict[str, tuple[str, float]] = {}
+        self.memory = PoolMoves()
+
+    async def run(self) -> None:
+        """Plan until cancelled."""
+        # An earlier holder may have ordered a moment ago; holders do not take turns.
+        await anyio.sleep(self.around.timing.holder_lease)
+        while True:
+            try:
+                await self._look()
+            except PlatformError as error:
+                self.around.log.write("vms-unknown", reason=str(error))
+            except (StoreUnavailable, StoreError) as error:
+                self.around.log.write("wave-not-stored", reason=str(error))
+            await anyio.sleep(LOOK_SECONDS)
+
+    def take_report(self, message: pb.PoolReport) -> pb.PoolPlan:
+        """Take a pool's report; return which of its VMs are to be emptied."""
+        self.reports[message.pool] = _Report(message, self.around.clock.now())
+        cordoned = [
+            vm for vm in self.emptying if vm in self.vms and self.vms[vm].pool == message.pool
+        ]
+        return pb.PoolPlan(outcome=pb.ACCEPTED, cordoned_vms=cordoned)
+
+    async def _look(self) -> None:
+        now = self.around.clock.now()
+        self.vms = {vm.name: vm for vm in await self.orders.list_vms()}
+        self._settle_moves(now)
+        loads = self._loads(now)
+        await self._follow_waves()
+        wanted: dict[str, str] = {}
+        seconds = self.around.timing.maintenance + RETURN_SECONDS
+        for wave in self.waves.values():
+            if not wave.completed:
+                chosen = choose_upkeep(
+                    wave, self.vms, loads, set(self.emptying), now, self.around.day(), seconds
+                )
+                wanted |= dict.fromkeys(chosen, f"wave {wave.order.name}")
+        for vm, target in self._choose_moves(loads, now).items():
+            wanted.setdefault(vm, f"move {target}")
+        self._set_emptying(wanted)
+        await self._give_orders(now)
+
+    def _loads(self, now: float) -> dict[str, PoolLoad]:
+        config = self.around.config
+        if config is None:
+            return {}
+        loads = {}
+        for pool, rule in config.pools.items():
+            report = self.reports.get(pool)
+            if rule.standby or report is None or now - report.at > REPORT_SECONDS:
+                continue
+            told = report.message
+            vms = sum(1 for vm in self.vms.values() if vm.pool == pool and vm.phase is Phase.UP)
+            loads[pool] = PoolLoad(
+                told.room_cores,
+                told.running_cores,
+                told.waiting_core_seconds,
+                told.refused_core_seconds,
+                vms,
+            )
+        return loads
+
+    def _choose_moves(self, loads: dict[str, PoolLoad], now: float) -> dict[str, str]:
+        """Return target pool by VM, those that are on their way to be moved included."""
+        config = self.around.config
+        assert config is not None
+        due = {vm for wave in self.waves.values() for vm in wave.left(self.vms)}
+        kept = {
+            vm: why.removeprefix("move ")
+            for vm, why in self.emptying.items()
+            if why.startswith("move ") and vm in self.vms and self.vms[vm].phase is Phase.UP
+        }
+        free = [
+            vm
+            for vm in self.vms.values()
+            if vm.phase is Phase.UP and vm.name not in self.emptying and vm.name not in due
+        ]
+        idle = {
+            pool: sum(1 for vm in free if vm.pool == pool)
+            for pool, rule in config.pools.items()
+            if rule.standby
+        }
+        coming: dict[str, int] = {}
+        for target in [*kept.values(), *(target for target, _ in self.moving.values())]:
+            coming[target] = coming.get(target, 0) + 1
+        for move in choose_moves(loads, idle, coming, self.memory, now):
+            candidates = [vm for vm in free if vm.pool == move.source]
+            candidates.sort(key=self._use)
+            for vm in candidates[: move.count]:
+                kept[vm.name] = move.target
+                self.around.log.write(
+                    "move-planned", vm=vm.name, source=move.source, target=move.target
+                )
+        return kept
+
+    def _use(self, vm: FleetVm) -> tuple:
+        told = self._told(vm)
+        return (told.lasting_runs, told.timed_runs, vm.name) if told else (0, 0, vm.name)
+
+    def _told(self, vm: FleetVm) -> pb.WorkerReport | None:
+        report = self.reports.get(vm.pool)
+        rows = report.message.workers if report else ()
+        return next((row for row in rows if row.vm == vm.name), None)
+
+    def _is_empty(self, vm: FleetVm, now: float) -> bool:
+        if not vm.worker_id:
+            return True
+        report, told = self.reports.get(vm.pool), self._told(vm)
+        if report is None or told is None or now - report.at > REPORT_SECONDS:
+            return False
+        return told.cordoned and not told.timed_runs and not told.lasting_runs
+
+    def _set_emptying(self, wanted: dict[str, str]) -> None:
+        for vm, why in wanted.items():
+            if vm not in self.emptying:
+                self.around.log.write("vm-emptying", vm=vm, reason=why)
+        self.emptying = wanted
+
+    async def _give_orders(self, now: float) -> None:
+        for name, why in list(self.emptying.items()):
+            vm = self.vms.get(name)
+            if vm is None or vm.phase is not Phase.UP or not self._is_empty(vm, now):
+                continue
+            what, _, target = why.partition(" ")
+            if what == "wave":
+                await self._maintain(vm, self.waves[target])
+            else:
+                await self._move(vm, target)
+
+    async def _maintain(self, vm: FleetVm, wave: WaveProgress) -> None:
+        wave.ordered[vm.name] = self.around.clock.now()
+        outcome = await self.orders.maintain(vm.name, wave.order.name, self.holder, self.token)
+        self._log_order("vm-maintained", vm, wave.order.name, outcome)
+        if outcome in (OrderOutcome.DONE, OrderOutcome.NOT_IN_WAVE):
+            self.emptying.pop(vm.name, None)
+            wave.done.add(vm.name)
+            await self._store_wave(wave)
+        else:
+            wave.ordered.pop(vm.name)
+
+    async def _move(self, vm: FleetVm, target: str) -> None:
+        outcome = await self.orders.move(vm.name, target, self.holder, self.token)
+        self._log_order("vm-moved", vm, target, outcome)
+        if outcome is not OrderOutcome.BUSY:
+            self.emptying.pop(vm.name, None)
+        if outcome is OrderOutcome.DONE:
+            until = self.around.clock.now() + self.around.timing.move + JOIN_SECONDS
+            self.moving[vm.name] = (target, until)
+
+    def _settle_moves(self, now: float) -> None:
+        self.moving = {
+            vm: (target, until) for vm, (target, until) in self.moving.items() if until > now
+        }
+
+    async def _follow_waves(self) -> None:
+        for name, order in self.board.waves.items():
+            wave = self.waves.get(name)
+            if wave is None:
+                wave = self.waves[name] = await self._read_wave(order)
+                if not wave.completed:
+                    await self._store_wave(wave)
+            if not wave.completed and is_finished(wave, self.vms):
+                wave.completed = True
+                await self._store_wave(wave)
+                self.around.log.write("wave-completed", wave=name, vms=len(order.vms))
+
+    async def _read_wave(self, order: WaveOrder) -> WaveProgress:
+        entry = await self.around.store.get(self.around.keys.wave(order.name))
+        if entry is None:
+            return WaveProgress(order, self.around.day())
+        told = json.loads(entry.value)
+        return WaveProgress(order, told["begun"], set(told["done"]), completed=told["completed"])
+
+    async def _store_wave(self, wave: WaveProgress) -> None:
+        name = wave.order.name
+        value = {"begun": wave.begun_at, "done": sorted(wave.done), "completed": wave.completed}
+        state = self.board.encode_state(name, wave.completed)
+        await self.around.store.commit(
+            [self.claim],
+            [
+                Put(self.around.keys.wave(name), json.dumps(value).encode()),
+                Put(self.board.state_key(name), state),
+            ],
+        )
+
+    def _log_order(self, event: str, vm: FleetVm, target: str, outcome: OrderOutcome) -> None:
+        self.around.log.write(
+            event,
+            vm=vm.name,
+            pool=vm.pool,
+            target=target,
+            token=self.token,
+            outcome=outcome.name.lower(),
+        )
--- /dev/null
+++ b/limpetpulley/ownership/reporting.py
@@ -0,0 +1,127 @@
+"""What a pool's owner tells the fleet's planner, and what it does about the answer."""
+
+from __future__ import annotations
+
+from collections import deque
+
+import anyio
+
+from ..exception import PeerError
+from ..peer import PeerCaller
+from ..peer import batch_pb2 as pb
+from ..pool import PoolBook
+from ..pool.outlook import pool_room, remaining_work
+from .around import Around
+
+__all__ = ["PoolReporter", "RefusedWork"]
+
+#: time between two reports, in seconds
+REPORT_SECONDS = 0.4
+#: time without the planner's answer after which no VM is emptied any more, in seconds
+PLAN_SECONDS = 3.0
+#: time over which refused work is counted, in seconds
+REFUSED_SECONDS = 1.0
+
+
+class RefusedWork:
+    """Work that was refused lately; a job that comes back counts once."""
+
+    def __init__(self) -> None:
+        self.rows: deque[tuple[float, str, float]] = deque()
+
+    def note(self, now: float, job_id: str, core_seconds: float) -> None:
+        """Note a refused job."""
+        self.rows.append((now, job_id, core_seconds))
+
+    def total(self, now: float) -> float:
+        """Return the core-seconds that were refused lately."""
+        while self.rows and self.rows[0][0] < now - REFUSED_SECONDS:
+            self.rows.popleft()
+        return sum({job_id: work for _, job_id, work in self.rows}.values())
+
+
+class PoolReporter:
+    """Tells the planner how a pool is doing.
+
+    :param ask: sends a report to the planner, wherever it is; returns None if there is none
+    """
+
+    def __init__(self, around: Around, book: PoolBook, refused: RefusedWork, ask):
+        self.around = around
+        self.book = book
+        self.refused = refused
+        self.ask = ask
+        self.answered_at = around.clock.now()
+
+    async def run(self) -> None:
+        """Report until cancelled."""
+        while True:
+            plan = await self.ask(self.make_report())
+            now = self.around.clock.now()
+            if plan is not None and plan.outcome == pb.ACCEPTED:
+                self.answered_at = now
+                self.use_plan(set(plan.cordoned_vms))
+            elif now - self.answered_at > PLAN_SECONDS:
+                self.use_plan(set())
+            await anyio.sleep(REPORT_SECONDS)
+
+    def use_plan(self, emptied: set[str]) -> None:
+        """Start nothing more on the VMs that are to be emptied."""
+        for worker in self.book.workers.values():
+            cordoned = worker.listed.vm in emptied
+            if cordoned != worker.cordoned:
+                worker.cordoned = cordoned
+                self.around.log.write(
+                    "worker-cordoned" if cordoned else "worker-uncordoned",
+                    pool=self.book.pool,
+                    worker=worker.worker_id,
+                    vm=worker.listed.vm,
+                    runs=len(worker.runs),
+                )
+
+    def make_report(self) -> pb.PoolReport:
+        """Return the report of now."""
+        book = self.book
+        waiting = sum(
+            remaining_work(book, job_id)
+            for job_id in book.ready
+            if job_id in book.jobs and not book.jobs[job_id].spec.lasting
+        )
+        used = sum(worker.used.cpu_millicores for worker in book.workers.values())
+        return pb.PoolReport(
+            pool=book.pool,
+            token=book.token,
+            workers=[
+                pb.WorkerReport(
+                    vm=worker.listed.vm,
+                    worker=worker.worker_id,
+                    timed_runs=sum(1 for run in worker.runs.values() if not self._lasts(run)),
+                    lasting_runs=sum(1 for run in worker.runs.values() if self._lasts(run)),
+                    cordoned=worker.cordoned,
+                    rack=worker.listed.rack,
+                )
+                for worker in book.workers.values()
+                if worker.present
+            ],
+            waiting_core_seconds=waiting,
+            running_cores=used / 1000,
+            room_cores=pool_room(book).cpu_millicores / 1000,
+            refused_core_seconds=self.refused.total(self.around.clock.now()),
+        )
+
+    def _lasts(self, run) -> bool:
+        job = self.book.jobs.get(run.task.job_id)
+        return job is not None and job.step_of(run.task).lasting
+
+
+async def ask_planner(
+    peers: PeerCaller, address: str | None, report: pb.PoolReport, around: Around
+) -> pb.PoolPlan | None:
+    """Send a report to a planner in another daemon; return None if there is no answer."""
+    if address is None:
+        return None
+    try:
+        return await peers.call(address, "ReportPool", report)
+    except PeerError as error:
+        around.log.write("planner-silent", pool=report.pool, reason=str(error))
+        return None
--- a/limpetpulley/platform/daemon.py
+++ b/limpetpulley/platform/daemon.py
@@ -17,7 +17,7 @@
 from ..clock import SystemClock
 from ..exception import RecordError, SettingsError
 from ..http_client import PooledHttp
-from ..ownership import Around, BatchNode, Member
+from ..ownership import Around, BatchNode, Member, WaveBoard
 from ..peer import BatchStub, PeerClient, PeerServer
 from ..store import Event, Mirror
 from ..tasks import keep_running
@@ -27,6 +27,7 @@
 from .config import CONFIG_KEY, OPERATOR_PREFIX, decode_config
 from .settings import SETTINGS_VARIABLE, PlatformSettings, read_settings
 from .store import PlatformStore
+from .vms import WAVE_PREFIX, PlatformVms, decode_wave, encode_wave_state, wave_state_key
 from .workers import SERVERS_PREFIX, PlatformWorkers, decode_worker
 
 __all__ = ["main"]
@@ -35,6 +36,10 @@
 EXIT_USAGE = 2
 #: part of the grace in which open connections are served after the pools were handed over
 SERVE_ON_PART = 0.4
+#: time between two looks at the workers' entries, which change with every heartbeat, for a daemon
+#: that owns a pool and for one that does not
+OWNER_GAP_SECONDS = 0.3
+IDLE_GAP_SECONDS = 2.0
 #: objects after which the collector of cyclic garbage looks; the default costs much processor time
 GARBAGE_THRESHOLD = 20_000
 
@@ -65,7 +70,9 @@
             f"{settings.host}:{settings.peers_port}",
             settings.data_centre,
         )
-        self.node = BatchNode(self.around, member, PeerClient(BatchStub))
+        self.board = WaveBoard(wave_state_key, encode_wave_state)
+        vms = PlatformVms(self.http, settings.vms_address)
+        self.node = BatchNode(self.around, member, PeerClient(BatchStub), vms, self.board)
         self.peers = PeerServer([self.node.handlers], settings.host, settings.peers_port)
         self.callers = HttpServer(CallersApp(self.node), settings.host, settings.callers_port)
         self.readiness = HttpServer(
@@ -73,7 +80,9 @@
         )
         self.workers: dict[str, ListedWorker] = {}
         self.operator = Mirror(store, OPERATOR_PREFIX, clock, self._operator_wrote, self._lost)
-        self.servers = Mirror(store, SERVERS_PREFIX, clock, self._workers_wrote)
+        self.servers = Mirror(
+            store, SERVERS_PREFIX, clock, self._workers_wrote, gap=self._workers_gap
+        )
 
     async def start(self) -> None:
         """Start to serve."""
@@ -108,11 +117,21 @@
 
     def _operator_wrote(self, events: list[Event]) -> None:
         for event in events:
-            if event.key == CONFIG_KEY and event.value is not None:
-                try:
+            if event.value is None:
+                continue
+            try:
+                if event.key == CONFIG_KEY:
                     self.node.use_config(decode_config(event.value))
-                except RecordError as error:
-                    self.log.write("config-unreadable", revision=event.revision, reason=str(error))
+                elif event.key.startswith(WAVE_PREFIX):
+                    wave = decode_wave(event.key, event.value)
+                    self.board.waves[wave.name] = wave
+            except RecordError as error:
+                self.log.write(
+                    "operator-unreadable",
+                    key=event.key,
+                    revision=event.revision,
+                    reason=str(error),
+                )
 
     def _workers_wrote(self, events: list[Event]) -> None:
         for event in events:
@@ -125,6 +144,9 @@
                     self.log.write("worker-unreadable", worker=worker_id, reason=str(error))
         self.node.use_workers(dict(self.workers))
 
+    def _workers_gap(self) -> float:
+        return OWNER_GAP_SECONDS if self.node.owned else IDLE_GAP_SECONDS
+
     def _lost(self, reason: str) -> None:
         self.log.write("config-away" if reason else "config-back", reason=reason)
 
--- a/limpetpulley/platform/settings.py
+++ b/limpetpulley/platform/settings.py
@@ -74,6 +74,9 @@
             stop=number(bounds, "stopMs") / MILLISECONDS,
             gang=number(bounds, "gangTimeoutMs") / MILLISECONDS,
             keep_ended=number(bounds, "status_s"),
+            move=number(bounds, "moveS", 0),
+            maintenance=number(bounds, "maintenanceS", 0),
+            holder_lease=number(bounds, "leaseMs", 0) / MILLISECONDS,
             grace=number(bounds, "graceS"),
         ),
     )
--- /dev/null
+++ b/limpetpulley/platform/vms.py
@@ -0,0 +1,144 @@
+"""The platform's list of machines, its orders for them, and waves of upkeep."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+from urllib.parse import quote
+
+from ..exception import HttpError, PlatformError, RecordError
+from ..fleet.vms import FleetVm, OrderOutcome, Phase, WaveOrder
+from ..http_client import HttpAnswer, HttpCaller
+from .decode import load, number, rows, text, whole
+
+__all__ = ["WAVE_PREFIX", "PlatformVms", "decode_wave", "encode_wave_state", "wave_state_key"]
+
+WAVE_PREFIX = "op/wave/"
+CALL_SECONDS = 2.0
+OK, BAD_REQUEST, CONFLICT = 200, 400, 409
+PHASES = {
+    "up": Phase.UP,
+    "moving": Phase.MOVING,
+    "upkeep": Phase.MAINTENANCE,
+    "down": Phase.DOWN,
+}
+REASONS = {
+    "fence": OrderOutcome.STALE_HOLDER,
+    "busy": OrderOutcome.BUSY,
+    "wave": OrderOutcome.NOT_IN_WAVE,
+}
+
+
+def decode_wave(key: str, value: bytes) -> WaveOrder:
+    """Return the wave of an operator's entry.
+
+    :raises RecordError: if it cannot be read
+    """
+    source = load(value)
+    return WaveOrder(
+        key.removeprefix(WAVE_PREFIX),
+        tuple(name for name in rows(source, "machines") if isinstance(name, str)),
+        number(source, "durationS"),
+        # Here "upperBound" is a number of machines, not an amount.
+        whole(source, "upperBound"),
+    )
+
+
+def wave_state_key(name: str) -> str:
+    """Return the key under which a wave's state is told."""
+    return f"status/wave/{name}"
+
+
+def encode_wave_state(name: str, completed: bool) -> bytes:
+    """Return the value that tells a wave's state."""
+    state = "completed" if completed else "running"
+    return json.dumps({"wave": int(name), "state": state}).encode()
+
+
+class PlatformVms:
+    """Lists machines and gives orders for them.
+
+    :param address: ``host:port`` of the service
+    """
+
+    def __init__(self, http: HttpCaller, address: str):
+        self.http = http
+        self.address = address
+
+    async def list_vms(self) -> list[FleetVm]:
+        """Return all machines."""
+        found: list[FleetVm] = []
+        target = "/api/machines"
+        while True:
+            answer = await self._call("GET", target, {}, b"")
+            if answer.status != OK:
+                raise PlatformError(f"the list of machines answered {answer.status}")
+            page = self._read(answer)
+            try:
+                found += [_vm(row) for row in rows(page, "machines")]
+            except RecordError as error:
+                raise PlatformError(f"the list of machines: {error}") from None
+            if not page.get("nextToken"):
+                return found
+            target = f"/api/machines?pageToken={quote(str(page['nextToken']), safe='')}"
+
+    async def move(self, vm: str, pool: str, holder: str, token: int) -> OrderOutcome:
+        """Move a machine to a pool."""
+        body = {"machine": vm, "pool": pool}
+        return await self._order("/api/machine-move", body, holder, token)
+
+    async def maintain(self, vm: str, wave: str, holder: str, token: int) -> OrderOutcome:
+        """Begin a machine's upkeep."""
+        body = {"machine": vm, "wave": int(wave)}
+        return await self._order("/api/machine-upkeep", body, holder, token)
+
+    async def _order(
+        self, path: str, body: dict[str, Any], holder: str, token: int
+    ) -> OrderOutcome:
+        headers = {
+            "Content-Type": "application/json",
+            "Lease-Holder": holder,
+            "Fencing-Token": str(token),
+        }
+        answer = await self._call("POST", path, headers, json.dumps(body).encode())
+        if answer.status == OK:
+            return OrderOutcome.DONE
+        if answer.status == BAD_REQUEST:
+            return OrderOutcome.REFUSED
+        if answer.status == CONFLICT:
+            return REASONS.get(str(self._read(answer).get("reason")), OrderOutcome.REFUSED)
+        raise PlatformError(f"{path} answered {answer.status}")
+
+    async def _call(
+        self, method: str, target: str, headers: dict[str, str], content: bytes
+    ) -> HttpAnswer:
+        try:
+            return await self.http.request(
+                method, self.address, target, headers, content, CALL_SECONDS
+            )
+        except HttpError as error:
+            raise PlatformError(str(error)) from None
+
+    def _read(self, answer: HttpAnswer) -> dict[str, Any]:
+        try:
+            return load(answer.content)
+        except RecordError as error:
+            raise PlatformError(str(error)) from None
+
+
+def _vm(row: Any) -> FleetVm:
+    if not isinstance(row, dict):
+        raise RecordError("a machine is not an object")
+    labels = [label for label in rows(row, "labels") if isinstance(label, str)]
+    phase = PHASES.get(text(row, "state"))
+    if phase is None:
+        raise RecordError(f"unknown state {row['state']!r}")
+    return FleetVm(
+        text(row, "machine"),
+        text(row, "pool"),
+        phase,
+        # The id is that of the executor which runs there; empty while there is none.
+        row.get("id") or "",
+        labels[-1] if len(labels) > 1 else "",
+        text(row, "zone", ""),
+    )
--- a/limpetpulley/store/mirror.py
+++ b/limpetpulley/store/mirror.py
@@ -28,6 +28,8 @@
     :param changed: called with each batch of changes after it was applied
     :param lost: called with the reason when the store stops to answer, and with an empty text
         when it answers again
+    :param gap: returns the time to wait between two answers of a watch, in seconds, so that
+        frequent changes cost fewer calls
     """
 
     def __init__(
@@ -37,12 +39,14 @@
         clock: Clock,
         changed: Callable[[list[Event]], None],
         lost: Callable[[str], None] = lambda reason: None,
+        gap: Callable[[], float] = lambda: 0.0,
     ):
         self.store = store
         self.prefix = prefix
         self.clock = clock
         self.changed = changed
         self.lost = lost
+        self.gap = gap
         self.entries: dict[str, Entry] = {}
         self.revision = 0
         self.heard_at = clock.now()
@@ -60,6 +64,8 @@
                     pause = FIRST_PAUSE_SECONDS
                     self._heard()
                     self.apply(events)
+                    if events:
+                        await anyio.sleep(self.gap())
                 continue
             except StoreUnavailable as error:
                 self._failed(str(error))
