--- a/limpetpulley/ownership/agent.py
+++ b/limpetpulley/ownership/agent.py
@@ -26,6 +26,9 @@
 ANSWER_SECONDS = 1.0
 #: longest time that a hold is put off until ends are stored
 STORE_WAIT_SECONDS = 0.1
+#: age of a worker's last answer above which its lease is not extended, so that the lease of a
+#: worker that is lost, or that hears but is not heard, lapses
+EXTEND_SECONDS = 2.5
 #: pause after a hold without an answer
 RETRY_SECONDS = 0.2
 
@@ -71,7 +74,8 @@
         """Extend the lease, and take what the worker lists."""
         worker, now = self.worker, self.around.clock.now()
         until = None
-        if worker.reconciled and worker.lease.worker_seconds is not None:
+        heard = now - worker.heard_at <= EXTEND_SECONDS
+        if worker.reconciled and heard and worker.lease.worker_seconds is not None:
             until = worker.lease.extend(now, lease_seconds(self.around.timing.longest_hold))
         wait = self.wait_seconds() if worker.reconciled else 0.0
         with anyio.fail_after(wait + ANSWER_SECONDS):
--- a/limpetpulley/ownership/owner.py
+++ b/limpetpulley/ownership/owner.py
@@ -13,9 +13,9 @@
 from ..exception import NotOwnerError, RecordError, StoreError, StoreUnavailable
 from ..peer import batch_pb2 as pb
 from ..pool import Change, PlanningLimits, PoolBook, plan_orders
-from ..pool.outlook import backlog_ahead, job_outlook
+from ..pool.outlook import expected_objective, predict, remaining_work
 from ..quota.shares import TeamShares
-from ..scheduling.backlog import LONGEST_RETRY_SECONDS, Verdict, assess_job
+from ..scheduling.backlog import LONGEST_RETRY_SECONDS, Verdict, judge
 from ..scheduling.pacing import pace_fillers
 from ..scheduling.placement import fits_empty
 from ..store import Compare, Event, Put
@@ -80,7 +80,7 @@
         self.shares = TeamShares(pool)
         self.keeper = ShareKeeper(around, self.book, self.shares, self.writer)
         self.refused = RefusedWork()
-        self.reporter = PoolReporter(around, self.book, self.refused, ask_planner)
+        self.reporter = PoolReporter(around, self.book, self.refused, ask_planner, self.wake)
         self.agents: dict[str, WorkerAgent] = {}
         self.roster: dict[str, str] = {}
         self.roster_stored: set[str] = set()
@@ -182,16 +182,16 @@
         key = JobKey(submission.queue.name, submission.job_id)
         known = self.book.jobs.get(submission.job_id)
         if known is not None:
-            return Verdict(known.key == key, 0.0, 0.0, LONGEST_RETRY_SECONDS)
-        verdict = self.assess(submission)
+            return Verdict(known.key == key, retry_seconds=LONGEST_RETRY_SECONDS)
+        self.keeper.use_config()
+        job = self._make_job(key, submission)
+        verdict = self.assess(job, submission)
         self._log_verdict(submission, verdict)
         if not verdict.accepted:
-            work = submission.spec.work_core_seconds(
-                self.book.times.expect(submission.queue.name, submission.spec)
+            self.refused.note(
+                self.around.clock.now(), submission.job_id, remaining_work(self.book, job)
             )
-            self.refused.note(self.around.clock.now(), submission.job_id, work)
             return verdict
-        job = self._make_job(key, submission)
         with anyio.move_on_after(wait_seconds):
             outcome = await self.writer.create(job)
             if outcome.stored:
@@ -204,20 +204,15 @@
         self.around.log.write("job-in-doubt", job=submission.job_id, queue=key.queue)
         return None
 
-    def assess(self, submission: Submission) -> Verdict:
+    def assess(self, job: Job, submission: Submission) -> Verdict:
         """Decide about a job by its predicted end."""
-        queue, spec = submission.queue, submission.spec
         workers = [worker for worker in self.book.workers.values() if worker.present]
-        if not all(fits_empty(step, workers) for step in spec.steps):
-            return Verdict(False, math.inf, 0.0, LONGEST_RETRY_SECONDS)
-        if spec.lasting or spec.timed:
-            return Verdict(True, 0.0, 0.0)
-        self.keeper.use_config()
-        outlook = job_outlook(
-            self.book, self.shares, queue, spec, submission.team, submission.elapsed_seconds
-        )
-        backlog = backlog_ahead(self.book, self.shares, queue.priority, submission.team)
-        return assess_job(outlook, backlog)
+        if not all(fits_empty(step, workers) for step in job.spec.steps):
+            return Verdict(False, retry_seconds=LONGEST_RETRY_SECONDS, reason="fits-nowhere")
+        if job.spec.lasting or job.spec.timed:
+            return Verdict(True)
+        now, day = self.around.clock.now(), self.around.day()
+        return judge(predict(self.book, self.shares, submission.queue, job, now, day))
 
     async def cancel(self, key: JobKey) -> JobState | None:
         """Cancel a job; return its state once that is stored, None if there is no such job."""
@@ -252,13 +247,8 @@
 
     def _make_job(self, key: JobKey, submission: Submission) -> Job:
         queue, day = submission.queue, self.around.day()
-        outlook = job_outlook(
-            self.book,
-            self.shares,
-            queue,
-            submission.spec,
-            submission.team,
-            submission.elapsed_seconds,
+        objective = expected_objective(
+            self.book, self.shares, queue, submission.spec, submission.team
         )
         return Job(
             key,
@@ -268,7 +258,7 @@
             max(1, queue.max_attempts),
             accepted_at=round(day, 3),
             priority=queue.priority,
-            due_by=round(day - submission.elapsed_seconds + outlook.objective_seconds, 3),
+            due_by=round(day - submission.elapsed_seconds + objective, 3),
         )
 
     # Workers
@@ -383,9 +373,10 @@
             team=submission.team,
             tasks=sum(step.count for step in submission.spec.steps),
             lasting=submission.spec.lasting,
-            shape=str(submission.spec.steps)[:2500] if submission.spec.lasting else "",
-            wait=round(verdict.wait_seconds, 3) if math.isfinite(verdict.wait_seconds) else "never",
-            allowed=round(verdict.allowed_seconds, 3),
+            reason=verdict.reason,
+            end=round(verdict.end_seconds, 3) if math.isfinite(verdict.end_seconds) else "never",
+            due=round(verdict.due_seconds, 3),
+            harmed=round(verdict.harmed_work, 2),
             elapsed=round(submission.elapsed_seconds, 3),
             retry=verdict.retry_seconds,
         )
--- a/limpetpulley/ownership/planner.py
+++ b/limpetpulley/ownership/planner.py
@@ -70,6 +70,8 @@
         self.emptying: dict[str, str] = {}
         self.moving: dict[str, tuple[str, float]] = {}
         self.memory = PoolMoves()
+        # Workers whose VM was ordered away, and whether the platform has confirmed it.
+        self.ended: dict[str, bool] = {}
 
     async def run(self) -> None:
         """Plan until cancelled."""
@@ -87,10 +89,15 @@
     def take_report(self, message: pb.PoolReport) -> pb.PoolPlan:
         """Take a pool's report; return which of its VMs are to be emptied."""
         self.reports[message.pool] = _Report(message, self.around.clock.now())
-        cordoned = [
-            vm for vm in self.emptying if vm in self.vms and self.vms[vm].pool == message.pool
-        ]
-        return pb.PoolPlan(outcome=pb.ACCEPTED, cordoned_vms=cordoned)
+        mine = {row.worker for row in message.workers}
+        emptied = {
+            self.vms[vm].worker_id for vm in self.emptying if vm in self.vms
+        } | self.ended.keys()
+        return pb.PoolPlan(
+            outcome=pb.ACCEPTED,
+            cordoned_workers=sorted(mine & emptied),
+            ended_workers=sorted(mine & {name for name, done in self.ended.items() if done}),
+        )
 
     async def _look(self) -> None:
         now = self.around.clock.now()
@@ -200,21 +207,28 @@
 
     async def _maintain(self, vm: FleetVm, wave: WaveProgress) -> None:
         wave.ordered[vm.name] = self.around.clock.now()
+        self.ended.setdefault(vm.worker_id, False)
         outcome = await self.orders.maintain(vm.name, wave.order.name, self.holder, self.token)
         self._log_order("vm-maintained", vm, wave.order.name, outcome)
         if outcome in (OrderOutcome.DONE, OrderOutcome.NOT_IN_WAVE):
             self.emptying.pop(vm.name, None)
             wave.done.add(vm.name)
+            self.ended[vm.worker_id] = outcome is OrderOutcome.DONE
             await self._store_wave(wave)
         else:
             wave.ordered.pop(vm.name)
+            self.ended.pop(vm.worker_id, None)
 
     async def _move(self, vm: FleetVm, target: str) -> None:
+        self.ended.setdefault(vm.worker_id, False)
         outcome = await self.orders.move(vm.name, target, self.holder, self.token)
         self._log_order("vm-moved", vm, target, outcome)
+        if outcome is not OrderOutcome.DONE:
+            self.ended.pop(vm.worker_id, None)
         if outcome is not OrderOutcome.BUSY:
             self.emptying.pop(vm.name, None)
         if outcome is OrderOutcome.DONE:
+            self.ended[vm.worker_id] = True
             until = self.around.clock.now() + self.around.timing.move + JOIN_SECONDS
             self.moving[vm.name] = (target, until)
 
--- a/limpetpulley/ownership/reporting.py
+++ b/limpetpulley/ownership/reporting.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Awaitable, Callable, Iterable
 
 import anyio
 
@@ -44,13 +45,22 @@
     """Tells the planner how a pool is doing.
 
     :param ask: sends a report to the planner, wherever it is; returns None if there is none
+    :param changed: called when the book has changed
     """
 
-    def __init__(self, around: Around, book: PoolBook, refused: RefusedWork, ask):
+    def __init__(
+        self,
+        around: Around,
+        book: PoolBook,
+        refused: RefusedWork,
+        ask: Callable[[pb.PoolReport], Awaitable[pb.PoolPlan | None]],
+        changed: Callable[[], None],
+    ):
         self.around = around
         self.book = book
         self.refused = refused
         self.ask = ask
+        self.changed = changed
         self.answered_at = around.clock.now()
 
     async def run(self) -> None:
@@ -60,15 +70,21 @@
             now = self.around.clock.now()
             if plan is not None and plan.outcome == pb.ACCEPTED:
                 self.answered_at = now
-                self.use_plan(set(plan.cordoned_vms))
+                self.use_plan(set(plan.cordoned_workers), plan.ended_workers)
             elif now - self.answered_at > PLAN_SECONDS:
-                self.use_plan(set())
+                self.use_plan(set(), ())
             await anyio.sleep(REPORT_SECONDS)
 
-    def use_plan(self, emptied: set[str]) -> None:
-        """Start nothing more on the VMs that are to be emptied."""
+    def use_plan(self, emptied: set[str], ended: Iterable[str]) -> None:
+        """Start nothing more on workers that are to be emptied; drop the runs of ended ones."""
+        for worker_id in ended:
+            worker = self.book.workers.get(worker_id)
+            if worker is not None and not worker.ended:
+                worker.ended = True
+                self.book.restart_worker(worker, "vm-ordered")
+                self.changed()
         for worker in self.book.workers.values():
-            cordoned = worker.listed.vm in emptied
+            cordoned = worker.worker_id in emptied or worker.ended
             if cordoned != worker.cordoned:
                 worker.cordoned = cordoned
                 self.around.log.write(
@@ -83,9 +99,9 @@
         """Return the report of now."""
         book = self.book
         waiting = sum(
-            remaining_work(book, job_id)
+            remaining_work(book, book.jobs[job_id])
             for job_id in book.ready
-            if job_id in book.jobs and not book.jobs[job_id].spec.lasting
+            if not book.jobs[job_id].spec.lasting
         )
         used = sum(worker.used.cpu_millicores for worker in book.workers.values())
         return pb.PoolReport(
--- a/limpetpulley/pool/outlook.py
+++ b/limpetpulley/pool/outlook.py
@@ -1,73 +1,99 @@
-"""What a pool's owner predicts about its backlog and about a new job. No I/O."""
+"""What a pool's owner predicts about its queue and about a new job. No I/O."""
 
 from __future__ import annotations
 
 import math
+from collections.abc import Iterable
 
-from ..batch import Amount, JobSpec, QueueRule
+from ..batch import Amount, Job, JobSpec, QueueRule, TaskId
 from ..quota.shares import TeamShares
-from ..scheduling.backlog import WAVE_SHARE, Backlog, JobOutlook, objective_seconds
+from ..scheduling.backlog import Prediction, objective_seconds
+from ..scheduling.forecast import ForecastJob, ForecastStep, play_forward
 from .book import PoolBook
+from .planning import rank
 
-__all__ = ["backlog_ahead", "job_outlook", "pool_room", "wanted_by_team"]
+__all__ = [
+    "expected_objective",
+    "pool_room",
+    "predict",
+    "remaining_work",
+    "wanted_by_team",
+]
+
+#: part of a pool's room that a step may take at once before its objective counts it in waves;
+#: from the users' rule for the objective
+WAVE_SHARE = 0.25
+#: shortest time that a running task is expected to run on, in seconds
+LEAST_REST_SECONDS = 0.05
+#: part of the room that tasks of unequal size can fill
+PACKED_PART = 0.95
 
 
 def pool_room(book: PoolBook) -> Amount:
     """Return the room of all workers that take tasks."""
     room = Amount()
-    for worker in book.workers.values():
-        if worker.present and not worker.cordoned and not worker.listed.draining:
-            room = room + worker.listed.capacity
+    for worker in _open_workers(book):
+        room = room + worker.listed.capacity
     return room
 
 
-def lasting_use(book: PoolBook) -> Amount:
-    """Return the room that tasks without an end take."""
-    use = Amount()
-    for job in book.jobs.values():
-        if job.spec.lasting and not job.state.final:
-            for step in job.spec.steps:
-                use = use + step.charge * step.count
-    return use
-
-
-def backlog_ahead(book: PoolBook, shares: TeamShares, priority: int, team: str) -> Backlog:
-    """Return what is ahead of a new job of a priority and team."""
-    room = pool_room(book).cpu_millicores - lasting_use(book).cpu_millicores
-    all_work = team_work = 0.0
-    for job in book.jobs.values():
-        if job.state.final or job.spec.lasting or job.priority > priority:
-            continue
-        work = remaining_work(book, job.key.job_id)
-        all_work += work
-        if job.team == team:
-            team_work += work
-    return Backlog(max(0.0, room / 1000), all_work, shares.available_cores(team), team_work)
-
-
-def remaining_work(book: PoolBook, job_id: str) -> float:
-    """Return the core-seconds that a job still needs; a running task counts half."""
-    job = book.jobs[job_id]
+def predict(
+    book: PoolBook, shares: TeamShares, queue: QueueRule, candidate: Job, now: float, day: float
+) -> Prediction:
+    """Predict what accepting a job would mean.
+
+    :param candidate: the job, as it would be added
+    :param now: local time
+    :param day: time of day, in seconds since 1970
+    """
+    size = _largest(book)
+    others = [
+        job
+        for job in book.jobs.values()
+        if not job.state.final and not job.spec.lasting and not job.spec.timed
+    ]
+    others.sort(key=rank)
+    place = sum(1 for job in others if rank(job) < rank(candidate))
+    teams = _team_room(book, shares, [*others, candidate], size)
+    room = _free_room(book, size)
+    rows = [_forecast(book, job, size, now) for job in others]
+    new = _forecast(book, candidate, size, now)
+    before = play_forward(rows, room, teams)
+    after = play_forward([*rows[:place], new, *rows[place:]], room, teams)
+    end = after.pop(place)
+    harmed = sum(
+        remaining_work(book, job)
+        for job, was, becomes in zip(others, before, after, strict=True)
+        if day + was <= job.due_by < day + becomes
+    )
+    return Prediction(
+        end,
+        candidate.due_by - day,
+        len(candidate.spec.steps),
+        remaining_work(book, candidate),
+        harmed,
+    )
+
+
+def remaining_work(book: PoolBook, job: Job) -> float:
+    """Return the core-seconds that a job still needs."""
     seconds = book.times.expect(job.key.queue, job.spec)
-    work = 0.0
-    for number, step in enumerate(job.spec.steps):
-        done = sum(1 for task in job.done if task.step == number)
-        work += (step.count - done) * step.need.cpu_millicores / 1000 * seconds[number]
-    for run in book.runs_of(job_id):
-        step = job.spec.steps[run.task.step]
-        work -= step.need.cpu_millicores / 1000 * seconds[run.task.step] / 2
-    return work
+    done = [0] * len(job.spec.steps)
+    for task in job.done:
+        done[task.step] += 1
+    return sum(
+        (step.count - done[number]) * step.need.cpu_millicores / 1000 * seconds[number]
+        for number, step in enumerate(job.spec.steps)
+    )
 
 
-def job_outlook(
-    book: PoolBook, shares: TeamShares, queue: QueueRule, spec: JobSpec, team: str, elapsed: float
-) -> JobOutlook:
-    """Return what a new job needs.
+def expected_objective(
+    book: PoolBook, shares: TeamShares, queue: QueueRule, spec: JobSpec, team: str
+) -> float:
+    """Return the longest time in which a new job should end.
 
     A step that is wider than a part of the pool's room, or than its team may run, counts in
-    waves, as the objective does.
-
-    :param elapsed: time since its caller first asked, in seconds
+    waves, as the users' objective does.
     """
     seconds = book.times.expect(queue.name, spec)
     room = pool_room(book).cpu_millicores / 1000
@@ -77,13 +103,7 @@
         width = step.count * step.need.cpu_millicores / 1000
         waves.append(each * (max(1, math.ceil(width / most)) if most > 0 else 1))
     chain = spec.chain_seconds(tuple(waves))
-    return JobOutlook(
-        spec.chain_seconds(seconds),
-        spec.work_core_seconds(seconds),
-        objective_seconds(queue.stretch, chain, queue.latency_target_seconds),
-        elapsed,
-        len(spec.steps),
-    )
+    return objective_seconds(queue.stretch, chain, queue.latency_target_seconds)
 
 
 def wanted_by_team(book: PoolBook) -> dict[str, Amount]:
@@ -95,3 +115,69 @@
             charge = job.step_of(task).charge
             wanted[job.team] = wanted.get(job.team, Amount()) + charge
     return wanted
+
+
+def _open_workers(book: PoolBook):
+    return [
+        worker
+        for worker in book.workers.values()
+        if worker.present and not worker.cordoned and not worker.listed.draining
+    ]
+
+
+def _largest(book: PoolBook) -> Amount:
+    """Return the room of a worker, in each dimension the largest."""
+    sizes = [worker.listed.capacity for worker in book.workers.values()] or [Amount()]
+    return Amount(
+        max(size.cpu_millicores for size in sizes),
+        max(size.memory_mb for size in sizes),
+        max(size.accelerators for size in sizes),
+    )
+
+
+def part_of(need: Amount, size: Amount) -> float:
+    """Return the part of a worker that a need takes in its scarcest dimension."""
+    return max(
+        need.cpu_millicores / (size.cpu_millicores or 1),
+        need.memory_mb / (size.memory_mb or 1),
+        need.accelerators / (size.accelerators or 1),
+    )
+
+
+def _free_room(book: PoolBook, size: Amount) -> float:
+    free = 0.0
+    for worker in _open_workers(book):
+        used = sum(part_of(run.charge, size) for run in worker.runs.values())
+        free += PACKED_PART * part_of(worker.listed.capacity, size) - used
+    return free
+
+
+def _team_room(
+    book: PoolBook, shares: TeamShares, jobs: Iterable[Job], size: Amount
+) -> dict[str, float]:
+    """Return what each team with a limit may take beyond what it runs, in workers."""
+    found: dict[str, float] = {}
+    for team in {job.team for job in jobs}:
+        cores = shares.available_cores(team)
+        if math.isfinite(cores):
+            running = book.usage.get(team, Amount()).cpu_millicores / 1000
+            found[team] = (cores - running) * 1000 / (size.cpu_millicores or 1)
+    return found
+
+
+def _forecast(book: PoolBook, job: Job, size: Amount, now: float) -> ForecastJob:
+    seconds = book.times.expect(job.key.queue, job.spec)
+    steps = []
+    for number, step in enumerate(job.spec.steps):
+        rests, waiting = [], 0
+        for position in range(step.count):
+            task = TaskId(job.key.job_id, 0, number, position)
+            run = book.runs.get(task)
+            if run is not None:
+                gone = now - run.begun_at if run.begun_at is not None else 0.0
+                rests.append(max(LEAST_REST_SECONDS, seconds[number] - gone))
+            elif task not in job.done:
+                waiting += 1
+        part = part_of(step.charge, size)
+        steps.append(ForecastStep(waiting, part, seconds[number], step.after, tuple(rests)))
+    return ForecastJob(steps, job.team)
--- a/limpetpulley/workers/state.py
+++ b/limpetpulley/workers/state.py
@@ -154,6 +154,7 @@
     :param present: whether the platform lists it now
     :param reconciled: whether it has answered a hold with this owner's token
     :param cordoned: whether nothing more is to start there
+    :param ended: whether its VM was ordered away, so that nothing runs there any more
     :param heard_at: local time of its last answer
     :param seen_through: position of the last end that was taken into account
     :param stored_through: position up to which ends are stored and may be acknowledged
@@ -166,6 +167,7 @@
     present: bool = True
     reconciled: bool = False
     cordoned: bool = False
+    ended: bool = False
     heard_at: float = 0.0
     seen_through: int = 0
     stored_through: int = 0
