Keep the VMs that a pool began with: emptied pools served nothing

Cause: the planner took the number of VMs that were up at its first look, before all had started, for a pool's own number, and gave the rest away. Now the list's count of all VMs is stored once.

--- a/limpetpulley/batch/keys.py
+++ b/limpetpulley/batch/keys.py
@@ -25,6 +25,7 @@
         self.shares = prefix + "share/"
         self.rosters = prefix + "roster/"
         self.waves = prefix + "wave/"
+        self.homes = prefix + "homes"
 
     def member(self, name: str) -> str:
         """Return the key of a live daemon."""
--- a/limpetpulley/fleet/demand.py
+++ b/limpetpulley/fleet/demand.py
@@ -77,6 +77,7 @@
     loads: dict[str, PoolLoad],
     idle: dict[str, int],
     coming: dict[str, int],
+    leaving: dict[str, int],
     memory: PoolMoves,
     now: float,
 ) -> list[VmMove]:
@@ -85,11 +86,11 @@
     :param loads: load of each pool that is on
     :param idle: VMs that are ready to leave, for each pool that is off
     :param coming: VMs that are on their way to a pool
+    :param leaving: VMs of a pool that are being emptied to leave it
     """
     moves: list[VmMove] = []
     left = dict(idle)
     for pool, load in sorted(loads.items(), key=lambda item: -item[1].wanted_cores):
-        memory.homes.setdefault(pool, load.vms)
         if not load.vms:
             continue
         size = load.room_cores / load.vms
@@ -101,7 +102,8 @@
             memory.spare_since.pop(pool, None)
             moves += _bring(pool, min(lacking, MOVES_AT_ONCE), left)
         else:
-            moves += _give_back(pool, load, size, left, memory, now)
+            stays = load.vms - leaving.get(pool, 0)
+            moves += _give_back(pool, load, stays, size, left, memory, now)
     return moves
 
 
@@ -117,10 +119,16 @@
 
 
 def _give_back(
-    pool: str, load: PoolLoad, size: float, off: dict[str, int], memory: PoolMoves, now: float
+    pool: str,
+    load: PoolLoad,
+    stays: int,
+    size: float,
+    off: dict[str, int],
+    memory: PoolMoves,
+    now: float,
 ) -> list[VmMove]:
-    extra = load.vms - memory.homes[pool]
-    fitting = int((load.room_cores - load.wanted_cores / SPARE_PART) / size)
+    extra = stays - memory.homes.get(pool, stays)
+    fitting = int(stays - load.wanted_cores / SPARE_PART / size)
     count = min(extra, fitting)
     if count <= 0 or not off:
         memory.spare_since.pop(pool, None)
--- a/limpetpulley/ownership/node.py
+++ b/limpetpulley/ownership/node.py
@@ -207,14 +207,13 @@
             self.directory.apply(events, self.around.clock.now())
         except RecordError as error:
             self.around.log.write("record-unreadable", reason=str(error))
+        changed = {event.key: event.revision for event in events}
         for pool, owner in self.owned.items():
-            claim = self.directory.owners.get(pool)
-            if claim is None or claim.token > owner.token:
+            if changed.get(self.around.keys.owner(pool), 0) > owner.token:
                 owner.stop()
-        if self.planning is not None:
-            claim = self.directory.owners.get(PLANNER)
-            if claim is None or claim.token > self.planning.token:
-                self.stop_planning()
+        planning = self.planning
+        if planning and changed.get(self.around.keys.owner(PLANNER), 0) > planning.token:
+            self.stop_planning()
         self.look.set()
 
     def _directory_lost(self, reason: str) -> None:
--- a/limpetpulley/ownership/owner.py
+++ b/limpetpulley/ownership/owner.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+import traceback
 from collections.abc import Awaitable, Callable
 
 import anyio
@@ -108,7 +109,7 @@
                         self._run_plans,
                         self._run_cleaning,
                     ):
-                        tasks.start_soon(loop)
+                        tasks.start_soon(self._guard, loop)
                     self.follow_workers()
         except* NotOwnerError as group:
             self.around.log.write(
@@ -121,6 +122,22 @@
         finally:
             self.finished.set()
 
+    async def _guard(self, loop: Callable[[], Awaitable[None]]) -> None:
+        """Run a loop, and log why it failed before the whole owner ends."""
+        try:
+            await loop()
+        except (NotOwnerError, StoreError, StoreUnavailable):
+            raise
+        except Exception as error:
+            self.around.log.write(
+                "owner-failed",
+                pool=self.pool,
+                token=self.token,
+                reason=repr(error),
+                trace=traceback.format_exc(limit=-3),
+            )
+            raise
+
     async def give_up(self) -> None:
         """Store what is known and stop; the claim is released by whoever calls this."""
         if self.ready.is_set() and not self.finished.is_set():
@@ -282,7 +299,7 @@
     def _begin_agent(self, worker: Worker) -> None:
         agent = WorkerAgent(self.around, self.book, worker, self.wake, lambda: self.progress_event)
         self.agents[worker.worker_id] = agent
-        self.tasks.start_soon(agent.run)
+        self.tasks.start_soon(self._guard, agent.run)
 
     # Decisions
 
--- a/limpetpulley/ownership/planner.py
+++ b/limpetpulley/ownership/planner.py
@@ -102,6 +102,8 @@
     async def _look(self) -> None:
         now = self.around.clock.now()
         self.vms = {vm.name: vm for vm in await self.orders.list_vms()}
+        if not self.memory.homes:
+            await self._read_homes()
         self._settle_moves(now)
         loads = self._loads(now)
         await self._follow_waves()
@@ -161,7 +163,11 @@
         coming: dict[str, int] = {}
         for target in [*kept.values(), *(target for target, _ in self.moving.values())]:
             coming[target] = coming.get(target, 0) + 1
-        for move in choose_moves(loads, idle, coming, self.memory, now):
+        leaving: dict[str, int] = {}
+        for vm in self.emptying:
+            if vm in self.vms:
+                leaving[self.vms[vm].pool] = leaving.get(self.vms[vm].pool, 0) + 1
+        for move in choose_moves(loads, idle, coming, leaving, self.memory, now):
             candidates = [vm for vm in free if vm.pool == move.source]
             candidates.sort(key=self._use)
             for vm in candidates[: move.count]:
@@ -237,6 +243,19 @@
             vm: (target, until) for vm, (target, until) in self.moving.items() if until > now
         }
 
+    async def _read_homes(self) -> None:
+        """Read how many VMs each pool began with; the first planner stores it."""
+        counts: dict[str, int] = {}
+        for vm in self.vms.values():
+            counts[vm.pool] = counts.get(vm.pool, 0) + 1
+        key = self.around.keys.homes
+        if counts:
+            value = json.dumps(counts).encode()
+            await self.around.store.commit([Compare(key, 0), self.claim], [Put(key, value)])
+        entry = await self.around.store.get(key)
+        if entry is not None:
+            self.memory.homes = {str(pool): int(n) for pool, n in json.loads(entry.value).items()}
+
     async def _follow_waves(self) -> None:
         for name, order in self.board.waves.items():
             wave = self.waves.get(name)
