--- a/limpetpulley/fleet/demand.py
+++ b/limpetpulley/fleet/demand.py
@@ -2,8 +2,8 @@
 
 Answers pools whose demand peaks in turn at about five times its mean for some seconds: VMs of the
 pool that is off join the pool whose demand passes its room, and go back once it has had room to
-spare for a while. A pool keeps the VMs that it began with, because a peak begins faster than a VM
-moves.
+spare for a while. A peak begins faster than a VM moves; so a pool keeps the VMs that it began
+with, unless it has just peaked and the others are to peak before it does again.
 """
 
 from __future__ import annotations
@@ -22,6 +22,12 @@
 SPARE_PART = 0.5
 #: time for which there must be room to spare, so that VMs do not go to and fro
 SPARE_SECONDS = 1.5
+#: part of a pool's own room that demand passes at its peak
+PEAK_PART = 0.5
+#: time after a peak before VMs are given away, in seconds
+REST_AFTER_SECONDS = 1.0
+#: fewest VMs that a pool keeps, so that the loss of one leaves room for its tasks that last
+LEAST_VMS = 2
 #: most moves into one pool at a time
 MOVES_AT_ONCE = 6
 
@@ -30,18 +36,25 @@
 class PoolLoad:
     """What a pool's owner reports.
 
-    :param room_cores: processors of its workers
+    :param size: processors of one of its VMs
     :param used_cores: processors in use, by tasks that last too
     :param waiting_core_seconds: work that waits
     :param refused_core_seconds: work that was refused in the last second
     :param vms: number of its VMs
+    :param least_vms: fewest VMs over which its tasks that last can be spread
     """
 
-    room_cores: float
+    size: float
     used_cores: float
     waiting_core_seconds: float
     refused_core_seconds: float
     vms: int
+    least_vms: int = 0
+
+    @property
+    def room_cores(self) -> float:
+        """Return the processors of its VMs."""
+        return self.vms * self.size
 
     @property
     def wanted_cores(self) -> float:
@@ -66,10 +79,12 @@
     """What is remembered between two looks.
 
     :param homes: number of VMs that each pool began with
+    :param peaked_at: when a pool was last at its peak, by local time
     :param spare_since: time since when a pool has had room to spare
     """
 
     homes: dict[str, int] = attrs.field(factory=dict)
+    peaked_at: dict[str, float] = attrs.field(factory=dict)
     spare_since: dict[str, float] = attrs.field(factory=dict)
 
 
@@ -88,25 +103,54 @@
     :param coming: VMs that are on their way to a pool
     :param leaving: VMs of a pool that are being emptied to leave it
     """
+    if not idle:
+        return []
+    for pool, load in loads.items():
+        if load.vms and load.wanted_cores > PEAK_PART * load.size * memory.homes.get(pool, 0):
+            memory.peaked_at[pool] = now
     moves: list[VmMove] = []
     left = dict(idle)
     for pool, load in sorted(loads.items(), key=lambda item: -item[1].wanted_cores):
-        if not load.vms:
-            continue
-        size = load.room_cores / load.vms
-        room = (load.vms + coming.get(pool, 0)) * size
-        if size <= 0:
+        if load.size <= 0:
             continue
-        lacking = math.ceil((load.wanted_cores - FULL_PART * room) / size)
-        if lacking > 0:
+        has = load.vms + coming.get(pool, 0) - leaving.get(pool, 0)
+        wanted = _wanted_vms(pool, load, loads, memory, now)
+        if wanted > has:
             memory.spare_since.pop(pool, None)
-            moves += _bring(pool, min(lacking, MOVES_AT_ONCE), left)
-        else:
-            stays = load.vms - leaving.get(pool, 0)
-            moves += _give_back(pool, load, stays, size, left, memory, now)
+            moves += _bring(pool, min(wanted - has, MOVES_AT_ONCE), left)
+        elif wanted == has:
+            memory.spare_since.pop(pool, None)
+        elif now - memory.spare_since.setdefault(pool, now) >= SPARE_SECONDS:
+            moves.append(VmMove(pool, next(iter(idle)), has - wanted))
     return moves
 
 
+def may_rest(pool: str, loads: dict[str, PoolLoad], memory: PoolMoves, now: float) -> bool:
+    """Return whether another pool is to peak before this one does again.
+
+    Pools that peak in turn do so in a stable order, so the one whose peak is the longest ago is
+    the next. A pool that was not seen at its peak yet may begin at any time.
+    """
+    mine = memory.peaked_at.get(pool)
+    if mine is None or now - mine < REST_AFTER_SECONDS:
+        return False
+    return any(memory.peaked_at.get(other, -math.inf) < mine for other in loads if other != pool)
+
+
+def _wanted_vms(
+    pool: str, load: PoolLoad, loads: dict[str, PoolLoad], memory: PoolMoves, now: float
+) -> int:
+    home = memory.homes.get(pool, load.vms)
+    needed = math.ceil(load.wanted_cores / FULL_PART / load.size)
+    if needed > home:
+        return needed
+    if may_rest(pool, loads, memory, now):
+        spacious = math.ceil(load.wanted_cores / SPARE_PART / load.size)
+        return min(home, max(LEAST_VMS, load.least_vms + 1, spacious))
+    # VMs beyond the pool's own stay until the demand leaves room to spare.
+    return max(home, min(load.vms, math.ceil(load.wanted_cores / SPARE_PART / load.size)))
+
+
 def _bring(pool: str, count: int, left: dict[str, int]) -> list[VmMove]:
     moves = []
     for source, available in left.items():
@@ -116,23 +160,3 @@
             left[source] -= taken
             count -= taken
     return moves
-
-
-def _give_back(
-    pool: str,
-    load: PoolLoad,
-    stays: int,
-    size: float,
-    off: dict[str, int],
-    memory: PoolMoves,
-    now: float,
-) -> list[VmMove]:
-    extra = stays - memory.homes.get(pool, stays)
-    fitting = int(stays - load.wanted_cores / SPARE_PART / size)
-    count = min(extra, fitting)
-    if count <= 0 or not off:
-        memory.spare_since.pop(pool, None)
-        return []
-    if now - memory.spare_since.setdefault(pool, now) < SPARE_SECONDS:
-        return []
-    return [VmMove(pool, next(iter(off)), count)]
--- a/limpetpulley/fleet/vms.py
+++ b/limpetpulley/fleet/vms.py
@@ -33,6 +33,7 @@
 class FleetVm:
     """A VM as the platform lists it.
 
+    :param cores: its processors
     :param worker_id: worker that runs on it now, empty while its pool is off or it is not up
     """
 
@@ -42,6 +43,7 @@
     worker_id: str = ""
     rack: str = ""
     data_centre: str = ""
+    cores: float = 0.0
 
 
 @attrs.frozen
--- a/limpetpulley/ownership/planner.py
+++ b/limpetpulley/ownership/planner.py
@@ -24,10 +24,12 @@
 LOOK_SECONDS = 0.4
 #: age of a pool's report above which the pool is left as it is, in seconds
 REPORT_SECONDS = 2.5
+#: time between two log lines on the pools' loads, in seconds
+LOG_SECONDS = 1.0
 #: time after an order in which its VM counts as away beyond the maintenance itself
 RETURN_SECONDS = 0.6
 #: time in which a moved VM joins its pool beyond the move itself
-JOIN_SECONDS = 1.0
+JOIN_SECONDS = 3.0
 
 
 @attrs.define
@@ -68,10 +70,13 @@
         self.vms: dict[str, FleetVm] = {}
         self.waves: dict[str, WaveProgress] = {}
         self.emptying: dict[str, str] = {}
+        # When the owner was told to empty a VM, by local time.
+        self.told: dict[str, float] = {}
         self.moving: dict[str, tuple[str, float]] = {}
         self.memory = PoolMoves()
         # Workers whose VM was ordered away, and whether the platform has confirmed it.
         self.ended: dict[str, bool] = {}
+        self.logged_at = 0.0
 
     async def run(self) -> None:
         """Plan until cancelled."""
@@ -90,6 +95,10 @@
         """Take a pool's report; return which of its VMs are to be emptied."""
         self.reports[message.pool] = _Report(message, self.around.clock.now())
         mine = {row.worker for row in message.workers}
+        for name in self.emptying:
+            vm = self.vms.get(name)
+            if vm is not None and vm.worker_id in mine:
+                self.told.setdefault(name, self.around.clock.now())
         emptied = {
             self.vms[vm].worker_id for vm in self.emptying if vm in self.vms
         } | self.ended.keys()
@@ -106,6 +115,7 @@
             await self._read_homes()
         self._settle_moves(now)
         loads = self._loads(now)
+        self._log_loads(loads, now)
         await self._follow_waves()
         wanted: dict[str, str] = {}
         seconds = self.around.timing.maintenance + RETURN_SECONDS
@@ -130,13 +140,14 @@
             if rule.standby or report is None or now - report.at > REPORT_SECONDS:
                 continue
             told = report.message
-            vms = sum(1 for vm in self.vms.values() if vm.pool == pool and vm.phase is Phase.UP)
+            vms = [vm for vm in self.vms.values() if vm.pool == pool and vm.phase is Phase.UP]
             loads[pool] = PoolLoad(
-                told.room_cores,
+                sum(vm.cores for vm in vms) / max(1, len(vms)),
                 told.running_cores,
                 told.waiting_core_seconds,
                 told.refused_core_seconds,
-                vms,
+                len(vms),
+                told.least_workers,
             )
         return loads
 
@@ -151,24 +162,27 @@
             if why.startswith("move ") and vm in self.vms and self.vms[vm].phase is Phase.UP
         }
         free = [
-            vm
-            for vm in self.vms.values()
-            if vm.phase is Phase.UP and vm.name not in self.emptying and vm.name not in due
+            vm for vm in self.vms.values() if vm.phase is Phase.UP and vm.name not in self.emptying
         ]
         idle = {
-            pool: sum(1 for vm in free if vm.pool == pool)
+            pool: sum(1 for vm in free if vm.pool == pool and vm.name not in due)
             for pool, rule in config.pools.items()
             if rule.standby
         }
         coming: dict[str, int] = {}
-        for target in [*kept.values(), *(target for target, _ in self.moving.values())]:
+        back = [vm.pool for vm in self.vms.values() if vm.phase is Phase.MAINTENANCE]
+        under_way = [target for target, _ in self.moving.values()]
+        for target in [*kept.values(), *under_way, *back]:
             coming[target] = coming.get(target, 0) + 1
         leaving: dict[str, int] = {}
-        for vm in self.emptying:
-            if vm in self.vms:
-                leaving[self.vms[vm].pool] = leaving.get(self.vms[vm].pool, 0) + 1
+        for name in self.emptying:
+            if name in self.vms:
+                leaving[self.vms[name].pool] = leaving.get(self.vms[name].pool, 0) + 1
         for move in choose_moves(loads, idle, coming, leaving, self.memory, now):
-            candidates = [vm for vm in free if vm.pool == move.source]
+            leaves_off = config.pools[move.source].standby
+            candidates = [
+                vm for vm in free if vm.pool == move.source and not (leaves_off and vm.name in due)
+            ]
             candidates.sort(key=self._use)
             for vm in candidates[: move.count]:
                 kept[vm.name] = move.target
@@ -178,10 +192,10 @@
         return kept
 
     def _use(self, vm: FleetVm) -> tuple:
-        told = self._told(vm)
+        told = self._row(vm)
         return (told.lasting_runs, told.timed_runs, vm.name) if told else (0, 0, vm.name)
 
-    def _told(self, vm: FleetVm) -> pb.WorkerReport | None:
+    def _row(self, vm: FleetVm) -> pb.WorkerReport | None:
         report = self.reports.get(vm.pool)
         rows = report.message.workers if report else ()
         return next((row for row in rows if row.vm == vm.name), None)
@@ -189,9 +203,12 @@
     def _is_empty(self, vm: FleetVm, now: float) -> bool:
         if not vm.worker_id:
             return True
-        report, told = self.reports.get(vm.pool), self._told(vm)
+        report, told = self.reports.get(vm.pool), self._row(vm)
         if report is None or told is None or now - report.at > REPORT_SECONDS:
             return False
+        # A report from before the owner was told may be of an earlier cordon that has ended.
+        if vm.name not in self.told or report.at <= self.told[vm.name]:
+            return False
         return told.cordoned and not told.timed_runs and not told.lasting_runs
 
     def _set_emptying(self, wanted: dict[str, str]) -> None:
@@ -199,6 +216,7 @@
             if vm not in self.emptying:
                 self.around.log.write("vm-emptying", vm=vm, reason=why)
         self.emptying = wanted
+        self.told = {vm: at for vm, at in self.told.items() if vm in wanted}
 
     async def _give_orders(self, now: float) -> None:
         for name, why in list(self.emptying.items()):
@@ -239,9 +257,11 @@
             self.moving[vm.name] = (target, until)
 
     def _settle_moves(self, now: float) -> None:
-        self.moving = {
-            vm: (target, until) for vm, (target, until) in self.moving.items() if until > now
-        }
+        for name, (target, until) in list(self.moving.items()):
+            vm = self.vms.get(name)
+            joined = vm is not None and vm.pool == target and vm.phase is Phase.UP
+            if joined or until <= now:
+                del self.moving[name]
 
     async def _read_homes(self) -> None:
         """Read how many VMs each pool began with; the first planner stores it."""
@@ -287,6 +307,26 @@
             ],
         )
 
+    def _log_loads(self, loads: dict[str, PoolLoad], now: float) -> None:
+        if now - self.logged_at < LOG_SECONDS:
+            return
+        self.logged_at = now
+        self.around.log.write(
+            "fleet-load",
+            pools={
+                pool: {
+                    "vms": load.vms,
+                    "room": round(load.room_cores),
+                    "wanted": round(load.wanted_cores, 1),
+                    "refused": round(load.refused_core_seconds, 1),
+                    "age": round(now - self.reports[pool].at, 2),
+                }
+                for pool, load in loads.items()
+            },
+            emptying=len(self.emptying),
+            moving=len(self.moving),
+        )
+
     def _log_order(self, event: str, vm: FleetVm, target: str, outcome: OrderOutcome) -> None:
         self.around.log.write(
             event,
--- a/limpetpulley/ownership/reporting.py
+++ b/limpetpulley/ownership/reporting.py
@@ -11,7 +11,7 @@
 from ..peer import PeerCaller
 from ..peer import batch_pb2 as pb
 from ..pool import PoolBook
-from ..pool.outlook import pool_room, remaining_work
+from ..pool.outlook import least_workers, pool_room, remaining_work
 from .around import Around
 
 __all__ = ["PoolReporter", "RefusedWork"]
@@ -117,11 +117,12 @@
                     rack=worker.listed.rack,
                 )
                 for worker in book.workers.values()
-                if worker.present
+                if worker.present or worker.runs
             ],
             waiting_core_seconds=waiting,
             running_cores=used / 1000,
             room_cores=pool_room(book).cpu_millicores / 1000,
+            least_workers=least_workers(book),
             refused_core_seconds=self.refused.total(self.around.clock.now()),
         )
 
--- a/limpetpulley/platform/vms.py
+++ b/limpetpulley/platform/vms.py
@@ -9,7 +9,7 @@
 from ..exception import HttpError, PlatformError, RecordError
 from ..fleet.vms import FleetVm, OrderOutcome, Phase, WaveOrder
 from ..http_client import HttpAnswer, HttpCaller
-from .decode import load, number, rows, text, whole
+from .decode import amount, load, number, rows, text, whole
 
 __all__ = ["WAVE_PREFIX", "PlatformVms", "decode_wave", "encode_wave_state", "wave_state_key"]
 
@@ -141,4 +141,5 @@
         row.get("id") or "",
         labels[-1] if len(labels) > 1 else "",
         text(row, "zone", ""),
+        amount(row.get("capacity") or {}).cpu_millicores / 1000,
     )
--- a/limpetpulley/pool/outlook.py
+++ b/limpetpulley/pool/outlook.py
@@ -14,6 +14,7 @@
 
 __all__ = [
     "expected_objective",
+    "least_workers",
     "pool_room",
     "predict",
     "remaining_work",
@@ -75,6 +76,18 @@
     )
 
 
+def least_workers(book: PoolBook) -> int:
+    """Return the fewest workers over which the tasks that last can be spread."""
+    steps = [
+        step
+        for job in book.jobs.values()
+        if job.spec.lasting and not job.state.final
+        for step in job.spec.steps
+        if step.max_per_worker
+    ]
+    return max((math.ceil(step.count / step.max_per_worker) for step in steps), default=0)
+
+
 def remaining_work(book: PoolBook, job: Job) -> float:
     """Return the core-seconds that a job still needs."""
     seconds = book.times.expect(job.key.queue, job.spec)
--- a/limpetpulley/pool/planning.py
+++ b/limpetpulley/pool/planning.py
@@ -58,13 +58,13 @@
     """
     book.expire(now)
     book.refresh_due(day)
-    orders: list[Order] = [*_stops(book, now)]
+    orders: list[Order] = [*_stops(book, now, limits)]
     orders += _resends(book, now)
     orders += _starts(book, shares, now, limits)
     return orders
 
 
-def _stops(book: PoolBook, now: float) -> list[Order]:
+def _stops(book: PoolBook, now: float, limits: PlanningLimits) -> list[Order]:
     orders: list[Order] = []
     for stray, sent in book.strays.items():
         if now - sent >= RESEND_STOP_SECONDS:
@@ -78,7 +78,7 @@
             orders.append(StopOrder(run.worker_id, run.task, run.number))
     for worker in book.workers.values():
         if worker.cordoned or worker.listed.draining:
-            orders += _evacuate(book, worker, now)
+            orders += _evacuate(book, worker, now, limits)
     return orders
 
 
@@ -89,20 +89,39 @@
     run.sent_at = now
 
 
-def _evacuate(book: PoolBook, worker: Worker, now: float) -> list[Order]:
-    """Stop lasting tasks on a worker that is being emptied, as far as they may be missed."""
+def _evacuate(book: PoolBook, worker: Worker, now: float, limits: PlanningLimits) -> list[Order]:
+    """Stop lasting tasks on a worker that is being emptied.
+
+    A task is stopped only if it may be missed and another worker has room for it.
+    """
     orders: list[Order] = []
+    others = [
+        other
+        for other in book.workers.values()
+        if other is not worker and is_open(other, now, limits.contact_seconds)
+    ]
     for run in worker.runs.values():
         job = book.jobs.get(run.task.job_id)
         if job is None or run.phase is not RunPhase.RUNNING:
             continue
         step = job.step_of(run.task)
-        if step.lasting and (step.may_miss is None or missing(book, job, run.task) < step.may_miss):
+        if not step.lasting or choose_worker(step, others, beside_task(book, run.task)) is None:
+            continue
+        if step.may_miss is None or missing(book, job, run.task) < step.may_miss:
             stop_run(run, now)
             orders.append(StopOrder(run.worker_id, run.task, run.number))
     return orders
 
 
+def beside_task(book: PoolBook, task: TaskId) -> Counter[str]:
+    """Return how many runs of a task's step and occurrence each worker has."""
+    return Counter(
+        run.worker_id
+        for run in book.runs_of(task.job_id)
+        if (run.task.occurrence, run.task.step) == (task.occurrence, task.step)
+    )
+
+
 def missing(book: PoolBook, job: Job, task: TaskId) -> int:
     """Return how many tasks of a task's step are not at work at full speed."""
     step = job.step_of(task)
@@ -172,11 +191,7 @@
         if place in full or not shares.allows(job.team, running, step.charge):
             continue
         if place not in beside:
-            beside[place] = Counter(
-                run.worker_id
-                for run in book.runs_of(job.key.job_id)
-                if (run.task.occurrence, run.task.step) == place
-            )
+            beside[place] = beside_task(book, task)
         worker = choose_worker(step, workers, beside[place], book.failed_on.get(task, ()))
         if worker is None:
             full.add(place)
--- a/limpetpulley/scheduling/placement.py
+++ b/limpetpulley/scheduling/placement.py
@@ -2,7 +2,7 @@
 
 Answers the load of a pool whose queues peak beyond what it holds, with tasks of very unequal size
 among tasks that last: timed tasks go where most processors are free, so that runs slow each other
-little; tasks that last are spread by their limit for one worker.
+little; tasks that last share few workers, so that the other ones are quickly emptied.
 """
 
 from __future__ import annotations
@@ -15,6 +15,9 @@
 
 __all__ = ["choose_worker", "fits_empty", "is_open"]
 
+#: part of a worker's room that must be free where one more task that lasts is packed
+LASTING_ROOM_PART = 0.55
+
 
 def is_open(worker: Worker, now: float, contact_seconds: float) -> bool:
     """Return whether anything may start on a worker.
@@ -62,14 +65,25 @@
         rank = (
             worker.worker_id not in shunned,
             near,
-            -beside[worker.worker_id] if step.lasting else 0,
-            _free_share(room, worker.listed.capacity),
+            *_spread(step, worker, room),
         )
         if best is None or rank > best_rank:
             best, best_rank = worker, rank
     return best
 
 
+def _spread(step: Step, worker: Worker, room: Amount) -> tuple[bool, float]:
+    """Return what tasks are spread by.
+
+    Tasks that last are packed onto few workers, as long as these keep half of their room: what
+    is left without them can be emptied at once.
+    """
+    free = _free_share(room, worker.listed.capacity)
+    if step.lasting and free > LASTING_ROOM_PART:
+        return True, -free
+    return False, free
+
+
 def _has_label(step: Step, worker: Worker) -> bool:
     return not step.label or step.label in worker.listed.labels
 
