--- a/limpetpulley/fleet/demand.py
+++ b/limpetpulley/fleet/demand.py
@@ -1,9 +1,10 @@
 """How many VMs each pool should have. No I/O.
 
 Answers pools whose demand peaks in turn at about five times its mean for some seconds: VMs of the
-pool that is off join the pool whose demand passes its room, and go back once it has had room to
-spare for a while. A peak begins faster than a VM moves; so a pool keeps the VMs that it began
-with, unless it has just peaked and the others are to peak before it does again.
+pool that is off, or of pools with room to spare, join the pool whose demand passes its room. A
+peak begins faster than a VM moves; so a quiet pool keeps a good part of the VMs that it began
+with, and more when its demand begins to rise, unless it has just peaked and the others are to
+peak before it does again.
 """
 
 from __future__ import annotations
@@ -24,6 +25,11 @@
 SPARE_SECONDS = 1.5
 #: part of a pool's own room that demand passes at its peak
 PEAK_PART = 0.5
+#: part of a pool's present room above which demand is rising to a peak
+RISING_PART = 0.4
+#: part of its own VMs that a quiet pool keeps which has not peaked yet; the rest joins it while
+#: its demand rises
+READY_PART = 0.8
 #: time after a peak before VMs are given away, in seconds
 REST_AFTER_SECONDS = 1.0
 #: fewest VMs that a pool keeps, so that the loss of one leaves room for its tasks that last
@@ -98,30 +104,39 @@
 ) -> list[VmMove]:
     """Return the moves that the demand asks for.
 
+    A pool that lacks VMs gets them from the pools that are off, then from those with VMs to
+    spare; what is to spare for a while goes to a pool that is off.
+
     :param loads: load of each pool that is on
     :param idle: VMs that are ready to leave, for each pool that is off
     :param coming: VMs that are on their way to a pool
     :param leaving: VMs of a pool that are being emptied to leave it
     """
-    if not idle:
-        return []
-    for pool, load in loads.items():
-        if load.vms and load.wanted_cores > PEAK_PART * load.size * memory.homes.get(pool, 0):
+    known = {pool: load for pool, load in loads.items() if load.size > 0}
+    for pool, load in known.items():
+        if load.wanted_cores > PEAK_PART * load.size * memory.homes.get(pool, 0):
             memory.peaked_at[pool] = now
-    moves: list[VmMove] = []
-    left = dict(idle)
-    for pool, load in sorted(loads.items(), key=lambda item: -item[1].wanted_cores):
-        if load.size <= 0:
-            continue
+    lacking: dict[str, int] = {}
+    spare: dict[str, int] = {}
+    for pool, load in known.items():
         has = load.vms + coming.get(pool, 0) - leaving.get(pool, 0)
-        wanted = _wanted_vms(pool, load, loads, memory, now)
+        wanted = _wanted_vms(pool, load, known, memory, now)
         if wanted > has:
+            lacking[pool] = min(wanted - has, MOVES_AT_ONCE)
+        elif wanted < has:
+            spare[pool] = has - wanted
+    for pool in known:
+        if pool in spare:
+            memory.spare_since.setdefault(pool, now)
+        else:
             memory.spare_since.pop(pool, None)
-            moves += _bring(pool, min(wanted - has, MOVES_AT_ONCE), left)
-        elif wanted == has:
-            memory.spare_since.pop(pool, None)
-        elif now - memory.spare_since.setdefault(pool, now) >= SPARE_SECONDS:
-            moves.append(VmMove(pool, next(iter(idle)), has - wanted))
+    moves = _lend(lacking, idle, spare, known)
+    if idle:
+        moves += [
+            VmMove(pool, next(iter(idle)), count)
+            for pool, count in spare.items()
+            if count and now - memory.spare_since[pool] >= SPARE_SECONDS
+        ]
     return moves
 
 
@@ -142,21 +157,34 @@
 ) -> int:
     home = memory.homes.get(pool, load.vms)
     needed = math.ceil(load.wanted_cores / FULL_PART / load.size)
+    spacious = math.ceil(load.wanted_cores / SPARE_PART / load.size)
+    least = max(LEAST_VMS, load.least_vms + 1)
     if needed > home:
         return needed
     if may_rest(pool, loads, memory, now):
-        spacious = math.ceil(load.wanted_cores / SPARE_PART / load.size)
-        return min(home, max(LEAST_VMS, load.least_vms + 1, spacious))
-    # VMs beyond the pool's own stay until the demand leaves room to spare.
-    return max(home, min(load.vms, math.ceil(load.wanted_cores / SPARE_PART / load.size)))
+        return min(home, max(least, spacious))
+    if load.wanted_cores > RISING_PART * load.room_cores:
+        return max(home, min(load.vms, spacious))
+    return min(home, max(least, spacious, math.ceil(READY_PART * home)))
 
 
-def _bring(pool: str, count: int, left: dict[str, int]) -> list[VmMove]:
+def _lend(
+    lacking: dict[str, int],
+    idle: dict[str, int],
+    spare: dict[str, int],
+    loads: dict[str, PoolLoad],
+) -> list[VmMove]:
+    """Return moves to the pools that lack VMs; what is lent is taken off what is to spare."""
     moves = []
-    for source, available in left.items():
-        taken = min(count, available)
-        if taken > 0:
-            moves.append(VmMove(source, pool, taken))
-            left[source] -= taken
-            count -= taken
+    left = dict(idle)
+    quiet_first = sorted(spare, key=lambda pool: loads[pool].wanted_cores / loads[pool].size)
+    for target in sorted(lacking, key=lambda pool: -lacking[pool]):
+        count = lacking[target]
+        for sources, names in ((left, list(left)), (spare, quiet_first)):
+            for source in names:
+                taken = min(count, sources[source])
+                if taken > 0:
+                    moves.append(VmMove(source, target, taken))
+                    sources[source] -= taken
+                    count -= taken
     return moves
--- a/limpetpulley/fleet/upkeep.py
+++ b/limpetpulley/fleet/upkeep.py
@@ -69,6 +69,7 @@
     vms: dict[str, FleetVm],
     loads: dict[str, PoolLoad],
     emptying: set[str],
+    begun: set[str],
     now: float,
     day: float,
     seconds: float,
@@ -78,13 +79,17 @@
     :param vms: all VMs by name
     :param loads: load of each pool that is on
     :param emptying: VMs that are being emptied, for whatever reason
+    :param begun: the VMs among them that are emptied for this wave
     :param now: local time
     :param day: time of day, in seconds since 1970
     :param seconds: time that maintenance takes
     """
     away = wave.away(vms, now, seconds)
     left = [vm for vm in wave.left(vms) if vm not in away and vms[vm].phase is Phase.UP]
-    chosen = {vm for vm in left if vm in emptying}
+    chosen: set[str] = set()
+    for vm in left:
+        if vm in begun and len(chosen) + len(away) < wave.order.at_once:
+            chosen.add(vm)
     rounds = math.ceil(len(left) / max(1, wave.order.at_once))
     time_left = wave.begun_at + wave.order.seconds - day
     hurry = time_left < HURRY_FACTOR * rounds * (seconds + EMPTYING_SECONDS)
--- a/limpetpulley/ownership/planner.py
+++ b/limpetpulley/ownership/planner.py
@@ -121,10 +121,13 @@
         seconds = self.around.timing.maintenance + RETURN_SECONDS
         for wave in self.waves.values():
             if not wave.completed:
+                reason = f"wave {wave.order.name}"
+                begun = {vm for vm, why in self.emptying.items() if why == reason}
+                day = self.around.day()
                 chosen = choose_upkeep(
-                    wave, self.vms, loads, set(self.emptying), now, self.around.day(), seconds
+                    wave, self.vms, loads, set(self.emptying), begun, now, day, seconds
                 )
-                wanted |= dict.fromkeys(chosen, f"wave {wave.order.name}")
+                wanted |= dict.fromkeys(chosen, reason)
         for vm, target in self._choose_moves(loads, now).items():
             wanted.setdefault(vm, f"move {target}")
         self._set_emptying(wanted)
@@ -230,6 +233,10 @@
                 await self._move(vm, target)
 
     async def _maintain(self, vm: FleetVm, wave: WaveProgress) -> None:
+        now = self.around.clock.now()
+        away = wave.away(self.vms, now, self.around.timing.maintenance + RETURN_SECONDS)
+        if len(away - {vm.name}) >= wave.order.at_once:
+            return
         wave.ordered[vm.name] = self.around.clock.now()
         self.ended.setdefault(vm.worker_id, False)
         outcome = await self.orders.maintain(vm.name, wave.order.name, self.holder, self.token)
