Test owners on virtual time and by a state machine; stop unanswered starts at a restarted worker

Found by the state machine: a start that a lost incarnation of a worker never answered is carried out by the new one, while the task was started elsewhere. Its run is now stopped at the new incarnation first. Found on virtual time: a taken-over job was shown as queued while it ran.

--- a/limpetpulley/pool/book.py
+++ b/limpetpulley/pool/book.py
@@ -197,9 +197,16 @@
             self.workers[worker_id].present = False
 
     def restart_worker(self, worker: Worker, why: str) -> None:
-        """Drop the runs of an earlier incarnation of a worker."""
+        """Drop the runs of an earlier incarnation of a worker.
+
+        A start that was not answered may still reach the new incarnation, so its run is stopped
+        there first.
+        """
         for run in list(worker.runs.values()):
-            self._drop(run, "worker-restarted")
+            if run.unanswered and not worker.ended:
+                run.phase, run.settled_at, run.sent_at = RunPhase.STOPPING, None, 0.0
+            else:
+                self._drop(run, "worker-restarted")
         for stray in [stray for stray in self.strays if stray.worker_id == worker.worker_id]:
             del self.strays[stray]
         worker.lease.restart()
@@ -256,6 +263,9 @@
             return
         worker = self.workers[run.worker_id]
         worker.heard_at = now
+        run.unanswered -= 1
+        if run.phase is RunPhase.STOPPING:
+            return
         if outcome is StartOutcome.STARTED:
             run.settled_at = worker_seconds + SETTLE_SECONDS
             return
@@ -287,6 +297,7 @@
             job.team,
             checkpoint=self.checkpoints.get(task, "") if step.checkpoints else "",
             begun_at=now,
+            unanswered=1,
         )
         self.next_number += 1
         self._add(run, worker)
@@ -379,6 +390,7 @@
                 job.team,
             )
             self._add(run, worker)
+            job.started = True
             worker.lease.allow(self.longest_hold_seconds)
             self.report(Change("run-adopted", worker.worker_id, row.task, row.number))
         elif run.number != row.number or run.worker_id != worker.worker_id:
--- a/limpetpulley/pool/planning.py
+++ b/limpetpulley/pool/planning.py
@@ -150,6 +150,7 @@
                 orders.append(StopOrder(run.worker_id, run.task, run.number))
             else:
                 run.sent_at = now
+                run.unanswered += 1
                 orders.append(_start_order(book.jobs[run.task.job_id], run))
     return orders
 
--- /dev/null
+++ b/limpetpulley/standin/batchfleet.py
@@ -0,0 +1,179 @@
+"""Daemons that own pools, workers and VMs in one process, for scenarios and the demonstration."""
+
+from __future__ import annotations
+
+import os
+import random
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import anyio
+import anyio.abc
+import attrs
+
+from ..batch import Amount, BatchConfig
+from ..batch.keys import BatchKeys
+from ..clock import Clock
+from ..fleet.vms import WaveOrder
+from ..ownership import Around, BatchNode, Member, Timing, WaveBoard
+from ..store import MemoryStore
+from ..telemetry import EventLog
+from ..workers import ListedWorker, StartOrder
+from .faults import Faults
+from .network import MemoryNetwork, NetworkCaller
+from .store import FaultyStore
+from .vms import MemoryVms
+from .workers import MemoryWorkers, TaskPlan
+
+__all__ = ["BatchFleet", "StartedRun"]
+
+DAY_SECONDS = 1_700_000_000.0
+
+
+@attrs.frozen
+class StartedRun:
+    """A run that a worker began."""
+
+    at: float
+    worker_id: str
+    order: StartOrder
+
+
+@attrs.define
+class _Daemon:
+    node: BatchNode
+    tasks: _DaemonTasks
+
+
+class BatchFleet:
+    """A deployment in memory.
+
+    :param config: queues, pools and teams
+    :param capacity: room of each worker
+    :param log_descriptor: where log lines go, None for nowhere
+    """
+
+    def __init__(
+        self,
+        tasks: anyio.abc.TaskGroup,
+        clock: Clock,
+        config: BatchConfig,
+        capacity: Amount,
+        seed: int = 1,
+        log_descriptor: int | None = None,
+    ):
+        self.tasks = tasks
+        self.clock = clock
+        self.config = config
+        self.rng = random.Random(seed)
+        self.store = MemoryStore(clock)
+        self.faults = Faults()
+        self.network = MemoryNetwork(random.Random(seed))
+        self.counts: Counter[str] = Counter()
+        self.workers = MemoryWorkers()
+        self.board = WaveBoard(lambda name: f"state/{name}", self._encode_state)
+        self.daemons: dict[str, _Daemon] = {}
+        self.runs: list[StartedRun] = []
+        self.descriptor = log_descriptor
+        off = frozenset(pool.name for pool in config.pools.values() if pool.standby)
+        self.vms = MemoryVms(
+            tasks, clock, self.workers, self.plan_run, off, capacity, self._workers_changed
+        )
+        self.vms.started = self._note_started
+        self.seconds = 0.3
+
+    def plan_run(self, order: StartOrder) -> TaskPlan:
+        """Decide what becomes of a run: it is done after the time that its payload names."""
+        need = Amount(1000, 1000)
+        if order.payload == "lasts":
+            return TaskPlan(float("inf"), need=need)
+        return TaskPlan(float(order.payload or self.seconds), need=need)
+
+    def start_daemon(self, name: str) -> BatchNode:
+        """Start a daemon."""
+        store = FaultyStore(self.store, self.faults, self.network, name, self.counts)
+        descriptor = self.descriptor
+        if descriptor is None:
+            descriptor = os.open(os.devnull, os.O_WRONLY)
+        group: Any = _DaemonTasks(self.tasks)
+        around = Around(
+            store,
+            BatchKeys("lp/"),
+            self.workers,
+            self.clock,
+            EventLog(name, descriptor),
+            Timing(move=1.5, maintenance=1.5, holder_lease=1.0),
+            group,
+            lambda: DAY_SECONDS + self.clock.now(),
+        )
+        incarnation = int(self.clock.now() * 1000) + 1
+        member = Member(name, incarnation, f"{name}:1", "dc-1")
+        peers = NetworkCaller(self.network, name, self.tasks)
+        node = BatchNode(around, member, peers, self.vms, self.board)
+        self.network.services[f"{name}:1"] = node.handlers
+        self.daemons[name] = _Daemon(node, group)
+        node.use_config(self.config)
+        node.use_workers(dict(self.vms.listed))
+        node.start()
+        return node
+
+    def kill(self, name: str) -> None:
+        """End a daemon at once, as a loss of power does."""
+        daemon = self.daemons.pop(name)
+        self.network.services.pop(f"{name}:1", None)
+        daemon.tasks.cancel()
+
+    async def leave(self, name: str) -> None:
+        """Stop a daemon gracefully."""
+        await self.daemons[name].node.leave()
+        self.kill(name)
+
+    def order_wave(self, wave: WaveOrder) -> None:
+        """Order a wave of maintenance."""
+        self.board.waves[wave.name] = wave
+
+    def owner_of(self, pool: str) -> str | None:
+        """Return the live daemon that owns a pool, or None."""
+        for name, daemon in self.daemons.items():
+            owner = daemon.node.owned.get(pool)
+            if owner is not None and owner.ready.is_set() and not owner.finished.is_set():
+                return name
+        return None
+
+    def _workers_changed(self, listed: dict[str, ListedWorker]) -> None:
+        for daemon in self.daemons.values():
+            daemon.node.use_workers(listed)
+
+    def _note_started(self, worker_id: str, order: StartOrder) -> None:
+        self.runs.append(StartedRun(self.clock.now(), worker_id, order))
+
+    def _encode_state(self, name: str, completed: bool) -> bytes:
+        return b"completed" if completed else b"running"
+
+
+class _DaemonTasks:
+    """Starts the tasks of one daemon, so that all of them can be ended at once."""
+
+    def __init__(self, tasks: anyio.abc.TaskGroup):
+        self.tasks = tasks
+        self.scopes: set[anyio.CancelScope] = set()
+        self.ended = False
+
+    def start_soon(self, function: Callable[..., Awaitable[Any]], *args: Any) -> None:
+        """Start a task that ends with its daemon."""
+        self.tasks.start_soon(self._run, function, args)
+
+    def cancel(self) -> None:
+        """End all tasks."""
+        self.ended = True
+        for scope in self.scopes:
+            scope.cancel()
+
+    async def _run(self, function: Callable[..., Awaitable[Any]], args: tuple) -> None:
+        if self.ended:
+            return
+        with anyio.CancelScope() as scope:
+            self.scopes.add(scope)
+            await function(*args)
+        self.scopes.discard(scope)
--- a/limpetpulley/standin/network.py
+++ b/limpetpulley/standin/network.py
@@ -36,7 +36,7 @@
     jitter_seconds: float = 0.0003
     loss: float = 0.0
     doubled: float = 0.0
-    services: dict[str, PeerBase] = attrs.field(factory=dict)
+    services: dict[str, Any] = attrs.field(factory=dict)
     apps: dict[str, Callable] = attrs.field(factory=dict)
     hosts: dict[str, str] = attrs.field(factory=dict)
     cut: set[str] = attrs.field(factory=set)
--- a/limpetpulley/workers/state.py
+++ b/limpetpulley/workers/state.py
@@ -128,6 +128,7 @@
     :param begun_at: local time of the order, None for a run of an earlier owner
     :param sent_at: local time when the last order about it was sent, 0 if it must be sent
     :param settled_at: worker time after which a list without it means that it is gone
+    :param unanswered: starts that were sent and not answered; each may be carried out later
     :param speed: percent that was ordered last
     """
 
@@ -141,6 +142,7 @@
     begun_at: float | None = None
     sent_at: float = 0.0
     settled_at: float | None = None
+    unanswered: int = 0
     percent: int = 0
     gauge: float = 0.0
     speed: int = FULL_SPEED
