--- /dev/null
+++ b/limpetpulley/scheduling/tests/test_forecast.py
@@ -0,0 +1,135 @@
+"""Predictions of ends, verdicts, placement and pacing."""
+
+import math
+from collections import Counter
+
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, Is
+
+from ...batch import Amount, Job, JobKey, JobSpec, Step, TaskId
+from ...pool import PoolBook
+from ...workers import ListedWorker, Run, RunPhase, Worker
+from ..backlog import LONGEST_RETRY_SECONDS, Prediction, judge
+from ..forecast import ForecastJob, ForecastStep, play_forward
+from ..pacing import next_speed, pace_fillers
+from ..placement import choose_worker, fits_empty, is_open
+
+
+def steps(*rows, running=()):
+    return ForecastJob([ForecastStep(*row) for row in rows])
+
+
+@pytest.mark.parametrize(
+    ("jobs", "room", "teams", "coming", "ends"),
+    [
+        ([steps((4, 0.25, 1.0))], 1.0, {}, (), [1.0]),
+        ([steps((8, 0.25, 1.0))], 1.0, {}, (), [2.0]),
+        ([steps((1, 0.5, 1.0), (1, 0.5, 2.0, (0,)))], 1.0, {}, (), [3.0]),
+        ([steps((4, 0.25, 1.0)), steps((4, 0.25, 1.0))], 1.0, {}, (), [1.0, 2.0]),
+        ([steps((4, 0.25, 1.0)), steps((1, 0.1, 1.0))], 1.1, {}, (), [1.0, 1.0]),
+        ([steps((4, 0.25, 1.0))], 0.0, {}, ((2.0, 1.0),), [3.0]),
+        ([steps((4, 0.25, 1.0))], 0.0, {}, (), [math.inf]),
+        ([ForecastJob([ForecastStep(4, 0.25, 1.0)], "a")], 1.0, {"a": 0.5}, (), [2.0]),
+        (
+            [ForecastJob([ForecastStep(0, 0.25, 1.0, (), (0.5,))]), steps((4, 0.25, 1.0))],
+            0.75,
+            {},
+            (),
+            [0.5, 1.5],
+        ),
+    ],
+)
+def test_jobs_end_when_room_and_order_allow(jobs, room, teams, coming, ends):
+    assert_that(play_forward(jobs, room, teams, coming), Equals(ends))
+
+
+@pytest.mark.parametrize(
+    ("prediction", "accepted", "retry"),
+    [
+        (Prediction(1.0, 2.0), True, 0),
+        (Prediction(2.5, 2.0), False, 1),
+        (Prediction(5.0, 2.0), False, 4),
+        (Prediction(math.inf, 2.0), False, LONGEST_RETRY_SECONDS),
+        (Prediction(1.0, 2.0, work=5.0, harmed_work=4.0), True, 0),
+        (Prediction(1.0, 2.0, work=5.0, harmed_work=6.0), False, 1),
+    ],
+)
+def test_a_job_is_refused_if_late_or_if_it_harms_more(prediction, accepted, retry):
+    verdict = judge(prediction)
+    assert_that((verdict.accepted, verdict.retry_seconds), Equals((accepted, retry)))
+
+
+def worker(name, cores=4, rack="r1", labels=("a", "r1"), heard=10.0, **fields):
+    listed = ListedWorker(
+        name, "desk", f"{name}:1", 1, Amount(cores * 1000, 8000), "", rack, frozenset(labels)
+    )
+    return Worker(listed, reconciled=True, heard_at=heard, **fields)
+
+
+@pytest.mark.parametrize(
+    ("fields", "now", "expected"),
+    [
+        ({}, 10.0, True),
+        ({"present": False}, 10.0, False),
+        ({"cordoned": True}, 10.0, False),
+        ({"avoid_until": 11.0}, 10.0, False),
+        ({}, 14.0, False),
+    ],
+)
+def test_nothing_starts_on_a_worker_that_may_be_gone(fields, now, expected):
+    assert_that(is_open(worker("w", **fields), now, 2.5), Is(expected))
+
+
+@pytest.mark.parametrize(
+    ("step", "beside", "shunned", "expected"),
+    [
+        (Step(1, Amount(1000, 10)), {}, (), "large"),
+        (Step(1, Amount(9000, 10)), {}, (), None),
+        (Step(1, Amount(1000, 10), label="b"), {}, (), None),
+        (Step(1, Amount(1000, 10), label="r2"), {}, (), "small"),
+        (Step(1, Amount(1000, 10), near_rack="r2"), {}, (), "small"),
+        (Step(1, Amount(1000, 10), max_per_worker=1), {"large": 1}, (), "small"),
+        (Step(1, Amount(1000, 10)), {}, ("large",), "small"),
+        (Step(1, Amount(3000, 10)), {}, ("large",), "large"),
+    ],
+)
+def test_a_task_goes_where_it_may_and_fits_best(step, beside, shunned, expected):
+    workers = [worker("large", 8), worker("small", 2, "r2", ("a", "r2"))]
+    found = choose_worker(step, workers, Counter(beside), shunned)
+    assert_that(found.worker_id if found else None, Equals(expected))
+
+
+def test_tasks_that_last_share_few_workers():
+    workers = [worker("empty", 8), worker("used", 8)]
+    workers[1].used = Amount(2000, 10)
+    found = choose_worker(Step(1, Amount(1000, 10), lasting=True), workers, Counter())
+    assert_that(found.worker_id, Equals("used"))
+
+
+@pytest.mark.parametrize(("cores", "expected"), [(2, True), (9, False)])
+def test_what_fits_nowhere_is_known(cores, expected):
+    step = Step(1, Amount(cores * 1000, 10))
+    assert_that(fits_empty(step, [worker("w", 8)]), Is(expected))
+
+
+@pytest.mark.parametrize(
+    ("speed", "pressure", "expected"),
+    [(100, 0.2, 100), (50, 0.2, 60), (100, 0.7, 100), (100, 0.9, 66), (10, 2.0, 0), (0, 0.2, 10)],
+)
+def test_fillers_slow_before_the_target_is_crossed(speed, pressure, expected):
+    assert_that(next_speed(speed, pressure), Equals(expected))
+
+
+@pytest.mark.parametrize(("tail", "expected"), [(0.5, 0), (0.95, 1)])
+def test_fillers_beside_a_slow_tail_are_paced(tail, expected):
+    serving = Step(1, Amount(1000, 10), lasting=True, latency_target_seconds=1.0)
+    filling = Step(1, Amount(1000, 10), lasting=True, filler=True)
+    book = PoolBook("desk", 1, 0.2, 10.0)
+    book.workers["w"] = worker("w")
+    book.add_job(Job(JobKey("q", "a"), JobSpec("", (serving, filling)), "desk"), 0.0)
+    for number, step in enumerate((serving, filling)):
+        run = Run(TaskId("a", 0, number, 0), number + 1, "w", step.charge, phase=RunPhase.RUNNING)
+        run.gauge, run.percent = (tail if number == 0 else 300.0), 100
+        book._add(run, book.workers["w"])
+    assert_that(len(pace_fillers(book, 20.0)), Equals(expected))
