--- a/limpetpulley/batch/records.py
+++ b/limpetpulley/batch/records.py
@@ -5,6 +5,7 @@
 import json
 from typing import Any
 
+import attrs
 import cattrs
 
 from ..exception import RecordError
@@ -12,6 +13,7 @@
 from .model import JobKey, JobSpec, TaskId
 
 __all__ = [
+    "RosterEntry",
     "decode_job",
     "decode_roster",
     "decode_shares",
@@ -102,20 +104,31 @@
         raise RecordError(f"unreadable job: {error!r}") from None
 
 
-def encode_roster(workers: dict[str, str]) -> bytes:
-    """Return the record of the workers that may hold runs of a pool.
+@attrs.frozen
+class RosterEntry:
+    """Where a worker that may hold runs takes orders, and the VM that it runs on."""
 
-    :param workers: address by worker
-    """
-    return _dump(workers)
+    address: str
+    vm: str
+
+
+def encode_roster(workers: dict[str, RosterEntry]) -> bytes:
+    """Return the record of the workers that may hold runs of a pool."""
+    return _dump({name: [entry.address, entry.vm] for name, entry in workers.items()})
 
 
-def decode_roster(value: bytes) -> dict[str, str]:
-    """Return address by worker.
+def decode_roster(value: bytes) -> dict[str, RosterEntry]:
+    """Return the workers that may hold runs of a pool.
 
     :raises RecordError: if the record cannot be read
     """
-    return {str(worker): str(address) for worker, address in _load(value, "roster").items()}
+    try:
+        return {
+            str(name): RosterEntry(str(row[0]), str(row[1]))
+            for name, row in _load(value, "roster").items()
+        }
+    except (TypeError, IndexError) as error:
+        raise RecordError(f"unreadable record of the roster: {error}") from None
 
 
 def encode_shares(shares: dict[str, tuple[int, int, int]]) -> bytes:
--- a/limpetpulley/ownership/agent.py
+++ b/limpetpulley/ownership/agent.py
@@ -11,7 +11,7 @@
 from ..workers import PaceOrder, RunPhase, StartOrder, StopOrder, Worker
 from .around import Around
 
-__all__ = ["WorkerAgent", "lease_seconds"]
+__all__ = ["UNSEEN_OWNER_SECONDS", "WorkerAgent", "lease_seconds"]
 
 #: part of the longest lease that is asked for; what is left covers a worker's slow clock
 LEASE_PART = 0.9
@@ -29,6 +29,9 @@
 #: age of a worker's last answer above which its lease is not extended, so that the lease of a
 #: worker that is lost, or that hears but is not heard, lapses
 EXTEND_SECONDS = 2.5
+#: time without its claim's renewal after which an owner that the store does not hear stops to
+#: extend leases; with the lease's length it bounds how long runs that a new owner does not see live
+UNSEEN_OWNER_SECONDS = 12.0
 #: pause after a hold without an answer
 RETRY_SECONDS = 0.2
 
@@ -43,6 +46,7 @@
 
     :param worker: the worker's entry in the book
     :param changed: called when the book has changed
+    :param claim_age: returns the time since the owner's claim was last renewed, in seconds
     :param stored: returns an event that is set when progress was stored
     """
 
@@ -53,7 +57,9 @@
         worker: Worker,
         changed: Callable[[], None],
         stored: Callable[[], anyio.Event],
+        claim_age: Callable[[], float],
     ):
+        self.claim_age = claim_age
         self.around = around
         self.book = book
         self.worker = worker
@@ -75,7 +81,8 @@
         worker, now = self.worker, self.around.clock.now()
         until = None
         heard = now - worker.heard_at <= EXTEND_SECONDS
-        if worker.reconciled and heard and worker.lease.worker_seconds is not None:
+        seen = self.claim_age() <= UNSEEN_OWNER_SECONDS
+        if worker.reconciled and heard and seen and worker.lease.worker_seconds is not None:
             until = worker.lease.extend(now, lease_seconds(self.around.timing.longest_hold))
         wait = self.wait_seconds() if worker.reconciled else 0.0
         with anyio.fail_after(wait + ANSWER_SECONDS):
@@ -129,6 +136,8 @@
         run = self.book.runs.get(order.task)
         if run is None or run.number != order.number or self.worker.lease.worker_seconds is None:
             return
+        if self.claim_age() > UNSEEN_OWNER_SECONDS:
+            return
         now = self.around.clock.now()
         until = self.worker.lease.extend(now, lease_seconds(self.around.timing.longest_hold))
         reply = await self.around.orders.start(self.worker.listed, order, self.book.token, until)
--- a/limpetpulley/ownership/node.py
+++ b/limpetpulley/ownership/node.py
@@ -178,11 +178,11 @@
     def _begin(self, pool: str, token: int) -> None:
         if pool == PLANNER:
             self.planning = FleetPlanning(
-                self.around, self.vms, self.board, self.member.name, token
+                self.around, self.vms, self.board, self.member.name, token, self.session.age
             )
             start_guarded(self.around.tasks, self._plan, self.planning)
         else:
-            owner = PoolOwner(self.around, pool, token, self.ask_planner)
+            owner = PoolOwner(self.around, pool, token, self.ask_planner, self.session.age)
             self.owned[pool] = owner
             start_guarded(self.around.tasks, self._own, owner)
 
--- a/limpetpulley/ownership/owner.py
+++ b/limpetpulley/ownership/owner.py
@@ -10,7 +10,7 @@
 import attrs
 
 from ..batch import Job, JobKey, JobSpec, JobState, QueueRule
-from ..batch.records import decode_job, decode_roster, encode_roster
+from ..batch.records import decode_job, decode_roster
 from ..exception import NotOwnerError, RecordError, StoreError, StoreUnavailable
 from ..peer import batch_pb2 as pb
 from ..pool import Change, PlanningLimits, PoolBook, plan_orders
@@ -19,11 +19,12 @@
 from ..scheduling.backlog import LONGEST_RETRY_SECONDS, Verdict, judge
 from ..scheduling.pacing import pace_fillers
 from ..scheduling.placement import fits_empty
-from ..store import Compare, Event, Put
+from ..store import Compare, Event
 from ..workers import StartOrder, Worker
-from .agent import WorkerAgent, lease_seconds, name_task
+from .agent import UNSEEN_OWNER_SECONDS, WorkerAgent, lease_seconds, name_task
 from .around import Around
 from .reporting import PoolReporter, RefusedWork
+from .roster import RosterKeeper
 from .sharing import ShareKeeper
 from .writer import OwnerWriter
 
@@ -33,9 +34,6 @@
 PLAN_GAP_SECONDS = 0.005
 #: longest time between two plans, for orders to send again and leases that lapse
 PLAN_PAUSE_SECONDS = 0.25
-#: time without its claim's renewal after which an owner that the store does not hear stops to
-#: extend leases; with the lease's length it bounds how long unseen runs may live
-UNSEEN_OWNER_SECONDS = 12.0
 #: time between two looks for ended jobs whose records can go
 CLEAN_SECONDS = 10.0
 #: time until which a caller is told to come back after an owner's failure, in whole seconds
@@ -62,6 +60,7 @@
 
     :param token: revision of the claim: the fencing token for workers
     :param ask_planner: sends a report to the fleet's planner
+    :param claim_age: returns the time since the claim was last renewed, in seconds
     """
 
     def __init__(
@@ -70,7 +69,9 @@
         pool: str,
         token: int,
         ask_planner: Callable[[pb.PoolReport], Awaitable[pb.PoolPlan | None]],
+        claim_age: Callable[[], float],
     ):
+        self.claim_age = claim_age
         self.around = around
         self.pool = pool
         self.token = token
@@ -81,10 +82,11 @@
         self.shares = TeamShares(pool)
         self.keeper = ShareKeeper(around, self.book, self.shares, self.writer)
         self.refused = RefusedWork()
-        self.reporter = PoolReporter(around, self.book, self.refused, ask_planner, self.wake)
         self.agents: dict[str, WorkerAgent] = {}
-        self.roster: dict[str, str] = {}
-        self.roster_stored: set[str] = set()
+        self.roster = RosterKeeper(around, self.book, self.writer, self.wake)
+        self.reporter = PoolReporter(
+            around, self.book, self.refused, self.roster, ask_planner, self.wake
+        )
         self.dirty = anyio.Event()
         self.progress_event = anyio.Event()
         self.ready = anyio.Event()
@@ -106,6 +108,7 @@
                         self.writer.run_flushes,
                         self.keeper.run,
                         self.reporter.run,
+                        self.roster.run,
                         self._run_plans,
                         self._run_cleaning,
                     ):
@@ -151,18 +154,13 @@
 
     async def _take_over(self) -> None:
         store, keys, begun = self.around.store, self.around.keys, self.around.clock.now()
-        roster = await store.get(keys.roster(self.pool))
-        if roster is not None:
-            self.roster = decode_roster(roster.value)
-            self.roster_stored = set(self.roster)
+        entry = await store.get(keys.roster(self.pool))
         await self._read_jobs()
-        for worker_id in self.roster:
-            if worker_id in self.around.workers or not self.book.jobs:
-                continue
-            self.around.log.write("worker-unlisted", pool=self.pool, worker=worker_id)
-        unseen = UNSEEN_OWNER_SECONDS + lease_seconds(self.around.timing.longest_hold)
+        if entry is not None:
+            self.roster.inherit(decode_roster(entry.value))
         if self.book.inherited:
-            self.book.awaited = dict.fromkeys(self.roster, begun + unseen)
+            unseen = UNSEEN_OWNER_SECONDS + lease_seconds(self.around.timing.longest_hold)
+            self.book.awaited = dict.fromkeys(self.roster.inherited, begun + unseen)
         await self.keeper.read()
         self.ready.set()
         self.around.log.write(
@@ -170,7 +168,7 @@
             pool=self.pool,
             token=self.token,
             jobs=len(self.book.jobs),
-            workers=len(self.roster),
+            workers=len(self.roster.inherited),
             seconds=round(self.around.clock.now() - begun, 3),
         )
 
@@ -297,7 +295,9 @@
         self.wake()
 
     def _begin_agent(self, worker: Worker) -> None:
-        agent = WorkerAgent(self.around, self.book, worker, self.wake, lambda: self.progress_event)
+        agent = WorkerAgent(
+            self.around, self.book, worker, self.wake, lambda: self.progress_event, self.claim_age
+        )
         self.agents[worker.worker_id] = agent
         self.tasks.start_soon(self._guard, agent.run)
 
@@ -328,7 +328,7 @@
         if self.book.unstored_jobs():
             self.writer.flush_needed.set()
         self.keeper.wake_if_short()
-        await self._store_roster({order.worker_id for order in orders})
+        self.roster.wake_if_new()
         for order in orders:
             agent = self.agents.get(order.worker_id)
             if agent is None:
@@ -343,24 +343,6 @@
                 )
             self.tasks.start_soon(agent.send, order)
 
-    async def _store_roster(self, used: set[str]) -> None:
-        """Store which workers may hold runs before the first run is ordered on one."""
-        if used <= self.roster_stored:
-            return
-        self.roster.update(
-            {name: worker.listed.address for name, worker in self.book.workers.items()}
-        )
-        self.roster = {name: at for name, at in self.roster.items() if name in self.book.workers}
-        key, value = self.around.keys.roster(self.pool), encode_roster(self.roster)
-        while True:
-            try:
-                await self.writer.commit([], [Put(key, value)])
-                break
-            except (StoreUnavailable, StoreError) as error:
-                self.around.log.write("roster-not-stored", pool=self.pool, reason=str(error))
-                await anyio.sleep(FAILURE_RETRY_SECONDS)
-        self.roster_stored = set(self.roster)
-
     async def _run_cleaning(self) -> None:
         keep = self.around.timing.keep_ended
         while True:
--- a/limpetpulley/ownership/planner.py
+++ b/limpetpulley/ownership/planner.py
@@ -15,6 +15,7 @@
 from ..peer import batch_pb2 as pb
 from ..store import Compare, Put
 from .around import Around
+from .session import LEASE_SECONDS
 
 __all__ = ["PLANNER", "FleetPlanning", "WaveBoard"]
 
@@ -22,8 +23,13 @@
 PLANNER = "@planner"
 #: time between two looks, in seconds
 LOOK_SECONDS = 0.4
+#: part of the claim's lease after whose last renewal no more orders are given: another holder may
+#: begin when it has lapsed
+CLAIM_PART = 0.8
 #: age of a pool's report above which the pool is left as it is, in seconds
 REPORT_SECONDS = 2.5
+#: time for which nothing starts on a worker whose VM was ordered away, in seconds
+RETIRE_SECONDS = 3.0
 #: time between two log lines on the pools' loads, in seconds
 LOG_SECONDS = 1.0
 #: time after an order in which its VM counts as away beyond the maintenance itself
@@ -57,9 +63,19 @@
 
     :param holder: name of this daemon, told with each order
     :param token: revision of the claim: the fencing token
+    :param claim_age: returns the time since the claim was last renewed, in seconds
     """
 
-    def __init__(self, around: Around, orders: VmOrders, board: WaveBoard, holder: str, token: int):
+    def __init__(
+        self,
+        around: Around,
+        orders: VmOrders,
+        board: WaveBoard,
+        holder: str,
+        token: int,
+        claim_age: Callable[[], float],
+    ):
+        self.claim_age = claim_age
         self.around = around
         self.orders = orders
         self.board = board
@@ -74,8 +90,9 @@
         self.told: dict[str, float] = {}
         self.moving: dict[str, tuple[str, float]] = {}
         self.memory = PoolMoves()
-        # Workers whose VM was ordered away, and whether the platform has confirmed it.
-        self.ended: dict[str, bool] = {}
+        # Workers whose VM was ordered away, and until when they take no runs for that, by local
+        # time. An order that was carried out before is confirmed though the worker stays.
+        self.ended: dict[str, float] = {}
         self.logged_at = 0.0
 
     async def run(self) -> None:
@@ -95,6 +112,7 @@
         """Take a pool's report; return which of its VMs are to be emptied."""
         self.reports[message.pool] = _Report(message, self.around.clock.now())
         mine = {row.worker for row in message.workers}
+        ended = {row.worker for row in message.workers if self._has_ended(row.worker, row.vm)}
         for name in self.emptying:
             vm = self.vms.get(name)
             if vm is not None and vm.worker_id in mine:
@@ -105,9 +123,20 @@
         return pb.PoolPlan(
             outcome=pb.ACCEPTED,
             cordoned_workers=sorted(mine & emptied),
-            ended_workers=sorted(mine & {name for name, done in self.ended.items() if done}),
+            ended_workers=sorted(ended),
         )
 
+    def _has_ended(self, worker_id: str, vm_name: str) -> bool:
+        """Return whether a worker's VM runs another worker now, or was ordered away."""
+        vm = self.vms.get(vm_name)
+        if vm is None:
+            return False
+        if vm.phase in (Phase.MOVING, Phase.MAINTENANCE):
+            return True
+        rule = self.around.config.pools.get(vm.pool) if self.around.config else None
+        off = rule is not None and rule.standby
+        return vm.phase is Phase.UP and vm.worker_id != worker_id and (bool(vm.worker_id) or off)
+
     async def _look(self) -> None:
         now = self.around.clock.now()
         self.vms = {vm.name: vm for vm in await self.orders.list_vms()}
@@ -201,7 +230,7 @@
     def _row(self, vm: FleetVm) -> pb.WorkerReport | None:
         report = self.reports.get(vm.pool)
         rows = report.message.workers if report else ()
-        return next((row for row in rows if row.vm == vm.name), None)
+        return next((row for row in rows if row.worker == vm.worker_id), None)
 
     def _is_empty(self, vm: FleetVm, now: float) -> bool:
         if not vm.worker_id:
@@ -222,6 +251,9 @@
         self.told = {vm: at for vm, at in self.told.items() if vm in wanted}
 
     async def _give_orders(self, now: float) -> None:
+        if self.claim_age() > LEASE_SECONDS * CLAIM_PART:
+            self.around.log.write("orders-withheld", age=round(self.claim_age(), 2))
+            return
         for name, why in list(self.emptying.items()):
             vm = self.vms.get(name)
             if vm is None or vm.phase is not Phase.UP or not self._is_empty(vm, now):
@@ -238,20 +270,19 @@
         if len(away - {vm.name}) >= wave.order.at_once:
             return
         wave.ordered[vm.name] = self.around.clock.now()
-        self.ended.setdefault(vm.worker_id, False)
+        self.ended[vm.worker_id] = self.around.clock.now() + RETIRE_SECONDS
         outcome = await self.orders.maintain(vm.name, wave.order.name, self.holder, self.token)
         self._log_order("vm-maintained", vm, wave.order.name, outcome)
         if outcome in (OrderOutcome.DONE, OrderOutcome.NOT_IN_WAVE):
             self.emptying.pop(vm.name, None)
             wave.done.add(vm.name)
-            self.ended[vm.worker_id] = outcome is OrderOutcome.DONE
             await self._store_wave(wave)
         else:
             wave.ordered.pop(vm.name)
             self.ended.pop(vm.worker_id, None)
 
     async def _move(self, vm: FleetVm, target: str) -> None:
-        self.ended.setdefault(vm.worker_id, False)
+        self.ended[vm.worker_id] = self.around.clock.now() + RETIRE_SECONDS
         outcome = await self.orders.move(vm.name, target, self.holder, self.token)
         self._log_order("vm-moved", vm, target, outcome)
         if outcome is not OrderOutcome.DONE:
@@ -259,11 +290,11 @@
         if outcome is not OrderOutcome.BUSY:
             self.emptying.pop(vm.name, None)
         if outcome is OrderOutcome.DONE:
-            self.ended[vm.worker_id] = True
             until = self.around.clock.now() + self.around.timing.move + JOIN_SECONDS
             self.moving[vm.name] = (target, until)
 
     def _settle_moves(self, now: float) -> None:
+        self.ended = {worker: until for worker, until in self.ended.items() if until > now}
         for name, (target, until) in list(self.moving.items()):
             vm = self.vms.get(name)
             joined = vm is not None and vm.pool == target and vm.phase is Phase.UP
--- a/limpetpulley/ownership/reporting.py
+++ b/limpetpulley/ownership/reporting.py
@@ -13,6 +13,7 @@
 from ..pool import PoolBook
 from ..pool.outlook import least_workers, pool_room, remaining_work
 from .around import Around
+from .roster import RosterKeeper
 
 __all__ = ["PoolReporter", "RefusedWork"]
 
@@ -44,6 +45,7 @@
 class PoolReporter:
     """Tells the planner how a pool is doing.
 
+    :param roster: workers that may hold runs of an earlier owner
     :param ask: sends a report to the planner, wherever it is; returns None if there is none
     :param changed: called when the book has changed
     """
@@ -53,12 +55,14 @@
         around: Around,
         book: PoolBook,
         refused: RefusedWork,
+        roster: RosterKeeper,
         ask: Callable[[pb.PoolReport], Awaitable[pb.PoolPlan | None]],
         changed: Callable[[], None],
     ):
         self.around = around
         self.book = book
         self.refused = refused
+        self.roster = roster
         self.ask = ask
         self.changed = changed
         self.answered_at = around.clock.now()
@@ -78,6 +82,7 @@
     def use_plan(self, emptied: set[str], ended: Iterable[str]) -> None:
         """Start nothing more on workers that are to be emptied; drop the runs of ended ones."""
         for worker_id in ended:
+            self.book.awaited.pop(worker_id, None)
             worker = self.book.workers.get(worker_id)
             if worker is not None and not worker.ended:
                 worker.ended = True
@@ -118,6 +123,11 @@
                 )
                 for worker in book.workers.values()
                 if worker.present or worker.runs
+            ]
+            + [
+                pb.WorkerReport(worker=name, vm=self.roster.inherited[name].vm, cordoned=True)
+                for name in book.awaited
+                if name not in book.workers and name in self.roster.inherited
             ],
             waiting_core_seconds=waiting,
             running_cores=used / 1000,
--- a/limpetpulley/ownership/session.py
+++ b/limpetpulley/ownership/session.py
@@ -54,18 +54,22 @@
             try:
                 if not self.lease:
                     await self._begin()
-                elif await self.store.renew_lease(self.lease):
-                    self.renewed_at = self.clock.now()
                 else:
-                    self.lose("lease-ended")
-                    continue
+                    asked_at = self.clock.now()
+                    if not await self.store.renew_lease(self.lease):
+                        self.lose("lease-ended")
+                        continue
+                    self.renewed_at = asked_at
             except (StoreUnavailable, StoreError) as error:
-                age = self.clock.now() - self.renewed_at
-                self.log.write("lease-not-renewed", reason=str(error), age=round(age, 2))
+                self.log.write("lease-not-renewed", reason=str(error), age=round(self.age(), 2))
                 await anyio.sleep(RETRY_SECONDS)
                 continue
             await anyio.sleep(RENEW_SECONDS)
 
+    def age(self) -> float:
+        """Return the time since the lease was last renewed, in seconds."""
+        return self.clock.now() - self.renewed_at
+
     def lose(self, reason: str) -> None:
         """Give up the lease and everything that was claimed under it."""
         self.log.write("session-lost", lease=self.lease, reason=reason)
--- a/limpetpulley/pool/book.py
+++ b/limpetpulley/pool/book.py
@@ -222,7 +222,8 @@
             if worker.runs and worker.lease.has_lapsed(now):
                 for run in list(worker.runs.values()):
                     self._drop(run, "lease-lapsed")
-            if not worker.present and not worker.runs and worker.lease.has_lapsed(now):
+            gone = worker.ended or (not worker.present and worker.lease.has_lapsed(now))
+            if gone and not worker.runs:
                 del self.workers[worker.worker_id]
                 self.unstored.pop(worker.worker_id, None)
                 self.report(Change("worker-gone", worker.worker_id))
@@ -246,6 +247,8 @@
         worker.lease.note_answer(reply.worker_seconds, now)
         worker.heard_at = now
         worker.reconciled = True
+        if worker.runs and not worker.lease.until_seconds:
+            worker.lease.allow(self.longest_hold_seconds)
         for end in sorted(reply.ended, key=lambda end: end.position):
             if end.position > worker.seen_through:
                 self._note_end(worker, end, now, day)
@@ -269,6 +272,10 @@
         if outcome is StartOutcome.STARTED:
             run.settled_at = worker_seconds + SETTLE_SECONDS
             return
+        if run.unanswered:
+            # An earlier copy of this start may still be carried out.
+            run.phase, run.settled_at, run.sent_at = RunPhase.STOPPING, None, 0.0
+            return
         if outcome is StartOutcome.NO_ROOM:
             worker.avoid_until = now + NO_ROOM_SECONDS
         elif outcome is not StartOutcome.LATE:
--- a/limpetpulley/pool/tests/test_machine.py
+++ b/limpetpulley/pool/tests/test_machine.py
@@ -99,7 +99,7 @@
         for job_id in self.descriptions:
             self.book.add_job(self.read_job(job_id), 0.0, inherited=True)
         for worker in self.workers.values():
-            self.book.list_worker(worker.listed)
+            self.book.list_worker(worker.listed).rostered = True
         if self.book.inherited:
             until = self.clock.now() + 2 * LONGEST_HOLD_SECONDS
             self.book.awaited = dict.fromkeys(self.workers, until)
--- a/limpetpulley/workers/state.py
+++ b/limpetpulley/workers/state.py
@@ -155,6 +155,7 @@
     :param listed: what the platform lists of it, with its last known address
     :param present: whether the platform lists it now
     :param reconciled: whether it has answered a hold with this owner's token
+    :param rostered: whether the store knows that it may hold runs of the pool
     :param cordoned: whether nothing more is to start there
     :param ended: whether its VM was ordered away, so that nothing runs there any more
     :param heard_at: local time of its last answer
@@ -168,6 +169,7 @@
     listed: ListedWorker
     present: bool = True
     reconciled: bool = False
+    rostered: bool = False
     cordoned: bool = False
     ended: bool = False
     heard_at: float = 0.0
