--- a/limpetpulley/cli/fleet.py
+++ b/limpetpulley/cli/fleet.py
@@ -186,10 +186,13 @@
             return ExitStatus.OK
         rows = [(index, ", ".join(names)) for index, names in enumerate(plan["rounds"], 1)]
         session.table(f"{plan['vms']} VMs", ["round", "taken at once"], rows)
-        session.say(
-            f"about {plan['seconds']:.0f} s; the budgets allow no less than "
-            f"{plan['bound_seconds']:.0f} s"
-        )
+        if plan["rounds"]:
+            session.say(
+                f"about {plan['seconds']:.0f} s; the budgets allow no less than "
+                f"{plan['bound_seconds']:.0f} s"
+            )
+        elif plan["vms"]:
+            session.say("no time can be told: the budgets let no VM go")
         if plan["binding_budgets"]:
             session.say(f"held back by: {', '.join(plan['binding_budgets'])}")
         if plan["blocked"]:
--- a/limpetpulley/daemon/heartbeat.py
+++ b/limpetpulley/daemon/heartbeat.py
@@ -3,19 +3,24 @@
 from __future__ import annotations
 
 from collections import Counter
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 import anyio
 from absl import logging
 
+from ..clock import Clock
+from ..config import ConfigReplica
 from ..exception import ConfigError, PeerError
-from ..peer import convert
+from ..membership import Member
+from ..peer import PeerCaller, convert
 from ..peer import peer_pb2 as pb
 from ..quota import GroupReport
+from ..scheduling.starter import Starter
+from ..settings import Settings
 from ..tasks import start_guarded
-
-if TYPE_CHECKING:
-    from .node import Node
+from .peers import PeerTable
+from .store_link import StoreLink
+from .trading import Trader
 
 __all__ = ["Heartbeats"]
 
@@ -23,13 +28,36 @@
 SHORTEST_SECONDS = 0.2
 
 
+class Beating(Protocol):
+    """What a daemon tells others of, and what it does with their replies."""
+
+    member: Member
+    peers: PeerTable
+    trader: Trader
+    starter: Starter
+    replica: ConfigReplica
+    link: StoreLink
+    client: PeerCaller
+    clock: Clock
+    settings: Settings
+    tasks: anyio.abc.TaskGroup
+    groups: list[str]
+    leaving: bool
+
+    def busy_vms(self) -> list[str]:
+        """Return the VMs that run this daemon's jobs."""
+
+    def on_config(self) -> None:
+        """Note that the configuration has changed."""
+
+
 class Heartbeats:
     """Tells every other daemon regularly what it needs to know, and fetches what is missing.
 
     :param node: the daemon
     """
 
-    def __init__(self, node: Node):
+    def __init__(self, node: Beating):
         self.node = node
         self.fetching = False
         self.planners: set[str] = set()
--- a/limpetpulley/daemon/reporting.py
+++ b/limpetpulley/daemon/reporting.py
@@ -2,25 +2,37 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 import anyio
 from absl import logging
 
-from ..idempotency import choose_holders
-from ..membership import MemberInfo, View
-from ..peer import convert
+from ..clock import Clock
+from ..idempotency import RecordBook, choose_holders
+from ..membership import Member, MemberInfo, View
+from ..peer import PeerCaller, convert
 from ..peer import peer_pb2 as pb
-
-if TYPE_CHECKING:
-    from .node import Node
+from .peers import PeerTable
 
 __all__ = ["collect_report", "push_records"]
 
 RECORD_BATCH = 500
 
 
-async def collect_report(node: Node, view: View, revision: int) -> dict[str, int] | None:
+class RecordHolder(Protocol):
+    """What a daemon needs to report for a view and to move its records."""
+
+    member: Member
+    book: RecordBook
+    peers: PeerTable
+    client: PeerCaller
+    clock: Clock
+
+    def on_view(self) -> None:
+        """Note that the view has changed."""
+
+
+async def collect_report(node: RecordHolder, view: View, revision: int) -> dict[str, int] | None:
     """Return what this member holds, once its records are where the view wants them.
 
     :returns: None if this member may not report for the view
@@ -34,7 +46,7 @@
     return held
 
 
-async def push_records(node: Node, view: View) -> None:
+async def push_records(node: RecordHolder, view: View) -> None:
     """Send the records held here to the members that newly hold them in a view.
 
     :raises PeerError: if one of them does not answer
@@ -53,7 +65,7 @@
         await _push_records(node, info, records)
 
 
-async def _push_records(node: Node, info: MemberInfo, records: list[pb.KeyRecord]) -> None:
+async def _push_records(node: RecordHolder, info: MemberInfo, records: list[pb.KeyRecord]) -> None:
     found = node.peers.find(info.member) or info
     for start in range(0, len(records), RECORD_BATCH):
         batch = pb.RecordBatch(records=records[start : start + RECORD_BATCH])
--- a/limpetpulley/platform/callers.py
+++ b/limpetpulley/platform/callers.py
@@ -10,7 +10,8 @@
 from ..batch import JobSpec, QueueRule, Step
 from ..exception import JobRefused, RecordError, StoreError, StoreUnavailable
 from ..ownership import BatchNode, Outcome, Submission
-from .decode import amount, flag, load, number, rows, text, whole
+from ..reading import flag, load, number, rows, text, whole
+from .amounts import amount
 
 __all__ = ["CallersApp", "decode_job_spec", "readiness_app"]
 
--- a/limpetpulley/platform/config.py
+++ b/limpetpulley/platform/config.py
@@ -5,7 +5,8 @@
 from typing import Any
 
 from ..batch import AdviceRule, Amount, BatchConfig, PoolRule, QueueRule, TeamRule
-from .decode import amount, flag, load, number, rows, text, whole
+from ..reading import flag, load, number, rows, text, whole
+from .amounts import amount
 
 __all__ = ["CONFIG_KEY", "OPERATOR_PREFIX", "decode_config"]
 
--- a/limpetpulley/platform/settings.py
+++ b/limpetpulley/platform/settings.py
@@ -9,7 +9,7 @@
 
 from ..exception import RecordError, SettingsError
 from ..ownership import Timing
-from .decode import load, number, text, whole
+from ..reading import load, number, text, whole
 
 __all__ = ["PlatformSettings", "SETTINGS_VARIABLE", "read_settings"]
 
--- a/limpetpulley/platform/store.py
+++ b/limpetpulley/platform/store.py
@@ -11,8 +11,8 @@
 
 from ..exception import HttpError, RecordError, StoreError, StoreUnavailable
 from ..http_client import HttpAnswer, HttpCaller
+from ..reading import load, rows, text, whole
 from ..store import Compare, Delete, Entry, Event, Put, Snapshot, TxnResult
-from .decode import load, rows, text, whole
 
 __all__ = ["PlatformStore"]
 
--- /dev/null
+++ b/limpetpulley/platform/tests/test_deploy.py
@@ -0,0 +1,266 @@
+"""The deploy file, and the program that it names, started from rendered settings."""
+
+import asyncio
+import json
+import os
+import pathlib
+import re
+import shlex
+import signal
+import socket
+import subprocess
+import sys
+import tomllib
+
+import anyio
+import httpcore
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Contains, Equals
+
+from ...api.server import HttpServer
+from ...batch import Amount
+from ...clock import SystemClock
+from ...standin.workers import MemoryWorker, TaskPlan
+from ...store import Put
+from ...workers import ListedWorker
+from .standin import PlatformStandin
+
+ROOT = pathlib.Path(__file__).parents[3]
+START_SECONDS = 20.0
+JOB = {"spec": "text", "phases": [{"count": 2, "cpu": 100}, {"count": 1, "after": [0]}]}
+CONFIG = {
+    "version": 3,
+    "routes": [
+        {
+            "name": "r-1",
+            "host": "desk.example",
+            "pathPrefix": "/q/",
+            "service": "desk",
+            "maxAttempts": 2,
+            "stretch": 2,
+            "targetLatencyMs": 2000,
+            "timeoutMs": 3000,
+        }
+    ],
+    "services": [{"name": "desk", "admissionCheck": True}],
+    "tenants": [{"name": "t-1", "apiKeys": ["secret"], "weight": 1}],
+}
+
+
+def deploy_file():
+    return tomllib.loads((ROOT / "deploy/system.toml").read_text())
+
+
+def test_the_deploy_file_names_one_role_on_every_entry_vm():
+    deploy = deploy_file()
+    assert_that(list(deploy["roles"]), Equals(["entry"]))
+    role = deploy["roles"]["entry"]
+    assert_that((role["on"], role["share"], role["serves"]), Equals(("edge", 1.0, ["edge"])))
+    assert_that(deploy["build"], Contains("target/deps"))
+
+
+def test_what_the_build_installs_is_pinned():
+    pinned = {
+        line.partition("==")[0].lower()
+        for line in (ROOT / "constraints.txt").read_text().splitlines()
+    }
+    wanted = (ROOT / "deploy/requirements.txt").read_text().splitlines()[1:]
+    missing = {re.split(r"\[", line)[0].lower() for line in wanted} - pinned
+    assert_that(missing, Equals(set()))
+
+
+def free_ports(count):
+    sockets = [socket.socket() for _ in range(count)]
+    for each in sockets:
+        each.bind(("127.0.0.1", 0))
+    ports = [each.getsockname()[1] for each in sockets]
+    for each in sockets:
+        each.close()
+    return ports
+
+
+def render_settings(platform_port, callers, readiness, peers):
+    platform = f"127.0.0.1:{platform_port}"
+    return {
+        "nodeName": "edge-dc-1-1",
+        "zone": "dc-1",
+        "ip": "127.0.0.1",
+        "listen": {
+            "frontend": f"127.0.0.1:{callers}",
+            "readiness": f"127.0.0.1:{readiness}",
+        },
+        "internalPorts": [peers, peers + 15],
+        "bounds": {
+            "holdMaxMs": 10000,
+            "stopMs": 200,
+            "gangTimeoutMs": 3000,
+            "status_s": 120,
+            "graceS": 1,
+            "moveS": 1.5,
+            "maintenanceS": 2,
+            "leaseMs": 300,
+        },
+        "platform": {"address": platform, "ttlMinMs": 1000},
+        "cloud": {"address": platform},
+        "later": {"unknown": True},
+    }
+
+
+async def ask(http, method, port, path, content=b"", key="secret"):
+    headers = {"Host": "desk.example", "Authorization": f"Bearer {key}", "Deadline-Ms": "3000"}
+    answer = await http.request(
+        method, f"http://127.0.0.1:{port}{path}", headers=headers, content=content
+    )
+    return answer.status, answer.content, dict(answer.headers)
+
+
+async def wait_ready(http, port):
+    with anyio.fail_after(START_SECONDS):
+        while True:
+            try:
+                if (await ask(http, "GET", port, "/api/readyz"))[0] == 200:
+                    return
+            except httpcore.NetworkError:
+                pass
+            await anyio.sleep(0.05)
+
+
+async def serve_a_job(tmp_path):
+    callers, readiness, peers = free_ports(3)
+    async with anyio.create_task_group() as tasks:
+        platform = PlatformStandin()
+        server = HttpServer(platform, "127.0.0.1", 0)
+        await tasks.start(server.serve)
+        address = f"127.0.0.1:{server.port}"
+        listed = ListedWorker("i-1", "desk", address, 7, Amount(4000, 4000))
+        platform.workers["i-1"] = MemoryWorker(listed, SystemClock(), lambda order: TaskPlan(0.1))
+        entry = {
+            "service": "desk",
+            "address": address,
+            "state": "ready",
+            "capacity": {"cpu": 4000, "memMb": 4000, "gpu": 0},
+            "labels": ["a", "r1"],
+            "machine": "m-1",
+            "born": 7,
+        }
+        await platform.store.commit([], [Put("op/config", json.dumps(CONFIG).encode())])
+        await platform.store.commit([], [Put("servers/i-1", json.dumps(entry).encode())])
+        settings = tmp_path / "boot.json"
+        settings.write_text(json.dumps(render_settings(server.port, callers, readiness, peers)))
+        command = shlex.split(deploy_file()["roles"]["entry"]["run"])
+        process = subprocess.Popen(
+            [sys.executable, *command[1:]],
+            cwd=ROOT,
+            env={"LIMPETPULLEY_CONFIG": str(settings), "PATH": os.environ["PATH"]},
+            stdout=subprocess.PIPE,
+        )
+        try:
+            async with httpcore.AsyncConnectionPool() as http:
+                await wait_ready(http, readiness)
+                told = await play_calls(http, callers)
+            process.send_signal(signal.SIGTERM)
+            output, _ = await asyncio.to_thread(process.communicate, timeout=START_SECONDS)
+        finally:
+            if process.poll() is None:
+                process.kill()
+        tasks.cancel_scope.cancel()
+    return told, process.returncode, output
+
+
+async def play_calls(http, port):
+    path = "/q/00000000000000ab"
+    told = {
+        "unknown": (await ask(http, "GET", port, path))[0],
+        "no key": (await ask(http, "POST", port, path, json.dumps(JOB).encode(), "wrong"))[0],
+        "no queue": (await ask(http, "GET", port, "/other/"))[0],
+        "nonsense": (await ask(http, "POST", port, path, b"{}"))[0],
+        "accepted": (await ask(http, "POST", port, path, json.dumps(JOB).encode()))[0],
+        "again": (await ask(http, "POST", port, path, json.dumps(JOB).encode()))[0],
+        "too large": (
+            await ask(
+                http,
+                "POST",
+                port,
+                "/q/00000000000000ac",
+                json.dumps({"phases": [{"count": 1, "cpu": 99000}]}).encode(),
+            )
+        )[::2],
+    }
+    with anyio.fail_after(START_SECONDS):
+        while True:
+            content = (await ask(http, "GET", port, path))[1]
+            if json.loads(content) == {"state": "completed"}:
+                break
+            await anyio.sleep(0.02)
+    told["pending"] = json.loads((await ask(http, "GET", port, "/q/"))[1])
+    told["cancelled"] = (await ask(http, "DELETE", port, path))[0]
+    return told
+
+
+@pytest.mark.integration
+def test_the_program_serves_a_job_and_stops_gracefully(tmp_path):
+    told, code, output = anyio.run(serve_a_job, tmp_path)
+    status, headers = told.pop("too large")
+    assert_that(status, Equals(503))
+    assert int(headers[b"retry-after"]) > 0
+    assert_that(
+        told,
+        Equals(
+            {
+                "unknown": 410,
+                "no key": 401,
+                "no queue": 404,
+                "nonsense": 400,
+                "accepted": 200,
+                "again": 200,
+                "pending": {"pending": 0},
+                "cancelled": 200,
+            }
+        ),
+    )
+    assert_that(code, Equals(0))
+    events = [json.loads(line)["event"] for line in output.splitlines()]
+    for event in ("daemon-started", "pool-taken-over", "job-accepted", "daemon-stopped"):
+        assert_that(events, Contains(event))
+
+
+@pytest.mark.integration
+def test_without_settings_the_program_says_what_is_wrong(tmp_path):
+    command = shlex.split(deploy_file()["roles"]["entry"]["run"])
+    done = subprocess.run(
+        [sys.executable, *command[1:]],
+        cwd=ROOT,
+        env={"LIMPETPULLEY_CONFIG": str(tmp_path / "none"), "PATH": os.environ["PATH"]},
+        capture_output=True,
+        timeout=START_SECONDS,
+    )
+    assert_that(done.returncode, Equals(2))
+    assert_that(done.stderr.decode(), Contains("LIMPETPULLEY_CONFIG"))
+
+
+#: names of calls, headers and fields that only the platform uses; ordinary words are left out
+PLATFORM_NAMES = re.compile(
+    r"kv-(key|range|txn|watch|lease|keep)|run-(start|stop)\b|/api/hold|machine-(move|upkeep)"
+    r"|Lease-Holder|Fencing-Token|Expect-Instance|LIMPETPULLEY_CONFIG|pathPrefix|ackedThrough"
+    r"|untilMs|clockMs|currentRev|morePages|antiAffinity|longRunning|mayMiss|admissionCheck"
+    r"|coldRemainingMs|apiKeys|upperBound|servers/|op/config|internalPorts|nodeName"
+)
+
+
+def test_only_the_adapter_knows_the_platforms_names():
+    found = [
+        f"{path.relative_to(ROOT)}:{number}: {line.strip()}"
+        for path in sorted((ROOT / "limpetpulley").rglob("*.py"))
+        if "platform" not in path.relative_to(ROOT).parts
+        for number, line in enumerate(path.read_text().splitlines(), 1)
+        if PLATFORM_NAMES.search(line)
+    ]
+    assert_that(found, Equals([]))
+
+
+def test_the_adapter_stays_small():
+    lines = sum(
+        len(path.read_text().splitlines()) for path in (ROOT / "limpetpulley/platform").glob("*.py")
+    )
+    assert lines < 900, f"the adapter has {lines} lines"
--- /dev/null
+++ b/limpetpulley/platform/tests/test_store.py
@@ -0,0 +1,151 @@
+"""The platform's store behind the project's interface, faults included."""
+
+import anyio
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Contains, Equals, HasLength, Is
+
+from ...api.server import HttpServer
+from ...exception import StoreError, StoreUnavailable
+from ...http_client import PooledHttp
+from ...store import Compare, Delete, Put
+from .. import store as store_module
+from ..store import PlatformStore
+from .standin import PlatformStandin
+
+
+def with_store(function):
+    """Run a function on the client of a stand-in that listens on loopback."""
+
+    async def run():
+        async with anyio.create_task_group() as tasks:
+            platform = PlatformStandin()
+            server = HttpServer(platform, "127.0.0.1", 0)
+            await tasks.start(server.serve)
+            http = PooledHttp()
+            result = await function(PlatformStore(http, f"127.0.0.1:{server.port}"), platform)
+            await http.aclose()
+            tasks.cancel_scope.cancel()
+        return result
+
+    return anyio.run(run)
+
+
+def test_entries_are_read_over_several_pages():
+    async def play(store, platform):
+        for number in range(8):
+            await store.commit([], [Put(f"a/{number}", bytes([number, 255]))])
+        await store.commit([], [Put("b/0", b"other")])
+        snapshot = await store.read("a/")
+        return [(entry.key, entry.value) for entry in snapshot.entries], snapshot.revision
+
+    entries, revision = with_store(play)
+    assert_that(entries, Equals([(f"a/{number}", bytes([number, 255])) for number in range(8)]))
+    assert_that(revision, Equals(10))
+
+
+def test_a_commit_holds_its_conditions():
+    async def play(store, platform):
+        first = await store.commit([Compare("a", 0)], [Put("a", b"1")])
+        again = await store.commit([Compare("a", 0)], [Put("a", b"2")])
+        entry = await store.get("a")
+        gone = await store.commit([Compare("a", entry.revision)], [Delete("a")])
+        return first.ok, again.ok, entry.value, gone.ok, await store.get("a")
+
+    assert_that(with_store(play), Equals((True, False, b"1", True, None)))
+
+
+def test_a_lease_takes_its_keys_with_it():
+    async def play(store, platform):
+        lease = await store.grant_lease(5.0)
+        await store.commit([], [Put("a", b"1", lease)])
+        renewed = await store.renew_lease(lease)
+        await store.end_lease(lease)
+        return renewed, await store.get("a"), await store.renew_lease(lease)
+
+    assert_that(with_store(play), Equals((True, None, False)))
+
+
+def test_a_write_under_a_lease_that_has_ended_is_an_error():
+    async def play(store, platform):
+        with pytest.raises(StoreError):
+            await store.commit([], [Put("a", b"1", 99)])
+
+    with_store(play)
+
+
+def test_a_watch_yields_changes_in_order():
+    async def play(store, platform):
+        found = []
+
+        async def change():
+            await anyio.sleep(0.05)
+            await store.commit([], [Put("a/1", b"1")])
+            await store.commit([], [Put("b/1", b"1")])
+            await store.commit([], [Delete("a/1")])
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(change)
+            async for events in store.watch("a/", 0):
+                found += [(event.key, event.value) for event in events]
+                if len(found) == 2:
+                    break
+        return found
+
+    assert_that(with_store(play), Equals([("a/1", b"1"), ("a/1", None)]))
+
+
+@pytest.mark.parametrize(
+    ("status", "content", "error"),
+    [
+        (429, b"{}", StoreUnavailable),
+        (503, b"{}", StoreUnavailable),
+        (200, b"not json", StoreUnavailable),
+        (200, b"[]", StoreUnavailable),
+        (200, b'{"key": "a", "value": "%%", "revision": 1}', StoreUnavailable),
+        (200, b'{"key": "a", "value": "", "revision": "x"}', StoreUnavailable),
+        (400, b"{}", StoreError),
+    ],
+)
+def test_answers_that_are_no_answers_are_errors(status, content, error):
+    async def play(store, platform):
+        platform.answers = [(status, content)]
+        with pytest.raises(error):
+            await store.get("a")
+
+    with_store(play)
+
+
+def test_a_forgotten_history_is_an_error():
+    async def play(store, platform):
+        platform.answers = [(410, b"{}")]
+        with pytest.raises(StoreError):
+            async for _ in store.watch("a/", 1):
+                pass
+
+    with_store(play)
+
+
+def test_a_silent_store_is_found_and_a_fresh_connection_works(monkeypatch):
+    monkeypatch.setattr(store_module, "CALL_SECONDS", 0.2)
+
+    async def play(store, platform):
+        await store.commit([], [Put("a", b"1")])
+        platform.answers = ["silence"]
+        with pytest.raises(StoreUnavailable):
+            await store.get("a")
+        return (await store.get("a")).value
+
+    assert_that(with_store(play), Equals(b"1"))
+
+
+def test_keys_are_quoted():
+    async def play(store, platform):
+        await store.commit([], [Put("a/&=? ü", b"1")])
+        return await store.get("a/&=? ü"), await store.read("a/&")
+
+    entry, snapshot = with_store(play)
+    assert_that(entry.value, Equals(b"1"))
+    assert_that(snapshot.entries, HasLength(1))
+    assert_that(snapshot.entries, Contains(entry))
+    assert_that(entry is None, Is(False))
--- /dev/null
+++ b/limpetpulley/platform/tests/test_workers.py
@@ -0,0 +1,163 @@
+"""Orders to workers over the platform's calls."""
+
+import anyio
+import attrs
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, Is
+
+from ...api.server import HttpServer
+from ...batch import Amount, EndKind, TaskId
+from ...clock import SystemClock
+from ...exception import NotOwnerError, PlatformError, WorkerError
+from ...fleet.vms import OrderOutcome, Phase
+from ...http_client import PooledHttp
+from ...standin.workers import MemoryWorker, TaskPlan
+from ...workers import ListedWorker, PaceOrder, StartOrder, StartOutcome, StopOrder
+from ..vms import PlatformVms
+from ..workers import PlatformWorkers
+from .standin import PlatformStandin
+
+TASK = TaskId("5c0e7a21d94b36f8", 0, 0, 3)
+
+
+def with_worker(function, seconds=0.05):
+    """Run a function on a worker behind a stand-in that listens on loopback."""
+
+    async def run():
+        async with anyio.create_task_group() as tasks:
+            platform = PlatformStandin()
+            server = HttpServer(platform, "127.0.0.1", 0)
+            await tasks.start(server.serve)
+            address = f"127.0.0.1:{server.port}"
+            listed = ListedWorker("i-1", "desk", address, 5, Amount(2000, 2000))
+            plan = TaskPlan(seconds, need=Amount(1500, 100))
+            platform.workers["i-1"] = MemoryWorker(listed, SystemClock(), lambda order: plan)
+            http = PooledHttp()
+            result = await function(PlatformWorkers(http), listed, platform)
+            await http.aclose()
+            tasks.cancel_scope.cancel()
+        return result
+
+    return anyio.run(run)
+
+
+def start(number=1, task=TASK):
+    return StartOrder("i-1", task, number, "text")
+
+
+def test_a_run_is_started_held_and_acknowledged():
+    async def play(workers, listed, platform):
+        first = await workers.hold(listed, 3, 0, None, 0.0)
+        reply = await workers.start(listed, start(), 3, first.worker_seconds + 5)
+        again = await workers.start(listed, start(), 3, first.worker_seconds + 5)
+        ended = await workers.hold(listed, 3, 0, None, 1.0)
+        rest = await workers.hold(listed, 3, ended.ended[0].position, None, 0.0)
+        return first, reply.outcome, again.outcome, ended.ended[0], rest
+
+    first, outcome, again, end, rest = with_worker(play)
+    assert_that((first.incarnation, first.running), Equals((5, ())))
+    assert_that((outcome, again), Equals((StartOutcome.STARTED, StartOutcome.STARTED)))
+    assert_that((end.task, end.number, end.kind), Equals((TASK, 1, EndKind.DONE)))
+    assert_that(rest.ended, Equals(()))
+
+
+def test_a_stopped_run_is_rejected_for_good():
+    async def play(workers, listed, platform):
+        await workers.stop(listed, StopOrder("i-1", TASK, 4), 3)
+        late = await workers.start(listed, start(4), 3, 1e6)
+        return late.outcome
+
+    assert_that(with_worker(play), Is(StartOutcome.OLD_RUN))
+
+
+@pytest.mark.parametrize("call", ["start", "stop", "pace", "hold"])
+def test_an_older_token_is_told_that_there_is_a_newer_owner(call):
+    async def play(workers, listed, platform):
+        await workers.hold(listed, 9, 0, None, 0.0)
+        calls = {
+            "start": lambda: workers.start(listed, start(), 3, 1e6),
+            "stop": lambda: workers.stop(listed, StopOrder("i-1", TASK, 1), 3),
+            "pace": lambda: workers.pace(listed, PaceOrder("i-1", TASK, 1, 50), 3),
+            "hold": lambda: workers.hold(listed, 3, 0, None, 0.0),
+        }
+        if call == "pace":
+            platform.answers = [(409, b'{"clockMs": 1, "reason": "fence"}')]
+        with pytest.raises(NotOwnerError):
+            await calls[call]()
+
+    with_worker(play)
+
+
+@pytest.mark.parametrize(
+    ("status", "content", "outcome"),
+    [
+        (409, b'{"clockMs": 7, "reason": "room"}', StartOutcome.NO_ROOM),
+        (409, b'{"clockMs": 7, "reason": "late"}', StartOutcome.LATE),
+        (409, b'{"clockMs": 7, "reason": "ticket"}', StartOutcome.NO_TICKET),
+        (400, b"", StartOutcome.REFUSED),
+        (421, b"", StartOutcome.OTHER_WORKER),
+        (429, b"", StartOutcome.UNHEALTHY),
+        (503, b"", StartOutcome.UNHEALTHY),
+    ],
+)
+def test_rejections_are_told_apart(status, content, outcome):
+    async def play(workers, listed, platform):
+        platform.answers = [(status, content)]
+        return (await workers.start(listed, start(), 3, 1e6)).outcome
+
+    assert_that(with_worker(play), Is(outcome))
+
+
+@pytest.mark.parametrize(
+    ("status", "content"),
+    [
+        (500, b"{}"),
+        (200, b"no json"),
+        (200, b'{"clockMs": "x"}'),
+        (200, b'{"clockMs": 1, "running": [["a"]]}'),
+        (200, b'{"clockMs": 1, "finished": [[1, "a.0.0.0", 1, "melted", ""]]}'),
+    ],
+)
+def test_an_answer_without_sense_is_no_answer(status, content):
+    async def play(workers, listed, platform):
+        platform.answers = [(status, content)]
+        with pytest.raises(WorkerError):
+            await workers.hold(listed, 3, 0, None, 0.0)
+
+    with_worker(play)
+
+
+def test_another_worker_at_the_address_is_noticed():
+    async def play(workers, listed, platform):
+        other = attrs.evolve(listed, worker_id="i-2")
+        return (await workers.start(other, start(), 3, 1e6)).outcome
+
+    assert_that(with_worker(play), Is(StartOutcome.OTHER_WORKER))
+
+
+def test_vms_are_listed_over_pages_and_ordered_with_holder_and_token():
+    row = {"machine": "m-0", "pool": "desk", "state": "up", "zone": "dc-1", "id": "i-1"}
+
+    async def play(workers, listed, platform):
+        platform.machines = [{**row, "machine": f"m-{number}"} for number in range(7)]
+        platform.machines[2] |= {"state": "upkeep", "id": "", "labels": ["a", "r2"]}
+        vms = PlatformVms(workers.http, listed.address)
+        found = await vms.list_vms()
+        outcome = await vms.move("m-1", "tour", "entry-1", 12)
+        await vms.maintain("m-2", "1", "entry-1", 12)
+        platform.answers = [(409, b'{"reason": "busy"}')]
+        busy = await vms.maintain("m-2", "1", "entry-1", 12)
+        platform.answers = [(429, b"{}")]
+        with pytest.raises(PlatformError):
+            await vms.list_vms()
+        return found, outcome, busy, platform.orders
+
+    found, outcome, busy, orders = with_worker(play)
+    assert_that([vm.name for vm in found], Equals([f"m-{number}" for number in range(7)]))
+    assert_that((found[2].phase, found[2].rack), Equals((Phase.MAINTENANCE, "r2")))
+    assert_that((outcome, busy), Equals((OrderOutcome.DONE, OrderOutcome.BUSY)))
+    assert_that(
+        [(name, headers["lease-holder"], headers["fencing-token"]) for name, headers, _ in orders],
+        Equals([("machine-move", "entry-1", "12"), ("machine-upkeep", "entry-1", "12")]),
+    )
--- a/limpetpulley/platform/vms.py
+++ b/limpetpulley/platform/vms.py
@@ -9,7 +9,8 @@
 from ..exception import HttpError, PlatformError, RecordError
 from ..fleet.vms import FleetVm, OrderOutcome, Phase, WaveOrder
 from ..http_client import HttpAnswer, HttpCaller
-from .decode import amount, load, number, rows, text, whole
+from ..reading import load, number, rows, text, whole
+from .amounts import amount
 
 __all__ = ["WAVE_PREFIX", "PlatformVms", "decode_wave", "encode_wave_state", "wave_state_key"]
 
--- a/limpetpulley/platform/workers.py
+++ b/limpetpulley/platform/workers.py
@@ -8,6 +8,7 @@
 from ..batch import EndKind, TaskId
 from ..exception import HttpError, NotOwnerError, RecordError, WorkerError
 from ..http_client import HttpAnswer, HttpCaller
+from ..reading import load, rows, text, whole
 from ..workers import (
     Ended,
     HoldReply,
@@ -19,7 +20,7 @@
     StartReply,
     StopOrder,
 )
-from .decode import amount, load, rows, text, whole
+from .amounts import amount
 
 __all__ = ["SERVERS_PREFIX", "PlatformWorkers", "decode_task", "decode_worker", "encode_task"]
 
--- a/limpetpulley/platform/decode.py
+++ b/limpetpulley/reading.py
@@ -1,14 +1,13 @@
-"""Reading values that come from the platform, which may be of any type."""
+"""Reading JSON from outside, whose fields may be missing or of any type."""
 
 from __future__ import annotations
 
 import json
 from typing import Any
 
-from ..batch import Amount
-from ..exception import RecordError
+from .exception import RecordError
 
-__all__ = ["amount", "flag", "load", "number", "rows", "text", "whole"]
+__all__ = ["flag", "load", "number", "rows", "text", "whole"]
 
 
 def load(content: bytes | str) -> dict[str, Any]:
@@ -78,13 +77,3 @@
     if not isinstance(value, list):
         raise RecordError(f"{name} is not a list")
     return value
-
-
-def amount(source: Any) -> Amount:
-    """Return an amount of processors, memory and accelerators.
-
-    :raises RecordError: if it cannot be read
-    """
-    if not isinstance(source, dict):
-        raise RecordError("an amount is not an object")
-    return Amount(whole(source, "cpu", 0), whole(source, "memMb", 0), whole(source, "gpu", 0))
