--- a/limpetpulley/ownership/planner.py
+++ b/limpetpulley/ownership/planner.py
@@ -30,6 +30,8 @@
 REPORT_SECONDS = 2.5
 #: time for which nothing starts on a worker whose VM was ordered away, in seconds
 RETIRE_SECONDS = 3.0
+#: longest time by which the platform's list of VMs lags, in seconds
+LIST_LAG_SECONDS = 0.8
 #: time between two log lines on the pools' loads, in seconds
 LOG_SECONDS = 1.0
 #: time after an order in which its VM counts as away beyond the maintenance itself
@@ -94,6 +96,9 @@
         # time. An order that was carried out before is confirmed though the worker stays.
         self.ended: dict[str, float] = {}
         self.logged_at = 0.0
+        # When a worker was first reported, and when the list of VMs was asked for, by local time.
+        self.seen: dict[str, float] = {}
+        self.listed_at = 0.0
 
     async def run(self) -> None:
         """Plan until cancelled."""
@@ -112,6 +117,8 @@
         """Take a pool's report; return which of its VMs are to be emptied."""
         self.reports[message.pool] = _Report(message, self.around.clock.now())
         mine = {row.worker for row in message.workers}
+        for row in message.workers:
+            self.seen.setdefault(row.worker, self.around.clock.now())
         ended = {row.worker for row in message.workers if self._has_ended(row.worker, row.vm)}
         for name in self.emptying:
             vm = self.vms.get(name)
@@ -129,7 +136,8 @@
     def _has_ended(self, worker_id: str, vm_name: str) -> bool:
         """Return whether a worker's VM runs another worker now, or was ordered away."""
         vm = self.vms.get(vm_name)
-        if vm is None:
+        if vm is None or self.listed_at <= self.seen[worker_id] + LIST_LAG_SECONDS:
+            # A list that is older than the worker shows the one before it.
             return False
         if vm.phase in (Phase.MOVING, Phase.MAINTENANCE):
             return True
@@ -140,6 +148,7 @@
     async def _look(self) -> None:
         now = self.around.clock.now()
         self.vms = {vm.name: vm for vm in await self.orders.list_vms()}
+        self.listed_at = now
         if not self.memory.homes:
             await self._read_homes()
         self._settle_moves(now)
--- /dev/null
+++ b/limpetpulley/ownership/tests/test_planner.py
@@ -0,0 +1,75 @@
+"""What the planner concludes from reports and from the list of VMs."""
+
+import os
+
+import anyio
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Equals
+
+from ...batch import BatchConfig, PoolRule
+from ...batch.keys import BatchKeys
+from ...clock import ManualClock
+from ...fleet.vms import FleetVm, Phase
+from ...peer import batch_pb2 as pb
+from ...store import MemoryStore
+from ...telemetry import EventLog
+from .. import Around, Timing, WaveBoard
+from ..planner import FleetPlanning
+
+
+class ListedVms:
+    """A list of VMs that the test sets."""
+
+    def __init__(self):
+        self.vms = []
+
+    async def list_vms(self):
+        return self.vms
+
+
+def make_planning(clock, vms):
+    config = BatchConfig(1, {}, {"desk": PoolRule("desk"), "off": PoolRule("off", True)})
+    log = EventLog("entry-1", os.open(os.devnull, os.O_WRONLY))
+    around = Around(
+        MemoryStore(clock), BatchKeys("lp/"), None, clock, log, Timing(), None, clock.now
+    )
+    around.config = config
+    board = WaveBoard(lambda name: name, lambda name, completed: b"")
+    return FleetPlanning(around, vms, board, "entry-1", 1, lambda: 0.0)
+
+
+def report(*workers):
+    rows = [pb.WorkerReport(worker=worker, vm="m-1", timed_runs=1) for worker in workers]
+    return pb.PoolReport(pool="desk", token=5, workers=rows)
+
+
+def listed(phase=Phase.UP, worker="new", pool="desk"):
+    return [FleetVm("m-1", pool, phase, worker)]
+
+
+@pytest.mark.parametrize(
+    ("before", "after", "ended"),
+    [
+        (listed(worker="old"), listed(worker="new"), ["old"]),
+        (listed(Phase.MOVING, ""), listed(worker="new"), ["old"]),
+        (listed(worker="old"), listed(Phase.MAINTENANCE, ""), ["new", "old"]),
+        (listed(worker="old"), listed(worker="", pool="off"), ["new", "old"]),
+        (listed(worker="old"), listed(Phase.DOWN, ""), []),
+    ],
+)
+def test_a_worker_has_ended_if_a_later_list_shows_its_vm_without_it(before, after, ended):
+    async def play():
+        clock, vms = ManualClock(100.0), ListedVms()
+        planning = make_planning(clock, vms)
+        vms.vms = before
+        await planning._look()
+        clock.advance(0.1)
+        early = planning.take_report(report("old", "new"))
+        clock.advance(2.0)
+        vms.vms = after
+        await planning._look()
+        late = planning.take_report(report("old", "new"))
+        return list(early.ended_workers), list(late.ended_workers)
+
+    assert_that(anyio.run(play), Equals(([], ended)))
