--- a/limpetpulley/batch/job.py
+++ b/limpetpulley/batch/job.py
@@ -99,6 +99,10 @@
         """Return the step of a task."""
         return self.spec.steps[task.step]
 
+    def unit_of(self, task: TaskId) -> TaskId:
+        """Return what fails and saves progress as one: the task, or the first of its gang."""
+        return task._replace(position=0) if self.step_of(task).gang else task
+
     def has_task(self, task: TaskId) -> bool:
         """Return whether a task is one of this job's."""
         return (
@@ -152,7 +156,7 @@
         if kind is EndKind.DONE and not step.lasting:
             self._note_done(task, step)
         elif kind is EndKind.FAILED and not step.lasting:
-            numbers = self.failures.setdefault(task, set())
+            numbers = self.failures.setdefault(self.unit_of(task), set())
             if number in numbers:
                 return False
             numbers.add(number)
--- a/limpetpulley/exception.py
+++ b/limpetpulley/exception.py
@@ -25,6 +25,7 @@
     "WorkerError",
     "NotOwnerError",
     "HttpError",
+    "AdviceError",
 ]
 
 
@@ -141,6 +142,10 @@
     """An HTTP call got no answer; the request may have been carried out."""
 
 
+class AdviceError(LimpetpulleyError):
+    """The advice service gave no answer."""
+
+
 class WorkerError(LimpetpulleyError):
     """A worker gave no answer; the order may have been carried out, or may be later."""
 
--- a/limpetpulley/ownership/__init__.py
+++ b/limpetpulley/ownership/__init__.py
@@ -1,5 +1,6 @@
 """Which daemon schedules which pool: leases, claims, takeover and hand-over."""
 
+from .advice import Advice, Adviser
 from .around import Around, Timing
 from .directory import Directory, Member
 from .node import BatchNode
@@ -8,6 +9,8 @@
 from .service import BatchService, Outcome, SubmitResult
 
 __all__ = [
+    "Advice",
+    "Adviser",
     "Around",
     "BatchNode",
     "BatchService",
--- a/limpetpulley/ownership/around.py
+++ b/limpetpulley/ownership/around.py
@@ -13,6 +13,7 @@
 from ..store import Store
 from ..telemetry import EventLog
 from ..workers import ListedWorker, WorkerOrders
+from .advice import Adviser
 
 __all__ = ["Around", "Timing"]
 
@@ -45,6 +46,7 @@
 class Around:
     """A daemon's surroundings.
 
+    :param adviser: the advice service, None if there is none
     :param workers: workers as the platform lists them now, by name
     :param config: the configuration in force, None before the first
     :param day: returns the time of day in seconds since 1970
@@ -58,5 +60,6 @@
     timing: Timing
     tasks: anyio.abc.TaskGroup
     day: Callable[[], float]
+    adviser: Adviser | None = None
     workers: dict[str, ListedWorker] = attrs.field(factory=dict)
     config: BatchConfig | None = None
--- a/limpetpulley/ownership/owner.py
+++ b/limpetpulley/ownership/owner.py
@@ -21,6 +21,7 @@
 from ..scheduling.placement import fits_empty
 from ..store import Compare, Event
 from ..workers import StartOrder, Worker
+from .advising import TicketKeeper
 from .agent import UNSEEN_OWNER_SECONDS, WorkerAgent, lease_seconds, name_task
 from .around import Around
 from .reporting import PoolReporter, RefusedWork
@@ -76,12 +77,20 @@
         self.pool = pool
         self.token = token
         timing = around.timing
-        self.book = PoolBook(pool, token, timing.stop, timing.longest_hold, self.log_change)
+        self.book = PoolBook(
+            pool,
+            token,
+            timing.stop,
+            timing.longest_hold,
+            lease_seconds(timing.longest_hold),
+            self.log_change,
+        )
         claim = Compare(around.keys.owner(pool), token)
         self.writer = OwnerWriter(around, self.book, claim, self.progress_stored)
         self.shares = TeamShares(pool)
         self.keeper = ShareKeeper(around, self.book, self.shares, self.writer)
         self.refused = RefusedWork()
+        self.tickets = TicketKeeper(around, self.book, self.wake)
         self.agents: dict[str, WorkerAgent] = {}
         self.roster = RosterKeeper(around, self.book, self.writer, self.wake)
         self.reporter = PoolReporter(
@@ -109,6 +118,7 @@
                         self.keeper.run,
                         self.reporter.run,
                         self.roster.run,
+                        self.tickets.run,
                         self._run_plans,
                         self._run_cleaning,
                     ):
--- /dev/null
+++ b/limpetpulley/platform/advice.py
@@ -0,0 +1,45 @@
+"""The platform's advice service."""
+
+from __future__ import annotations
+
+import json
+
+from ..exception import AdviceError, HttpError, RecordError
+from ..http_client import HttpCaller
+from ..ownership import Advice
+from ..pool.tickets import TicketRequest
+from ..reading import load, number, rows
+
+__all__ = ["PlatformAdviser"]
+
+CALL_SECONDS = 3.0
+OK = 200
+
+
+class PlatformAdviser:
+    """Asks the advice service.
+
+    :param address: ``host:port`` of the service
+    """
+
+    def __init__(self, http: HttpCaller, address: str):
+        self.http = http
+        self.address = address
+
+    async def advise(self, request: TicketRequest) -> Advice:
+        """Return the tickets for a step."""
+        step = ".".join(str(part) for part in request.step)
+        content = json.dumps({"step": step, "workers": request.workers}).encode()
+        headers = {"Content-Type": "application/json"}
+        try:
+            answer = await self.http.request(
+                "POST", self.address, "/api/advise", headers, content, CALL_SECONDS
+            )
+            if answer.status != OK:
+                raise AdviceError(f"the advice service answered {answer.status}")
+            reply = load(answer.content)
+            # "healthy" lists the workers that may run the step, each with its ticket.
+            tickets = {str(row[0]): str(row[1]) for row in rows(reply, "healthy")}
+            return Advice(tickets, number(reply, "validMs") / 1000)
+        except (HttpError, RecordError, IndexError, TypeError) as error:
+            raise AdviceError(str(error)) from None
--- a/limpetpulley/platform/daemon.py
+++ b/limpetpulley/platform/daemon.py
@@ -23,6 +23,7 @@
 from ..tasks import keep_running
 from ..telemetry import EventLog
 from ..workers import ListedWorker
+from .advice import PlatformAdviser
 from .callers import CallersApp, readiness_app
 from .config import CONFIG_KEY, OPERATOR_PREFIX, decode_config
 from .settings import SETTINGS_VARIABLE, PlatformSettings, read_settings
@@ -63,6 +64,11 @@
             settings.timing,
             tasks,
             time.time,
+            (
+                PlatformAdviser(self.http, settings.advice_address)
+                if settings.advice_address
+                else None
+            ),
         )
         member = Member(
             settings.name,
--- a/limpetpulley/pool/book.py
+++ b/limpetpulley/pool/book.py
@@ -23,6 +23,7 @@
     StopOrder,
     Worker,
 )
+from .tickets import TicketBook
 from .times import TaskTimes
 
 __all__ = ["Change", "PoolBook"]
@@ -70,6 +71,7 @@
     :param token: the owner's fencing token
     :param stop_seconds: longest time that a stop takes at a worker
     :param longest_hold_seconds: longest lease that a worker grants
+    :param lease_seconds: lease that orders and holds ask for
     :param report: told of each change, for the log
     """
 
@@ -79,12 +81,14 @@
         token: int,
         stop_seconds: float,
         longest_hold_seconds: float,
+        lease_seconds: float,
         report: Callable[[Change], None] = lambda change: None,
     ):
         self.pool = pool
         self.token = token
         self.stop_seconds = stop_seconds
         self.longest_hold_seconds = longest_hold_seconds
+        self.lease_seconds = lease_seconds
         self.report = report
         self.jobs: dict[str, Job] = {}
         self.workers: dict[str, Worker] = {}
@@ -101,6 +105,7 @@
         self.unstored: dict[str, list[_Unstored]] = {}
         self.next_number = token * RUNS_PER_OWNER + 1
         self.times = TaskTimes()
+        self.tickets = TicketBook()
 
     # Jobs
 
@@ -276,7 +281,9 @@
             # An earlier copy of this start may still be carried out.
             run.phase, run.settled_at, run.sent_at = RunPhase.STOPPING, None, 0.0
             return
-        if outcome is StartOutcome.NO_ROOM:
+        if outcome is StartOutcome.NO_TICKET:
+            self.tickets.drop(run.task)
+        elif outcome is StartOutcome.NO_ROOM:
             worker.avoid_until = now + NO_ROOM_SECONDS
         elif outcome is not StartOutcome.LATE:
             self._avoid(worker, now)
@@ -292,24 +299,33 @@
 
     # Runs
 
-    def begin(self, task: TaskId, worker: Worker, now: float) -> Run:
-        """Add a run that is about to be ordered."""
+    def take_number(self) -> int:
+        """Return the number of a new run, or of all runs of a gang."""
+        self.next_number += 1
+        return self.next_number - 1
+
+    def begin(self, task: TaskId, worker: Worker, now: float, number: int | None = None) -> Run:
+        """Add a run that is about to be ordered.
+
+        :param number: its number, None for a new one
+        """
         job = self.jobs[task.job_id]
         step = job.step_of(task)
         run = Run(
             task,
-            self.next_number,
+            self.take_number() if number is None else number,
             worker.worker_id,
             step.charge,
             job.team,
-            checkpoint=self.checkpoints.get(task, "") if step.checkpoints else "",
+            checkpoint=self.checkpoints.get(job.unit_of(task), "") if step.checkpoints else "",
             begun_at=now,
             unanswered=1,
+            ticket=self.tickets.ticket(task, worker.worker_id),
         )
-        self.next_number += 1
         self._add(run, worker)
-        if not job.started:
-            job.started = True
+        # Until its order is sent, the run counts as allowed for the lease that the order asks for.
+        worker.lease.allow(self.lease_seconds)
+        job.started = True
         return run
 
     def runs_of(self, job_id: str) -> Iterable[Run]:
@@ -356,7 +372,7 @@
             return
         self._judge(worker, end, now)
         if end.kind is not EndKind.DONE and end.checkpoint and job.wants(end.task):
-            self.checkpoints[end.task] = end.checkpoint
+            self.checkpoints[job.unit_of(end.task)] = end.checkpoint
         if job.note_end(end.task, end.number, end.kind, day):
             self.touch(job)
             self.unstored.setdefault(worker.worker_id, []).append(
@@ -409,7 +425,8 @@
         run.percent = row.percent
         run.gauge = row.gauge
         if row.checkpoint:
-            self.checkpoints[row.task] = row.checkpoint
+            job = self.jobs[row.task.job_id]
+            self.checkpoints[job.unit_of(row.task)] = row.checkpoint
 
     def _note_absent(self, worker: Worker, reply: HoldReply) -> None:
         """Drop the settled runs that a worker's list does not show."""
--- /dev/null
+++ b/limpetpulley/pool/gangs.py
@@ -0,0 +1,93 @@
+"""Gangs: tasks that work only all together. No I/O.
+
+A gang's tasks are placed all at once or not at all, and one that has lost a task is stopped as a
+whole, before its others wait in vain.
+"""
+
+from __future__ import annotations
+
+from collections import Counter, defaultdict
+from collections.abc import Iterable
+
+import attrs
+
+from ..batch import Amount, Job, Step, TaskId
+from ..scheduling.placement import choose_worker
+from ..workers import Run, RunPhase, Worker
+from .book import PoolBook
+
+__all__ = ["broken_gangs", "place_gang"]
+
+
+@attrs.define(eq=False)
+class _Tentative:
+    """A worker with the room that would be left."""
+
+    listed: object
+    room: Amount
+
+    @property
+    def worker_id(self) -> str:
+        """Return its name."""
+        return self.listed.worker_id  # type: ignore[attr-defined]
+
+
+def place_gang(
+    step: Step, tasks: list[TaskId], workers: Iterable[Worker]
+) -> dict[TaskId, str] | None:
+    """Return a worker for each task of a gang, or None if they do not all fit now.
+
+    A rack that holds them all goes first where the tasks are slow on several; the data's rack
+    before others.
+    """
+    groups: list[list[Worker]] = []
+    found = list(workers)
+    if step.same_rack or step.near_rack:
+        racks: defaultdict[str, list[Worker]] = defaultdict(list)
+        for worker in found:
+            racks[worker.listed.rack].append(worker)
+        groups = sorted(racks.values(), key=lambda group: _rack_rank(step, group))
+    for group in [*groups, found]:
+        places = _place_all(step, tasks, group)
+        if places is not None:
+            return places
+    return None
+
+
+def _rack_rank(step: Step, group: list[Worker]) -> tuple[bool, int]:
+    free = sum(worker.room.cpu_millicores for worker in group)
+    return group[0].listed.rack != step.near_rack, -free
+
+
+def _place_all(step: Step, tasks: list[TaskId], workers: list[Worker]) -> dict[TaskId, str] | None:
+    left = [_Tentative(worker.listed, worker.room) for worker in workers]
+    beside: Counter[str] = Counter()
+    places: dict[TaskId, str] = {}
+    for task in tasks:
+        chosen = choose_worker(step, left, beside)  # type: ignore[arg-type]
+        if chosen is None:
+            return None
+        chosen.room = chosen.room - step.charge  # type: ignore[misc]
+        beside[chosen.worker_id] += 1
+        places[task] = chosen.worker_id
+    return places
+
+
+def broken_gangs(book: PoolBook) -> list[Run]:
+    """Return the runs of gangs that have lost a task or whose tasks run under several numbers."""
+    gangs: defaultdict[tuple[str, int, int], list[Run]] = defaultdict(list)
+    for run in book.runs.values():
+        job = book.jobs.get(run.task.job_id)
+        if job is not None and job.step_of(run.task).gang and job.wants(run.task):
+            gangs[run.task.job_id, run.task.occurrence, run.task.step].append(run)
+    broken = []
+    for (job_id, _, number), runs in gangs.items():
+        whole = len(runs) == book.jobs[job_id].spec.steps[number].count
+        if not whole or len({run.number for run in runs}) > 1:
+            broken += [run for run in runs if run.phase is not RunPhase.STOPPING]
+    return broken
+
+
+def gang_tasks(job: Job, task: TaskId) -> list[TaskId]:
+    """Return the tasks of a task's gang."""
+    return [task._replace(position=position) for position in range(job.step_of(task).count)]
--- a/limpetpulley/pool/planning.py
+++ b/limpetpulley/pool/planning.py
@@ -16,6 +16,7 @@
 from ..scheduling.placement import choose_worker, is_open
 from ..workers import PaceOrder, Run, RunPhase, StartOrder, StopOrder, Worker
 from .book import PoolBook
+from .gangs import broken_gangs, gang_tasks, place_gang
 
 __all__ = ["Order", "PlanningLimits", "Shares", "plan_orders"]
 
@@ -76,6 +77,9 @@
         if unwanted and run.phase is not RunPhase.STOPPING:
             stop_run(run, now)
             orders.append(StopOrder(run.worker_id, run.task, run.number))
+    for run in broken_gangs(book):
+        stop_run(run, now)
+        orders.append(StopOrder(run.worker_id, run.task, run.number))
     for worker in book.workers.values():
         if worker.cordoned or worker.listed.draining:
             orders += _evacuate(book, worker, now, limits)
@@ -191,18 +195,56 @@
         running = book.usage.get(job.team, Amount())
         if place in full or not shares.allows(job.team, running, step.charge):
             continue
+        allowed = book.tickets.allowed(job, task, workers, now)
+        if step.gang:
+            full.add(place)
+            orders += _start_gang(book, job, task, allowed, shares, now)
+            continue
         if place not in beside:
             beside[place] = beside_task(book, task)
-        worker = choose_worker(step, workers, beside[place], book.failed_on.get(task, ()))
+        worker = choose_worker(step, allowed, beside[place], book.failed_on.get(task, ()))
         if worker is None:
             full.add(place)
             continue
-        run = book.begin(task, worker, now)
-        run.sent_at = now
         beside[place][worker.worker_id] += 1
-        orders.append(_start_order(job, run))
+        orders.append(_start_run(book, job, task, worker, now))
     return orders
 
 
+def _start_gang(
+    book: PoolBook, job: Job, task: TaskId, workers: list[Worker], shares: Shares, now: float
+) -> list[Order]:
+    """Start all tasks of a gang under one number, or none."""
+    step, tasks = job.step_of(task), gang_tasks(job, task)
+    running = book.usage.get(job.team, Amount())
+    if any(each in book.runs for each in tasks):
+        return []
+    if not shares.allows(job.team, running, step.charge * step.count):
+        return []
+    places = place_gang(step, tasks, workers)
+    if places is None:
+        return []
+    number = book.take_number()
+    return [
+        _start_run(book, job, each, book.workers[worker_id], now, number)
+        for each, worker_id in places.items()
+    ]
+
+
+def _start_run(
+    book: PoolBook,
+    job: Job,
+    task: TaskId,
+    worker: Worker,
+    now: float,
+    number: int | None = None,
+) -> StartOrder:
+    run = book.begin(task, worker, now, number)
+    run.sent_at = now
+    return _start_order(job, run)
+
+
 def _start_order(job: Job, run: Run) -> StartOrder:
-    return StartOrder(run.worker_id, run.task, run.number, job.spec.payload, run.checkpoint)
+    return StartOrder(
+        run.worker_id, run.task, run.number, job.spec.payload, run.checkpoint, run.ticket
+    )
--- a/limpetpulley/pool/tests/test_machine.py
+++ b/limpetpulley/pool/tests/test_machine.py
@@ -95,7 +95,7 @@
 
     def begin_owner(self):
         self.token += 1
-        self.book = PoolBook("desk", self.token, STOP_SECONDS, LONGEST_HOLD_SECONDS)
+        self.book = PoolBook("desk", self.token, STOP_SECONDS, LONGEST_HOLD_SECONDS, LEASE_SECONDS)
         for job_id in self.descriptions:
             self.book.add_job(self.read_job(job_id), 0.0, inherited=True)
         for worker in self.workers.values():
--- a/limpetpulley/scheduling/tests/test_forecast.py
+++ b/limpetpulley/scheduling/tests/test_forecast.py
@@ -125,7 +125,7 @@
 def test_fillers_beside_a_slow_tail_are_paced(tail, expected):
     serving = Step(1, Amount(1000, 10), lasting=True, latency_target_seconds=1.0)
     filling = Step(1, Amount(1000, 10), lasting=True, filler=True)
-    book = PoolBook("desk", 1, 0.2, 10.0)
+    book = PoolBook("desk", 1, 0.2, 10.0, 5.0)
     book.workers["w"] = worker("w")
     book.add_job(Job(JobKey("q", "a"), JobSpec("", (serving, filling)), "desk"), 0.0)
     for number, step in enumerate((serving, filling)):
--- a/limpetpulley/workers/state.py
+++ b/limpetpulley/workers/state.py
@@ -129,6 +129,7 @@
     :param sent_at: local time when the last order about it was sent, 0 if it must be sent
     :param settled_at: worker time after which a list without it means that it is gone
     :param unanswered: starts that were sent and not answered; each may be carried out later
+    :param ticket: ticket of the advice service that its start carries
     :param speed: percent that was ordered last
     """
 
@@ -143,6 +144,7 @@
     sent_at: float = 0.0
     settled_at: float | None = None
     unanswered: int = 0
+    ticket: str = ""
     percent: int = 0
     gauge: float = 0.0
     speed: int = FULL_SPEED
