--- a/limpetpulley/cli/client.py
+++ b/limpetpulley/cli/client.py
@@ -81,6 +81,20 @@
         """
         return self._call("POST", path, document)
 
+    def put(self, path: str, document: Any) -> dict[str, Any]:
+        """Return the answer to a PUT.
+
+        :raises OperatorsError: if there is none, or it is a problem
+        """
+        return self._call("PUT", path, document)
+
+    def delete(self, path: str) -> dict[str, Any]:
+        """Return the answer to a DELETE.
+
+        :raises OperatorsError: if there is none, or it is a problem
+        """
+        return self._call("DELETE", path, None)
+
     def revisions(self) -> dict[str, int]:
         """Return the revision in force of each object, by ``kind/name``."""
         objects = self.get("/config")["objects"]
--- a/limpetpulley/cli/main.py
+++ b/limpetpulley/cli/main.py
@@ -10,6 +10,7 @@
 
 from .. import __version__
 from ..config import Budget, Pool, Queue, Team, Vm
+from .batch import BatchCommand
 from .client import ExitStatus, OperatorsClient, OperatorsError
 from .documents import ConfigCommand
 from .fleet import DrainVm, Explain, JoinVm, Key, MoveVm, Status, WaveCommand
@@ -45,6 +46,7 @@
         | WaveCommand
         | Explain
         | Questionnaire
+        | BatchCommand
     ]
     operators: str = attrs.field(
         default="127.0.0.1:8401",
--- a/limpetpulley/cli/tests/test_command_line.py
+++ b/limpetpulley/cli/tests/test_command_line.py
@@ -31,6 +31,11 @@
         ("explain desk-1", "Explain"),
         ("questionnaire --answers a.json", "Questionnaire"),
         ("questionnaire", "Questionnaire"),
+        ("batch submit sheets job.json", "SubmitBatch"),
+        ("batch submit sheets - --id 00000000000000ab --follow", "SubmitBatch"),
+        ("batch state sheets 00000000000000ab", "BatchState"),
+        ("batch cancel sheets 00000000000000ab", "CancelBatch"),
+        ("batch pending sheets", "PendingBatches"),
     ],
 )
 def test_command_line_is_understood(line, name):
--- a/limpetpulley/demo/story.py
+++ b/limpetpulley/demo/story.py
@@ -11,6 +11,7 @@
 from rich.console import Console
 
 from ..config import AccessKey, Vm, VmPhase, make_secret
+from .batches import show_batches
 from .system import DemoSystem
 
 __all__ = ["tell"]
@@ -40,6 +41,7 @@
         await _run_once(system, secrets, console)
         await _withdraw(system, secrets, console)
         await _drain(system, secrets, console)
+        await show_batches(console)
         await system.stop()
         console.print("All daemons left one by one; no request was cut off.")
         tasks.cancel_scope.cancel()
--- a/limpetpulley/ownership/service.py
+++ b/limpetpulley/ownership/service.py
@@ -233,7 +233,7 @@
     if verdict.accepted:
         return pb.SubmitReply(outcome=pb.ACCEPTED)
     return pb.SubmitReply(
-        outcome=pb.REFUSED, reason="predicted-late", retry_seconds=verdict.retry_seconds
+        outcome=pb.REFUSED, reason=verdict.reason, retry_seconds=verdict.retry_seconds
     )
 
 
--- a/limpetpulley/standin/batchfleet.py
+++ b/limpetpulley/standin/batchfleet.py
@@ -12,7 +12,7 @@
 import anyio.abc
 import attrs
 
-from ..batch import Amount, BatchConfig
+from ..batch import Amount, BatchConfig, PoolRule, QueueRule, TeamRule
 from ..batch.keys import BatchKeys
 from ..clock import Clock
 from ..fleet.vms import WaveOrder
@@ -26,8 +26,9 @@
 from .vms import MemoryVms
 from .workers import MemoryWorkers, TaskPlan
 
-__all__ = ["BatchFleet", "StartedRun"]
+__all__ = ["BatchFleet", "StartedRun", "sample_config", "make_fleet"]
 
+SAMPLE_POOL = "desk"
 DAY_SECONDS = 1_700_000_000.0
 
 
@@ -177,3 +178,29 @@
             self.scopes.add(scope)
             await function(*args)
         self.scopes.discard(scope)
+
+
+def sample_config() -> BatchConfig:
+    """Return a queue with its pool, and a pool that is off."""
+    queue = QueueRule(
+        "sheets",
+        "desk.example",
+        "/sheets/",
+        SAMPLE_POOL,
+        max_attempts=3,
+        stretch=3.0,
+        latency_target_seconds=10.0,
+        public=True,
+    )
+    pools = {SAMPLE_POOL: PoolRule(SAMPLE_POOL), "spare": PoolRule("spare", standby=True)}
+    return BatchConfig(1, {"sheets": queue}, pools, {"studios": TeamRule("studios")})
+
+
+def make_fleet(tasks: anyio.abc.TaskGroup, clock: Clock) -> BatchFleet:
+    """Return a fleet of six VMs, two of them in the pool that is off."""
+    fleet = BatchFleet(tasks, clock, sample_config(), Amount(4000, 8000))
+    for number in range(4):
+        fleet.vms.add(f"desk-{number}", SAMPLE_POOL, f"rack-{number % 2}")
+    for number in range(2):
+        fleet.vms.add(f"spare-{number}", "spare", "rack-2")
+    return fleet
--- a/limpetpulley/standin/main.py
+++ b/limpetpulley/standin/main.py
@@ -6,8 +6,11 @@
 import attrs
 import cappa
 
+from ..api.batches import BatchesApp
 from ..api.server import HttpServer
+from ..clock import SystemClock
 from ..store import MemoryStore
+from .batchfleet import make_fleet
 from .endpoint import EndpointStandin
 from .fleet import MemoryFleet
 from .platform import PlatformStandin
@@ -35,12 +38,20 @@
     port: int = attrs.field(metadata={"cappa": cappa.Arg(long=True)}, default=9000)
 
 
+@cappa.command(name="fleet", help="Daemons, workers and VMs in one process, for jobs of steps.")
+@attrs.define
+class Fleet:
+    """Arguments of the stand-in of a whole fleet."""
+
+    port: int = attrs.field(metadata={"cappa": cappa.Arg(long=True)}, default=8400)
+
+
 @cappa.command(name="limpetpulley-standin", help="Stand-ins for trying limpetpulley out.")
 @attrs.define
 class Standin:
     """Which stand-in to run."""
 
-    command: cappa.Subcommands[Platform | Endpoint]
+    command: cappa.Subcommands[Platform | Endpoint | Fleet]
 
 
 async def serve(app, port: int) -> None:
@@ -50,6 +61,14 @@
     await server.serve()
 
 
+async def serve_fleet(port: int) -> None:
+    """Serve a fleet's callers on loopback until interrupted."""
+    async with anyio.create_task_group() as tasks:
+        fleet = make_fleet(tasks, SystemClock())
+        nodes = [fleet.start_daemon(f"entry-{number + 1}") for number in range(3)]
+        await serve(BatchesApp(nodes[0]), port)
+
+
 def main() -> None:
     """Run a stand-in."""
     command = cappa.parse(Standin).command
@@ -57,5 +76,7 @@
         names = tuple(name for name in command.vms.split(",") if name)
         app = PlatformStandin(MemoryStore(), MemoryFleet(names))
         anyio.run(serve, app, command.port)
+    elif isinstance(command, Fleet):
+        anyio.run(serve_fleet, command.port)
     else:
         anyio.run(serve, EndpointStandin(), command.port)
