Bound how long unseen runs live by the claim's renewal; VMs that left the list have ended

Cause: after roll-outs and the closing fault a new owner waited 17 s for workers that had left the fleet, its jobs blocked while it held 17 VMs.

--- a/limpetpulley/ownership/agent.py
+++ b/limpetpulley/ownership/agent.py
@@ -29,9 +29,11 @@
 #: age of a worker's last answer above which its lease is not extended, so that the lease of a
 #: worker that is lost, or that hears but is not heard, lapses
 EXTEND_SECONDS = 2.5
-#: time without its claim's renewal after which an owner that the store does not hear stops to
-#: extend leases; with the lease's length it bounds how long runs that a new owner does not see live
-UNSEEN_OWNER_SECONDS = 12.0
+#: time after its claim's last renewal beyond which an owner lets no run live: with it a new owner
+#: knows when runs that it cannot see have ended. Longer than the store's usual outages
+UNSEEN_OWNER_SECONDS = 11.0
+#: shortest lease that is worth an order, in seconds
+LEAST_LEASE_SECONDS = 0.3
 #: pause after a hold without an answer
 RETRY_SECONDS = 0.2
 
@@ -81,9 +83,10 @@
         worker, now = self.worker, self.around.clock.now()
         until = None
         heard = now - worker.heard_at <= EXTEND_SECONDS
-        seen = self.claim_age() <= UNSEEN_OWNER_SECONDS
-        if worker.reconciled and heard and seen and worker.lease.worker_seconds is not None:
-            until = worker.lease.extend(now, lease_seconds(self.around.timing.longest_hold))
+        length = self.lease_length()
+        known = worker.reconciled and worker.lease.worker_seconds is not None
+        if known and heard and length >= LEAST_LEASE_SECONDS:
+            until = worker.lease.extend(now, length)
         wait = self.wait_seconds() if worker.reconciled else 0.0
         with anyio.fail_after(wait + ANSWER_SECONDS):
             reply = await self.around.orders.hold(
@@ -98,6 +101,11 @@
             with anyio.move_on_after(STORE_WAIT_SECONDS):
                 await self.stored().wait()
 
+    def lease_length(self) -> float:
+        """Return the lease to ask for: less while the owner's claim is not renewed."""
+        asked = lease_seconds(self.around.timing.longest_hold)
+        return min(asked, UNSEEN_OWNER_SECONDS - self.claim_age())
+
     def wait_seconds(self) -> float:
         """Return how long a hold may wait: less where tasks that serve may be disturbed."""
         serving = filling = False
@@ -136,10 +144,10 @@
         run = self.book.runs.get(order.task)
         if run is None or run.number != order.number or self.worker.lease.worker_seconds is None:
             return
-        if self.claim_age() > UNSEEN_OWNER_SECONDS:
+        length = self.lease_length()
+        if length < LEAST_LEASE_SECONDS:
             return
-        now = self.around.clock.now()
-        until = self.worker.lease.extend(now, lease_seconds(self.around.timing.longest_hold))
+        until = self.worker.lease.extend(self.around.clock.now(), length)
         reply = await self.around.orders.start(self.worker.listed, order, self.book.token, until)
         self.book.note_start(run, reply.outcome, reply.worker_seconds, self.around.clock.now())
         self.changed()
--- a/limpetpulley/ownership/owner.py
+++ b/limpetpulley/ownership/owner.py
@@ -21,6 +21,7 @@
 from ..scheduling.placement import fits_empty
 from ..store import Compare, Event
 from ..workers import StartOrder, Worker
+from ..workers.lease import SLOWEST_CLOCK
 from .advising import TicketKeeper
 from .agent import UNSEEN_OWNER_SECONDS, WorkerAgent, lease_seconds, name_task
 from .around import Around
@@ -169,7 +170,7 @@
         if entry is not None:
             self.roster.inherit(decode_roster(entry.value))
         if self.book.inherited:
-            unseen = UNSEEN_OWNER_SECONDS + lease_seconds(self.around.timing.longest_hold)
+            unseen = UNSEEN_OWNER_SECONDS / SLOWEST_CLOCK
             self.book.awaited = dict.fromkeys(self.roster.inherited, begun + unseen)
         await self.keeper.read()
         self.ready.set()
--- a/limpetpulley/ownership/planner.py
+++ b/limpetpulley/ownership/planner.py
@@ -135,10 +135,12 @@
 
     def _has_ended(self, worker_id: str, vm_name: str) -> bool:
         """Return whether a worker's VM runs another worker now, or was ordered away."""
-        vm = self.vms.get(vm_name)
-        if vm is None or self.listed_at <= self.seen[worker_id] + LIST_LAG_SECONDS:
+        if not vm_name or self.listed_at <= self.seen[worker_id] + LIST_LAG_SECONDS:
             # A list that is older than the worker shows the one before it.
             return False
+        vm = self.vms.get(vm_name)
+        if vm is None:
+            return bool(self.vms)
         if vm.phase in (Phase.MOVING, Phase.MAINTENANCE):
             return True
         rule = self.around.config.pools.get(vm.pool) if self.around.config else None
--- a/limpetpulley/ownership/reporting.py
+++ b/limpetpulley/ownership/reporting.py
@@ -106,7 +106,7 @@
         waiting = sum(
             remaining_work(book, book.jobs[job_id])
             for job_id in book.ready
-            if not book.jobs[job_id].spec.lasting
+            if not book.jobs[job_id].spec.lasting and book.may_start(book.jobs[job_id])
         )
         used = sum(worker.used.cpu_millicores for worker in book.workers.values())
         return pb.PoolReport(
--- a/limpetpulley/ownership/tests/test_planner.py
+++ b/limpetpulley/ownership/tests/test_planner.py
@@ -56,6 +56,8 @@
         (listed(worker="old"), listed(Phase.MAINTENANCE, ""), ["new", "old"]),
         (listed(worker="old"), listed(worker="", pool="off"), ["new", "old"]),
         (listed(worker="old"), listed(Phase.DOWN, ""), []),
+        (listed(worker="old"), [FleetVm("m-2", "desk", Phase.UP, "w")], ["new", "old"]),
+        (listed(worker="old"), [], []),
     ],
 )
 def test_a_worker_has_ended_if_a_later_list_shows_its_vm_without_it(before, after, ended):
