--- a/limpetpulley/ownership/reporting.py
+++ b/limpetpulley/ownership/reporting.py
@@ -122,7 +122,7 @@
                     rack=worker.listed.rack,
                 )
                 for worker in book.workers.values()
-                if worker.present or worker.runs
+                if worker.present or worker.runs or worker.worker_id in book.awaited
             ]
             + [
                 pb.WorkerReport(worker=name, vm=self.roster.inherited[name].vm, cordoned=True)
--- /dev/null
+++ b/limpetpulley/ownership/tests/test_reporting.py
@@ -0,0 +1,53 @@
+"""What an owner's report names, so that the planner can say what has ended."""
+
+import os
+
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Equals
+
+from ...batch import Amount, Job, JobKey, JobSpec, Step
+from ...batch.keys import BatchKeys
+from ...batch.records import RosterEntry
+from ...clock import ManualClock
+from ...pool import PoolBook
+from ...store import MemoryStore
+from ...telemetry import EventLog
+from ...workers import ListedWorker
+from .. import Around, Timing
+from ..reporting import PoolReporter, RefusedWork
+from ..roster import RosterKeeper
+
+
+def make_reporter():
+    clock = ManualClock(100.0)
+    log = EventLog("entry-1", os.open(os.devnull, os.O_WRONLY))
+    around = Around(
+        MemoryStore(clock), BatchKeys("lp/"), None, clock, log, Timing(), None, clock.now
+    )
+    book = PoolBook("desk", 3, 0.2, 10.0, 5.0)
+    job = Job(JobKey("q", "a"), JobSpec("", (Step(1),)), "desk")
+    book.add_job(job, 0.0, inherited=True)
+    book.awaited = {"listed": 111.0, "unlisted": 111.0, "left": 111.0}
+    roster = RosterKeeper(around, book, None, lambda: None)
+    roster.inherit({name: RosterEntry(f"{name}:1", f"vm-{name}") for name in book.awaited})
+    for name in ("listed", "left"):
+        book.list_worker(ListedWorker(name, "desk", f"{name}:1", 1, Amount(1000), f"vm-{name}"))
+    book.unlist_worker("left")
+    return book, PoolReporter(around, book, RefusedWork(), roster, None, lambda: None)
+
+
+def test_a_report_names_every_worker_that_is_waited_for():
+    _, reporter = make_reporter()
+    rows = {row.worker: row.vm for row in reporter.make_report().workers}
+    expected = {name: f"vm-{name}" for name in ("listed", "unlisted", "left")}
+    assert_that(rows, Equals(expected))
+
+
+@pytest.mark.parametrize(
+    ("ended", "may_start"), [(["listed"], False), (["listed", "unlisted", "left"], True)]
+)
+def test_tasks_of_an_earlier_owner_start_once_all_have_ended(ended, may_start):
+    book, reporter = make_reporter()
+    reporter.use_plan(set(), ended)
+    assert_that(book.may_start(book.jobs["a"]), Equals(may_start))
