--- a/limpetpulley/ownership/reporting.py
+++ b/limpetpulley/ownership/reporting.py
@@ -118,7 +118,8 @@
                     worker=worker.worker_id,
                     timed_runs=sum(1 for run in worker.runs.values() if not self._lasts(run)),
                     lasting_runs=sum(1 for run in worker.runs.values() if self._lasts(run)),
-                    cordoned=worker.cordoned,
+                    # Before its first hold an owner does not know what runs there.
+                    cordoned=worker.cordoned and worker.reconciled,
                     rack=worker.listed.rack,
                 )
                 for worker in book.workers.values()
--- a/limpetpulley/ownership/tests/test_reporting.py
+++ b/limpetpulley/ownership/tests/test_reporting.py
@@ -51,3 +51,12 @@
     book, reporter = make_reporter()
     reporter.use_plan(set(), ended)
     assert_that(book.may_start(book.jobs["a"]), Equals(may_start))
+
+
+@pytest.mark.parametrize("reconciled", [True, False])
+def test_a_worker_is_not_empty_before_its_owner_has_heard_it(reconciled):
+    book, reporter = make_reporter()
+    book.workers["listed"].reconciled = reconciled
+    reporter.use_plan({"listed"}, ())
+    row = next(row for row in reporter.make_report().workers if row.worker == "listed")
+    assert_that(row.cordoned, Equals(reconciled))
--- a/limpetpulley/pool/planning.py
+++ b/limpetpulley/pool/planning.py
@@ -26,6 +26,8 @@
 RESEND_START_SECONDS = 0.5
 #: time after which a start that got no answer is given up by a stop, in seconds
 GIVE_UP_START_SECONDS = 2.0
+#: age of a worker's last answer up to which its tasks are known to be at work, in seconds
+KNOWN_SECONDS = 1.6
 #: time after which a stop whose end is not listed is sent again, in seconds
 RESEND_STOP_SECONDS = 0.5
 
@@ -111,7 +113,8 @@
         step = job.step_of(run.task)
         if not step.lasting or choose_worker(step, others, beside_task(book, run.task)) is None:
             continue
-        if step.may_miss is None or missing(book, job, run.task) < step.may_miss:
+        heard_since = now - KNOWN_SECONDS
+        if step.may_miss is None or missing(book, job, run.task, heard_since) < step.may_miss:
             stop_run(run, now)
             orders.append(StopOrder(run.worker_id, run.task, run.number))
     return orders
@@ -126,8 +129,11 @@
     )
 
 
-def missing(book: PoolBook, job: Job, task: TaskId) -> int:
-    """Return how many tasks of a task's step are not at work at full speed."""
+def missing(book: PoolBook, job: Job, task: TaskId, heard_since: float) -> int:
+    """Return how many tasks of a task's step are not known to be at work at full speed.
+
+    :param heard_since: local time; what runs on a worker that was last heard before is not known
+    """
     step = job.step_of(task)
     at_work = sum(
         1
@@ -135,6 +141,7 @@
         if (run := book.runs.get(task._replace(position=position))) is not None
         and run.phase is RunPhase.RUNNING
         and run.percent >= 100
+        and book.workers[run.worker_id].heard_at >= heard_since
     )
     return step.count - at_work
 
