--- a/limpetpulley/api/batches.py
+++ b/limpetpulley/api/batches.py
@@ -3,132 +3,193 @@
 from __future__ import annotations
 
 import re
+from collections.abc import Callable
 
-from ..batch import JobSpec, JobState, QueueRule
+import attrs
+
+from ..batch import BatchConfig, JobSpec, JobState, QueueRule
 from ..batch.records import decode_spec
 from ..exception import JobRefused, RecordError, StoreError, StoreUnavailable
 from ..ownership import BatchNode, Outcome, Submission
 from .http import Receive, Scope, Send, get_header, read_body, send_json, send_problem
 
-__all__ = ["BatchesApp"]
+__all__ = ["BatchesApp", "Dialect", "Target", "own_dialect"]
 
 BATCH_PATH = re.compile(r"/queues/([A-Za-z0-9._-]+)/batches(?:/([0-9a-f]{16}))?")
 MAX_BODY_BYTES = 1 << 20
+#: most tasks of one job, over all its occurrences
+MAX_TASKS = 10_000
 #: time that a caller is given that names none, in seconds
 DEFAULT_SECONDS = 5.0
+#: part of the caller's time kept for the way back, in seconds
+RETURN_SECONDS = 0.05
+#: time after which a caller comes back that could not be served, in whole seconds
+RETRY_SECONDS = 1
 BEARER = "Bearer "
 
 
+@attrs.frozen
+class Target:
+    """What a request is about: a queue, and one of its jobs unless the id is empty."""
+
+    queue: QueueRule
+    job_id: str = ""
+
+
+@attrs.frozen
+class Dialect:
+    """How callers speak: the same requests, with names and statuses of their own.
+
+    :param submit_method: method that hands a job in
+    :param accepted: status of an accepted job
+    :param absent: status where there is no such job
+    :param unreadable: status of a job that makes no sense
+    :param locate: returns what a request is about, None if there is no such queue
+    :param read_spec: returns the job of a body; raises
+        :class:`~limpetpulley.exception.RecordError` if it makes no sense
+    :param deadline_header: header with the time in which the caller needs the answer
+    :param deadline_unit: seconds of one unit of that time
+    """
+
+    submit_method: str
+    accepted: int
+    absent: int
+    unreadable: int
+    locate: Callable[[BatchConfig, Scope], Target | None]
+    read_spec: Callable[[bytes], JobSpec]
+    deadline_header: bytes
+    deadline_unit: float
+
+
 class BatchesApp:
     """An ASGI application: submit, ask for, cancel and count jobs of steps."""
 
-    def __init__(self, node: BatchNode):
+    def __init__(self, node: BatchNode, dialect: Dialect):
         self.node = node
+        self.dialect = dialect
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Answer one request."""
-        match = BATCH_PATH.fullmatch(scope["path"])
-        config = self.node.around.config
-        queue = config.queues.get(match[1]) if match and config else None
         try:
-            if match is None or queue is None:
-                raise JobRefused(404, "not-found", "use /queues/{queue}/batches/{id}")
-            team = self._team(scope, queue)
-            if match[2] is None:
-                await self._count(scope, send, queue)
-            else:
-                await self._serve(scope, receive, send, queue, team, match[2])
+            await self._serve(scope, receive, send)
         except JobRefused as refused:
+            headers = []
+            if refused.retry_after is not None:
+                headers.append((b"retry-after", str(int(refused.retry_after)).encode()))
             await send_problem(
-                send, refused.status, refused.reason, refused.detail, run=refused.run
+                send, refused.status, refused.reason, refused.detail, headers, run=refused.run
             )
         except (StoreUnavailable, StoreError) as error:
-            headers = [(b"retry-after", b"1")]
+            self.node.around.log.write(
+                "request-unserved", method=scope["method"], path=scope["path"], reason=str(error)
+            )
+            headers = [(b"retry-after", str(RETRY_SECONDS).encode())]
             await send_problem(send, 503, "unavailable", str(error), headers)
 
-    def _team(self, scope: Scope, queue: QueueRule) -> str:
-        value = get_header(scope, b"authorization") or ""
+    async def _serve(self, scope: Scope, receive: Receive, send: Send) -> None:
         config = self.node.around.config
-        team = config.find_team(value.removeprefix(BEARER)) if config else None
-        if team is None and not queue.public:
-            raise JobRefused(401, "bad-key", "the access key is not known")
-        return team or ""
-
-    async def _count(self, scope: Scope, send: Send, queue: QueueRule) -> None:
-        if scope["method"] != "GET":
-            raise JobRefused(405, "method", "use GET")
-        pending = await self.node.service.count_pending(queue, time_left(scope))
-        await send_json(send, {"pending": pending})
-
-    async def _serve(
-        self, scope: Scope, receive: Receive, send: Send, queue: QueueRule, team: str, job_id: str
-    ) -> None:
-        service, seconds = self.node.service, time_left(scope)
-        if scope["method"] == "PUT":
-            await self._submit(scope, receive, send, queue, team, job_id)
-        elif scope["method"] == "GET":
-            await _send_state(send, await service.find(queue, job_id, seconds))
-        elif scope["method"] == "DELETE":
-            await _send_state(send, await service.cancel(queue, job_id, seconds))
+        if config is None:
+            raise JobRefused(503, "no-config", "no configuration yet", retry_after=RETRY_SECONDS)
+        target = self.dialect.locate(config, scope)
+        if target is None:
+            raise JobRefused(404, "not-found", "there is no such queue")
+        team = self._team(config, scope, target.queue)
+        service, seconds = self.node.service, self._time_left(scope)
+        method = scope["method"]
+        if not target.job_id:
+            if method != "GET":
+                raise JobRefused(405, "method", "use GET")
+            pending = await service.count_pending(target.queue, seconds)
+            await send_json(send, {"pending": pending})
+        elif method == self.dialect.submit_method:
+            spec = self._read_spec(target, await read_body(receive, MAX_BODY_BYTES))
+            await self._submit(send, target, team, spec, seconds)
+        elif method == "GET":
+            await self._send_state(send, await service.find(target.queue, target.job_id, seconds))
+        elif method == "DELETE":
+            state = await service.cancel(target.queue, target.job_id, seconds)
+            await self._send_state(send, state)
         else:
-            raise JobRefused(405, "method", "use PUT, GET or DELETE")
+            raise JobRefused(405, "method", f"use {self.dialect.submit_method}, GET or DELETE")
 
     async def _submit(
-        self, scope: Scope, receive: Receive, send: Send, queue: QueueRule, team: str, job_id: str
+        self, send: Send, target: Target, team: str, spec: JobSpec, seconds: float
     ) -> None:
-        spec = read_spec(await read_body(receive, MAX_BODY_BYTES))
-        seconds = time_left(scope)
+        queue = target.queue
         elapsed = max(0.0, queue.timeout_seconds - seconds) if queue.timeout_seconds else 0.0
         result = await self.node.service.submit(
-            Submission(queue, job_id, spec, team, elapsed), seconds
+            Submission(queue, target.job_id, spec, team, elapsed), seconds - RETURN_SECONDS
         )
         if result.outcome is Outcome.ACCEPTED:
-            await send_json(send, {"job": job_id, "state": JobState.QUEUED}, 202)
+            document = {"job": target.job_id, "state": JobState.QUEUED}
+            await send_json(send, document, self.dialect.accepted)
         elif result.outcome is Outcome.UNKNOWN:
             detail = "not known to be stored: ask again with the same id"
-            await send_problem(send, 504, result.reason, detail, run="unknown", job=job_id)
+            raise JobRefused(504, result.reason, detail, run="unknown")
         else:
-            headers = [(b"retry-after", str(result.retry_seconds).encode())]
-            reason = result.reason or "refused"
             detail = f"come back in {result.retry_seconds} s"
-            await send_problem(send, 503, reason, detail, headers, run="no", job=job_id)
+            raise JobRefused(
+                503, result.reason or "refused", detail, retry_after=result.retry_seconds
+            )
 
+    async def _send_state(self, send: Send, state: JobState | None) -> None:
+        if state is None:
+            raise JobRefused(self.dialect.absent, "no-such-job", "no job of this queue has the id")
+        await send_json(send, {"state": state})
 
-def time_left(scope: Scope) -> float:
-    """Return the time in which a caller needs the answer, in seconds.
+    def _team(self, config: BatchConfig, scope: Scope, queue: QueueRule) -> str:
+        value = get_header(scope, b"authorization") or ""
+        team = None
+        if value.startswith(BEARER):
+            team = config.find_team(value.removeprefix(BEARER))
+        if team is None and not queue.public:
+            raise JobRefused(401, "bad-key", "the access key is not known")
+        return team or ""
 
-    :raises JobRefused: if the header makes no sense
-    """
-    value = get_header(scope, b"time-left")
-    try:
-        seconds = float(value) if value else DEFAULT_SECONDS
-    except ValueError:
-        seconds = -1.0
-    if not 0 < seconds < float("inf"):
-        raise JobRefused(400, "bad-time-left", "Time-Left: seconds, more than 0")
-    return seconds
+    def _time_left(self, scope: Scope) -> float:
+        value = get_header(scope, self.dialect.deadline_header)
+        try:
+            seconds = float(value) * self.dialect.deadline_unit if value else DEFAULT_SECONDS
+        except ValueError:
+            seconds = -1.0
+        if not 0 <= seconds < float("inf"):
+            name = self.dialect.deadline_header.decode()
+            raise JobRefused(400, f"bad-{name}", f"{name} is a time, not below 0")
+        return seconds
+
+    def _read_spec(self, target: Target, content: bytes) -> JobSpec:
+        try:
+            spec = self.dialect.read_spec(content)
+            check_spec(spec)
+        except RecordError as error:
+            self.node.around.log.write("job-unreadable", job=target.job_id, reason=str(error))
+            raise JobRefused(self.dialect.unreadable, "bad-job", str(error)) from None
+        return spec
 
 
-def read_spec(content: bytes) -> JobSpec:
-    """Return the job that a body describes.
+def check_spec(spec: JobSpec) -> None:
+    """Check that a job can be done at all.
 
-    :raises JobRefused: if it describes none, with what is wrong
+    :raises RecordError: with what is wrong
     """
-    try:
-        spec = decode_spec(content)
-    except RecordError as error:
-        raise JobRefused(422, "bad-job", str(error)) from None
     if not spec.steps:
-        raise JobRefused(422, "bad-job", "a job has at least one step")
+        raise RecordError("a job has at least one step")
     for place, step in enumerate(spec.steps):
         if step.count < 1:
-            raise JobRefused(422, "bad-job", f"step {place}: count is at least 1")
+            raise RecordError(f"step {place}: count is at least 1")
         if any(not 0 <= before < place for before in step.after):
-            raise JobRefused(422, "bad-job", f"step {place}: after names earlier steps")
-    return spec
+            raise RecordError(f"step {place}: after names earlier steps")
+    tasks = max(1, spec.occurrences) * sum(step.count for step in spec.steps)
+    if tasks > MAX_TASKS:
+        raise RecordError(f"{tasks} tasks are more than {MAX_TASKS}")
+
+
+def own_dialect() -> Dialect:
+    """Return the product's own dialect."""
+    return Dialect("PUT", 202, 404, 422, _locate, decode_spec, b"time-left", 1.0)
 
 
-async def _send_state(send: Send, state: JobState | None) -> None:
-    if state is None:
-        raise JobRefused(404, "no-such-job", "no job of this queue has the id")
-    await send_json(send, {"state": state})
+def _locate(config: BatchConfig, scope: Scope) -> Target | None:
+    match = BATCH_PATH.fullmatch(scope["path"])
+    queue = config.queues.get(match[1]) if match else None
+    return Target(queue, match[2] or "") if match and queue else None
--- a/limpetpulley/fleet/demand.py
+++ b/limpetpulley/fleet/demand.py
@@ -22,14 +22,14 @@
 #: part of the room left without a VM that demand must stay below for the VM to go
 SPARE_PART = 0.5
 #: time for which there must be room to spare, so that VMs do not go to and fro
-SPARE_SECONDS = 1.5
+SPARE_SECONDS = 2.2
 #: part of a pool's own room that demand passes at its peak
 PEAK_PART = 0.5
 #: part of a pool's present room above which demand is rising to a peak
 RISING_PART = 0.4
 #: part of its own VMs that a quiet pool keeps which has not peaked yet; the rest joins it while
 #: its demand rises
-READY_PART = 0.8
+READY_PART = 0.4
 #: time after a peak before VMs are given away, in seconds
 REST_AFTER_SECONDS = 1.0
 #: fewest VMs that a pool keeps, so that the loss of one leaves room for its tasks that last
@@ -45,6 +45,7 @@
     :param size: processors of one of its VMs
     :param used_cores: processors in use, by tasks that last too
     :param waiting_core_seconds: work that waits
+    :param ready_cores: processors that waiting tasks would use now if there were room
     :param refused_core_seconds: work that was refused in the last second
     :param vms: number of its VMs
     :param least_vms: fewest VMs over which its tasks that last can be spread
@@ -53,6 +54,7 @@
     size: float
     used_cores: float
     waiting_core_seconds: float
+    ready_cores: float
     refused_core_seconds: float
     vms: int
     least_vms: int = 0
@@ -65,10 +67,8 @@
     @property
     def wanted_cores(self) -> float:
         """Return the processors that would serve the demand in time."""
-        return (
-            self.used_cores
-            + (self.waiting_core_seconds + self.refused_core_seconds) / DRAIN_SECONDS
-        )
+        waiting = min(self.ready_cores, self.waiting_core_seconds / DRAIN_SECONDS)
+        return self.used_cores + waiting + self.refused_core_seconds / DRAIN_SECONDS
 
 
 @attrs.frozen
--- a/limpetpulley/ownership/agent.py
+++ b/limpetpulley/ownership/agent.py
@@ -142,7 +142,9 @@
 
     async def _start(self, order: StartOrder) -> None:
         run = self.book.runs.get(order.task)
-        if run is None or run.number != order.number or self.worker.lease.worker_seconds is None:
+        if run is None or run.number != order.number or run.phase is not RunPhase.STARTING:
+            return
+        if self.worker.lease.worker_seconds is None:
             return
         length = self.lease_length()
         if length < LEAST_LEASE_SECONDS:
--- /dev/null
+++ b/limpetpulley/ownership/daemon.py
@@ -0,0 +1,208 @@
+"""A daemon that owns pools: its servers, its copies of what the platform tells, start and stop."""
+
+from __future__ import annotations
+
+import signal
+import time
+from collections.abc import Callable
+
+import anyio
+import anyio.abc
+import attrs
+
+from .. import __version__
+from ..api.http import Receive, Scope, Send, send_json
+from ..api.server import HttpServer
+from ..batch.keys import BatchKeys
+from ..clock import SystemClock
+from ..exception import RecordError
+from ..fleet.vms import VmOrders
+from ..peer import BatchStub, PeerClient, PeerServer
+from ..store import Event, Mirror, Store
+from ..tasks import keep_running
+from ..telemetry import EventLog
+from ..workers import ListedWorker, WorkerOrders
+from .advice import Adviser
+from .around import Around, Timing
+from .directory import Member
+from .node import BatchNode
+from .planner import WaveBoard
+
+__all__ = ["BatchDaemon", "BatchSettings", "Outside", "run_daemon"]
+
+KEY_PREFIX = "lp/"
+#: part of the grace in which open connections are served after the pools were handed over
+SERVE_ON_PART = 0.4
+#: time between two looks at the workers' entries, which change with every heartbeat, for a daemon
+#: that owns a pool and for one that does not, in seconds
+OWNER_GAP_SECONDS = 0.3
+IDLE_GAP_SECONDS = 2.0
+BUSY_POLL_SECONDS = 0.02
+
+
+@attrs.frozen
+class BatchSettings:
+    """What a daemon learns about itself.
+
+    :param host: IP number to listen on
+    :param callers_port: port for callers
+    :param readiness_port: port where the platform asks whether callers can be served
+    :param peers_port: port for other daemons
+    """
+
+    name: str
+    data_centre: str
+    host: str
+    callers_port: int
+    readiness_port: int
+    peers_port: int
+    timing: Timing
+
+
+@attrs.frozen
+class Outside:
+    """What a daemon meets outside.
+
+    :param operator_prefix: prefix of what the operator writes
+    :param workers_prefix: prefix of the workers' entries
+    :param take_operator: takes a key and value that the operator wrote
+    :param decode_worker: returns the worker of an entry; raises
+        :class:`~limpetpulley.exception.RecordError` if it is damaged
+    :param callers: returns the application that serves callers
+    :param read_timing: reads the settings again
+    """
+
+    store: Store
+    orders: WorkerOrders
+    vms: VmOrders
+    adviser: Adviser | None
+    board: WaveBoard
+    operator_prefix: str
+    workers_prefix: str
+    take_operator: Callable[[BatchNode, str, bytes], None]
+    decode_worker: Callable[[str, bytes], ListedWorker]
+    callers: Callable[[BatchNode], Callable]
+    read_timing: Callable[[], Timing]
+
+
+class BatchDaemon:
+    """One daemon with its servers."""
+
+    def __init__(self, settings: BatchSettings, outside: Outside, tasks: anyio.abc.TaskGroup):
+        self.settings = settings
+        self.outside = outside
+        self.tasks = tasks
+        self.log = EventLog(settings.name)
+        clock = SystemClock()
+        self.around = Around(
+            outside.store,
+            BatchKeys(KEY_PREFIX),
+            outside.orders,
+            clock,
+            self.log,
+            settings.timing,
+            tasks,
+            time.time,
+            outside.adviser,
+        )
+        member = Member(
+            settings.name,
+            time.time_ns() // 1_000_000,
+            f"{settings.host}:{settings.peers_port}",
+            settings.data_centre,
+        )
+        self.node = BatchNode(
+            self.around, member, PeerClient(BatchStub), outside.vms, outside.board
+        )
+        host = settings.host
+        self.peers = PeerServer([self.node.handlers], host, settings.peers_port)
+        self.callers = HttpServer(outside.callers(self.node), host, settings.callers_port)
+        self.readiness = HttpServer(self.answer_readiness, host, settings.readiness_port)
+        self.workers: dict[str, ListedWorker] = {}
+        self.operator = Mirror(
+            outside.store, outside.operator_prefix, clock, self._operator_wrote, self._lost
+        )
+        self.entries = Mirror(
+            outside.store,
+            outside.workers_prefix,
+            clock,
+            self._workers_wrote,
+            gap=lambda: OWNER_GAP_SECONDS if self.node.owned else IDLE_GAP_SECONDS,
+        )
+
+    async def start(self) -> None:
+        """Start to serve."""
+        self.log.write("daemon-started", version=__version__, data_centre=self.settings.data_centre)
+        await self.peers.start()
+        for server in (self.readiness, self.callers):
+            await self.tasks.start(server.serve)
+        for loop in (self.operator.run, self.entries.run):
+            self.tasks.start_soon(keep_running, loop)
+        self.node.start()
+
+    async def stop(self) -> None:
+        """Hand over, serve open connections a little longer, and end."""
+        self.log.write("daemon-stopping")
+        await self.node.leave()
+        await anyio.sleep(self.settings.timing.grace * SERVE_ON_PART)
+        self.callers.stop()
+        while self.callers.busy:
+            await anyio.sleep(BUSY_POLL_SECONDS)
+        self.log.write("daemon-stopped")
+        self.log.flush()
+
+    def reload(self) -> None:
+        """Read the settings again; what only a new process can take over is left."""
+        try:
+            self.around.timing = self.outside.read_timing()
+        except RecordError as error:
+            self.log.write("settings-unreadable", reason=str(error))
+        else:
+            self.log.write("settings-read")
+
+    async def answer_readiness(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Tell whether callers can be served."""
+        ready = self.node.is_ready
+        await send_json(send, {"ready": ready}, 200 if ready else 503)
+
+    def _operator_wrote(self, events: list[Event]) -> None:
+        for event in events:
+            if event.value is None:
+                continue
+            try:
+                self.outside.take_operator(self.node, event.key, event.value)
+            except RecordError as error:
+                self.log.write(
+                    "operator-unreadable",
+                    key=event.key,
+                    revision=event.revision,
+                    reason=str(error),
+                )
+
+    def _workers_wrote(self, events: list[Event]) -> None:
+        for event in events:
+            worker_id = event.key.removeprefix(self.outside.workers_prefix)
+            self.workers.pop(worker_id, None)
+            if event.value is not None:
+                try:
+                    self.workers[worker_id] = self.outside.decode_worker(event.key, event.value)
+                except RecordError as error:
+                    self.log.write("worker-unreadable", worker=worker_id, reason=str(error))
+        self.node.use_workers(dict(self.workers))
+
+    def _lost(self, reason: str) -> None:
+        self.log.write("config-away" if reason else "config-back", reason=reason)
+
+
+async def run_daemon(settings: BatchSettings, outside: Outside) -> None:
+    """Run a daemon until SIGTERM or SIGINT, then stop gracefully."""
+    async with anyio.create_task_group() as tasks:
+        daemon = BatchDaemon(settings, outside, tasks)
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+            await daemon.start()
+            async for received in signals:
+                if received != signal.SIGHUP:
+                    break
+                daemon.reload()
+            await daemon.stop()
+        tasks.cancel_scope.cancel()
--- a/limpetpulley/ownership/owner.py
+++ b/limpetpulley/ownership/owner.py
@@ -33,7 +33,7 @@
 __all__ = ["PoolOwner", "Submission"]
 
 #: time between two plans, so that ends and submissions that come together make one
-PLAN_GAP_SECONDS = 0.005
+PLAN_GAP_SECONDS = 0.01
 #: longest time between two plans, for orders to send again and leases that lapse
 PLAN_PAUSE_SECONDS = 0.25
 #: time between two looks for ended jobs whose records can go
--- a/limpetpulley/ownership/planner.py
+++ b/limpetpulley/ownership/planner.py
@@ -22,7 +22,7 @@
 #: name under which the planner's claim stands among the pools' owners
 PLANNER = "@planner"
 #: time between two looks, in seconds
-LOOK_SECONDS = 0.4
+LOOK_SECONDS = 0.25
 #: part of the claim's lease after whose last renewal no more orders are given: another holder may
 #: begin when it has lapsed
 CLAIM_PART = 0.8
@@ -188,6 +188,7 @@
                 sum(vm.cores for vm in vms) / max(1, len(vms)),
                 told.running_cores,
                 told.waiting_core_seconds,
+                told.ready_cores,
                 told.refused_core_seconds,
                 len(vms),
                 told.least_workers,
--- a/limpetpulley/ownership/reporting.py
+++ b/limpetpulley/ownership/reporting.py
@@ -11,14 +11,14 @@
 from ..peer import PeerCaller
 from ..peer import batch_pb2 as pb
 from ..pool import PoolBook
-from ..pool.outlook import least_workers, pool_room, remaining_work
+from ..pool.outlook import least_workers, pool_room, ready_cores, remaining_work
 from .around import Around
 from .roster import RosterKeeper
 
 __all__ = ["PoolReporter", "RefusedWork"]
 
 #: time between two reports, in seconds
-REPORT_SECONDS = 0.4
+REPORT_SECONDS = 0.2
 #: time without the planner's answer after which no VM is emptied any more, in seconds
 PLAN_SECONDS = 3.0
 #: time over which refused work is counted, in seconds
@@ -133,6 +133,7 @@
             waiting_core_seconds=waiting,
             running_cores=used / 1000,
             room_cores=pool_room(book).cpu_millicores / 1000,
+            ready_cores=ready_cores(book),
             least_workers=least_workers(book),
             refused_core_seconds=self.refused.total(self.around.clock.now()),
         )
--- a/limpetpulley/platform/config.py
+++ b/limpetpulley/platform/config.py
@@ -5,10 +5,10 @@
 from typing import Any
 
 from ..batch import AdviceRule, Amount, BatchConfig, PoolRule, QueueRule, TeamRule
+from ..exception import RecordError
 from ..reading import flag, load, number, rows, text, whole
-from .amounts import amount
 
-__all__ = ["CONFIG_KEY", "OPERATOR_PREFIX", "decode_config"]
+__all__ = ["CONFIG_KEY", "OPERATOR_PREFIX", "amount", "decode_config"]
 
 OPERATOR_PREFIX = "op/"
 CONFIG_KEY = "op/config"
@@ -67,3 +67,13 @@
     # "upperBound" of a tenant is an amount; of a wave it is a number of machines.
     limit = amount(row["upperBound"]) if row.get("upperBound") else Amount()
     return TeamRule(text(row, "name"), keys, number(row, "weight", 1.0), limit)
+
+
+def amount(source: Any) -> Amount:
+    """Return an amount.
+
+    :raises RecordError: if it cannot be read
+    """
+    if not isinstance(source, dict):
+        raise RecordError("an amount is not an object")
+    return Amount(whole(source, "cpu", 0), whole(source, "memMb", 0), whole(source, "gpu", 0))
--- a/limpetpulley/platform/vms.py
+++ b/limpetpulley/platform/vms.py
@@ -10,7 +10,7 @@
 from ..fleet.vms import FleetVm, OrderOutcome, Phase, WaveOrder
 from ..http_client import HttpAnswer, HttpCaller
 from ..reading import load, number, rows, text, whole
-from .amounts import amount
+from .config import amount
 
 __all__ = ["WAVE_PREFIX", "PlatformVms", "decode_wave", "encode_wave_state", "wave_state_key"]
 
@@ -74,8 +74,8 @@
             answer = await self._call("GET", target, {}, b"")
             if answer.status != OK:
                 raise PlatformError(f"the list of machines answered {answer.status}")
-            page = self._read(answer)
             try:
+                page = load(answer.content)
                 found += [_vm(row) for row in rows(page, "machines")]
             except RecordError as error:
                 raise PlatformError(f"the list of machines: {error}") from None
@@ -107,7 +107,10 @@
         if answer.status == BAD_REQUEST:
             return OrderOutcome.REFUSED
         if answer.status == CONFLICT:
-            return REASONS.get(str(self._read(answer).get("reason")), OrderOutcome.REFUSED)
+            try:
+                return REASONS.get(text(load(answer.content), "reason"), OrderOutcome.REFUSED)
+            except RecordError as error:
+                raise PlatformError(f"{path} answered {answer.status}: {error}") from None
         raise PlatformError(f"{path} answered {answer.status}")
 
     async def _call(
@@ -120,12 +123,6 @@
         except HttpError as error:
             raise PlatformError(str(error)) from None
 
-    def _read(self, answer: HttpAnswer) -> dict[str, Any]:
-        try:
-            return load(answer.content)
-        except RecordError as error:
-            raise PlatformError(str(error)) from None
-
 
 def _vm(row: Any) -> FleetVm:
     if not isinstance(row, dict):
--- a/limpetpulley/platform/workers.py
+++ b/limpetpulley/platform/workers.py
@@ -20,7 +20,7 @@
     StartReply,
     StopOrder,
 )
-from .amounts import amount
+from .config import amount
 
 __all__ = ["SERVERS_PREFIX", "PlatformWorkers", "decode_task", "decode_worker", "encode_task"]
 
--- a/limpetpulley/pool/book.py
+++ b/limpetpulley/pool/book.py
@@ -274,7 +274,8 @@
         run.unanswered -= 1
         if run.phase is RunPhase.STOPPING:
             return
-        if outcome is StartOutcome.STARTED:
+        if outcome in (StartOutcome.STARTED, StartOutcome.OLD_RUN):
+            # An old run has ended there; its end is listed if it has begun at all.
             run.settled_at = worker_seconds + SETTLE_SECONDS
             return
         if run.unanswered:
--- a/limpetpulley/pool/outlook.py
+++ b/limpetpulley/pool/outlook.py
@@ -17,6 +17,7 @@
     "least_workers",
     "pool_room",
     "predict",
+    "ready_cores",
     "remaining_work",
     "wanted_by_team",
 ]
@@ -88,6 +89,16 @@
     return max((math.ceil(step.count / step.max_per_worker) for step in steps), default=0)
 
 
+def ready_cores(book: PoolBook) -> float:
+    """Return the processors that waiting tasks would use now if there were room."""
+    millicores = 0
+    for job_id, tasks in book.ready.items():
+        job = book.jobs[job_id]
+        if book.may_start(job):
+            millicores += sum(job.step_of(task).need.cpu_millicores for task in tasks)
+    return millicores / 1000
+
+
 def remaining_work(book: PoolBook, job: Job) -> float:
     """Return the core-seconds that a job still needs."""
     seconds = book.times.expect(job.key.queue, job.spec)
--- a/limpetpulley/pool/tests/test_planning.py
+++ b/limpetpulley/pool/tests/test_planning.py
@@ -222,3 +222,15 @@
     book.add_job(lasting, 0.0)
     (order,) = plan(book)
     assert_that(order.task.job_id, Equals("00000000000000bb"))
+
+
+def test_a_copy_that_comes_after_the_end_does_not_start_the_task_anew():
+    book = make_book(Step(1, TASK))
+    (order,) = plan(book)
+    run = book.runs[order.task]
+    plan(book, now=NOW + 0.6)
+    book.note_start(run, StartOutcome.STARTED, 10.0, NOW + 0.7)
+    book.note_start(run, StartOutcome.OLD_RUN, 11.0, NOW + 0.8)
+    assert_that(plan(book, now=NOW + 0.9), Equals([]))
+    hold(book, order.worker_id, ended=[Ended(1, order.task, order.number, EndKind.DONE)], clock=12)
+    assert_that(book.jobs[JOB].state, Equals(JobState.COMPLETED))
