--- a/limpetpulley/ownership/owner.py
+++ b/limpetpulley/ownership/owner.py
@@ -259,7 +259,7 @@
     def state_of(self, job: Job) -> JobState:
         """Return what a caller is told: an end only once it is stored."""
         job_id = job.key.job_id
-        if job.state.final and self.book.stored[job_id] < self.book.changed[job_id]:
+        if job.state.final and not self.book.progress.is_stored(job_id):
             return JobState.RUNNING
         return job.state
 
--- a/limpetpulley/ownership/writer.py
+++ b/limpetpulley/ownership/writer.py
@@ -71,9 +71,9 @@
     async def wait_stored(self, job: Job) -> None:
         """Return once the job's progress of now is stored."""
         job_id = job.key.job_id
-        version = self.book.changed.get(job_id, 0)
+        version = self.book.progress.newest.get(job_id, 0)
         self.flush_needed.set()
-        while self.book.stored.get(job_id, version) < version:
+        while self.book.progress.stored.get(job_id, version) < version:
             await self.flushed.wait()
 
     async def run_creations(self) -> None:
@@ -105,7 +105,7 @@
     async def flush(self) -> None:
         """Store all progress that is not stored yet."""
         while jobs := self.book.unstored_jobs()[: TRANSACTION_ENTRIES - 1]:
-            versions = {job.key.job_id: self.book.changed[job.key.job_id] for job in jobs}
+            versions = {job.key.job_id: self.book.progress.newest[job.key.job_id] for job in jobs}
             keys = self.around.keys
             writes = [Put(keys.progress(job.key), encode_progress(job)) for job in jobs]
             try:
--- a/limpetpulley/pool/book.py
+++ b/limpetpulley/pool/book.py
@@ -23,6 +23,7 @@
     StopOrder,
     Worker,
 )
+from .progress import ProgressLedger
 from .tickets import TicketBook
 from .times import TaskTimes
 
@@ -57,13 +58,6 @@
     detail: str = ""
 
 
-@attrs.define
-class _Unstored:
-    position: int
-    job_id: str
-    version: int
-
-
 class PoolBook:
     """Jobs, workers and runs of one pool.
 
@@ -100,9 +94,7 @@
         self.strays: dict[StopOrder, float] = {}
         self.awaited: dict[str, float] = {}
         self.inherited: set[str] = set()
-        self.changed: dict[str, int] = {}
-        self.stored: dict[str, int] = {}
-        self.unstored: dict[str, list[_Unstored]] = {}
+        self.progress = ProgressLedger()
         self.next_number = token * RUNS_PER_OWNER + 1
         self.times = TaskTimes()
         self.tickets = TicketBook()
@@ -116,7 +108,7 @@
         :param inherited: whether an earlier owner may have started its tasks
         """
         self.jobs[job.key.job_id] = job
-        self.changed[job.key.job_id] = self.stored[job.key.job_id] = 0
+        self.progress.add(job.key.job_id)
         if inherited and not job.state.final:
             self.inherited.add(job.key.job_id)
         self.refresh(job, now)
@@ -124,21 +116,17 @@
     def forget_job(self, job_id: str) -> None:
         """Forget a job whose records were removed."""
         self.jobs.pop(job_id, None)
-        for held in (self.changed, self.stored, self.ready):
-            held.pop(job_id, None)
+        self.ready.pop(job_id, None)
+        self.progress.forget(job_id)
 
     def cancel(self, job: Job, now: float) -> bool:
         """Cancel a job; return whether its progress changed."""
         if not job.cancel(now):
             return False
-        self.touch(job)
+        self.progress.touch(job.key.job_id)
         self.refresh(job, now)
         return True
 
-    def touch(self, job: Job) -> None:
-        """Note that a job's progress has to be stored."""
-        self.changed[job.key.job_id] += 1
-
     def refresh(self, job: Job, now: float) -> None:
         """Work out which tasks of a job wait for a start.
 
@@ -167,19 +155,13 @@
 
     def unstored_jobs(self) -> list[Job]:
         """Return the jobs whose progress is newer than what is stored."""
-        return [
-            self.jobs[job_id]
-            for job_id, version in self.changed.items()
-            if version > self.stored[job_id]
-        ]
+        return [self.jobs[job_id] for job_id in self.progress.open_jobs()]
 
     def mark_stored(self, versions: dict[str, int]) -> None:
         """Note which versions of the jobs' progress are stored now."""
-        for job_id, version in versions.items():
-            if job_id in self.stored:
-                self.stored[job_id] = max(version, self.stored[job_id])
-        for worker_id in list(self.unstored):
-            self._acknowledge(worker_id)
+        self.progress.note_stored(versions)
+        for worker in self.workers.values():
+            self._acknowledge(worker)
 
     # Workers
 
@@ -217,7 +199,7 @@
         worker.lease.restart()
         worker.seen_through = worker.stored_through = 0
         worker.reconciled = False
-        self.unstored.pop(worker.worker_id, None)
+        self.progress.forget_worker(worker.worker_id)
         self.awaited.pop(worker.worker_id, None)
         self.report(Change("worker-restarted", worker.worker_id, detail=why))
 
@@ -230,7 +212,7 @@
             gone = worker.ended or (not worker.present and worker.lease.has_lapsed(now))
             if gone and not worker.runs:
                 del self.workers[worker.worker_id]
-                self.unstored.pop(worker.worker_id, None)
+                self.progress.forget_worker(worker.worker_id)
                 self.report(Change("worker-gone", worker.worker_id))
         for worker_id in [name for name, until in self.awaited.items() if until <= now]:
             del self.awaited[worker_id]
@@ -263,7 +245,7 @@
         if len(reply.ended) < LISTED_ENDS:
             self._note_absent(worker, reply)
         self.awaited.pop(worker.worker_id, None)
-        self._acknowledge(worker.worker_id)
+        self._acknowledge(worker)
 
     def note_start(self, run: Run, outcome: StartOutcome, worker_seconds: float, now: float):
         """Take a worker's answer to a start."""
@@ -375,10 +357,8 @@
         if end.kind is not EndKind.DONE and end.checkpoint and job.wants(end.task):
             self.checkpoints[job.unit_of(end.task)] = end.checkpoint
         if job.note_end(end.task, end.number, end.kind, day):
-            self.touch(job)
-            self.unstored.setdefault(worker.worker_id, []).append(
-                _Unstored(end.position, job.key.job_id, self.changed[job.key.job_id])
-            )
+            self.progress.touch(job.key.job_id)
+            self.progress.note_end(worker.worker_id, end.position, job.key.job_id)
             self.refresh(job, day)
         else:
             self._wait_again(end.task)
@@ -437,19 +417,5 @@
             if settled and run.task not in shown:
                 self._drop(run, "not-listed")
 
-    def _acknowledge(self, worker_id: str) -> None:
-        worker = self.workers.get(worker_id)
-        if worker is None:
-            self.unstored.pop(worker_id, None)
-            return
-        waiting = [
-            end
-            for end in self.unstored.get(worker_id, ())
-            if end.job_id in self.stored and self.stored[end.job_id] < end.version
-        ]
-        if waiting:
-            self.unstored[worker_id] = waiting
-            worker.stored_through = min(end.position for end in waiting) - 1
-        else:
-            self.unstored.pop(worker_id, None)
-            worker.stored_through = worker.seen_through
+    def _acknowledge(self, worker: Worker) -> None:
+        worker.stored_through = self.progress.stored_through(worker.worker_id, worker.seen_through)
--- /dev/null
+++ b/limpetpulley/pool/progress.py
@@ -0,0 +1,81 @@
+"""Which progress of jobs is stored, and which ends may be acknowledged. No I/O.
+
+An end is acknowledged to its worker only after the progress that it made is stored; a job is shown
+as ended only after its last progress is.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+import attrs
+
+__all__ = ["ProgressLedger"]
+
+
+@attrs.frozen
+class _Unstored:
+    position: int
+    job_id: str
+    version: int
+
+
+class ProgressLedger:
+    """Versions of the jobs' progress: the newest, and the one that is stored."""
+
+    def __init__(self) -> None:
+        self.newest: dict[str, int] = {}
+        self.stored: dict[str, int] = {}
+        self.unstored: dict[str, list[_Unstored]] = {}
+
+    def add(self, job_id: str) -> None:
+        """Add a job whose progress is stored as it is."""
+        self.newest[job_id] = self.stored[job_id] = 0
+
+    def forget(self, job_id: str) -> None:
+        """Forget a job."""
+        self.newest.pop(job_id, None)
+        self.stored.pop(job_id, None)
+
+    def touch(self, job_id: str) -> None:
+        """Note that a job's progress has changed."""
+        self.newest[job_id] += 1
+
+    def is_stored(self, job_id: str) -> bool:
+        """Return whether a job's newest progress is stored."""
+        return self.stored.get(job_id, 0) >= self.newest.get(job_id, 0)
+
+    def open_jobs(self) -> list[str]:
+        """Return the jobs whose newest progress is not stored."""
+        return [job_id for job_id in self.newest if not self.is_stored(job_id)]
+
+    def note_end(self, worker_id: str, position: int, job_id: str) -> None:
+        """Note that a worker's end waits for a job's progress of now to be stored."""
+        end = _Unstored(position, job_id, self.newest[job_id])
+        self.unstored.setdefault(worker_id, []).append(end)
+
+    def note_stored(self, versions: Mapping[str, int]) -> None:
+        """Note which versions of the jobs' progress are stored now."""
+        for job_id, version in versions.items():
+            if job_id in self.stored:
+                self.stored[job_id] = max(version, self.stored[job_id])
+
+    def stored_through(self, worker_id: str, seen_through: int) -> int:
+        """Return the position up to which a worker's ends may be acknowledged.
+
+        :param seen_through: position of the last end that was taken into account
+        """
+        waiting = [
+            end
+            for end in self.unstored.get(worker_id, ())
+            if end.job_id in self.stored and self.stored[end.job_id] < end.version
+        ]
+        if not waiting:
+            self.unstored.pop(worker_id, None)
+            return seen_through
+        self.unstored[worker_id] = waiting
+        return min(end.position for end in waiting) - 1
+
+    def forget_worker(self, worker_id: str) -> None:
+        """Forget the ends of a worker that is gone or has started anew."""
+        self.unstored.pop(worker_id, None)
--- a/limpetpulley/pool/tests/test_machine.py
+++ b/limpetpulley/pool/tests/test_machine.py
@@ -106,7 +106,7 @@
 
     def flush(self):
         jobs = self.book.unstored_jobs()
-        versions = {job.key.job_id: self.book.changed[job.key.job_id] for job in jobs}
+        versions = {job.key.job_id: self.book.progress.newest[job.key.job_id] for job in jobs}
         for job in jobs:
             self.progress[job.key.job_id] = encode_progress(job)
         self.book.mark_stored(versions)
