Answer truly when the store turns a write away; borrow entries from other daemons meanwhile

Such jobs are now refused with Retry-After, the daemon learns from others who owns the pool by now and which configuration is in force, and an owner that cannot be connected to counts as got no message.

--- a/limpetpulley/exception.py
+++ b/limpetpulley/exception.py
@@ -15,9 +15,11 @@
     "ConflictError",
     "StoreError",
     "StoreUnavailable",
+    "StoreRefused",
     "ChangeUnknown",
     "PlatformError",
     "PeerError",
+    "PeerUnreachable",
     "PermitError",
     "JobRefused",
     "EndpointError",
@@ -87,10 +89,18 @@
     """The platform's list or controls gave no usable answer."""
 
 
+class StoreRefused(StoreUnavailable):  # noqa: N818
+    """The store turned a call away and did nothing."""
+
+
 class PeerError(LimpetpulleyError):
     """Another daemon gave no usable answer."""
 
 
+class PeerUnreachable(PeerError):  # noqa: N818
+    """Another daemon could not be connected to, so that it got no message."""
+
+
 class PermitError(LimpetpulleyError):
     """More permits were asked for than are held free."""
 
--- a/limpetpulley/ownership/daemon.py
+++ b/limpetpulley/ownership/daemon.py
@@ -130,6 +130,9 @@
             gap=lambda: OWNER_GAP_SECONDS if self.node.owned else IDLE_GAP_SECONDS,
         )
 
+        for mirror in (self.operator, self.entries):
+            self.node.mirrors[mirror.prefix] = mirror
+
     async def start(self) -> None:
         """Start to serve."""
         self.log.write("daemon-started", version=__version__, data_centre=self.settings.data_centre)
--- a/limpetpulley/ownership/handlers.py
+++ b/limpetpulley/ownership/handlers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -9,6 +10,7 @@
 from ..exception import RecordError
 from ..peer import BatchBase
 from ..peer import batch_pb2 as pb
+from ..store import Mirror
 from .around import Around
 from .owner import PoolOwner, Submission
 from .service import cancel_locally, count_locally, find_locally, submit_locally
@@ -16,6 +18,10 @@
 __all__ = ["BatchHandlers"]
 
 
+#: age of the store's last answer up to which this daemon's copies are lent, in seconds
+FRESH_SECONDS = 1.0
+
+
 class BatchHandlers(BatchBase):
     """The owner's side of the protocol between daemons.
 
@@ -25,6 +31,8 @@
     def __init__(self, around: Around, owned: dict[str, PoolOwner]):
         self.around = around
         self.owned = owned
+        self.mirrors: dict[str, Mirror] = {}
+        self.store_age: Callable[[], float] = lambda: math.inf
         self.plan_pool: Callable[[pb.PoolReport], pb.PoolPlan] = lambda report: pb.PoolPlan()
 
     async def Submit(self, stream: Any) -> None:  # noqa: N802
@@ -64,6 +72,21 @@
         message = await stream.recv_message()
         await stream.send_message(self.plan_pool(message))
 
+    async def FetchEntries(self, stream: Any) -> None:  # noqa: N802
+        """Tell what this daemon's copy of a prefix holds."""
+        message = await stream.recv_message()
+        mirror = self.mirrors.get(message.prefix)
+        if mirror is None or self.store_age() > FRESH_SECONDS or not mirror.loaded.is_set():
+            await stream.send_message(pb.EntriesReply())
+            return
+        reply = pb.EntriesReply(fresh=True, revision=mirror.revision)
+        if mirror.revision > message.after:
+            reply.entries.extend(
+                pb.EntryRow(key=entry.key, value=entry.value, revision=entry.revision)
+                for entry in mirror.entries.values()
+            )
+        await stream.send_message(reply)
+
     def _owner(self, pool: str) -> PoolOwner | None:
         owner = self.owned.get(pool)
         if owner is None or not owner.ready.is_set() or owner.finished.is_set():
--- a/limpetpulley/ownership/node.py
+++ b/limpetpulley/ownership/node.py
@@ -13,6 +13,7 @@
 from ..tasks import keep_running, start_guarded
 from ..workers import ListedWorker
 from .around import Around
+from .borrowing import EntryBorrower
 from .directory import Directory, Member, choose_claims
 from .handlers import BatchHandlers
 from .owner import PoolOwner
@@ -68,13 +69,25 @@
             self._directory_changed,
             self._directory_lost,
         )
+        self.mirrors = {self.mirror.prefix: self.mirror}
+        self.handlers.mirrors = self.mirrors
+        self.borrower = EntryBorrower(
+            around, member, self.directory, peers, self.mirrors, self.session.age
+        )
+        self.handlers.store_age = self.session.age
         self.begun_at = around.clock.now()
         self.leaving = False
         self.look = anyio.Event()
 
     def start(self) -> None:
         """Start to take part."""
-        for loop in (self.mirror.run, self.session.run, self._claim_pools, self._flush_log):
+        for loop in (
+            self.mirror.run,
+            self.session.run,
+            self.borrower.run,
+            self._claim_pools,
+            self._flush_log,
+        ):
             self.around.tasks.start_soon(keep_running, loop)
 
     async def leave(self) -> None:
--- a/limpetpulley/ownership/service.py
+++ b/limpetpulley/ownership/service.py
@@ -12,7 +12,7 @@
 
 from ..batch import JobKey, JobState, QueueRule
 from ..batch.records import decode_job, encode_spec
-from ..exception import PeerError, RecordError, StoreUnavailable
+from ..exception import PeerError, PeerUnreachable, RecordError, StoreUnavailable
 from ..peer import PeerCaller
 from ..peer import batch_pb2 as pb
 from .around import Around
@@ -207,9 +207,12 @@
                     return await locally(mine)
             elif owner is not None:
                 timeout = max(0.1, min(OWNER_ANSWER_SECONDS, time_left))
-                reply = await self.peers.call(owner.address, method, message, timeout)
-                if reply.outcome != pb.NOT_OWNER:
-                    return reply
+                try:
+                    reply = await self.peers.call(owner.address, method, message, timeout)
+                    if reply.outcome != pb.NOT_OWNER:
+                        return reply
+                except PeerUnreachable as error:
+                    self.around.log.write("owner-unreachable", pool=pool, reason=str(error))
             if clock.now() >= until:
                 return None
             await anyio.sleep(SEARCH_PAUSE_SECONDS)
--- a/limpetpulley/ownership/tests/test_calm_day.py
+++ b/limpetpulley/ownership/tests/test_calm_day.py
@@ -6,8 +6,10 @@
 from testtools.matchers import Contains, Equals, HasLength, Is
 
 from ...batch import Amount, BatchConfig, JobSpec, JobState, PoolRule, QueueRule, Step, TeamRule
+from ...exception import StoreRefused
 from ...fleet.vms import WaveOrder
 from ...standin.batchfleet import BatchFleet
+from ...standin.store import STORE_HOST
 from ...standin.virtual import VirtualClock, run_virtual
 from .. import Outcome, Submission
 
@@ -262,3 +264,40 @@
     most, accepted = play(story, make_config(Amount(5000, 0, 0)))
     assert most <= 5000
     assert accepted > 3
+
+
+def test_a_daemon_that_the_store_turns_away_serves_through_the_new_owner():
+    async def story(day):
+        lost = day.fleet.owner_of("desk")
+        day.fleet.network.cut_pairs.add(frozenset((lost, STORE_HOST)))
+        await anyio.sleep(4.5)
+        _, result = await day.submit("desk", two_steps(), at=lost)
+        node = day.fleet.daemons[lost].node
+        owner = node.directory.owner_of("desk")
+        await anyio.sleep(3.0)
+        return lost, owner.name, result.outcome, await day.states()
+
+    lost, owner, outcome, states = play(story)
+    assert owner != lost
+    assert_that(outcome, Is(Outcome.ACCEPTED))
+    assert_that(set(states.values()), Equals({JobState.COMPLETED}))
+
+
+def test_a_job_that_the_store_turned_away_is_refused_and_never_runs():
+    async def story(day):
+        owner = day.fleet.owner_of("desk")
+        writer = day.fleet.daemons[owner].node.owned["desk"].writer
+
+        async def turn_away(compares, writes):
+            raise StoreRefused("the store answered 503")
+
+        writer.commit, kept = turn_away, writer.commit
+        _, result = await day.submit("desk", two_steps(), at=owner)
+        writer.commit = kept
+        await anyio.sleep(3.0)
+        return result, day.fleet.runs
+
+    result, runs = play(story)
+    assert_that(result.outcome, Is(Outcome.REFUSED))
+    assert_that(runs, HasLength(0))
+    assert result.retry_seconds >= 1
--- a/limpetpulley/ownership/writer.py
+++ b/limpetpulley/ownership/writer.py
@@ -9,7 +9,7 @@
 
 from ..batch import Job
 from ..batch.records import encode_description, encode_progress
-from ..exception import NotOwnerError, StoreError, StoreUnavailable
+from ..exception import NotOwnerError, StoreError, StoreRefused, StoreUnavailable
 from ..pool import PoolBook
 from ..store import Compare, Delete, Put
 from .around import Around
@@ -153,6 +153,11 @@
                 return
             for outcome in batch:
                 outcome.settle(await self._create([outcome]) or await self._is_stored(outcome.job))
+        except StoreRefused as error:
+            self._note_failure(error, len(batch))
+            for outcome in batch:
+                if not outcome.settled.is_set():
+                    outcome.settle(False)
         except (StoreUnavailable, StoreError) as error:
             self._note_failure(error, len(batch))
 
--- a/limpetpulley/peer/batch_grpc.py
+++ b/limpetpulley/peer/batch_grpc.py
@@ -34,6 +34,10 @@
     async def ReportPool(self, stream: 'grpclib.server.Stream[limpetpulley.peer.batch_pb2.PoolReport, limpetpulley.peer.batch_pb2.PoolPlan]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def FetchEntries(self, stream: 'grpclib.server.Stream[limpetpulley.peer.batch_pb2.EntriesRequest, limpetpulley.peer.batch_pb2.EntriesReply]') -> None:
+        pass
+
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
             '/limpetpulley.peer.Batch/Submit': grpclib.const.Handler(
@@ -66,6 +70,12 @@
                 limpetpulley.peer.batch_pb2.PoolReport,
                 limpetpulley.peer.batch_pb2.PoolPlan,
             ),
+            '/limpetpulley.peer.Batch/FetchEntries': grpclib.const.Handler(
+                self.FetchEntries,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                limpetpulley.peer.batch_pb2.EntriesRequest,
+                limpetpulley.peer.batch_pb2.EntriesReply,
+            ),
         }
 
 
@@ -102,3 +112,9 @@
             limpetpulley.peer.batch_pb2.PoolReport,
             limpetpulley.peer.batch_pb2.PoolPlan,
         )
+        self.FetchEntries = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/limpetpulley.peer.Batch/FetchEntries',
+            limpetpulley.peer.batch_pb2.EntriesRequest,
+            limpetpulley.peer.batch_pb2.EntriesReply,
+        )
--- a/limpetpulley/peer/client.py
+++ b/limpetpulley/peer/client.py
@@ -9,7 +9,7 @@
 from grpclib.client import Channel
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 
-from ..exception import PeerError
+from ..exception import PeerError, PeerUnreachable
 from ..tasks import absorb_cancellation
 from .peer_grpc import PeerStub
 
@@ -73,6 +73,8 @@
         except TimeoutError:
             self._drop(address, channel)
             raise PeerError(f"{address}: no reply to {method}") from None
+        except ConnectionRefusedError as error:
+            raise PeerUnreachable(f"{address}: {error}") from None
         except (GRPCError, StreamTerminatedError, OSError) as error:
             raise PeerError(f"{address}: {method} failed: {error}") from None
 
--- a/limpetpulley/platform/store.py
+++ b/limpetpulley/platform/store.py
@@ -9,7 +9,7 @@
 from typing import Any
 from urllib.parse import quote
 
-from ..exception import HttpError, RecordError, StoreError, StoreUnavailable
+from ..exception import HttpError, RecordError, StoreError, StoreRefused, StoreUnavailable
 from ..http_client import HttpAnswer, HttpCaller
 from ..reading import load, rows, text, whole
 from ..store import Compare, Delete, Entry, Event, Put, Snapshot, TxnResult
@@ -120,7 +120,7 @@
         except HttpError as error:
             raise StoreUnavailable(str(error)) from None
         if answer.status in (TOO_MANY, AWAY):
-            raise StoreUnavailable(f"the store answered {answer.status}")
+            raise StoreRefused(f"the store answered {answer.status}")
         return answer
 
 
--- a/limpetpulley/store/mirror.py
+++ b/limpetpulley/store/mirror.py
@@ -8,7 +8,7 @@
 
 from ..clock import Clock
 from ..exception import StoreError, StoreUnavailable
-from .store import Entry, Event, Store
+from .store import Entry, Event, Snapshot, Store
 
 __all__ = ["Mirror"]
 
@@ -79,6 +79,10 @@
         """Read all entries and apply what differs."""
         snapshot = await self.store.read(self.prefix)
         self._heard()
+        self.adopt(snapshot)
+
+    def adopt(self, snapshot: Snapshot) -> None:
+        """Apply what differs from a copy of all entries, this store's or another daemon's."""
         found = {entry.key: entry for entry in snapshot.entries}
         events = [
             Event(key, None, max(snapshot.revision, entry.revision + 1))
