--- a/limpetpulley/ownership/agent.py
+++ b/limpetpulley/ownership/agent.py
@@ -72,6 +72,8 @@
     async def run(self) -> None:
         """Hold the worker until it is gone."""
         while self.book.workers.get(self.worker.worker_id) is self.worker:
+            if self.worker.ended:
+                return
             try:
                 await self.hold()
             except (WorkerError, TimeoutError) as error:
--- a/limpetpulley/ownership/session.py
+++ b/limpetpulley/ownership/session.py
@@ -46,11 +46,12 @@
         self.log = log
         self.ended = ended
         self.lease = 0
+        self.closed = False
         self.renewed_at = clock.now()
 
     async def run(self) -> None:
-        """Keep the lease until cancelled."""
-        while True:
+        """Keep the lease until it is ended for good."""
+        while not self.closed:
             try:
                 if not self.lease:
                     await self._begin()
@@ -97,7 +98,8 @@
             await self.store.commit([Compare(key, token)], [Delete(key)])
 
     async def end(self) -> None:
-        """End the lease and the member key with it."""
+        """End the lease and the member key with it, for good."""
+        self.closed = True
         if self.lease:
             await self.store.end_lease(self.lease)
             self.lease = 0
--- a/limpetpulley/ownership/tests/test_calm_day.py
+++ b/limpetpulley/ownership/tests/test_calm_day.py
@@ -301,3 +301,14 @@
     assert_that(result.outcome, Is(Outcome.REFUSED))
     assert_that(runs, HasLength(0))
     assert result.retry_seconds >= 1
+
+
+def test_a_daemon_that_has_left_is_no_member_any_more():
+    async def story(day):
+        node = day.fleet.daemons[NAMES[0]].node
+        await node.leave()
+        await anyio.sleep(3.0)
+        others = day.fleet.daemons[NAMES[1]].node.directory.members
+        return NAMES[0] in others
+
+    assert_that(play(story), Is(False))
--- a/limpetpulley/pool/book.py
+++ b/limpetpulley/pool/book.py
@@ -209,8 +209,8 @@
             if worker.runs and worker.lease.has_lapsed(now):
                 for run in list(worker.runs.values()):
                     self._drop(run, "lease-lapsed")
-            gone = worker.ended or (not worker.present and worker.lease.has_lapsed(now))
-            if gone and not worker.runs:
+            over = worker.ended or worker.lease.has_lapsed(now)
+            if not worker.present and over and not worker.runs:
                 del self.workers[worker.worker_id]
                 self.progress.forget_worker(worker.worker_id)
                 self.report(Change("worker-gone", worker.worker_id))
--- a/limpetpulley/pool/tests/test_planning.py
+++ b/limpetpulley/pool/tests/test_planning.py
@@ -234,3 +234,14 @@
     assert_that(plan(book, now=NOW + 0.9), Equals([]))
     hold(book, order.worker_id, ended=[Ended(1, order.task, order.number, EndKind.DONE)], clock=12)
     assert_that(book.jobs[JOB].state, Equals(JobState.COMPLETED))
+
+
+@pytest.mark.parametrize(("listed", "kept"), [(True, True), (False, False)])
+def test_a_worker_that_has_ended_is_forgotten_once_it_is_not_listed(listed, kept):
+    book = make_book(Step(1, TASK))
+    book.workers["w1"].ended = True
+    book.restart_worker(book.workers["w1"], "test")
+    if not listed:
+        book.unlist_worker("w1")
+    plan(book)
+    assert_that("w1" in book.workers, Equals(kept))
