--- a/limpetpulley/pool/__init__.py
+++ b/limpetpulley/pool/__init__.py
@@ -1,6 +1,7 @@
 """One pool's jobs, workers and runs as its owner keeps them; decisions without I/O."""
 
-from .book import Change, PoolBook
+from .book import PoolBook
+from .change import Change
 from .planning import Order, PlanningLimits, plan_orders
 from .times import TaskTimes
 
--- a/limpetpulley/pool/book.py
+++ b/limpetpulley/pool/book.py
@@ -23,11 +23,13 @@
     StopOrder,
     Worker,
 )
+from ..workers.state import FULL_SPEED
+from .change import Change
 from .progress import ProgressLedger
 from .tickets import TicketBook
 from .times import TaskTimes
 
-__all__ = ["Change", "PoolBook"]
+__all__ = ["PoolBook"]
 
 #: run numbers that one owner may use; a new owner's numbers start above them
 RUNS_PER_OWNER = 1 << 20
@@ -37,27 +39,10 @@
 SETTLE_SECONDS = 0.1
 #: time without new starts on a worker that had no room, in seconds
 NO_ROOM_SECONDS = 0.3
-#: first time without new starts on a worker that rejects or fails them; doubles each time
-AVOID_SECONDS = 0.5
-LONGEST_AVOID_SECONDS = 4.0
 #: failed runs in a row after which a worker is avoided
 SUSPECT_FAILURES = 3
 
 
-@attrs.frozen
-class Change:
-    """Something that was learned about a run, for the log.
-
-    :param what: short name of the event
-    """
-
-    what: str
-    worker_id: str
-    task: TaskId | None = None
-    number: int = 0
-    detail: str = ""
-
-
 class PoolBook:
     """Jobs, workers and runs of one pool.
 
@@ -241,7 +226,7 @@
                 self._note_end(worker, end, now, day)
                 worker.seen_through = end.position
         for row in reply.running:
-            self._note_running(worker, row)
+            self._note_running(worker, row, reply.worker_seconds)
         if len(reply.ended) < LISTED_ENDS:
             self._note_absent(worker, reply)
         self.awaited.pop(worker.worker_id, None)
@@ -374,12 +359,10 @@
                 self._avoid(worker, now)
 
     def _avoid(self, worker: Worker, now: float) -> None:
-        worker.rejections += 1
-        pause = AVOID_SECONDS * 2 ** min(worker.rejections - 1, 8)
-        worker.avoid_until = now + min(LONGEST_AVOID_SECONDS, pause)
+        pause = worker.avoid(now)
         self.report(Change("worker-avoided", worker.worker_id, detail=f"{pause:.1f} s"))
 
-    def _note_running(self, worker: Worker, row: Running) -> None:
+    def _note_running(self, worker: Worker, row: Running, worker_seconds: float) -> None:
         run = self.runs.get(row.task)
         if run is None:
             job = self.jobs.get(row.task.job_id)
@@ -392,6 +375,7 @@
                 worker.worker_id,
                 job.step_of(row.task).charge,
                 job.team,
+                doubt_until=worker_seconds + self.stop_seconds + SETTLE_SECONDS,
             )
             self._add(run, worker)
             job.started = True
@@ -404,6 +388,7 @@
             run.phase = RunPhase.RUNNING
         run.checkpoint = row.checkpoint or run.checkpoint
         run.percent = row.percent
+        run.at_work = row.percent >= FULL_SPEED and worker_seconds >= run.doubt_until
         run.gauge = row.gauge
         if row.checkpoint:
             job = self.jobs[row.task.job_id]
--- a/limpetpulley/pool/planning.py
+++ b/limpetpulley/pool/planning.py
@@ -140,7 +140,7 @@
         for position in range(step.count)
         if (run := book.runs.get(task._replace(position=position))) is not None
         and run.phase is RunPhase.RUNNING
-        and run.percent >= 100
+        and run.at_work
         and book.workers[run.worker_id].heard_at >= heard_since
     )
     return step.count - at_work
--- a/limpetpulley/pool/tests/test_planning.py
+++ b/limpetpulley/pool/tests/test_planning.py
@@ -163,8 +163,9 @@
     for number in range(4):
         name = "w1" if number < 2 else "w2"
         rows.setdefault(name, []).append(Running(task(number), number + 1))
-    for name, row in rows.items():
-        hold(book, name, row, clock=11.0)
+    for clock in (11.0, 12.0):
+        for name, row in rows.items():
+            hold(book, name, row, clock=clock)
     book.workers["w1"].cordoned = True
     found = [order for order in plan(book) if isinstance(order, StopOrder)]
     assert_that(found, HasLength(stops))
@@ -245,3 +246,15 @@
         book.unlist_worker("w1")
     plan(book)
     assert_that("w1" in book.workers, Equals(kept))
+
+
+@pytest.mark.parametrize(("clock", "stops"), [(11.1, 0), (11.4, 1)])
+def test_a_taken_over_run_may_still_be_ended_by_the_earlier_owner(clock, stops):
+    book = make_book(Step(2, TASK, lasting=True, may_miss=1))
+    rows = {"w1": Running(task(0), 1), "w2": Running(task(1), 2)}
+    for at in (11.0, clock):
+        for name, row in rows.items():
+            hold(book, name, [row], clock=at)
+    book.workers["w1"].cordoned = True
+    found = [order for order in plan(book) if isinstance(order, StopOrder)]
+    assert_that(found, HasLength(stops))
--- a/limpetpulley/workers/state.py
+++ b/limpetpulley/workers/state.py
@@ -20,6 +20,9 @@
     "Worker",
 ]
 
+#: first time without new starts on a worker that rejects or fails them; doubles each time
+AVOID_SECONDS = 0.5
+LONGEST_AVOID_SECONDS = 4.0
 #: full speed, in percent
 FULL_SPEED = 100
 
@@ -128,6 +131,8 @@
     :param begun_at: local time of the order, None for a run of an earlier owner
     :param sent_at: local time when the last order about it was sent, 0 if it must be sent
     :param settled_at: worker time after which a list without it means that it is gone
+    :param doubt_until: worker time until which an earlier owner's stop may still end it
+    :param at_work: whether it was last listed at full speed, with no such doubt
     :param unanswered: starts that were sent and not answered; each may be carried out later
     :param ticket: ticket of the advice service that its start carries
     :param speed: percent that was ordered last
@@ -146,6 +151,8 @@
     unanswered: int = 0
     ticket: str = ""
     percent: int = 0
+    doubt_until: float = 0.0
+    at_work: bool = False
     gauge: float = 0.0
     speed: int = FULL_SPEED
 
@@ -203,3 +210,10 @@
         """Remove a run."""
         del self.runs[run.task]
         self.used = self.used - run.charge
+
+    def avoid(self, now: float) -> float:
+        """Let nothing start here for a while; return for how long, in seconds."""
+        self.rejections += 1
+        pause = min(LONGEST_AVOID_SECONDS, AVOID_SECONDS * 2 ** min(self.rejections - 1, 8))
+        self.avoid_until = now + pause
+        return pause
