Take a pool over again whose owner here has failed

Read in the last reading of the owner: a takeover that the store did not answer, or a fault in an owner, left the claim standing under this daemon's live lease, with nobody behind it. The daemon now claims such a pool anew, with a new token. Without it the new test finds no owner and does not end. An unreadable roster no longer ends a takeover.

--- a/limpetpulley/ownership/node.py
+++ b/limpetpulley/ownership/node.py
@@ -173,7 +173,8 @@
         assert self.around.config is not None
         now = self.around.clock.now()
         pools = [*self.around.config.pools, PLANNER]
-        for pool in choose_claims(self.directory, self.member, pools, now):
+        chosen = choose_claims(self.directory, self.member, pools, now)
+        for pool in dict.fromkeys([*self._orphans(), *chosen]):
             if pool in self.owned or (pool == PLANNER and self.planning is not None):
                 continue
             held = self.directory.owners.get(pool)
@@ -188,6 +189,15 @@
                 self.around.log.write("pool-claimed", pool=pool, token=token)
                 self._begin(pool, token)
 
+    def _orphans(self) -> list[str]:
+        """Return the pools that this daemon has claimed, but whose owner here has failed."""
+        mine = (self.member.name, self.member.incarnation)
+        return [
+            pool
+            for pool, claim in self.directory.owners.items()
+            if (claim.member, claim.incarnation) == mine
+        ]
+
     def _begin(self, pool: str, token: int) -> None:
         if pool == PLANNER:
             self.planning = FleetPlanning(
--- a/limpetpulley/ownership/owner.py
+++ b/limpetpulley/ownership/owner.py
@@ -10,7 +10,7 @@
 import attrs
 
 from ..batch import Job, JobKey, JobSpec, JobState, QueueRule
-from ..batch.records import decode_job, decode_roster
+from ..batch.records import RosterEntry, decode_job, decode_roster
 from ..exception import NotOwnerError, RecordError, StoreError, StoreUnavailable
 from ..peer import batch_pb2 as pb
 from ..pool import Change, PlanningLimits, PoolBook, plan_orders
@@ -168,7 +168,7 @@
         entry = await store.get(keys.roster(self.pool))
         await self._read_jobs()
         if entry is not None:
-            self.roster.inherit(decode_roster(entry.value))
+            self._inherit_roster(entry.value)
         if self.book.inherited:
             unseen = UNSEEN_OWNER_SECONDS / SLOWEST_CLOCK
             self.book.awaited = dict.fromkeys(self.roster.inherited, begun + unseen)
@@ -183,6 +183,21 @@
             seconds=round(self.around.clock.now() - begun, 3),
         )
 
+    def _inherit_roster(self, value: bytes) -> None:
+        try:
+            self.roster.inherit(decode_roster(value))
+        except RecordError as error:
+            # Without it, at least the workers that are listed now are heard before tasks start.
+            self.around.log.write("record-unreadable", pool=self.pool, reason=str(error))
+            listed = self.around.workers.values()
+            self.roster.inherit(
+                {
+                    worker.worker_id: RosterEntry(worker.address, worker.vm)
+                    for worker in listed
+                    if worker.pool == self.pool
+                }
+            )
+
     async def _read_jobs(self) -> None:
         keys, day = self.around.keys, self.around.day()
         described = await self.around.store.read(keys.descriptions)
--- a/limpetpulley/ownership/tests/test_calm_day.py
+++ b/limpetpulley/ownership/tests/test_calm_day.py
@@ -6,12 +6,12 @@
 from testtools.matchers import Contains, Equals, HasLength, Is
 
 from ...batch import Amount, BatchConfig, JobSpec, JobState, PoolRule, QueueRule, Step, TeamRule
-from ...exception import StoreRefused
+from ...exception import StoreRefused, StoreUnavailable
 from ...fleet.vms import WaveOrder
 from ...standin.batchfleet import BatchFleet
 from ...standin.store import STORE_HOST
 from ...standin.virtual import VirtualClock, run_virtual
-from .. import Outcome, Submission
+from .. import Outcome, PoolOwner, Submission
 
 POOLS = ("desk", "tour")
 TASK = Amount(1000, 1000)
@@ -312,3 +312,26 @@
         return NAMES[0] in others
 
     assert_that(play(story), Is(False))
+
+
+@pytest.mark.parametrize("error", [StoreUnavailable("no answer"), KeyError("a fault")])
+def test_a_pool_whose_takeover_failed_is_taken_over_again(monkeypatch, error):
+    take_over, failures = PoolOwner._take_over, []
+
+    async def fail_once(owner):
+        if owner.pool == "desk" and not failures:
+            failures.append(owner.token)
+            raise error
+        await take_over(owner)
+
+    monkeypatch.setattr(PoolOwner, "_take_over", fail_once)
+
+    async def story(day):
+        await hand_in(day, 4)
+        await anyio.sleep(2.0)
+        return day.refused, await day.states()
+
+    refused, states = play(story)
+    assert_that(failures, HasLength(1))
+    assert_that(refused, HasLength(0))
+    assert_that(set(states.values()), Equals({JobState.COMPLETED}))
