--- a/limpetpulley/ownership/sharing.py
+++ b/limpetpulley/ownership/sharing.py
@@ -21,6 +21,10 @@
 SHORT_LOOK_SECONDS = 0.05
 
 
+#: time between two reads while something waits for what other pools give back, in seconds
+REREAD_SECONDS = 0.2
+
+
 class ShareKeeper:
     """Grows and gives back one pool's shares.
 
@@ -33,6 +37,7 @@
         self.shares = shares
         self.writer = writer
         self.version = -1
+        self.read_at = 0.0
         self.short = anyio.Event()
 
     def use_config(self) -> None:
@@ -44,13 +49,18 @@
 
     def wake_if_short(self) -> None:
         """Look again soon if a task waits that its team's share does not allow."""
+        if self.is_short():
+            self.short.set()
+
+    def is_short(self) -> bool:
+        """Return whether a task waits that its team's share does not allow."""
         for job_id, tasks in self.book.ready.items():
             job = self.book.jobs[job_id]
             running = self.book.usage.get(job.team)
             charge = job.step_of(tasks[0]).charge
             if not self.shares.allows(job.team, running or charge * 0, charge):
-                self.short.set()
-                return
+                return True
+        return False
 
     async def run(self) -> None:
         """Follow the need until cancelled."""
@@ -67,6 +77,7 @@
     async def read(self) -> None:
         """Read how the limits are divided."""
         self.use_config()
+        self.read_at = self.around.clock.now()
         keys = self.around.keys
         found: dict[str, ShareRecord] = {}
         for entry in (await self.around.store.read(keys.shares)).entries:
@@ -79,7 +90,9 @@
 
     async def _follow(self) -> None:
         self.use_config()
-        if not self._changes():
+        # What other pools have given back since the last read is known only to the store.
+        age = self.around.clock.now() - self.read_at
+        if not self._changes() and not (self.is_short() and age >= REREAD_SECONDS):
             return
         await self.read()
         changes = self._changes()
--- a/limpetpulley/ownership/tests/test_calm_day.py
+++ b/limpetpulley/ownership/tests/test_calm_day.py
@@ -1,6 +1,7 @@
 """Daemons that own pools together, on virtual time: a calm day, a lost owner, a wave, an outage."""
 
 import anyio
+import attrs
 import pytest
 from testtools.assertions import assert_that
 from testtools.matchers import Contains, Equals, HasLength, Is
@@ -335,3 +336,21 @@
     assert_that(failures, HasLength(1))
     assert_that(refused, HasLength(0))
     assert_that(set(states.values()), Equals({JobState.COMPLETED}))
+
+
+def test_what_one_pool_gives_back_another_one_takes():
+    async def story(day):
+        wide = JobSpec("2.0", (Step(5, TASK, 2.0),))
+        await day.submit("desk", wide)
+        await anyio.sleep(0.5)
+        record = day.fleet.config.queues["tour"]
+        day.fleet.config.queues["tour"] = attrs.evolve(record, latency_target_seconds=30.0)
+        for daemon in day.fleet.daemons.values():
+            daemon.node.around.config.queues.update(day.fleet.config.queues)
+        await day.submit("tour", wide)
+        await anyio.sleep(12.0)
+        return day.refused, await day.states()
+
+    refused, states = play(story, make_config(Amount(5000, 0, 0)))
+    assert_that(refused, HasLength(0))
+    assert_that(set(states.values()), Equals({JobState.COMPLETED}))
