--- a/limpetpulley/batch/job.py
+++ b/limpetpulley/batch/job.py
@@ -136,13 +136,6 @@
                 if task not in self.done:
                     yield task
 
-    def next_due(self, now: float) -> float | None:
-        """Return when the next occurrence is due that is not due yet, or None."""
-        if not self.spec.timed or self.state.final:
-            return None
-        later = (self.spec.due(number) for number in range(self.spec.occurrences))
-        return next((due for due in later if due > now), None)
-
     def note_end(self, task: TaskId, number: int, kind: EndKind, now: float) -> bool:
         """Note the end of a task's run; one that was noted before changes nothing.
 
--- a/limpetpulley/batch/model.py
+++ b/limpetpulley/batch/model.py
@@ -144,16 +144,6 @@
         """Return when an occurrence is due, in seconds since 1970; 0 for at once."""
         return self.first_due + occurrence * self.interval_seconds if self.timed else 0.0
 
-    def work_core_seconds(self, step_seconds: tuple[float, ...] | None = None) -> float:
-        """Return the processor time of one occurrence.
-
-        :param step_seconds: run time of a task for each step; the declared ones if None
-        """
-        return sum(
-            step.count * step.need.cpu_millicores / 1000 * seconds
-            for step, seconds in zip(self.steps, step_seconds or self.declared(), strict=True)
-        )
-
     def chain_seconds(self, step_seconds: tuple[float, ...] | None = None) -> float:
         """Return the run time of the longest chain of steps."""
         seconds = step_seconds or self.declared()
--- a/limpetpulley/ownership/around.py
+++ b/limpetpulley/ownership/around.py
@@ -24,7 +24,6 @@
 
     :param longest_hold: longest lease that a worker grants
     :param stop: longest time that a worker takes for a stop
-    :param gang: longest time that a gang's tasks wait for each other
     :param keep_ended: time for which the state of an ended job can be asked
     :param move: time that a VM takes to join another pool
     :param maintenance: time that a VM's maintenance takes
@@ -34,7 +33,6 @@
 
     longest_hold: float = 10.0
     stop: float = 0.2
-    gang: float = 3.0
     keep_ended: float = 120.0
     move: float = 1.5
     maintenance: float = 2.0
--- a/limpetpulley/ownership/directory.py
+++ b/limpetpulley/ownership/directory.py
@@ -88,11 +88,6 @@
                 if claim is None:
                     self.unowned_since[pool] = now
 
-    def address_of(self, name: str) -> str | None:
-        """Return a member's address for other daemons, or None if it is not alive."""
-        found = self.members.get(name)
-        return found.address if found else None
-
     def owner_of(self, pool: str) -> Member | None:
         """Return the live member that owns a pool, or None."""
         claim = self.owners.get(pool)
--- a/limpetpulley/platform/settings.py
+++ b/limpetpulley/platform/settings.py
@@ -79,7 +79,6 @@
     return Timing(
         longest_hold=number(bounds, "holdMaxMs") / MILLISECONDS,
         stop=number(bounds, "stopMs") / MILLISECONDS,
-        gang=number(bounds, "gangTimeoutMs") / MILLISECONDS,
         keep_ended=number(bounds, "status_s"),
         move=number(bounds, "moveS", 0),
         maintenance=number(bounds, "maintenanceS", 0),
