--- a/limpetpulley/daemon/trading.py
+++ b/limpetpulley/daemon/trading.py
@@ -160,7 +160,11 @@
         for advice in batch.advice:
             was = self.starter.is_contended(advice.group)
             self.starter.advise(advice.group, advice.contended, advice.elsewhere_seconds)
-            self.loads[advice.group] = _Load(now, dict(advice.running), dict(advice.waiting))
+            running, waiting = (
+                convert.from_counts(advice.running),
+                convert.from_counts(advice.waiting),
+            )
+            self.loads[advice.group] = _Load(now, running, waiting)
             if was and not advice.contended:
                 self._start_group(advice.group)
         for message in batch.orders:
--- a/limpetpulley/peer/convert.py
+++ b/limpetpulley/peer/convert.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+
 from ..config import Record
 from ..config.replica import decode_record, encode_record
 from ..idempotency import KeyRecord, KeyState
@@ -11,6 +13,7 @@
 
 __all__ = [
     "from_config_record",
+    "from_counts",
     "from_key_record",
     "from_member_info",
     "from_order",
@@ -25,6 +28,14 @@
 ]
 
 
+def from_counts(counts: Mapping[str, int]) -> dict[str, int]:
+    """Return a map of a message in the order of its keys.
+
+    The order in which a message gives the entries of a map differs from process to process.
+    """
+    return dict(sorted(counts.items()))
+
+
 def to_member_info(info: MemberInfo) -> pb.MemberInfo:
     """Return the message for a member."""
     return pb.MemberInfo(
@@ -74,8 +85,8 @@
         message.group,
         member,
         data_centre,
-        dict(message.free),
-        dict(message.running),
+        from_counts(message.free),
+        from_counts(message.running),
         tuple(
             Claim(claim.team, claim.ready, tuple(claim.deadlines), claim.count)
             for claim in message.claims
--- a/tests/scenarios/expectations.py
+++ b/tests/scenarios/expectations.py
@@ -72,6 +72,9 @@
         more = len(self.cluster.endpoints[vm].runs) - self.runs_at_mark[vm]
         assert more == 0, f"{more} runs were started at {vm}"
 
+    def expect_busy(self, daemon: str) -> None:
+        assert self.cluster.nodes[daemon].dispatcher.active, f"{daemon} runs no job"
+
     def expect_running(self, team: str, count: str) -> None:
         running = sum(e.running_by_team[team] for e in self.cluster.endpoints.values())
         assert running <= int(count), f"{team} runs {running}"
