Serve jobs of steps with limpetpulleyd and the product's own configuration

Cause: only the stand-in fleet and the platform's daemon served jobs of steps; limpetpulleyd had no queues, pools and limits for them, and no workers to reach.

The workers' entries are followed in one place, ownership/listing. Settings that change without SIGHUP are noticed within a second.

Ruled out: a setting that switches it on (the configuration says it). Open: waves over pools of jobs of steps are refused with a clear error in this configuration.

--- a/limpetpulley/api/batches.py
+++ b/limpetpulley/api/batches.py
@@ -9,6 +9,7 @@
 
 from ..batch import BatchConfig, JobSpec, JobState, QueueRule
 from ..batch.records import decode_spec
+from ..config import digest_secret
 from ..exception import JobRefused, RecordError, StoreError, StoreUnavailable
 from ..ownership import BatchNode, Outcome, Submission
 from .http import Receive, Scope, Send, get_header, read_body, send_json, send_problem
@@ -49,6 +50,7 @@
         :class:`~limpetpulley.exception.RecordError` if it makes no sense
     :param deadline_header: header with the time in which the caller needs the answer
     :param deadline_unit: seconds of one unit of that time
+    :param look_up: returns what the configuration knows of a shown access key
     """
 
     submit_method: str
@@ -59,6 +61,7 @@
     read_spec: Callable[[bytes], JobSpec]
     deadline_header: bytes
     deadline_unit: float
+    look_up: Callable[[str], str] = str
 
 
 class BatchesApp:
@@ -141,10 +144,11 @@
         value = get_header(scope, b"authorization") or ""
         team = None
         if value.startswith(BEARER):
-            team = config.find_team(value.removeprefix(BEARER))
+            shown = value.removeprefix(BEARER)
+            team = config.find_team(self.dialect.look_up(shown))
         if team is None and not queue.public:
             raise JobRefused(401, "bad-key", "the access key is not known")
-        return team or ""
+        return team or queue.open_to
 
     def _time_left(self, scope: Scope) -> float:
         value = get_header(scope, self.dialect.deadline_header)
@@ -186,7 +190,9 @@
 
 def own_dialect() -> Dialect:
     """Return the product's own dialect."""
-    return Dialect("PUT", 202, 404, 422, _locate, decode_spec, b"time-left", 1.0)
+    return Dialect(
+        "PUT", 202, 404, 422, _locate, decode_spec, b"time-left", 1.0, look_up=digest_secret
+    )
 
 
 def _locate(config: BatchConfig, scope: Scope) -> Target | None:
--- a/limpetpulley/batch/rules.py
+++ b/limpetpulley/batch/rules.py
@@ -37,6 +37,7 @@
     :param latency_target_seconds: allowed time beyond that
     :param timeout_seconds: longest time for one answer
     :param public: whether no key is needed
+    :param open_to: team that jobs without a key run for, empty for none
     """
 
     name: str
@@ -50,6 +51,7 @@
     timeout_seconds: float = 0.0
     public: bool = False
     advice: AdviceRule | None = None
+    open_to: str = ""
 
 
 @attrs.frozen
@@ -69,7 +71,7 @@
 class TeamRule:
     """A team.
 
-    :param keys: access keys
+    :param keys: access keys, or their digests where only these are known
     :param weight: its share when all is full
     :param limit: most that it may have running over all pools; 0 in a field for no limit
     """
--- a/limpetpulley/config/check.py
+++ b/limpetpulley/config/check.py
@@ -32,6 +32,7 @@
     teams = {value.name for value in objects if isinstance(value, Team)}
     pools = {value.name: value for value in objects if isinstance(value, Pool)}
     vms = [value for value in objects if isinstance(value, Vm)]
+    steps = {value.pool for value in objects if isinstance(value, Queue) and value.steps}
     yield from _find_repeated(objects)
     for value in objects:
         match value:
@@ -39,16 +40,23 @@
                 yield ConfigError(f"key {value.name}: team {value.team!r} does not exist")
             case Queue():
                 yield from _find_queue_problems(value, teams, pools)
+                if not value.steps and value.pool in steps:
+                    yield ConfigError(
+                        f"queue {value.name}: pool {value.pool!r} serves jobs of steps"
+                    )
             case Vm():
                 for pool in (value.pool, value.move_to, value.home):
                     if pool and pool not in pools:
                         yield ConfigError(f"vm {value.name}: pool {pool!r} does not exist")
+                    elif pool in steps:
+                        yield ConfigError(
+                            f"vm {value.name}: pool {pool!r} serves jobs of steps; its workers "
+                            "make themselves known"
+                        )
             case Budget():
                 yield from _find_budget_problems(value, pools, vms)
             case Wave():
-                for pool in value.pools:
-                    if pool not in pools:
-                        yield ConfigError(f"wave {value.name}: pool {pool!r} does not exist")
+                yield from _find_wave_problems(value, pools, steps)
     yield from _find_vm_problems(vms, pools)
 
 
@@ -77,6 +85,18 @@
         )
 
 
+def _find_wave_problems(
+    wave: Wave, pools: dict[str, Pool], steps: set[str]
+) -> Iterator[ConfigError]:
+    for pool in wave.pools:
+        if pool not in pools:
+            yield ConfigError(f"wave {wave.name}: pool {pool!r} does not exist")
+        elif pool in steps or pools[pool].off:
+            yield ConfigError(
+                f"wave {wave.name}: the VMs of pool {pool!r} are not part of the configuration"
+            )
+
+
 def _find_budget_problems(
     budget: Budget, pools: dict[str, Pool], vms: list[Vm]
 ) -> Iterator[ConfigError]:
--- a/limpetpulley/config/objects.py
+++ b/limpetpulley/config/objects.py
@@ -31,6 +31,7 @@
 NAME_PATTERN = re.compile(r"[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?")
 MAX_WEIGHT = 1000.0
 MAX_COUNT = 1_000_000
+MAX_MEMORY_MB = 1 << 40
 MAX_SECONDS = 7 * 24 * 3600.0
 
 
@@ -103,6 +104,9 @@
     :param weight: share relative to the other teams when a pool is full
     :param limit: most jobs running at once across the fleet
     :param max_waiting: most jobs waiting at one daemon
+    :param processors: most cores that its tasks of jobs of steps use at once, 0 for no limit
+    :param memory_mb: most memory that they use at once, 0 for no limit
+    :param accelerators: most accelerators that they use at once, 0 for no limit
     """
 
     kind: ClassVar[str] = "team"
@@ -110,6 +114,9 @@
     weight: float = attrs.field(default=1.0, validator=_range(0.001, MAX_WEIGHT))
     limit: int = attrs.field(default=1, validator=_range(0, MAX_COUNT))
     max_waiting: int = attrs.field(default=200, validator=_range(0, MAX_COUNT))
+    processors: float = attrs.field(default=0.0, validator=_range(0, MAX_COUNT))
+    memory_mb: int = attrs.field(default=0, validator=_range(0, MAX_MEMORY_MB))
+    accelerators: int = attrs.field(default=0, validator=_range(0, MAX_COUNT))
 
 
 @attrs.frozen
@@ -136,12 +143,14 @@
     :param name: unique name
     :param spare: whether its VMs may be lent to other pools
     :param min_vms: fewest VMs that planned work leaves in the pool
+    :param off: whether its VMs are off until another pool of jobs of steps needs them
     """
 
     kind: ClassVar[str] = "pool"
     name: str = attrs.field(validator=_check_name)
     spare: bool = False
     min_vms: int = attrs.field(default=0, validator=_range(0, MAX_COUNT))
+    off: bool = False
 
 
 @attrs.frozen
@@ -155,6 +164,11 @@
     :param open_to: team that jobs without a key run for; empty if a key is needed
     :param run_seconds: declared run time of a job, in seconds
     :param max_seconds: longest time a caller may give a job, in seconds
+    :param steps: whether its jobs are jobs of steps
+    :param priority: of its jobs of steps; 0 comes first
+    :param max_attempts: failed runs of a task after which its job of steps has failed
+    :param stretch: allowed factor over the run time of a job's longest chain of steps
+    :param latency_seconds: allowed time beyond that, in seconds
     """
 
     kind: ClassVar[str] = "queue"
@@ -165,6 +179,11 @@
     open_to: str = attrs.field(default="", validator=_check_optional_name)
     run_seconds: float = attrs.field(default=1.0, validator=_range(0.001, MAX_SECONDS))
     max_seconds: float = attrs.field(default=60.0, validator=_range(0.01, MAX_SECONDS))
+    steps: bool = False
+    priority: int = attrs.field(default=0, validator=_range(0, MAX_COUNT))
+    max_attempts: int = attrs.field(default=1, validator=_range(1, MAX_COUNT))
+    stretch: float = attrs.field(default=1.0, validator=_range(1, MAX_COUNT))
+    latency_seconds: float = attrs.field(default=10.0, validator=_range(0, MAX_SECONDS))
 
     @path.validator
     def _check_path(self, attribute: attrs.Attribute, value: str) -> None:
@@ -314,6 +333,6 @@
     """Return an object's fields as plain values that JSON can carry.
 
     >>> unstructure_object(Pool("desk"))
-    {'name': 'desk', 'spare': False, 'min_vms': 0}
+    {'name': 'desk', 'spare': False, 'min_vms': 0, 'off': False}
     """
     return _converter.unstructure(value)
--- a/limpetpulley/daemon/server.py
+++ b/limpetpulley/daemon/server.py
@@ -8,18 +8,23 @@
 from absl import logging
 
 from ..api import CallersApp, HttpServer, OperatorsApp
+from ..api.batches import BATCH_PATH
+from ..api.http import Receive, Scope, Send
 from ..clock import SystemClock
 from ..exception import LimpetpulleyError
+from ..http_client import KeptHttp
 from ..metrics import make_metrics
-from ..peer import PeerClient, PeerServer
+from ..peer import BatchStub, PeerClient, PeerServer
 from ..routing import EndpointConnections
 from ..settings import Settings
 from ..store import Store
+from ..telemetry import EventLog
 from ..vms import VmList, Workers
 from .departure import leave
 from .handlers import PeerHandlers
 from .node import Node, Surroundings
 from .status import build_status
+from .steps import StepsPart
 
 __all__ = ["Daemon"]
 
@@ -35,6 +40,7 @@
     :param vm_list: the platform's list of VMs
     :param workers: the platform's controls of its workers
     :param tasks: task group that everything runs in
+    :param log: where decisions on jobs of steps are written
     """
 
     def __init__(
@@ -44,6 +50,7 @@
         vm_list: VmList,
         workers: Workers,
         tasks: anyio.abc.TaskGroup,
+        log: EventLog,
     ):
         self.settings = settings
         self.tasks = tasks
@@ -64,15 +71,27 @@
         self.peer_server = PeerServer([handlers], settings.host, settings.peers_port)
         self.callers = CallersApp(settings.max_body_bytes)
         self.callers_server = HttpServer(
-            self.callers, settings.host, settings.callers_port, settings.max_connections
+            self.serve_caller, settings.host, settings.callers_port, settings.max_connections
         )
-        self.node = Node(
+        peer_address = settings.peer_address or f"{settings.host}:{self.peer_server.port}"
+        caller_address = f"{settings.host}:{self.callers_server.port}"
+        self.node = Node(settings, around, peer_address, caller_address)
+        handlers.node = self.node
+        self.http = KeptHttp()
+        self.batch_client = PeerClient(BatchStub)
+        self.steps = StepsPart(
             settings,
-            around,
-            settings.peer_address or f"{settings.host}:{self.peer_server.port}",
-            f"{settings.host}:{self.callers_server.port}",
+            self.node.replica,
+            store,
+            self.batch_client,
+            self.http,
+            clock,
+            tasks,
+            peer_address,
+            log,
         )
-        handlers.node = self.node
+        self.peer_server.services.append(self.steps.handlers)
+        self.node.link.on_config = self.on_config
         self.callers.connect(self.node.jobs, self.node)
         operators = OperatorsApp(
             self.node.replica,
@@ -100,6 +119,17 @@
             info.peer_address,
         )
 
+    def on_config(self) -> None:
+        """Take a changed configuration into use."""
+        self.node.on_config()
+        self.steps.on_config()
+
+    async def serve_caller(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Answer a caller's request."""
+        steps = scope["type"] == "http" and BATCH_PATH.fullmatch(scope["path"])
+        app = self.steps if steps else self.callers
+        await app(scope, receive, send)
+
     async def stop(self) -> None:
         """Leave without cutting off a request, within the time that the settings allow."""
         node = self.node
@@ -107,6 +137,7 @@
         node.leaving = True
         node.link.joinable = False
         node.heartbeats.beat()
+        await self.steps.leave()
         await anyio.sleep(LEAVE_NOTICE_SECONDS)
         self.callers_server.stop()
         with anyio.move_on_after(self.settings.stop_seconds):
@@ -120,6 +151,8 @@
         await node.around.endpoints.aclose()
         await node.around.members.aclose()
         node.client.close()
+        self.batch_client.close()
+        await self.http.aclose()
         logging.info("stopped member=%s", node.member.name)
 
     def idle(self) -> bool:
--- /dev/null
+++ b/limpetpulley/daemon/steps.py
@@ -0,0 +1,112 @@
+"""Jobs of steps in a daemon: starts when the configuration has a queue for them."""
+
+from __future__ import annotations
+
+import time
+
+import anyio
+import anyio.abc
+
+from ..api.batches import BatchesApp, own_dialect
+from ..api.http import Receive, Scope, Send, send_problem
+from ..batch.keys import BatchKeys
+from ..clock import Clock
+from ..config import ConfigReplica
+from ..config.steps import make_batch_config
+from ..fleet.wire import HttpVms, NoVms
+from ..http_client import HttpCaller
+from ..ownership import Around, BatchNode, Member, Timing, WaveBoard
+from ..ownership.handlers import BatchHandlers
+from ..ownership.listing import WorkerListing
+from ..peer import PeerCaller
+from ..settings import Settings
+from ..store import Store
+from ..tasks import keep_running
+from ..telemetry import EventLog
+from ..workers.wire import HttpWorkers, decode_listed
+
+__all__ = ["StepsPart"]
+
+
+class StepsPart:
+    """A daemon's part in the jobs of steps.
+
+    It costs nothing until the configuration first names a queue for them: then the daemon joins
+    the others in the store, follows the workers' entries and claims pools.
+
+    :param replica: the daemon's copy of the configuration
+    :param peer_address: ``host:port`` that other daemons reach it at
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        replica: ConfigReplica,
+        store: Store,
+        peers: PeerCaller,
+        http: HttpCaller,
+        clock: Clock,
+        tasks: anyio.abc.TaskGroup,
+        peer_address: str,
+        log: EventLog,
+    ):
+        self.settings = settings
+        self.replica = replica
+        self.tasks = tasks
+        self.log = log
+        self.around = Around(
+            store,
+            BatchKeys(settings.prefix + "steps/"),
+            HttpWorkers(http),
+            clock,
+            self.log,
+            Timing(),
+            tasks,
+            time.time,
+        )
+        started = time.time_ns() // 1_000_000
+        member = Member(settings.name, started, peer_address, settings.data_centre)
+        vms = HttpVms(http, settings.workers_address) if settings.workers_address else NoVms()
+        board = WaveBoard(lambda name: f"{settings.prefix}steps/told/{name}", encode_state)
+        self.node = BatchNode(self.around, member, peers, vms, board)
+        self.listing = WorkerListing(
+            store, settings.prefix + "workers/", clock, decode_listed, self.node, self.log
+        )
+        self.app = BatchesApp(self.node, own_dialect())
+        self.joined = False
+        self.version = 0
+
+    @property
+    def handlers(self) -> BatchHandlers:
+        """Return what answers other daemons."""
+        return self.node.handlers
+
+    def on_config(self) -> None:
+        """Take a changed configuration into use."""
+        config = make_batch_config(self.replica, self.version)
+        if config == self.around.config or not (config.queues or self.joined):
+            return
+        self.version += 1
+        self.node.use_config(make_batch_config(self.replica, self.version))
+        if not self.joined:
+            self.joined = True
+            self.tasks.start_soon(keep_running, self.listing.mirror.run)
+            self.node.start()
+
+    async def leave(self) -> None:
+        """Hand all pools over."""
+        if self.joined:
+            await self.node.leave()
+        self.log.flush()
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Answer a caller's request about jobs of steps."""
+        if not self.joined:
+            await send_problem(send, 404, "no-such-queue", "no queue takes jobs of steps", run="no")
+            return
+        await self.app(scope, receive, send)
+
+
+def encode_state(name: str, completed: bool) -> bytes:
+    """Return what is told of a wave."""
+    return b"completed" if completed else b"running"
--- a/limpetpulley/demo/system.py
+++ b/limpetpulley/demo/system.py
@@ -22,6 +22,7 @@
 from ..settings import Settings
 from ..standin import EndpointStandin, MemoryFleet
 from ..store import MemoryStore
+from ..telemetry import quiet_log
 
 __all__ = ["DemoSystem"]
 
@@ -70,7 +71,8 @@
                 operators_port=0,
                 peers_port=0,
             )
-            daemon = Daemon(settings, self.store, self.fleet, self.fleet, self.tasks)
+            log = quiet_log(settings.name)
+            daemon = Daemon(settings, self.store, self.fleet, self.fleet, self.tasks, log)
             self.daemons.append(daemon)
             await daemon.start()
 
--- /dev/null
+++ b/limpetpulley/fleet/wire.py
@@ -0,0 +1,94 @@
+"""The list of VMs and orders for them over HTTP, in the product's own protocol."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import cattrs
+from cattrs.preconf.json import JsonConverter, make_converter
+
+from ..exception import HttpError, PlatformError
+from ..http_client import HttpCaller
+from .vms import FleetVm, OrderOutcome
+
+__all__ = ["CONVERTER", "HttpVms", "NoVms"]
+
+#: longest time for a call, in seconds; the list of a thousand VMs takes milliseconds
+CALL_SECONDS = 1.0
+OK = 200
+
+
+def _make_converter() -> JsonConverter:
+    converter = make_converter()
+    converter.register_unstructure_hook(OrderOutcome, lambda outcome: outcome.name.lower())
+    converter.register_structure_hook(OrderOutcome, lambda name, _: OrderOutcome[name.upper()])
+    return converter
+
+
+#: turns messages into plain values for JSON and back
+CONVERTER = _make_converter()
+
+
+class HttpVms:
+    """Lists VMs, and carries orders for them.
+
+    ``GET /vms`` answers with a list; ``POST /vms/{name}/move`` and ``/maintain`` take the holder's
+    name and fencing token, and answer with an outcome.
+
+    :param address: ``host:port``
+    """
+
+    def __init__(self, http: HttpCaller, address: str):
+        self.http = http
+        self.address = address
+
+    async def list_vms(self) -> list[FleetVm]:
+        """Return all VMs."""
+        answer = await self._call("GET", "/vms", None)
+        return self._read(answer, list[FleetVm])
+
+    async def move(self, vm: str, pool: str, holder: str, token: int) -> OrderOutcome:
+        """Move a VM to a pool; everything that runs there ends at once."""
+        body = {"pool": pool, "holder": holder, "token": token}
+        return self._read(await self._call("POST", f"/vms/{vm}/move", body), OrderOutcome)
+
+    async def maintain(self, vm: str, wave: str, holder: str, token: int) -> OrderOutcome:
+        """Begin a VM's maintenance; everything that runs there ends at once."""
+        body = {"wave": wave, "holder": holder, "token": token}
+        return self._read(await self._call("POST", f"/vms/{vm}/maintain", body), OrderOutcome)
+
+    async def _call(self, method: str, path: str, body: dict[str, Any] | None) -> bytes:
+        content = b"" if body is None else json.dumps(body).encode()
+        headers = {"Content-Type": "application/json"}
+        try:
+            answer = await self.http.request(
+                method, self.address, path, headers, content, CALL_SECONDS
+            )
+        except HttpError as error:
+            raise PlatformError(f"list of VMs: {error}") from None
+        if answer.status != OK:
+            raise PlatformError(f"list of VMs: answered {answer.status}")
+        return answer.content
+
+    def _read(self, content: bytes, wanted: Any) -> Any:
+        try:
+            return CONVERTER.structure(json.loads(content), wanted)
+        except (ValueError, KeyError, TypeError, cattrs.BaseValidationError) as error:
+            raise PlatformError(f"list of VMs: unreadable answer: {error!r}") from None
+
+
+class NoVms:
+    """A platform that neither lists VMs nor takes orders for them."""
+
+    async def list_vms(self) -> list[FleetVm]:
+        """Return no VMs."""
+        return []
+
+    async def move(self, vm: str, pool: str, holder: str, token: int) -> OrderOutcome:
+        """Refuse."""
+        return OrderOutcome.REFUSED
+
+    async def maintain(self, vm: str, wave: str, holder: str, token: int) -> OrderOutcome:
+        """Refuse."""
+        return OrderOutcome.REFUSED
--- a/limpetpulley/ownership/daemon.py
+++ b/limpetpulley/ownership/daemon.py
@@ -25,6 +25,7 @@
 from .advice import Adviser
 from .around import Around, Timing
 from .directory import Member
+from .listing import WorkerListing
 from .node import BatchNode
 from .planner import WaveBoard
 
@@ -33,11 +34,9 @@
 KEY_PREFIX = "lp/"
 #: part of the grace in which open connections are served after the pools were handed over
 SERVE_ON_PART = 0.4
-#: time between two looks at the workers' entries, which change with every heartbeat, for a daemon
-#: that owns a pool and for one that does not, in seconds
-OWNER_GAP_SECONDS = 0.3
-IDLE_GAP_SECONDS = 2.0
 BUSY_POLL_SECONDS = 0.02
+#: time between two looks at the settings, which may change without a signal, in seconds
+SETTINGS_GAP_SECONDS = 1.0
 
 
 @attrs.frozen
@@ -93,6 +92,7 @@
         self.outside = outside
         self.tasks = tasks
         self.log = EventLog(settings.name)
+        self.settings_problem = ""
         clock = SystemClock()
         self.around = Around(
             outside.store,
@@ -118,29 +118,23 @@
         self.peers = PeerServer([self.node.handlers], host, settings.peers_port)
         self.callers = HttpServer(outside.callers(self.node), host, settings.callers_port)
         self.readiness = HttpServer(self.answer_readiness, host, settings.readiness_port)
-        self.workers: dict[str, ListedWorker] = {}
         self.operator = Mirror(
             outside.store, outside.operator_prefix, clock, self._operator_wrote, self._lost
         )
-        self.entries = Mirror(
-            outside.store,
-            outside.workers_prefix,
-            clock,
-            self._workers_wrote,
-            gap=lambda: OWNER_GAP_SECONDS if self.node.owned else IDLE_GAP_SECONDS,
+        self.node.mirrors[self.operator.prefix] = self.operator
+        self.listing = WorkerListing(
+            outside.store, outside.workers_prefix, clock, outside.decode_worker, self.node, self.log
         )
 
-        for mirror in (self.operator, self.entries):
-            self.node.mirrors[mirror.prefix] = mirror
-
     async def start(self) -> None:
         """Start to serve."""
         self.log.write("daemon-started", version=__version__, data_centre=self.settings.data_centre)
         await self.peers.start()
         for server in (self.readiness, self.callers):
             await self.tasks.start(server.serve)
-        for loop in (self.operator.run, self.entries.run):
+        for loop in (self.operator.run, self.listing.mirror.run):
             self.tasks.start_soon(keep_running, loop)
+        self.tasks.start_soon(keep_running, self._follow_settings)
         self.node.start()
 
     async def stop(self) -> None:
@@ -157,11 +151,21 @@
     def reload(self) -> None:
         """Read the settings again; what only a new process can take over is left."""
         try:
-            self.around.timing = self.outside.read_timing()
+            timing = self.outside.read_timing()
         except RecordError as error:
-            self.log.write("settings-unreadable", reason=str(error))
-        else:
-            self.log.write("settings-read")
+            if str(error) != self.settings_problem:
+                self.log.write("settings-unreadable", reason=str(error))
+            self.settings_problem = str(error)
+            return
+        self.settings_problem = ""
+        if timing != self.around.timing:
+            self.around.timing = timing
+            self.log.write("settings-read", **attrs.asdict(timing))
+
+    async def _follow_settings(self) -> None:
+        while True:
+            await anyio.sleep(SETTINGS_GAP_SECONDS)
+            self.reload()
 
     async def answer_readiness(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Tell whether callers can be served."""
@@ -182,17 +186,6 @@
                     reason=str(error),
                 )
 
-    def _workers_wrote(self, events: list[Event]) -> None:
-        for event in events:
-            worker_id = event.key.removeprefix(self.outside.workers_prefix)
-            self.workers.pop(worker_id, None)
-            if event.value is not None:
-                try:
-                    self.workers[worker_id] = self.outside.decode_worker(event.key, event.value)
-                except RecordError as error:
-                    self.log.write("worker-unreadable", worker=worker_id, reason=str(error))
-        self.node.use_workers(dict(self.workers))
-
     def _lost(self, reason: str) -> None:
         self.log.write("config-away" if reason else "config-back", reason=reason)
 
--- a/limpetpulley/peer/server.py
+++ b/limpetpulley/peer/server.py
@@ -23,13 +23,16 @@
     def __init__(self, services: Sequence[Any], host: str, port: int):
         self.socket = listen(host, port)
         self.port = self.socket.getsockname()[1]
-        self.server = Server(list(services))
+        self.services = list(services)
+        self.server: Server | None = None
 
     async def start(self) -> None:
-        """Start to listen."""
+        """Start to listen; no service is added after that."""
+        self.server = Server(self.services)
         await self.server.start(sock=self.socket)
 
     async def stop(self) -> None:
         """Stop to listen and end the calls that are running."""
-        self.server.close()
-        await self.server.wait_closed()
+        if self.server is not None:
+            self.server.close()
+            await self.server.wait_closed()
--- a/limpetpulley/platform/tests/test_deploy.py
+++ b/limpetpulley/platform/tests/test_deploy.py
@@ -159,13 +159,33 @@
             async with httpcore.AsyncConnectionPool() as http:
                 await wait_ready(http, readiness)
                 told = await play_calls(http, callers)
+            early = await change_settings(settings, process.stdout)
             process.send_signal(signal.SIGTERM)
             output, _ = await asyncio.to_thread(process.communicate, timeout=START_SECONDS)
         finally:
             if process.poll() is None:
                 process.kill()
         tasks.cancel_scope.cancel()
-    return told, process.returncode, output
+    return told, process.returncode, early + output
+
+
+async def change_settings(settings, output):
+    """Damage the settings, then change a bound, each until the log tells of it.
+
+    :returns: the lines read
+    """
+    lines = []
+    source = json.loads(settings.read_text())
+    source["bounds"]["stopMs"] = 350
+    for text, event in (("{", "settings-unreadable"), (json.dumps(source), "settings-read")):
+        settings.write_text(text)
+        with anyio.fail_after(START_SECONDS):
+            line = {}
+            while line.get("event") != event:
+                lines.append(await asyncio.to_thread(output.readline))
+                line = json.loads(lines[-1])
+    assert_that(line["stop"], Equals(0.35))
+    return b"".join(lines)
 
 
 async def play_calls(http, port):
--- a/limpetpulley/settings/daemon.py
+++ b/limpetpulley/settings/daemon.py
@@ -95,6 +95,11 @@
     platform_url: str = _setting(
         "the platform's list of VMs and controls", _url, default="http://127.0.0.1:2380"
     )
+    workers_address: str = _setting(
+        "host:port of the list of VMs of pools for jobs of steps; empty for none",
+        _matching(r"([^\s:]+:\d{1,5})?", "host:port, or empty"),
+        default="",
+    )
     prefix: str = _setting(
         "prefix of all keys in the store",
         _matching(r"/[A-Za-z0-9/_-]*/", "a path that starts and ends with '/'"),
--- a/limpetpulley/standin/batchfleet.py
+++ b/limpetpulley/standin/batchfleet.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import os
 import random
 from collections import Counter
 from collections.abc import Awaitable, Callable
@@ -18,7 +17,7 @@
 from ..fleet.vms import WaveOrder
 from ..ownership import Around, BatchNode, Member, Timing, WaveBoard
 from ..store import MemoryStore
-from ..telemetry import EventLog
+from ..telemetry import EventLog, quiet_log
 from ..workers import ListedWorker, StartOrder
 from .faults import Faults
 from .network import MemoryNetwork, NetworkCaller
@@ -26,9 +25,11 @@
 from .vms import MemoryVms
 from .workers import MemoryWorkers, TaskPlan
 
-__all__ = ["BatchFleet", "StartedRun", "sample_config", "make_fleet"]
+__all__ = ["BatchFleet", "StartedRun", "make_fleet", "plan_by_payload", "sample_config"]
 
 SAMPLE_POOL = "desk"
+#: run time of a task whose payload names none
+RUN_SECONDS = 0.3
 DAY_SECONDS = 1_700_000_000.0
 
 
@@ -41,6 +42,14 @@
     order: StartOrder
 
 
+def plan_by_payload(order: StartOrder) -> TaskPlan:
+    """Decide what becomes of a run: it is done after the time that its payload names."""
+    need = Amount(1000, 1000)
+    if order.payload == "lasts":
+        return TaskPlan(float("inf"), need=need)
+    return TaskPlan(float(order.payload or RUN_SECONDS), need=need)
+
+
 @attrs.define
 class _Daemon:
     node: BatchNode
@@ -79,31 +88,21 @@
         self.descriptor = log_descriptor
         off = frozenset(pool.name for pool in config.pools.values() if pool.standby)
         self.vms = MemoryVms(
-            tasks, clock, self.workers, self.plan_run, off, capacity, self._workers_changed
+            tasks, clock, self.workers, plan_by_payload, off, capacity, self._workers_changed
         )
         self.vms.started = self._note_started
-        self.seconds = 0.3
-
-    def plan_run(self, order: StartOrder) -> TaskPlan:
-        """Decide what becomes of a run: it is done after the time that its payload names."""
-        need = Amount(1000, 1000)
-        if order.payload == "lasts":
-            return TaskPlan(float("inf"), need=need)
-        return TaskPlan(float(order.payload or self.seconds), need=need)
 
     def start_daemon(self, name: str) -> BatchNode:
         """Start a daemon."""
         store = FaultyStore(self.store, self.faults, self.network, name, self.counts)
-        descriptor = self.descriptor
-        if descriptor is None:
-            descriptor = os.open(os.devnull, os.O_WRONLY)
+        log = quiet_log(name) if self.descriptor is None else EventLog(name, self.descriptor)
         group: Any = _DaemonTasks(self.tasks)
         around = Around(
             store,
             BatchKeys("lp/"),
             self.workers,
             self.clock,
-            EventLog(name, descriptor),
+            log,
             Timing(move=1.5, maintenance=1.5, holder_lease=1.0),
             group,
             lambda: DAY_SECONDS + self.clock.now(),
--- a/limpetpulley/standin/main.py
+++ b/limpetpulley/standin/main.py
@@ -9,14 +9,17 @@
 from ..api.batches import BatchesApp, own_dialect
 from ..api.server import HttpServer
 from ..clock import SystemClock
-from ..store import MemoryStore
+from ..store import EtcdStore, MemoryStore
 from .batchfleet import make_fleet
 from .endpoint import EndpointStandin
 from .fleet import MemoryFleet
+from .host import WorkersHost
 from .platform import PlatformStandin
 
 __all__ = ["main"]
 
+RACKS = 2
+
 
 @cappa.command(name="platform", help="Store, list of VMs and workers on one port.")
 @attrs.define
@@ -46,12 +49,35 @@
     port: int = attrs.field(metadata={"cappa": cappa.Arg(long=True)}, default=8400)
 
 
+@cappa.command(name="workers", help="Workers for jobs of steps and their VMs, on one port.")
+@attrs.define
+class Workers:
+    """Arguments of the stand-in of workers."""
+
+    port: int = attrs.field(metadata={"cappa": cappa.Arg(long=True)}, default=8500)
+    store_url: str = attrs.field(
+        metadata={"cappa": cappa.Arg(long=True)}, default="http://127.0.0.1:2379"
+    )
+    prefix: str = attrs.field(
+        metadata={"cappa": cappa.Arg(long=True, help="prefix of all keys in the store")},
+        default="/limpetpulley/",
+    )
+    vms: str = attrs.field(
+        metadata={"cappa": cappa.Arg(long=True, help="name:pool, by comma")},
+        default="desk-1:desk,desk-2:desk,spare-1:spare",
+    )
+    off: str = attrs.field(
+        metadata={"cappa": cappa.Arg(long=True, help="pools whose VMs are off, by comma")},
+        default="spare",
+    )
+
+
 @cappa.command(name="limpetpulley-standin", help="Stand-ins for trying limpetpulley out.")
 @attrs.define
 class Standin:
     """Which stand-in to run."""
 
-    command: cappa.Subcommands[Platform | Endpoint | Fleet]
+    command: cappa.Subcommands[Platform | Endpoint | Fleet | Workers]
 
 
 async def serve(app, port: int) -> None:
@@ -69,6 +95,19 @@
         await serve(BatchesApp(nodes[0], own_dialect()), port)
 
 
+async def serve_workers(arguments: Workers) -> None:
+    """Serve workers and VMs on loopback until interrupted."""
+    async with anyio.create_task_group() as tasks:
+        store = EtcdStore(arguments.store_url)
+        off = [pool for pool in arguments.off.split(",") if pool]
+        host = WorkersHost(store, f"{arguments.prefix}workers/", SystemClock(), tasks, off)
+        for number, vm in enumerate(arguments.vms.split(",")):
+            name, _, pool = vm.partition(":")
+            host.vms.add(name, pool, f"rack-{number % RACKS}")
+        host.start(f"127.0.0.1:{arguments.port}")
+        await serve(host, arguments.port)
+
+
 def main() -> None:
     """Run a stand-in."""
     command = cappa.parse(Standin).command
@@ -78,5 +117,7 @@
         anyio.run(serve, app, command.port)
     elif isinstance(command, Fleet):
         anyio.run(serve_fleet, command.port)
+    elif isinstance(command, Workers):
+        anyio.run(serve_workers, command)
     else:
         anyio.run(serve, EndpointStandin(), command.port)
--- a/limpetpulley/telemetry/__init__.py
+++ b/limpetpulley/telemetry/__init__.py
@@ -1,5 +1,5 @@
 """Structured logs."""
 
-from .log import EventLog
+from .log import EventLog, quiet_log
 
-__all__ = ["EventLog"]
+__all__ = ["EventLog", "quiet_log"]
--- a/limpetpulley/telemetry/log.py
+++ b/limpetpulley/telemetry/log.py
@@ -8,7 +8,7 @@
 from collections import deque
 from typing import Any
 
-__all__ = ["EventLog"]
+__all__ = ["EventLog", "quiet_log"]
 
 #: lines kept while standard output takes no more; further ones are dropped and counted
 MAX_PENDING_LINES = 5000
@@ -85,3 +85,8 @@
             self._append(
                 {"time": second, "event": "lines-left-out", "at": self.source, "counts": left_out}
             )
+
+
+def quiet_log(source: str) -> EventLog:
+    """Return a log whose lines go nowhere."""
+    return EventLog(source, os.open(os.devnull, os.O_WRONLY))
