Tell a job's story from the logs, serve metrics, and let a silent worker's lease lapse

Cause: the hold after the first unanswered one asked for a longer lease, as the answer's age was 2.0 s and the bound 2.5 s. Now a worker that did not answer is only asked. Ruled out: a slow clock (2 %), the planning gap.

Lease on workers 5.0 to 4.2 s: it has to bridge a hold's wait, the restart of all daemons, and a takeover.

--- a/limpetpulley/api/batches.py
+++ b/limpetpulley/api/batches.py
@@ -4,6 +4,7 @@
 
 import re
 from collections.abc import Callable
+from typing import Any
 
 import attrs
 
@@ -27,6 +28,7 @@
 #: time after which a caller comes back that could not be served, in whole seconds
 RETRY_SECONDS = 1
 BEARER = "Bearer "
+HTTP_ERROR = 400
 
 
 @attrs.frozen
@@ -64,6 +66,22 @@
     look_up: Callable[[str], str] = str
 
 
+@attrs.define
+class _Request:
+    """A request and its answer, for the log and the metrics; status 0 if none was sent."""
+
+    method: str
+    path: str
+    began: float
+    queue: str = ""
+    job_id: str = ""
+    team: str = ""
+    status: int = 0
+    reason: str = ""
+    detail: str = ""
+    time_left: float = 0.0
+
+
 class BatchesApp:
     """An ASGI application: submit, ask for, cancel and count jobs of steps."""
 
@@ -73,31 +91,70 @@
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Answer one request."""
+        request = _Request(scope["method"], scope["path"], self.node.around.clock.now())
+
+        async def send_noting(message: dict[str, Any]) -> None:
+            if message["type"] == "http.response.start":
+                request.status = message["status"]
+            await send(message)
+
         try:
-            await self._serve(scope, receive, send)
+            await self._serve(request, scope, receive, send_noting)
         except JobRefused as refused:
             headers = []
             if refused.retry_after is not None:
                 headers.append((b"retry-after", str(int(refused.retry_after)).encode()))
+            request.reason, request.detail = refused.reason, refused.detail
             await send_problem(
-                send, refused.status, refused.reason, refused.detail, headers, run=refused.run
+                send_noting,
+                refused.status,
+                refused.reason,
+                refused.detail,
+                headers,
+                run=refused.run,
             )
         except (StoreUnavailable, StoreError) as error:
-            self.node.around.log.write(
-                "request-unserved", method=scope["method"], path=scope["path"], reason=str(error)
-            )
+            request.reason, request.detail = "unavailable", str(error)
             headers = [(b"retry-after", str(RETRY_SECONDS).encode())]
-            await send_problem(send, 503, "unavailable", str(error), headers)
+            await send_problem(send_noting, 503, "unavailable", str(error), headers)
+        finally:
+            self._note(request)
+
+    def _note(self, request: _Request) -> None:
+        """Count a request, and log it unless it only asked and was answered."""
+        around = self.node.around
+        seconds = around.clock.now() - request.began
+        metrics = around.metrics
+        metrics.requests.labels(request.method, request.status, request.reason).inc()
+        metrics.request_seconds.labels(request.queue, request.method).observe(seconds)
+        if request.method == "GET" and request.status < HTTP_ERROR:
+            return
+        around.log.write(
+            "request-answered",
+            method=request.method,
+            path=request.path,
+            queue=request.queue,
+            job=request.job_id,
+            team=request.team,
+            status=request.status,
+            reason=request.reason,
+            detail=request.detail,
+            seconds=round(seconds, 4),
+            time_left=request.time_left,
+            config=around.config.version if around.config else 0,
+        )
 
-    async def _serve(self, scope: Scope, receive: Receive, send: Send) -> None:
+    async def _serve(self, request: _Request, scope: Scope, receive: Receive, send: Send) -> None:
         config = self.node.around.config
         if config is None:
             raise JobRefused(503, "no-config", "no configuration yet", retry_after=RETRY_SECONDS)
         target = self.dialect.locate(config, scope)
         if target is None:
             raise JobRefused(404, "not-found", "there is no such queue")
-        team = self._team(config, scope, target.queue)
+        request.queue, request.job_id = target.queue.name, target.job_id
+        team = request.team = self._team(config, scope, target.queue)
         service, seconds = self.node.service, self._time_left(scope)
+        request.time_left = seconds
         method = scope["method"]
         if not target.job_id:
             if method != "GET":
@@ -166,7 +223,6 @@
             spec = self.dialect.read_spec(content)
             check_spec(spec)
         except RecordError as error:
-            self.node.around.log.write("job-unreadable", job=target.job_id, reason=str(error))
             raise JobRefused(self.dialect.unreadable, "bad-job", str(error)) from None
         return spec
 
--- a/limpetpulley/cli/main.py
+++ b/limpetpulley/cli/main.py
@@ -17,6 +17,7 @@
 from .objects import object_command
 from .questionnaire import Questionnaire
 from .session import Session
+from .trace import TraceJob
 
 __all__ = ["main"]
 
@@ -47,6 +48,7 @@
         | Explain
         | Questionnaire
         | BatchCommand
+        | TraceJob
     ]
     operators: str = attrs.field(
         default="127.0.0.1:8401",
--- a/limpetpulley/daemon/main.py
+++ b/limpetpulley/daemon/main.py
@@ -17,7 +17,7 @@
 from ..settings import Settings, load_settings
 from ..settings.daemon import flag_of, variable_of
 from ..store import EtcdStore
-from ..telemetry import EventLog
+from ..telemetry import BatchMetrics, EventLog
 from ..vms import HttpPlatform
 from .server import Daemon
 
@@ -65,7 +65,9 @@
     store = EtcdStore(settings.store_url)
     platform = HttpPlatform(settings.platform_url)
     async with anyio.create_task_group() as tasks:
-        daemon = Daemon(settings, store, platform, platform, tasks, EventLog(settings.name))
+        metrics = BatchMetrics()
+        log = EventLog(settings.name, count=metrics.count_event)
+        daemon = Daemon(settings, store, platform, platform, tasks, log, metrics)
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
             await daemon.start()
             async for _ in signals:
--- a/limpetpulley/daemon/server.py
+++ b/limpetpulley/daemon/server.py
@@ -10,6 +10,7 @@
 from ..api import CallersApp, HttpServer, OperatorsApp
 from ..api.batches import BATCH_PATH
 from ..api.http import Receive, Scope, Send
+from ..api.metrics import MetricsApp
 from ..clock import SystemClock
 from ..exception import LimpetpulleyError
 from ..http_client import KeptHttp
@@ -18,7 +19,7 @@
 from ..routing import EndpointConnections
 from ..settings import Settings
 from ..store import Store
-from ..telemetry import EventLog
+from ..telemetry import BatchMetrics, EventLog
 from ..vms import VmList, Workers
 from .departure import leave
 from .handlers import PeerHandlers
@@ -30,6 +31,7 @@
 
 LEAVE_NOTICE_SECONDS = 0.5
 POLL_SECONDS = 0.05
+METRICS_PATH = "/metrics"
 
 
 class Daemon:
@@ -41,6 +43,7 @@
     :param workers: the platform's controls of its workers
     :param tasks: task group that everything runs in
     :param log: where decisions on jobs of steps are written
+    :param metrics: what is counted and measured of them, served at the operators' ``/metrics``
     """
 
     def __init__(
@@ -51,6 +54,7 @@
         workers: Workers,
         tasks: anyio.abc.TaskGroup,
         log: EventLog,
+        metrics: BatchMetrics,
     ):
         self.settings = settings
         self.tasks = tasks
@@ -89,6 +93,7 @@
             tasks,
             peer_address,
             log,
+            metrics,
         )
         self.peer_server.services.append(self.steps.handlers)
         self.node.link.on_config = self.on_config
@@ -102,7 +107,11 @@
             settings.operator_key,
             self.node.fleet_report,
         )
-        self.operators_server = HttpServer(operators, settings.host, settings.operators_port)
+        self.operators = operators
+        self.metrics = MetricsApp(metrics)
+        self.operators_server = HttpServer(
+            self.serve_operator, settings.host, settings.operators_port
+        )
 
     async def start(self) -> None:
         """Start to listen and to run."""
@@ -130,6 +139,12 @@
         app = self.steps if steps else self.callers
         await app(scope, receive, send)
 
+    async def serve_operator(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Answer an operator's request."""
+        wants_metrics = scope["type"] == "http" and scope["path"] == METRICS_PATH
+        app = self.metrics if wants_metrics else self.operators
+        await app(scope, receive, send)
+
     async def stop(self) -> None:
         """Leave without cutting off a request, within the time that the settings allow."""
         node = self.node
--- a/limpetpulley/daemon/steps.py
+++ b/limpetpulley/daemon/steps.py
@@ -20,9 +20,10 @@
 from ..ownership.listing import WorkerListing
 from ..peer import PeerCaller
 from ..settings import Settings
-from ..store import Store
+from ..store import MeasuredStore, Store
 from ..tasks import keep_running
-from ..telemetry import EventLog
+from ..telemetry import BatchMetrics, EventLog
+from ..workers import MeasuredOrders
 from ..workers.wire import HttpWorkers, decode_listed
 
 __all__ = ["StepsPart"]
@@ -49,20 +50,22 @@
         tasks: anyio.abc.TaskGroup,
         peer_address: str,
         log: EventLog,
+        metrics: BatchMetrics,
     ):
         self.settings = settings
         self.replica = replica
         self.tasks = tasks
         self.log = log
         self.around = Around(
-            store,
+            MeasuredStore(store, metrics),
             BatchKeys(settings.prefix + "steps/"),
-            HttpWorkers(http),
+            MeasuredOrders(HttpWorkers(http), metrics),
             clock,
             self.log,
             Timing(),
             tasks,
             time.time,
+            metrics=metrics,
         )
         started = time.time_ns() // 1_000_000
         member = Member(settings.name, started, peer_address, settings.data_centre)
--- a/limpetpulley/demo/system.py
+++ b/limpetpulley/demo/system.py
@@ -22,7 +22,7 @@
 from ..settings import Settings
 from ..standin import EndpointStandin, MemoryFleet
 from ..store import MemoryStore
-from ..telemetry import quiet_log
+from ..telemetry import BatchMetrics, quiet_log
 
 __all__ = ["DemoSystem"]
 
@@ -72,7 +72,9 @@
                 peers_port=0,
             )
             log = quiet_log(settings.name)
-            daemon = Daemon(settings, self.store, self.fleet, self.fleet, self.tasks, log)
+            daemon = Daemon(
+                settings, self.store, self.fleet, self.fleet, self.tasks, log, BatchMetrics()
+            )
             self.daemons.append(daemon)
             await daemon.start()
 
--- a/limpetpulley/ownership/agent.py
+++ b/limpetpulley/ownership/agent.py
@@ -15,9 +15,9 @@
 
 #: part of the longest lease that is asked for; what is left covers a worker's slow clock
 LEASE_PART = 0.9
-#: longest lease that is asked for: bridges the lapse of a lost owner's claim, its takeover and a
-#: renewal, and bounds how long the tasks of a lost worker wait
-LONGEST_LEASE_SECONDS = 5.0
+#: longest lease that is asked for: bridges a hold's wait, the restart of all daemons (2 s) and
+#: their takeover (below 1 s), and bounds how long the tasks of a lost worker wait
+LONGEST_LEASE_SECONDS = 4.2
 #: longest time that a hold waits for an end
 WAIT_SECONDS = 1.0
 #: the same where tasks that serve share a worker with tasks that fill
@@ -26,9 +26,6 @@
 ANSWER_SECONDS = 1.0
 #: longest time that a hold is put off until ends are stored
 STORE_WAIT_SECONDS = 0.1
-#: age of a worker's last answer above which its lease is not extended, so that the lease of a
-#: worker that is lost, or that hears but is not heard, lapses
-EXTEND_SECONDS = 2.5
 #: time after its claim's last renewal beyond which an owner lets no run live: with it a new owner
 #: knows when runs that it cannot see have ended. Longer than the store's usual outages
 UNSEEN_OWNER_SECONDS = 11.0
@@ -84,12 +81,13 @@
         """Extend the lease, and take what the worker lists."""
         worker, now = self.worker, self.around.clock.now()
         until = None
-        heard = now - worker.heard_at <= EXTEND_SECONDS
         length = self.lease_length()
         known = worker.reconciled and worker.lease.worker_seconds is not None
-        if known and heard and length >= LEAST_LEASE_SECONDS:
+        # After a call without an answer, the lease of a worker that is lost, or that hears but is
+        # not heard, has to lapse: it is only asked, and answers at once if it can.
+        if known and not self.failing and length >= LEAST_LEASE_SECONDS:
             until = worker.lease.extend(now, length)
-        wait = self.wait_seconds() if worker.reconciled else 0.0
+        wait = self.wait_seconds() if worker.reconciled and not self.failing else 0.0
         with anyio.fail_after(wait + ANSWER_SECONDS):
             reply = await self.around.orders.hold(
                 worker.listed, self.book.token, worker.stored_through, until, wait
@@ -151,7 +149,8 @@
         length = self.lease_length()
         if length < LEAST_LEASE_SECONDS:
             return
-        until = self.worker.lease.extend(self.around.clock.now(), length)
+        lease, now = self.worker.lease, self.around.clock.now()
+        until = lease.until_seconds if self.failing else lease.extend(now, length)
         reply = await self.around.orders.start(self.worker.listed, order, self.book.token, until)
         self.book.note_start(run, reply.outcome, reply.worker_seconds, self.around.clock.now())
         self.changed()
--- a/limpetpulley/ownership/around.py
+++ b/limpetpulley/ownership/around.py
@@ -11,7 +11,7 @@
 from ..batch.keys import BatchKeys
 from ..clock import Clock
 from ..store import Store
-from ..telemetry import EventLog
+from ..telemetry import BatchMetrics, EventLog
 from ..workers import ListedWorker, WorkerOrders
 from .advice import Adviser
 
@@ -59,5 +59,6 @@
     tasks: anyio.abc.TaskGroup
     day: Callable[[], float]
     adviser: Adviser | None = None
+    metrics: BatchMetrics = attrs.field(factory=BatchMetrics)
     workers: dict[str, ListedWorker] = attrs.field(factory=dict)
     config: BatchConfig | None = None
--- a/limpetpulley/ownership/daemon.py
+++ b/limpetpulley/ownership/daemon.py
@@ -12,16 +12,17 @@
 
 from .. import __version__
 from ..api.http import Receive, Scope, Send, send_json
+from ..api.metrics import MetricsApp
 from ..api.server import HttpServer
 from ..batch.keys import BatchKeys
 from ..clock import SystemClock
 from ..exception import RecordError
 from ..fleet.vms import VmOrders
 from ..peer import BatchStub, PeerClient, PeerServer
-from ..store import Event, Mirror, Store
+from ..store import Event, MeasuredStore, Mirror, Store
 from ..tasks import keep_running
-from ..telemetry import EventLog
-from ..workers import ListedWorker, WorkerOrders
+from ..telemetry import BatchMetrics, EventLog
+from ..workers import ListedWorker, MeasuredOrders, WorkerOrders
 from .advice import Adviser
 from .around import Around, Timing
 from .directory import Member
@@ -37,6 +38,8 @@
 BUSY_POLL_SECONDS = 0.02
 #: time between two looks at the settings, which may change without a signal, in seconds
 SETTINGS_GAP_SECONDS = 1.0
+#: time between two looks at how late the event loop is, in seconds
+LAG_GAP_SECONDS = 0.5
 
 
 @attrs.frozen
@@ -47,6 +50,7 @@
     :param callers_port: port for callers
     :param readiness_port: port where the platform asks whether callers can be served
     :param peers_port: port for other daemons
+    :param metrics_port: port for the metrics
     """
 
     name: str
@@ -55,6 +59,7 @@
     callers_port: int
     readiness_port: int
     peers_port: int
+    metrics_port: int
     timing: Timing
 
 
@@ -91,19 +96,21 @@
         self.settings = settings
         self.outside = outside
         self.tasks = tasks
-        self.log = EventLog(settings.name)
+        self.metrics = BatchMetrics(self._set_levels)
+        self.log = EventLog(settings.name, count=self.metrics.count_event)
         self.settings_problem = ""
         clock = SystemClock()
         self.around = Around(
-            outside.store,
+            MeasuredStore(outside.store, self.metrics),
             BatchKeys(KEY_PREFIX),
-            outside.orders,
+            MeasuredOrders(outside.orders, self.metrics),
             clock,
             self.log,
             settings.timing,
             tasks,
             time.time,
             outside.adviser,
+            self.metrics,
         )
         member = Member(
             settings.name,
@@ -118,6 +125,7 @@
         self.peers = PeerServer([self.node.handlers], host, settings.peers_port)
         self.callers = HttpServer(outside.callers(self.node), host, settings.callers_port)
         self.readiness = HttpServer(self.answer_readiness, host, settings.readiness_port)
+        self.metrics_server = HttpServer(MetricsApp(self.metrics), host, settings.metrics_port)
         self.operator = Mirror(
             outside.store, outside.operator_prefix, clock, self._operator_wrote, self._lost
         )
@@ -128,13 +136,15 @@
 
     async def start(self) -> None:
         """Start to serve."""
-        self.log.write("daemon-started", version=__version__, data_centre=self.settings.data_centre)
+        told = attrs.asdict(self.settings)
+        self.log.write("daemon-started", version=__version__, settings=told)
         await self.peers.start()
-        for server in (self.readiness, self.callers):
+        for server in (self.readiness, self.callers, self.metrics_server):
             await self.tasks.start(server.serve)
         for loop in (self.operator.run, self.listing.mirror.run):
             self.tasks.start_soon(keep_running, loop)
         self.tasks.start_soon(keep_running, self._follow_settings)
+        self.tasks.start_soon(keep_running, self._measure_lag)
         self.node.start()
 
     async def stop(self) -> None:
@@ -167,6 +177,27 @@
             await anyio.sleep(SETTINGS_GAP_SECONDS)
             self.reload()
 
+    async def _measure_lag(self) -> None:
+        clock = self.around.clock
+        while True:
+            began = clock.now()
+            await anyio.sleep(LAG_GAP_SECONDS)
+            self.metrics.loop_lag_seconds.observe(clock.now() - began - LAG_GAP_SECONDS)
+
+    def _set_levels(self, metrics: BatchMetrics) -> None:
+        metrics.owned_pools.set(len(self.node.owned))
+        config = self.around.config
+        metrics.config_version.set(config.version if config else 0)
+        metrics.lines_dropped.set(self.log.lost)
+        for prefix, mirror in self.node.mirrors.items():
+            age = self.around.clock.now() - mirror.heard_at
+            metrics.watch_age_seconds.labels(prefix).set(age)
+        for queue in config.queues.values() if config else ():
+            owner = self.node.owned.get(queue.pool)
+            if owner is not None:
+                depth = owner.count_pending(queue.name)
+                metrics.queue_depth.labels(queue.name).set(depth)
+
     async def answer_readiness(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Tell whether callers can be served."""
         ready = self.node.is_ready
--- a/limpetpulley/ownership/node.py
+++ b/limpetpulley/ownership/node.py
@@ -32,7 +32,7 @@
 GIVE_UP_SECONDS = 1.0
 #: time in which members make themselves known before pools are claimed for the first time; all
 #: daemons of a deployment start within 0.3 s of each other
-SETTLE_SECONDS = 0.7
+SETTLE_SECONDS = 0.5
 
 
 class BatchNode:
--- a/limpetpulley/ownership/owner.py
+++ b/limpetpulley/ownership/owner.py
@@ -223,7 +223,9 @@
         key = JobKey(submission.queue.name, submission.job_id)
         known = self.book.jobs.get(submission.job_id)
         if known is not None:
-            return Verdict(known.key == key, retry_seconds=LONGEST_RETRY_SECONDS)
+            same = known.key == key
+            reason = "" if same else "id-in-use"
+            return Verdict(same, retry_seconds=LONGEST_RETRY_SECONDS, reason=reason)
         self.keeper.use_config()
         job = self._make_job(key, submission)
         verdict = self.assess(job, submission)
@@ -241,7 +243,7 @@
                 self.wake()
                 return verdict
             if outcome.stored is False:
-                return attrs.evolve(verdict, accepted=False, retry_seconds=FAILURE_RETRY_SECONDS)
+                return Verdict(False, retry_seconds=FAILURE_RETRY_SECONDS, reason="not-stored")
         self.around.log.write("job-in-doubt", job=submission.job_id, queue=key.queue)
         return None
 
@@ -360,6 +362,7 @@
             if agent is None:
                 continue
             if isinstance(order, StartOrder):
+                self._note_start(order)
                 self.around.log.write(
                     "run-ordered",
                     task=name_task(order),
@@ -369,6 +372,14 @@
                 )
             self.tasks.start_soon(agent.send, order)
 
+    def _note_start(self, order: StartOrder) -> None:
+        """Note how long a job waited for its first start."""
+        job = self.book.jobs.get(order.task.job_id)
+        first = order.number == 1 and order.task.step == order.task.position == 0
+        if job is not None and first and order.task.occurrence == 0:
+            waited = self.around.day() - job.accepted_at
+            self.around.metrics.start_seconds.labels(job.key.queue).observe(max(0.0, waited))
+
     async def _run_cleaning(self) -> None:
         keep = self.around.timing.keep_ended
         while True:
--- a/limpetpulley/ownership/session.py
+++ b/limpetpulley/ownership/session.py
@@ -15,12 +15,17 @@
 
 __all__ = ["LEASE_SECONDS", "Session"]
 
-#: length of a daemon's lease; it bounds the time until a lost owner's pool is claimed
-LEASE_SECONDS = 2.0
-#: time between renewals, so that several may be lost
-RENEW_SECONDS = 0.4
+#: length of a daemon's lease; it bounds the time until a lost owner's pool is claimed, which is to
+#: be below 1.5 s
+LEASE_SECONDS = 1.4
+#: time between renewals
+RENEW_SECONDS = 0.3
+#: time for a renewal's answer, so that another fits into the lease if its connection went silent
+ANSWER_SECONDS = 0.5
+#: time for the answer after one without, since the store may be slow, in seconds
+SLOW_ANSWER_SECONDS = 1.2
 #: pause after a renewal without an answer
-RETRY_SECONDS = 0.1
+RETRY_SECONDS = 0.05
 
 
 class Session:
@@ -51,21 +56,38 @@
 
     async def run(self) -> None:
         """Keep the lease until it is ended for good."""
+        patience = ANSWER_SECONDS
         while not self.closed:
             try:
                 if not self.lease:
                     await self._begin()
                 else:
-                    asked_at = self.clock.now()
-                    if not await self.store.renew_lease(self.lease):
-                        self.lose("lease-ended")
-                        continue
-                    self.renewed_at = asked_at
+                    slow = await self._renew(patience) > ANSWER_SECONDS / 2
+                    patience = SLOW_ANSWER_SECONDS if slow else ANSWER_SECONDS
             except (StoreUnavailable, StoreError) as error:
                 self.log.write("lease-not-renewed", reason=str(error), age=round(self.age(), 2))
+                patience = SLOW_ANSWER_SECONDS
                 await anyio.sleep(RETRY_SECONDS)
                 continue
-            await anyio.sleep(RENEW_SECONDS)
+            if self.lease:
+                await anyio.sleep(RENEW_SECONDS)
+
+    async def _renew(self, seconds: float) -> float:
+        """Renew the lease, or give it up if the store says that it has ended.
+
+        :param seconds: time for the answer
+        :returns: the time that the answer took
+        :raises StoreUnavailable: if none came
+        """
+        asked_at = self.clock.now()
+        with anyio.move_on_after(seconds) as scope:
+            if await self.store.renew_lease(self.lease):
+                self.renewed_at = asked_at
+            else:
+                self.lose("lease-ended")
+        if scope.cancelled_caught:
+            raise StoreUnavailable(f"no answer to a renewal within {seconds} s")
+        return self.clock.now() - asked_at
 
     def age(self) -> float:
         """Return the time since the lease was last renewed, in seconds."""
--- /dev/null
+++ b/limpetpulley/ownership/tests/test_agent.py
@@ -0,0 +1,68 @@
+"""The lease of a worker that stops to answer lapses as soon as it can, and its tasks go on."""
+
+import anyio
+import pytest
+
+from ...batch import EndKind
+from ..agent import LONGEST_LEASE_SECONDS
+from .test_calm_day import TASK, JobSpec, Step, play, two_steps
+
+#: the lapse by a slow clock, and a plan
+SLACK_SECONDS = 0.4
+#: age that the last extension may have when a worker is lost: a hold waits so long for an end
+HOLD_SECONDS = 1.0
+
+
+class Silencer:
+    """Lets holds reach their workers, and keeps the answers of one back once it is set."""
+
+    def __init__(self, day):
+        self.inner = day.fleet.workers.hold
+        self.silent = ""
+        day.fleet.workers.hold = self.hold
+
+    async def hold(self, listed, *args):
+        reply = await self.inner(listed, *args)
+        while listed.worker_id == self.silent:
+            await anyio.sleep(1)
+        return reply
+
+
+@pytest.mark.parametrize("how", ["refuses", "hears"])
+def test_tasks_of_a_silent_worker_start_again_when_its_lease_has_lapsed(how):
+    async def story(day):
+        silencer = Silencer(day)
+        await anyio.sleep(2.0)
+        await day.submit("desk", JobSpec("9.0", (Step(2, TASK, 9.0),)))
+        await anyio.sleep(0.4)
+        first = day.fleet.runs[0]
+        lost_at = day.clock.now()
+        if how == "refuses":
+            day.fleet.workers.workers[first.worker_id].alive = False
+        else:
+            silencer.silent = first.worker_id
+        await anyio.sleep(2 * LONGEST_LEASE_SECONDS)
+        again = [run for run in day.fleet.runs if run.order.task == first.order.task]
+        return again[1].at - lost_at
+
+    seconds = play(story)
+    assert seconds >= LONGEST_LEASE_SECONDS - HOLD_SECONDS - SLACK_SECONDS
+    assert seconds <= LONGEST_LEASE_SECONDS * 1.03 + SLACK_SECONDS
+
+
+def test_a_worker_whose_calls_fail_for_a_moment_keeps_its_runs():
+    async def story(day):
+        await day.submit("desk", two_steps(3.0))
+        await anyio.sleep(0.4)
+        worker = day.fleet.workers.workers[day.fleet.runs[0].worker_id]
+        for _ in range(6):
+            worker.alive = False
+            await anyio.sleep(0.5)
+            worker.alive = True
+            await anyio.sleep(0.5)
+        await anyio.sleep(2.0)
+        return worker, await day.states()
+
+    worker, states = play(story)
+    assert not [end for end in worker.ended if end.kind is EndKind.LAPSED]
+    assert set(map(str, states.values())) == {"completed"}
--- a/limpetpulley/ownership/writer.py
+++ b/limpetpulley/ownership/writer.py
@@ -116,10 +116,27 @@
                 continue
             self.failing = False
             self.book.mark_stored(versions)
+            for job in jobs:
+                if job.state.final:
+                    self._log_end(job)
             flushed, self.flushed = self.flushed, anyio.Event()
             flushed.set()
             self.stored()
 
+    def _log_end(self, job: Job) -> None:
+        failed = {".".join(map(str, task)): len(runs) for task, runs in job.failures.items()}
+        self.around.log.write(
+            "job-ended",
+            job=job.key.job_id,
+            queue=job.key.queue,
+            pool=self.book.pool,
+            reason=str(job.state),
+            seconds=round(job.ended_at - job.accepted_at, 3),
+            past_due=round(max(0.0, job.ended_at - job.due_by), 3) if job.due_by else 0.0,
+            failed_runs=failed,
+            most_attempts=job.max_attempts,
+        )
+
     async def remove(self, jobs: Sequence[Job]) -> None:
         """Remove the records of ended jobs."""
         keys = self.around.keys
--- a/limpetpulley/platform/settings.py
+++ b/limpetpulley/platform/settings.py
@@ -17,6 +17,9 @@
 #: environment variable with the path of the settings file
 SETTINGS_VARIABLE = "LIMPETPULLEY_CONFIG"
 MILLISECONDS = 1000.0
+#: the first of the ports between daemons is theirs; the next one, which the deploy file names,
+#: serves the metrics
+METRICS_OFFSET = 1
 
 
 @attrs.frozen
@@ -65,6 +68,7 @@
         callers_port=_port(text(listen, "frontend")),
         readiness_port=_port(text(listen, "readiness")),
         peers_port=int(source["internalPorts"][0]),
+        metrics_port=int(source["internalPorts"][0]) + METRICS_OFFSET,
         timing=_timing(source["bounds"]),
     )
     return PlatformSettings(
--- a/limpetpulley/telemetry/__init__.py
+++ b/limpetpulley/telemetry/__init__.py
@@ -1,5 +1,15 @@
-"""Structured logs."""
+"""Structured logs, metrics, and the story of a job across daemons' logs."""
 
 from .log import EventLog, quiet_log
+from .metrics import BatchMetrics
+from .trace import Story, TraceLine, read_lines, trace
 
-__all__ = ["EventLog", "quiet_log"]
+__all__ = [
+    "BatchMetrics",
+    "EventLog",
+    "Story",
+    "TraceLine",
+    "quiet_log",
+    "read_lines",
+    "trace",
+]
--- a/limpetpulley/telemetry/log.py
+++ b/limpetpulley/telemetry/log.py
@@ -6,6 +6,7 @@
 import os
 import time
 from collections import deque
+from collections.abc import Callable
 from typing import Any
 
 __all__ = ["EventLog", "quiet_log"]
@@ -23,10 +24,18 @@
 
     :param source: name of the daemon, in every line
     :param descriptor: where lines go; it is set not to block
+    :param count: told of each event and its reason, also of those that are left out
     """
 
-    def __init__(self, source: str, descriptor: int = 1):
+    def __init__(
+        self,
+        source: str,
+        descriptor: int = 1,
+        count: Callable[[str, object], None] = lambda event, reason: None,
+    ):
         self.source = source
+        self.count = count
+        self.lost = 0
         self.descriptor = descriptor
         self.pending: deque[bytes] = deque()
         self.partial = b""
@@ -42,6 +51,7 @@
         :param event: name of the event
         :param fields: inputs of the decision with their age or version, and the outcome
         """
+        self.count(event, fields.get("reason", ""))
         now = time.time()
         if int(now) != self.second:
             self._next_second(int(now))
@@ -72,6 +82,7 @@
     def _append(self, line: dict[str, Any]) -> None:
         if len(self.pending) >= MAX_PENDING_LINES:
             self.dropped += 1
+            self.lost += 1
             return
         if self.dropped:
             line["lines_dropped"], self.dropped = self.dropped, 0
--- a/limpetpulley/workers/__init__.py
+++ b/limpetpulley/workers/__init__.py
@@ -1,6 +1,7 @@
 """Workers: leases on them, what runs there, and the orders that they take."""
 
 from .lease import WorkerLease
+from .measured import MeasuredOrders
 from .orders import PaceOrder, StartOrder, StartReply, StopOrder, WorkerOrders
 from .state import (
     Ended,
@@ -17,6 +18,7 @@
     "Ended",
     "HoldReply",
     "ListedWorker",
+    "MeasuredOrders",
     "PaceOrder",
     "Run",
     "RunPhase",
