Start copies of tasks whose worker fell silent; split intake, trust and reconciliation out

Change: pool/copies.py. When a worker's call timed out, or failed twice, such tasks start elsewhere at once; the run on the silent worker stays in its room and its team's use until it is known to be gone; the first end counts, the other run is stopped. Nothing starts on a worker whose last call got no answer. Ruled out: forgetting the run on the silent worker, since a worker that is only cut off goes on using its team's limit.

--- a/limpetpulley/ownership/__init__.py
+++ b/limpetpulley/ownership/__init__.py
@@ -3,8 +3,9 @@
 from .advice import Advice, Adviser
 from .around import Around, Timing
 from .directory import Directory, Member
+from .intake import Submission
 from .node import BatchNode
-from .owner import PoolOwner, Submission
+from .owner import PoolOwner
 from .planner import WaveBoard
 from .service import BatchService, Outcome, SubmitResult
 
--- a/limpetpulley/ownership/agent.py
+++ b/limpetpulley/ownership/agent.py
@@ -7,7 +7,7 @@
 import anyio
 
 from ..exception import WorkerError
-from ..pool import Order, PoolBook
+from ..pool import Order, PoolBook, copy_runs
 from ..workers import PaceOrder, RunPhase, StartOrder, StopOrder, Worker
 from .around import Around
 
@@ -75,6 +75,10 @@
                 await self.hold()
             except (WorkerError, TimeoutError) as error:
                 self._note_failure(str(error) or "timeout")
+                if self.worker.silent or isinstance(error, TimeoutError):
+                    copy_runs(self.book, self.worker)
+                    self.changed()
+                self.worker.silent = True
                 await anyio.sleep(RETRY_SECONDS)
 
     async def hold(self) -> None:
--- /dev/null
+++ b/limpetpulley/ownership/intake.py
@@ -0,0 +1,136 @@
+"""What an owner does with a job that is handed in: decide, store, answer."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable
+
+import anyio
+import attrs
+
+from ..batch import Job, JobKey, JobSpec, QueueRule
+from ..pool import PoolBook
+from ..pool.outlook import expected_objective, predict, remaining_work
+from ..quota.shares import TeamShares
+from ..scheduling.backlog import LONGEST_RETRY_SECONDS, Verdict, judge
+from ..scheduling.placement import fits_empty
+from .around import Around
+from .reporting import RefusedWork
+from .writer import OwnerWriter
+
+__all__ = ["Intake", "Submission"]
+
+#: time until which a caller is told to come back after an owner's failure, in whole seconds
+FAILURE_RETRY_SECONDS = 1
+
+
+@attrs.frozen
+class Submission:
+    """A job that a caller hands in.
+
+    :param team: team that it is charged to, empty for none
+    :param elapsed_seconds: time since the caller first asked
+    """
+
+    queue: QueueRule
+    job_id: str
+    spec: JobSpec
+    team: str = ""
+    elapsed_seconds: float = 0.0
+
+
+class Intake:
+    """Accepts or refuses the jobs of one pool.
+
+    :param refused: notes the work that was refused
+    :param wake: called when a job was accepted
+    """
+
+    def __init__(
+        self,
+        around: Around,
+        book: PoolBook,
+        shares: TeamShares,
+        writer: OwnerWriter,
+        refused: RefusedWork,
+        wake: Callable[[], None],
+    ):
+        self.around = around
+        self.book = book
+        self.shares = shares
+        self.writer = writer
+        self.refused = refused
+        self.wake = wake
+
+    async def submit(self, submission: Submission, wait_seconds: float) -> Verdict | None:
+        """Accept or refuse a job; return None if it is not known whether it is stored.
+
+        :param wait_seconds: longest time until the answer
+        """
+        key = JobKey(submission.queue.name, submission.job_id)
+        known = self.book.jobs.get(submission.job_id)
+        if known is not None:
+            same = known.key == key
+            reason = "" if same else "id-in-use"
+            return Verdict(same, retry_seconds=LONGEST_RETRY_SECONDS, reason=reason)
+        job = self._make_job(key, submission)
+        verdict = self.assess(job, submission)
+        self._log_verdict(submission, verdict)
+        if not verdict.accepted:
+            work = remaining_work(self.book, job)
+            self.refused.note(self.around.clock.now(), submission.job_id, work)
+            return verdict
+        with anyio.move_on_after(wait_seconds):
+            outcome = await self.writer.create(job)
+            if outcome.stored:
+                if job.key.job_id not in self.book.jobs:
+                    self.book.add_job(job, self.around.day())
+                self.wake()
+                return verdict
+            if outcome.stored is False:
+                return Verdict(False, retry_seconds=FAILURE_RETRY_SECONDS, reason="not-stored")
+        self.around.log.write("job-in-doubt", job=submission.job_id, queue=key.queue)
+        return None
+
+    def assess(self, job: Job, submission: Submission) -> Verdict:
+        """Decide about a job by its predicted end."""
+        workers = [worker for worker in self.book.workers.values() if worker.present]
+        if not all(fits_empty(step, workers) for step in job.spec.steps):
+            return Verdict(False, retry_seconds=LONGEST_RETRY_SECONDS, reason="fits-nowhere")
+        if job.spec.lasting or job.spec.timed:
+            return Verdict(True)
+        now, day = self.around.clock.now(), self.around.day()
+        return judge(predict(self.book, self.shares, submission.queue, job, now, day))
+
+    def _make_job(self, key: JobKey, submission: Submission) -> Job:
+        queue, day = submission.queue, self.around.day()
+        objective = expected_objective(
+            self.book, self.shares, queue, submission.spec, submission.team
+        )
+        return Job(
+            key,
+            submission.spec,
+            self.book.pool,
+            submission.team,
+            max(1, queue.max_attempts),
+            accepted_at=round(day, 3),
+            priority=queue.priority,
+            due_by=round(day - submission.elapsed_seconds + objective, 3),
+        )
+
+    def _log_verdict(self, submission: Submission, verdict: Verdict) -> None:
+        self.around.log.write(
+            "job-accepted" if verdict.accepted else "job-refused",
+            job=submission.job_id,
+            queue=submission.queue.name,
+            pool=self.book.pool,
+            team=submission.team,
+            tasks=sum(step.count for step in submission.spec.steps),
+            lasting=submission.spec.lasting,
+            reason=verdict.reason,
+            end=round(verdict.end_seconds, 3) if math.isfinite(verdict.end_seconds) else "never",
+            due=round(verdict.due_seconds, 3),
+            harmed=round(verdict.harmed_work, 2),
+            elapsed=round(submission.elapsed_seconds, 3),
+            retry=verdict.retry_seconds,
+        )
--- a/limpetpulley/ownership/owner.py
+++ b/limpetpulley/ownership/owner.py
@@ -2,35 +2,32 @@
 
 from __future__ import annotations
 
-import math
 import traceback
 from collections.abc import Awaitable, Callable
 
 import anyio
-import attrs
 
-from ..batch import Job, JobKey, JobSpec, JobState, QueueRule
+from ..batch import Job, JobKey, JobState
 from ..batch.records import RosterEntry, decode_job, decode_roster
 from ..exception import NotOwnerError, RecordError, StoreError, StoreUnavailable
 from ..peer import batch_pb2 as pb
 from ..pool import Change, PlanningLimits, PoolBook, plan_orders
-from ..pool.outlook import expected_objective, predict, remaining_work
 from ..quota.shares import TeamShares
-from ..scheduling.backlog import LONGEST_RETRY_SECONDS, Verdict, judge
+from ..scheduling.backlog import Verdict
 from ..scheduling.pacing import pace_fillers
-from ..scheduling.placement import fits_empty
 from ..store import Compare, Event
 from ..workers import StartOrder, Worker
 from ..workers.lease import SLOWEST_CLOCK
 from .advising import TicketKeeper
 from .agent import UNSEEN_OWNER_SECONDS, WorkerAgent, lease_seconds, name_task
 from .around import Around
+from .intake import Intake, Submission
 from .reporting import PoolReporter, RefusedWork
 from .roster import RosterKeeper
 from .sharing import ShareKeeper
 from .writer import OwnerWriter
 
-__all__ = ["PoolOwner", "Submission"]
+__all__ = ["PoolOwner"]
 
 #: time between two plans, so that ends and submissions that come together make one
 PLAN_GAP_SECONDS = 0.01
@@ -38,23 +35,6 @@
 PLAN_PAUSE_SECONDS = 0.25
 #: time between two looks for ended jobs whose records can go
 CLEAN_SECONDS = 10.0
-#: time until which a caller is told to come back after an owner's failure, in whole seconds
-FAILURE_RETRY_SECONDS = 1
-
-
-@attrs.frozen
-class Submission:
-    """A job that a caller hands in.
-
-    :param team: team that it is charged to, empty for none
-    :param elapsed_seconds: time since the caller first asked
-    """
-
-    queue: QueueRule
-    job_id: str
-    spec: JobSpec
-    team: str = ""
-    elapsed_seconds: float = 0.0
 
 
 class PoolOwner:
@@ -91,6 +71,7 @@
         self.shares = TeamShares(pool)
         self.keeper = ShareKeeper(around, self.book, self.shares, self.writer)
         self.refused = RefusedWork()
+        self.intake = Intake(around, self.book, self.shares, self.writer, self.refused, self.wake)
         self.tickets = TicketKeeper(around, self.book, self.wake)
         self.agents: dict[str, WorkerAgent] = {}
         self.roster = RosterKeeper(around, self.book, self.writer, self.wake)
@@ -220,42 +201,8 @@
 
         :param wait_seconds: longest time until the answer
         """
-        key = JobKey(submission.queue.name, submission.job_id)
-        known = self.book.jobs.get(submission.job_id)
-        if known is not None:
-            same = known.key == key
-            reason = "" if same else "id-in-use"
-            return Verdict(same, retry_seconds=LONGEST_RETRY_SECONDS, reason=reason)
         self.keeper.use_config()
-        job = self._make_job(key, submission)
-        verdict = self.assess(job, submission)
-        self._log_verdict(submission, verdict)
-        if not verdict.accepted:
-            self.refused.note(
-                self.around.clock.now(), submission.job_id, remaining_work(self.book, job)
-            )
-            return verdict
-        with anyio.move_on_after(wait_seconds):
-            outcome = await self.writer.create(job)
-            if outcome.stored:
-                if job.key.job_id not in self.book.jobs:
-                    self.book.add_job(job, self.around.day())
-                self.wake()
-                return verdict
-            if outcome.stored is False:
-                return Verdict(False, retry_seconds=FAILURE_RETRY_SECONDS, reason="not-stored")
-        self.around.log.write("job-in-doubt", job=submission.job_id, queue=key.queue)
-        return None
-
-    def assess(self, job: Job, submission: Submission) -> Verdict:
-        """Decide about a job by its predicted end."""
-        workers = [worker for worker in self.book.workers.values() if worker.present]
-        if not all(fits_empty(step, workers) for step in job.spec.steps):
-            return Verdict(False, retry_seconds=LONGEST_RETRY_SECONDS, reason="fits-nowhere")
-        if job.spec.lasting or job.spec.timed:
-            return Verdict(True)
-        now, day = self.around.clock.now(), self.around.day()
-        return judge(predict(self.book, self.shares, submission.queue, job, now, day))
+        return await self.intake.submit(submission, wait_seconds)
 
     async def cancel(self, key: JobKey) -> JobState | None:
         """Cancel a job; return its state once that is stored, None if there is no such job."""
@@ -288,22 +235,6 @@
             if job.key.queue == queue and job.state is JobState.QUEUED
         )
 
-    def _make_job(self, key: JobKey, submission: Submission) -> Job:
-        queue, day = submission.queue, self.around.day()
-        objective = expected_objective(
-            self.book, self.shares, queue, submission.spec, submission.team
-        )
-        return Job(
-            key,
-            submission.spec,
-            self.pool,
-            submission.team,
-            max(1, queue.max_attempts),
-            accepted_at=round(day, 3),
-            priority=queue.priority,
-            due_by=round(day - submission.elapsed_seconds + objective, 3),
-        )
-
     # Workers
 
     def follow_workers(self, events: list[Event] | None = None) -> None:
@@ -399,20 +330,3 @@
         if change.task is not None:
             fields |= {"task": ".".join(map(str, change.task)), "run": change.number}
         self.around.log.write(change.what, **fields, detail=change.detail)
-
-    def _log_verdict(self, submission: Submission, verdict: Verdict) -> None:
-        self.around.log.write(
-            "job-accepted" if verdict.accepted else "job-refused",
-            job=submission.job_id,
-            queue=submission.queue.name,
-            pool=self.pool,
-            team=submission.team,
-            tasks=sum(step.count for step in submission.spec.steps),
-            lasting=submission.spec.lasting,
-            reason=verdict.reason,
-            end=round(verdict.end_seconds, 3) if math.isfinite(verdict.end_seconds) else "never",
-            due=round(verdict.due_seconds, 3),
-            harmed=round(verdict.harmed_work, 2),
-            elapsed=round(submission.elapsed_seconds, 3),
-            retry=verdict.retry_seconds,
-        )
--- a/limpetpulley/ownership/service.py
+++ b/limpetpulley/ownership/service.py
@@ -17,7 +17,8 @@
 from ..peer import batch_pb2 as pb
 from .around import Around
 from .directory import Directory, Member
-from .owner import PoolOwner, Submission
+from .intake import Submission
+from .owner import PoolOwner
 
 __all__ = ["BatchService", "Outcome", "SubmitResult"]
 
--- a/limpetpulley/pool/__init__.py
+++ b/limpetpulley/pool/__init__.py
@@ -2,7 +2,8 @@
 
 from .book import PoolBook
 from .change import Change
+from .copies import copy_runs
 from .planning import Order, PlanningLimits, plan_orders
 from .times import TaskTimes
 
-__all__ = ["Change", "Order", "PlanningLimits", "PoolBook", "TaskTimes", "plan_orders"]
+__all__ = ["Change", "Order", "PlanningLimits", "PoolBook", "TaskTimes", "copy_runs", "plan_orders"]
--- a/limpetpulley/pool/book.py
+++ b/limpetpulley/pool/book.py
@@ -2,7 +2,7 @@
 
 The book follows what workers list. A task has at most one run at a time: its next run begins only
 when the last one has ended, was rejected for good, or must have been killed because its lease
-has lapsed.
+has lapsed. Tasks that allow copies may have another one; see :mod:`.copies`.
 """
 
 from __future__ import annotations
@@ -17,17 +17,18 @@
     HoldReply,
     ListedWorker,
     Run,
-    Running,
     RunPhase,
     StartOutcome,
     StopOrder,
     Worker,
 )
-from ..workers.state import FULL_SPEED
 from .change import Change
+from .copies import is_copied, stop_copies
 from .progress import ProgressLedger
+from .reconcile import SETTLE_SECONDS, note_absent, note_running
 from .tickets import TicketBook
 from .times import TaskTimes
+from .trust import judge_end, judge_rejection
 
 __all__ = ["PoolBook"]
 
@@ -35,12 +36,6 @@
 RUNS_PER_OWNER = 1 << 20
 #: ends that a worker lists at most in one answer; a longer list may leave some out
 LISTED_ENDS = 500
-#: margin for a worker's clock being read while an order is carried out, in seconds
-SETTLE_SECONDS = 0.1
-#: time without new starts on a worker that had no room, in seconds
-NO_ROOM_SECONDS = 0.3
-#: failed runs in a row after which a worker is avoided
-SUSPECT_FAILURES = 3
 
 
 class PoolBook:
@@ -178,9 +173,10 @@
             if run.unanswered and not worker.ended:
                 run.phase, run.settled_at, run.sent_at = RunPhase.STOPPING, None, 0.0
             else:
-                self._drop(run, "worker-restarted")
+                self.drop_run(run, "worker-restarted")
         for stray in [stray for stray in self.strays if stray.worker_id == worker.worker_id]:
             del self.strays[stray]
+        stop_copies(self, worker)
         worker.lease.restart()
         worker.seen_through = worker.stored_through = 0
         worker.reconciled = False
@@ -193,7 +189,7 @@
         for worker in list(self.workers.values()):
             if worker.runs and worker.lease.has_lapsed(now):
                 for run in list(worker.runs.values()):
-                    self._drop(run, "lease-lapsed")
+                    self.drop_run(run, "lease-lapsed")
             over = worker.ended or worker.lease.has_lapsed(now)
             if not worker.present and over and not worker.runs:
                 del self.workers[worker.worker_id]
@@ -218,6 +214,7 @@
             self.restart_worker(worker, "answered")
         worker.lease.note_answer(reply.worker_seconds, now)
         worker.heard_at = now
+        worker.silent = False
         worker.reconciled = True
         if worker.runs and not worker.lease.until_seconds:
             worker.lease.allow(self.longest_hold_seconds)
@@ -226,9 +223,9 @@
                 self._note_end(worker, end, now, day)
                 worker.seen_through = end.position
         for row in reply.running:
-            self._note_running(worker, row, reply.worker_seconds)
+            note_running(self, worker, row, reply.worker_seconds)
         if len(reply.ended) < LISTED_ENDS:
-            self._note_absent(worker, reply)
+            note_absent(self, worker, reply)
         self.awaited.pop(worker.worker_id, None)
         self._acknowledge(worker)
 
@@ -249,21 +246,17 @@
             # An earlier copy of this start may still be carried out.
             run.phase, run.settled_at, run.sent_at = RunPhase.STOPPING, None, 0.0
             return
-        if outcome is StartOutcome.NO_TICKET:
-            self.tickets.drop(run.task)
-        elif outcome is StartOutcome.NO_ROOM:
-            worker.avoid_until = now + NO_ROOM_SECONDS
-        elif outcome is not StartOutcome.LATE:
-            self._avoid(worker, now)
-        self._drop(run, f"rejected-{outcome.name.lower()}")
+        judge_rejection(self, worker, run, outcome, now)
+        self.drop_run(run, f"rejected-{outcome.name.lower()}")
 
     def note_stop(self, order: StopOrder, worker_seconds: float, now: float) -> None:
         """Take a worker's answer to a stop."""
         self.strays.pop(order, None)
-        run = self.runs.get(order.task)
-        if run is not None and run.number == order.number and run.worker_id == order.worker_id:
+        worker = self.workers.get(order.worker_id)
+        run = worker.runs.get(order.task) if worker else None
+        if worker is not None and run is not None and run.number == order.number:
             run.settled_at = worker_seconds + self.stop_seconds + SETTLE_SECONDS
-            self.workers[order.worker_id].heard_at = now
+            worker.heard_at = now
 
     # Runs
 
@@ -290,7 +283,7 @@
             unanswered=1,
             ticket=self.tickets.ticket(task, worker.worker_id),
         )
-        self._add(run, worker)
+        self.add_run(run, worker)
         # Until its order is sent, the run counts as allowed for the lease that the order asks for.
         worker.lease.allow(self.lease_seconds)
         job.started = True
@@ -300,28 +293,35 @@
         """Yield the runs of a job."""
         return (run for run in self.runs.values() if run.task.job_id == job_id)
 
-    def _add(self, run: Run, worker: Worker) -> None:
+    def add_run(self, run: Run, worker: Worker) -> None:
+        """Add a run to its worker, its team's use, and as its task's run."""
         self.runs[run.task] = run
         worker.add(run)
         self.usage[run.team] = self.usage.get(run.team, Amount()) + run.charge
-        waiting = self.ready.get(run.task.job_id)
-        if waiting and run.task in waiting:
-            waiting.remove(run.task)
+        self.end_wait(run.task)
+
+    def end_wait(self, task: TaskId) -> None:
+        """Let a task wait for a start no longer."""
+        waiting = self.ready.get(task.job_id)
+        if waiting and task in waiting:
+            waiting.remove(task)
             if not waiting:
-                del self.ready[run.task.job_id]
+                del self.ready[task.job_id]
 
     def _remove(self, run: Run) -> None:
-        del self.runs[run.task]
+        if not is_copied(self, run):
+            del self.runs[run.task]
         self.workers[run.worker_id].remove(run)
         self.usage[run.team] = self.usage[run.team] - run.charge
 
-    def _drop(self, run: Run, why: str) -> None:
+    def drop_run(self, run: Run, why: str) -> None:
         """Remove a run that left no end, and let its task wait again."""
         self._remove(run)
         self.report(Change("run-dropped", run.worker_id, run.task, run.number, why))
-        self._wait_again(run.task)
+        self.wait_again(run.task)
 
-    def _wait_again(self, task: TaskId) -> None:
+    def wait_again(self, task: TaskId) -> None:
+        """Let a task without a run wait for a start, if it is still wanted."""
         job = self.jobs.get(task.job_id)
         if job is not None and job.wants(task) and task not in self.runs:
             waiting = self.ready.setdefault(task.job_id, [])
@@ -329,7 +329,7 @@
                 waiting.insert(0, task)
 
     def _note_end(self, worker: Worker, end: Ended, now: float, day: float) -> None:
-        run = self.runs.get(end.task)
+        run = worker.runs.get(end.task)
         if run is not None and run.number == end.number:
             if end.kind is EndKind.DONE and run.begun_at is not None:
                 self.times.note(self.jobs.get(end.task.job_id), end.task, now - run.begun_at)
@@ -338,7 +338,7 @@
         self.report(Change("run-ended", worker.worker_id, end.task, end.number, end.kind))
         if job is None:
             return
-        self._judge(worker, end, now)
+        judge_end(self, worker, end)
         if end.kind is not EndKind.DONE and end.checkpoint and job.wants(end.task):
             self.checkpoints[job.unit_of(end.task)] = end.checkpoint
         if job.note_end(end.task, end.number, end.kind, day):
@@ -346,61 +346,7 @@
             self.progress.note_end(worker.worker_id, end.position, job.key.job_id)
             self.refresh(job, day)
         else:
-            self._wait_again(end.task)
-
-    def _judge(self, worker: Worker, end: Ended, now: float) -> None:
-        """Avoid workers on which runs fail one after the other."""
-        if end.kind is EndKind.DONE:
-            worker.rejections = 0
-        elif end.kind is EndKind.FAILED:
-            self.failed_on.setdefault(end.task, set()).add(worker.worker_id)
-            worker.rejections += 1
-            if worker.rejections >= SUSPECT_FAILURES:
-                self._avoid(worker, now)
-
-    def _avoid(self, worker: Worker, now: float) -> None:
-        pause = worker.avoid(now)
-        self.report(Change("worker-avoided", worker.worker_id, detail=f"{pause:.1f} s"))
-
-    def _note_running(self, worker: Worker, row: Running, worker_seconds: float) -> None:
-        run = self.runs.get(row.task)
-        if run is None:
-            job = self.jobs.get(row.task.job_id)
-            if job is None or not job.wants(row.task):
-                self.strays.setdefault(StopOrder(worker.worker_id, row.task, row.number), 0.0)
-                return
-            run = Run(
-                row.task,
-                row.number,
-                worker.worker_id,
-                job.step_of(row.task).charge,
-                job.team,
-                doubt_until=worker_seconds + self.stop_seconds + SETTLE_SECONDS,
-            )
-            self._add(run, worker)
-            job.started = True
-            worker.lease.allow(self.longest_hold_seconds)
-            self.report(Change("run-adopted", worker.worker_id, row.task, row.number))
-        elif run.number != row.number or run.worker_id != worker.worker_id:
-            self.strays.setdefault(StopOrder(worker.worker_id, row.task, row.number), 0.0)
-            return
-        if run.phase is RunPhase.STARTING:
-            run.phase = RunPhase.RUNNING
-        run.checkpoint = row.checkpoint or run.checkpoint
-        run.percent = row.percent
-        run.at_work = row.percent >= FULL_SPEED and worker_seconds >= run.doubt_until
-        run.gauge = row.gauge
-        if row.checkpoint:
-            job = self.jobs[row.task.job_id]
-            self.checkpoints[job.unit_of(row.task)] = row.checkpoint
-
-    def _note_absent(self, worker: Worker, reply: HoldReply) -> None:
-        """Drop the settled runs that a worker's list does not show."""
-        shown = {row.task for row in reply.running}
-        for run in list(worker.runs.values()):
-            settled = run.settled_at is not None and reply.worker_seconds > run.settled_at
-            if settled and run.task not in shown:
-                self._drop(run, "not-listed")
+            self.wait_again(end.task)
 
     def _acknowledge(self, worker: Worker) -> None:
         worker.stored_through = self.progress.stored_through(worker.worker_id, worker.seen_through)
--- a/limpetpulley/scheduling/placement.py
+++ b/limpetpulley/scheduling/placement.py
@@ -28,6 +28,7 @@
         worker.present
         and worker.reconciled
         and worker.rostered
+        and not worker.silent
         and not worker.cordoned
         and not worker.listed.draining
         and now >= worker.avoid_until
--- a/limpetpulley/workers/state.py
+++ b/limpetpulley/workers/state.py
@@ -167,6 +167,7 @@
     :param rostered: whether the store knows that it may hold runs of the pool
     :param cordoned: whether nothing more is to start there
     :param ended: whether its VM was ordered away, so that nothing runs there any more
+    :param silent: whether its last call got no answer
     :param heard_at: local time of its last answer
     :param seen_through: position of the last end that was taken into account
     :param stored_through: position up to which ends are stored and may be acknowledged
@@ -181,6 +182,7 @@
     rostered: bool = False
     cordoned: bool = False
     ended: bool = False
+    silent: bool = False
     heard_at: float = 0.0
     seen_through: int = 0
     stored_through: int = 0
