--- a/limpetpulley/ownership/intake.py
+++ b/limpetpulley/ownership/intake.py
@@ -16,7 +16,7 @@
 from ..scheduling.placement import fits_empty
 from .around import Around
 from .reporting import RefusedWork
-from .writer import OwnerWriter
+from .writer import OwnerWriter, StoreOutcome
 
 __all__ = ["Intake", "Submission"]
 
@@ -61,6 +61,9 @@
         self.writer = writer
         self.refused = refused
         self.wake = wake
+        # Accepted jobs that are being stored, or of which it is not known whether they are. Asked
+        # for again, such a job is neither decided about anew nor refused: it may be stored.
+        self.open: dict[str, StoreOutcome] = {}
 
     async def submit(self, submission: Submission, wait_seconds: float) -> Verdict | None:
         """Accept or refuse a job; return None if it is not known whether it is stored.
@@ -73,25 +76,48 @@
             same = known.key == key
             reason = "" if same else "id-in-use"
             return Verdict(same, retry_seconds=LONGEST_RETRY_SECONDS, reason=reason)
-        job = self._make_job(key, submission)
-        verdict = self.assess(job, submission)
-        self._log_verdict(submission, verdict)
-        if not verdict.accepted:
-            work = remaining_work(self.book, job)
-            self.refused.note(self.around.clock.now(), submission.job_id, work)
-            return verdict
-        with anyio.move_on_after(wait_seconds):
-            outcome = await self.writer.create(job)
-            if outcome.stored:
-                if job.key.job_id not in self.book.jobs:
-                    self.book.add_job(job, self.around.day())
-                self.wake()
+        outcome = self.open.get(submission.job_id)
+        if outcome is None:
+            job = self._make_job(key, submission)
+            verdict = self.assess(job, submission)
+            self._log_verdict(submission, verdict)
+            if not verdict.accepted:
+                work = remaining_work(self.book, job)
+                self.refused.note(self.around.clock.now(), submission.job_id, work)
                 return verdict
-            if outcome.stored is False:
-                return Verdict(False, retry_seconds=FAILURE_RETRY_SECONDS, reason="not-stored")
-        self.around.log.write("job-in-doubt", job=submission.job_id, queue=key.queue)
+            outcome = self._store(job)
+        elif outcome.job.key != key:
+            return Verdict(False, retry_seconds=LONGEST_RETRY_SECONDS, reason="id-in-use")
+        elif outcome.settled.is_set():
+            outcome = self._store(outcome.job)
+        return await self._wait_stored(outcome, wait_seconds)
+
+    def _store(self, job: Job) -> StoreOutcome:
+        outcome = self.open[job.key.job_id] = StoreOutcome(job, self._note_outcome)
+        self.writer.create(outcome)
+        return outcome
+
+    async def _wait_stored(self, outcome: StoreOutcome, wait_seconds: float) -> Verdict | None:
+        with anyio.move_on_after(wait_seconds):
+            await outcome.settled.wait()
+        if outcome.stored:
+            self.wake()
+            return Verdict(True)
+        if outcome.stored is False:
+            return Verdict(False, retry_seconds=FAILURE_RETRY_SECONDS, reason="not-stored")
+        key = outcome.job.key
+        self.around.log.write("job-in-doubt", job=key.job_id, queue=key.queue)
         return None
 
+    def _note_outcome(self, outcome: StoreOutcome) -> None:
+        """Take a stored job into the book, also when nobody waits for it any more."""
+        job = outcome.job
+        if outcome.stored is None:
+            return
+        self.open.pop(job.key.job_id, None)
+        if outcome.stored and job.key.job_id not in self.book.jobs:
+            self.book.add_job(job, self.around.day())
+
     def assess(self, job: Job, submission: Submission) -> Verdict:
         """Decide about a job by its predicted end."""
         workers = [worker for worker in self.book.workers.values() if worker.present]
--- a/limpetpulley/ownership/service.py
+++ b/limpetpulley/ownership/service.py
@@ -28,6 +28,11 @@
 LONGEST_SEARCH_SECONDS = 1.2
 #: pause between two looks for the pool's owner
 SEARCH_PAUSE_SECONDS = 0.05
+#: longest time after which a call without an answer counts as broken off, and is made again; one
+#: that took longer found an owner that cannot store, in seconds
+BROKEN_SECONDS = 0.6
+#: shortest time for which an owner that did not answer is asked once more, in seconds
+ASK_AGAIN_SECONDS = 0.25
 #: time within which an owner answers, in seconds
 OWNER_ANSWER_SECONDS = 1.5
 #: time until which a caller is told to come back if a pool has no owner, in whole seconds
@@ -92,18 +97,36 @@
             elapsed_seconds=submission.elapsed_seconds,
             time_left_seconds=min(time_left, OWNER_ANSWER_SECONDS),
         )
-        try:
-            reply = await self._ask(
-                submission.queue.pool,
-                lambda owner: submit_locally(owner, submission, message.time_left_seconds),
-                "Submit",
-                message,
-                time_left,
-            )
-        except PeerError as error:
-            self.around.log.write(
-                "owner-silent", job=submission.job_id, pool=message.pool, reason=str(error)
-            )
+        clock = self.around.clock
+        until, unknown = clock.now() + time_left, False
+        while True:
+            asked_at = clock.now()
+            left = until - asked_at
+            message.time_left_seconds = min(left, OWNER_ANSWER_SECONDS)
+            try:
+                reply = await self._ask(
+                    submission.queue.pool,
+                    lambda owner: submit_locally(owner, submission, message.time_left_seconds),
+                    "Submit",
+                    message,
+                    left,
+                )
+                break
+            except PeerError as error:
+                # The job may be stored by now; with the same id it is safe to ask again.
+                unknown = True
+                self.around.log.write(
+                    "owner-silent",
+                    job=submission.job_id,
+                    pool=message.pool,
+                    reason=str(error),
+                    left=round(until - clock.now(), 3),
+                )
+            waited = clock.now() - asked_at
+            if waited > BROKEN_SECONDS or until - clock.now() < ASK_AGAIN_SECONDS:
+                return SubmitResult(Outcome.UNKNOWN, "owner-silent")
+            await anyio.sleep(SEARCH_PAUSE_SECONDS)
+        if reply is None and unknown:
             return SubmitResult(Outcome.UNKNOWN, "owner-silent")
         if reply is None:
             return SubmitResult(Outcome.UNAVAILABLE, "no-owner")
--- /dev/null
+++ b/limpetpulley/ownership/tests/test_intake.py
@@ -0,0 +1,95 @@
+"""A job in doubt stays one job: asked for again, it is neither refused nor stored twice."""
+
+import anyio
+import pytest
+
+from ...batch import JobState
+from ...exception import PeerError
+from .. import Outcome
+from .test_calm_day import NAMES, play, two_steps
+
+JOB_ID = "00000000000000ff"
+
+
+def entries(day):
+    """Return the descriptions that are stored."""
+    return [key for key in day.fleet.store.entries if key.startswith("lp/job/")]
+
+
+async def lose_an_answer(day, owner):
+    day.fleet.faults.lose_answers = 1
+
+
+async def be_slow(day, owner):
+    """Let the store take longer than the caller has, and be fast again later."""
+    day.fleet.faults.slow_seconds = 5.0
+
+
+@pytest.mark.parametrize("fault", [lose_an_answer, be_slow])
+def test_a_job_whose_storing_is_in_doubt_is_accepted_when_asked_for_again(fault):
+    async def story(day):
+        owner = day.fleet.owner_of("desk")
+        await fault(day, owner)
+        _, first = await day.submit("desk", two_steps(), at=owner, job_id=JOB_ID)
+        day.fleet.faults.slow_seconds = 0.0
+        await anyio.sleep(0.3)
+        told = [first.outcome]
+        while told[-1] is not Outcome.ACCEPTED and len(told) < 20:
+            at = day.fleet.owner_of("desk") or NAMES[0]
+            _, again = await day.submit("desk", two_steps(), at=at, job_id=JOB_ID)
+            told.append(again.outcome)
+            await anyio.sleep(0.3)
+        await anyio.sleep(3.0)
+        return told, entries(day), await day.states(), [run.order.task for run in day.fleet.runs]
+
+    told, stored, states, tasks = play(story)
+    assert told[0] is not Outcome.REFUSED
+    assert told[-1] is Outcome.ACCEPTED
+    assert Outcome.REFUSED not in told
+    assert len(stored) == 1
+    assert list(states.values()) == [JobState.COMPLETED]
+    assert len(tasks) == len(set(tasks)) == 3
+
+
+def test_copies_of_a_request_that_come_together_get_the_same_answer():
+    async def story(day):
+        day.fleet.faults.slow_seconds = 0.2
+        results = []
+
+        async def ask(name):
+            _, result = await day.submit("desk", two_steps(), at=name, job_id=JOB_ID)
+            results.append(result.outcome)
+
+        async with anyio.create_task_group() as tasks:
+            for name in NAMES * 2:
+                tasks.start_soon(ask, name)
+        day.fleet.faults.slow_seconds = 0.0
+        return results, entries(day)
+
+    results, stored = play(story)
+    assert results == [Outcome.ACCEPTED] * 6
+    assert len(stored) == 1
+
+
+def test_an_owner_that_did_not_answer_is_asked_again_while_there_is_time():
+    async def story(day):
+        owner = day.fleet.owner_of("desk")
+        other = next(name for name in NAMES if name != owner)
+        service = day.fleet.daemons[other].node.service
+        inner, failures = service.peers.call, [True, True]
+
+        async def call(address, method, message, timeout=1.0):
+            reply = await inner(address, method, message, timeout)
+            if method == "Submit" and failures:
+                failures.pop()
+                raise PeerError(f"{address}: connection lost")
+            return reply
+
+        service.peers.call = call
+        _, result = await day.submit("desk", two_steps(), at=other, job_id=JOB_ID)
+        return result.outcome, len(failures), entries(day)
+
+    outcome, failures, stored = play(story)
+    assert outcome is Outcome.ACCEPTED
+    assert failures == 0
+    assert len(stored) == 1
--- a/limpetpulley/ownership/writer.py
+++ b/limpetpulley/ownership/writer.py
@@ -29,16 +29,19 @@
 class StoreOutcome:
     """What became of a job's description.
 
+    :param noted: called when the outcome is known
     :param stored: whether it is stored, None if that is not known
     """
 
     job: Job
+    noted: Callable[[StoreOutcome], None] = lambda outcome: None
     stored: bool | None = None
     settled: anyio.Event = attrs.field(factory=anyio.Event)
 
     def settle(self, stored: bool | None) -> None:
         """Note the outcome and wake whoever waits for it."""
         self.stored = stored
+        self.noted(self)
         self.settled.set()
 
 
@@ -60,13 +63,10 @@
         self.flushed = anyio.Event()
         self.failing = False
 
-    async def create(self, job: Job) -> StoreOutcome:
-        """Store a new job's description; return once the outcome is known."""
-        outcome = StoreOutcome(job)
+    def create(self, outcome: StoreOutcome) -> None:
+        """Store a new job's description soon; the outcome is settled then."""
         self.created.append(outcome)
         self.create_needed.set()
-        await outcome.settled.wait()
-        return outcome
 
     async def wait_stored(self, job: Job) -> None:
         """Return once the job's progress of now is stored."""
