Predict with the VMs that are on their way

Load: a pool's peak rises to five times its mean within a second; VMs ordered for it take tasks 2.1 s later, and most jobs that were refused as late in between would have ended in time on them. Change: the planner's answer to a pool's report says when VMs that were moved there join; the owner's prediction of ends counts them. Tests: what the planner tells, what the prediction makes of it.

--- a/limpetpulley/ownership/planner.py
+++ b/limpetpulley/ownership/planner.py
@@ -38,6 +38,11 @@
 RETURN_SECONDS = 0.6
 #: time in which a moved VM joins its pool beyond the move itself
 JOIN_SECONDS = 3.0
+#: time from the end of a move until the owner has heard the VM's new worker: its entry is seen, its
+#: name stored in the roster, a call answered
+ARRIVAL_SECONDS = 0.6
+#: shortest time until a VM is expected whose worker is overdue
+LEAST_ARRIVAL_SECONDS = 0.2
 
 
 @attrs.define
@@ -131,8 +136,19 @@
             outcome=pb.ACCEPTED,
             cordoned_workers=sorted(mine & emptied),
             ended_workers=sorted(ended),
+            coming_seconds=self._coming_to(message.pool),
         )
 
+    def _coming_to(self, pool: str) -> list[float]:
+        """Return the seconds until VMs that were moved to a pool take tasks."""
+        now = self.around.clock.now()
+        arrivals = (
+            until - JOIN_SECONDS + ARRIVAL_SECONDS
+            for target, until in self.moving.values()
+            if target == pool
+        )
+        return sorted(max(LEAST_ARRIVAL_SECONDS, when - now) for when in arrivals)
+
     def _has_ended(self, worker_id: str, vm_name: str) -> bool:
         """Return whether a worker's VM runs another worker now, or was ordered away."""
         if not vm_name or self.listed_at <= self.seen[worker_id] + LIST_LAG_SECONDS:
--- a/limpetpulley/ownership/reporting.py
+++ b/limpetpulley/ownership/reporting.py
@@ -74,8 +74,10 @@
             now = self.around.clock.now()
             if plan is not None and plan.outcome == pb.ACCEPTED:
                 self.answered_at = now
+                self.book.coming = [now + seconds for seconds in plan.coming_seconds]
                 self.use_plan(set(plan.cordoned_workers), plan.ended_workers)
             elif now - self.answered_at > PLAN_SECONDS:
+                self.book.coming = []
                 self.use_plan(set(), ())
             await anyio.sleep(REPORT_SECONDS)
 
--- a/limpetpulley/ownership/tests/test_planner.py
+++ b/limpetpulley/ownership/tests/test_planner.py
@@ -15,7 +15,7 @@
 from ...store import MemoryStore
 from ...telemetry import EventLog
 from .. import Around, Timing, WaveBoard
-from ..planner import FleetPlanning
+from ..planner import JOIN_SECONDS, FleetPlanning
 
 
 class ListedVms:
@@ -75,3 +75,27 @@
         return list(early.ended_workers), list(late.ended_workers)
 
     assert_that(anyio.run(play), Equals(([], ended)))
+
+
+@pytest.mark.parametrize(
+    ("after", "pool", "seconds"),
+    [
+        (0.0, "desk", [2.1]),
+        (1.5, "desk", [0.6]),
+        (4.0, "desk", [0.2]),
+        (0.0, "off", []),
+        (9.0, "desk", []),
+    ],
+)
+def test_an_owner_is_told_when_vms_will_join_its_pool(after, pool, seconds):
+    async def play():
+        clock, vms = ManualClock(100.0), ListedVms()
+        planning = make_planning(clock, vms)
+        planning.moving = {"m-1": ("desk", clock.now() + Timing().move + JOIN_SECONDS)}
+        clock.advance(after)
+        vms.vms = listed(Phase.MOVING, "")
+        await planning._look()
+        message = pb.PoolReport(pool=pool, token=5)
+        return [round(found, 3) for found in planning.take_report(message).coming_seconds]
+
+    assert_that(anyio.run(play), Equals(seconds))
--- a/limpetpulley/pool/book.py
+++ b/limpetpulley/pool/book.py
@@ -78,6 +78,8 @@
         self.next_number = token * RUNS_PER_OWNER + 1
         self.times = TaskTimes()
         self.tickets = TicketBook()
+        # Local times at which VMs that are on their way should take tasks.
+        self.coming: list[float] = []
 
     # Jobs
 
@@ -150,6 +152,7 @@
         worker = self.workers.get(listed.worker_id)
         if worker is None:
             worker = self.workers[listed.worker_id] = Worker(listed)
+            del self.coming[:1]
         elif listed.incarnation > worker.listed.incarnation:
             worker.listed = listed
             self.restart_worker(worker, "listed")
--- a/limpetpulley/pool/outlook.py
+++ b/limpetpulley/pool/outlook.py
@@ -60,8 +60,9 @@
     room = _free_room(book, size)
     rows = [_forecast(book, job, size, now) for job in others]
     new = _forecast(book, candidate, size, now)
-    before = play_forward(rows, room, teams)
-    after = play_forward([*rows[:place], new, *rows[place:]], room, teams)
+    coming = tuple((max(0.0, when - now), PACKED_PART) for when in book.coming)
+    before = play_forward(rows, room, teams, coming)
+    after = play_forward([*rows[:place], new, *rows[place:]], room, teams, coming)
     end = after.pop(place)
     harmed = sum(
         remaining_work(book, job)
--- /dev/null
+++ b/limpetpulley/pool/tests/test_outlook.py
@@ -0,0 +1,54 @@
+"""A job is judged by the room that there will be, VMs on their way included."""
+
+import math
+
+import pytest
+
+from ...batch import Amount, Job, JobKey, JobSpec, QueueRule, Step
+from ...quota.shares import TeamShares
+from ...workers import HoldReply, ListedWorker
+from .. import PoolBook
+from ..outlook import predict
+
+QUEUE = QueueRule("quotes", "", "/", "desk", stretch=2.0, latency_target_seconds=1.0)
+NOW, DAY = 50.0, 1000.0
+
+
+def make_book(workers, coming):
+    book = PoolBook("desk", 1, 0.2, 10.0, 4.0)
+    for number in range(workers):
+        listed = ListedWorker(f"w-{number}", "desk", f"w-{number}:1", 1, Amount(4000, 4000))
+        worker = book.list_worker(listed)
+        worker.rostered = True
+        book.note_hold(worker, HoldReply(1.0, 1), NOW, DAY)
+    book.coming = [NOW + seconds for seconds in coming]
+    return book
+
+
+def make_job(count):
+    spec = JobSpec("", (Step(count, Amount(1000, 1000), 1.0),))
+    return Job(JobKey("quotes", "00000000000000ab"), spec, "desk", "", 1, due_by=DAY + 3.0)
+
+
+@pytest.mark.parametrize(
+    ("workers", "coming", "count", "end"),
+    [
+        (1, (), 3, 1.0),
+        (1, (), 6, 2.0),
+        (1, (0.5,), 6, 1.5),
+        (1, (2.0,), 12, 3.0),
+        (1, (2.0, 2.0), 12, 3.0),
+        (1, (), 12, 4.0),
+        (1, (-1.0,), 6, 1.0),
+    ],
+)
+def test_vms_on_their_way_bring_the_end_nearer(workers, coming, count, end):
+    book = make_book(workers, coming)
+    found = predict(book, TeamShares("desk"), QUEUE, make_job(count), NOW, DAY)
+    assert math.isclose(found.end_seconds, end)
+
+
+def test_a_worker_that_joins_is_expected_no_longer():
+    book = make_book(1, (0.5, 1.5))
+    book.list_worker(ListedWorker("w-9", "desk", "w-9:1", 1, Amount(4000, 4000)))
+    assert book.coming == [NOW + 1.5]
