--- a/limpetpulley/standin/main.py
+++ b/limpetpulley/standin/main.py
@@ -67,7 +67,9 @@
         default="desk-1:desk,desk-2:desk,spare-1:spare",
     )
     address: str = attrs.field(
-        metadata={"cappa": cappa.Arg(long=True, help="host:port to make known, of a proxy")},
+        metadata={
+            "cappa": cappa.Arg(long=True, default="", help="host:port to make known, of a proxy")
+        },
         default="",
     )
     off: str = attrs.field(
