Make a write again soon when its answer is lost, and let a late one undo nothing

Found on the way, by reading: a write of progress that the store carries out seconds later overwrote a newer one; a takeover before the job's next write would have run an ended task again. A new job is tried twice while its caller waits.

--- a/limpetpulley/ownership/owner.py
+++ b/limpetpulley/ownership/owner.py
@@ -183,16 +183,19 @@
         keys, day = self.around.keys, self.around.day()
         described = await self.around.store.read(keys.descriptions)
         noted = await self.around.store.read(keys.progresses)
-        progress = {entry.key.removeprefix(keys.progresses): entry.value for entry in noted.entries}
+        progress = {entry.key.removeprefix(keys.progresses): entry for entry in noted.entries}
         for entry in described.entries:
             rest = entry.key.removeprefix(keys.descriptions)
             try:
-                job = decode_job(keys.job_key(rest), entry.value, progress.get(rest))
+                found = progress.get(rest)
+                noted_value = found.value if found else None
+                job = decode_job(keys.job_key(rest), entry.value, noted_value)
             except RecordError as error:
                 self.around.log.write("record-unreadable", key=entry.key, reason=str(error))
                 continue
             if job.pool == self.pool:
                 self.book.add_job(job, day, inherited=True)
+                self.writer.revisions[job.key.job_id] = found.revision if found else 0
 
     # Callers
 
--- a/limpetpulley/ownership/writer.py
+++ b/limpetpulley/ownership/writer.py
@@ -21,8 +21,17 @@
 TRANSACTION_ENTRIES = 32
 #: time between two writes of progress, unless a job has ended
 FLUSH_SECONDS = 0.06
+#: jobs whose progress one transaction may store: each takes a condition and a write
+PROGRESS_JOBS = (TRANSACTION_ENTRIES - 1) // 2
 #: pause after a write without an answer
-RETRY_SECONDS = 0.15
+RETRY_SECONDS = 0.05
+#: time for a write's answer: the store answers in milliseconds, and one whose answer was lost is
+#: made again soon, in seconds
+ANSWER_SECONDS = 0.6
+#: time for the answer after one without, since the store may be slow, in seconds
+SLOW_ANSWER_SECONDS = 0.9
+#: how often a new job is written while its caller waits
+CREATE_TRIES = 2
 
 
 @attrs.define
@@ -62,6 +71,10 @@
         self.flush_needed = anyio.Event()
         self.flushed = anyio.Event()
         self.failing = False
+        self.patience = ANSWER_SECONDS
+        # Revisions of the jobs' progress records. A write compares them, so that one that the store
+        # carries out late, after a newer one, changes nothing.
+        self.revisions: dict[str, int] = {}
 
     def create(self, outcome: StoreOutcome) -> None:
         """Store a new job's description soon; the outcome is settled then."""
@@ -104,24 +117,47 @@
 
     async def flush(self) -> None:
         """Store all progress that is not stored yet."""
-        while jobs := self.book.unstored_jobs()[: TRANSACTION_ENTRIES - 1]:
+        while jobs := self.book.unstored_jobs()[:PROGRESS_JOBS]:
             versions = {job.key.job_id: self.book.progress.newest[job.key.job_id] for job in jobs}
-            keys = self.around.keys
-            writes = [Put(keys.progress(job.key), encode_progress(job)) for job in jobs]
             try:
-                await self.commit([], writes)
+                if await self._store_progress(jobs):
+                    self._note_stored(jobs, versions)
+                else:
+                    await self._learn_progress(jobs)
             except (StoreUnavailable, StoreError) as error:
                 self._note_failure(error, len(jobs))
                 await anyio.sleep(RETRY_SECONDS)
-                continue
-            self.failing = False
-            self.book.mark_stored(versions)
-            for job in jobs:
-                if job.state.final:
-                    self._log_end(job)
-            flushed, self.flushed = self.flushed, anyio.Event()
-            flushed.set()
-            self.stored()
+
+    async def _store_progress(self, jobs: Sequence[Job]) -> bool:
+        """Store progress; return False if a record is not as it was last known."""
+        keys = self.around.keys
+        compares = [
+            Compare(keys.progress(job.key), self.revisions.get(job.key.job_id, 0)) for job in jobs
+        ]
+        writes = [Put(keys.progress(job.key), encode_progress(job)) for job in jobs]
+        revision = await self.commit(compares, writes)
+        if revision:
+            self.revisions.update((job.key.job_id, revision) for job in jobs)
+        return bool(revision)
+
+    async def _learn_progress(self, jobs: Sequence[Job]) -> None:
+        """Read what is stored, after a write that was carried out though its answer was lost."""
+        for job in jobs:
+            job_id = job.key.job_id
+            found = await self.around.store.get(self.around.keys.progress(job.key))
+            self.revisions[job_id] = found.revision if found else 0
+            if found is not None and found.value == encode_progress(job):
+                self._note_stored([job], {job_id: self.book.progress.newest.get(job_id, 0)})
+
+    def _note_stored(self, jobs: Sequence[Job], versions: dict[str, int]) -> None:
+        self.failing = False
+        self.book.mark_stored(versions)
+        for job in jobs:
+            if job.state.final:
+                self._log_end(job)
+        flushed, self.flushed = self.flushed, anyio.Event()
+        flushed.set()
+        self.stored()
 
     def _log_end(self, job: Job) -> None:
         failed = {".".join(map(str, task)): len(runs) for task, runs in job.failures.items()}
@@ -148,28 +184,43 @@
             await self.commit([], removals)
             for job in part:
                 self.book.forget_job(job.key.job_id)
+                self.revisions.pop(job.key.job_id, None)
 
-    async def commit(self, compares: Sequence[Compare], writes: Sequence[Put | Delete]) -> bool:
-        """Apply writes if the claim stands; return whether the other conditions held.
+    async def commit(self, compares: Sequence[Compare], writes: Sequence[Put | Delete]) -> int:
+        """Apply writes if the claim stands.
 
+        :returns: the revision of what was written, 0 if another condition did not hold
         :raises NotOwnerError: if the claim stands no longer
+        :raises StoreUnavailable: if no answer came in time; the writes may take effect later
         """
-        result = await self.around.store.commit([self.claim, *compares], writes)
+        patience, self.patience = self.patience, SLOW_ANSWER_SECONDS
+        with anyio.move_on_after(patience) as scope:
+            result = await self.around.store.commit([self.claim, *compares], writes)
+        if scope.cancelled_caught:
+            raise StoreUnavailable(f"no answer to a write in {patience} s")
+        self.patience = ANSWER_SECONDS
         if result.ok:
-            return True
+            return result.revision
         found = await self.around.store.get(self.claim.key)
         if found is None or found.revision != self.claim.revision:
             raise NotOwnerError(f"the claim of pool {self.book.pool} stands no longer")
-        return False
+        return 0
 
     async def _create_batch(self, batch: list[StoreOutcome]) -> None:
+        for _ in range(CREATE_TRIES):
+            left = [outcome for outcome in batch if not outcome.settled.is_set()]
+            if left:
+                await self._try_to_create(left)
+
+    async def _try_to_create(self, batch: list[StoreOutcome]) -> None:
         try:
             if await self._create(batch):
                 for outcome in batch:
                     outcome.settle(True)
                 return
             for outcome in batch:
-                outcome.settle(await self._create([outcome]) or await self._is_stored(outcome.job))
+                stored = await self._create([outcome]) or await self._is_stored(outcome.job)
+                outcome.settle(stored)
         except StoreRefused as error:
             self._note_failure(error, len(batch))
             for outcome in batch:
@@ -184,7 +235,7 @@
             Put(key, encode_description(outcome.job))
             for key, outcome in zip(keys, batch, strict=True)
         ]
-        return await self.commit([Compare(key, 0) for key in keys], writes)
+        return bool(await self.commit([Compare(key, 0) for key in keys], writes))
 
     async def _is_stored(self, job: Job) -> bool:
         """Return whether the job is stored as it is, by a write whose answer was lost."""
