--- a/limpetpulley/daemon/server.py
+++ b/limpetpulley/daemon/server.py
@@ -81,23 +81,7 @@
         caller_address = f"{settings.host}:{self.callers_server.port}"
         self.node = Node(settings, around, peer_address, caller_address)
         handlers.node = self.node
-        self.http = KeptHttp()
-        self.batch_client = PeerClient(BatchStub)
-        self.steps = StepsPart(
-            settings,
-            self.node.replica,
-            lambda: self.node.link.config_loaded,
-            store,
-            self.batch_client,
-            self.http,
-            clock,
-            tasks,
-            peer_address,
-            log,
-            metrics,
-        )
-        self.peer_server.services.append(self.steps.handlers)
-        self.node.link.on_config = self.on_config
+        self._build_steps(store, peer_address, log, metrics)
         self.callers.connect(self.node.jobs, self.node)
         operators = OperatorsApp(
             self.node.replica,
@@ -114,6 +98,27 @@
             self.serve_operator, settings.host, settings.operators_port
         )
 
+    def _build_steps(
+        self, store: Store, peer_address: str, log: EventLog, metrics: BatchMetrics
+    ) -> None:
+        self.http = KeptHttp()
+        self.batch_client = PeerClient(BatchStub)
+        self.steps = StepsPart(
+            self.settings,
+            self.node.replica,
+            lambda: self.node.link.config_loaded,
+            store,
+            self.batch_client,
+            self.http,
+            self.node.clock,
+            self.tasks,
+            peer_address,
+            log,
+            metrics,
+        )
+        self.peer_server.services.append(self.steps.handlers)
+        self.node.link.on_config = self.on_config
+
     async def start(self) -> None:
         """Start to listen and to run."""
         await self.peer_server.start()
--- a/limpetpulley/ownership/__init__.py
+++ b/limpetpulley/ownership/__init__.py
@@ -2,11 +2,11 @@
 
 from .advice import Advice, Adviser
 from .around import Around, Timing
+from .board import WaveBoard
 from .directory import Directory, Member
 from .intake import Submission
 from .node import BatchNode
 from .owner import PoolOwner
-from .planner import WaveBoard
 from .service import BatchService, Outcome, SubmitResult
 
 __all__ = [
--- a/limpetpulley/ownership/daemon.py
+++ b/limpetpulley/ownership/daemon.py
@@ -25,10 +25,10 @@
 from ..workers import ListedWorker, MeasuredOrders, WorkerOrders
 from .advice import Adviser
 from .around import Around, Timing
+from .board import WaveBoard
 from .directory import Member
 from .listing import WorkerListing
 from .node import BatchNode
-from .planner import WaveBoard
 
 __all__ = ["BatchDaemon", "BatchSettings", "Outside", "run_daemon"]
 
--- a/limpetpulley/ownership/node.py
+++ b/limpetpulley/ownership/node.py
@@ -13,11 +13,12 @@
 from ..tasks import keep_running, start_guarded
 from ..workers import ListedWorker
 from .around import Around
+from .board import WaveBoard
 from .borrowing import EntryBorrower
 from .directory import Directory, Member, choose_claims
 from .handlers import BatchHandlers
 from .owner import PoolOwner
-from .planner import PLANNER, FleetPlanning, WaveBoard
+from .planner import PLANNER, FleetPlanning
 from .reporting import ask_planner
 from .service import BatchService
 from .session import Session
--- a/limpetpulley/ownership/planner.py
+++ b/limpetpulley/ownership/planner.py
@@ -15,9 +15,10 @@
 from ..peer import batch_pb2 as pb
 from ..store import Compare, Put
 from .around import Around
+from .board import WaveBoard
 from .session import LEASE_SECONDS
 
-__all__ = ["PLANNER", "FleetPlanning", "WaveBoard"]
+__all__ = ["PLANNER", "FleetPlanning"]
 
 #: name under which the planner's claim stands among the pools' owners
 PLANNER = "@planner"
@@ -45,20 +46,6 @@
 LEAST_ARRIVAL_SECONDS = 0.2
 
 
-@attrs.define
-class WaveBoard:
-    """The waves that the operator has ordered, and what is told of them.
-
-    :param waves: ordered waves by name
-    :param state_key: returns the key under which a wave's state is told
-    :param encode_state: returns the value that tells whether a wave is completed
-    """
-
-    state_key: Callable[[str], str]
-    encode_state: Callable[[str, bool], bytes]
-    waves: dict[str, WaveOrder] = attrs.field(factory=dict)
-
-
 @attrs.define
 class _Report:
     message: pb.PoolReport
--- a/limpetpulley/ownership/service.py
+++ b/limpetpulley/ownership/service.py
@@ -95,35 +95,25 @@
             team=submission.team,
             spec=encode_spec(submission.spec),
             elapsed_seconds=submission.elapsed_seconds,
-            time_left_seconds=min(time_left, OWNER_ANSWER_SECONDS),
         )
-        clock = self.around.clock
-        until, unknown = clock.now() + time_left, False
+        until, unknown = self.around.clock.now() + time_left, False
         while True:
-            asked_at = clock.now()
-            left = until - asked_at
-            message.time_left_seconds = min(left, OWNER_ANSWER_SECONDS)
+            asked_at = self.around.clock.now()
             try:
-                reply = await self._ask(
-                    submission.queue.pool,
-                    lambda owner: submit_locally(owner, submission, message.time_left_seconds),
-                    "Submit",
-                    message,
-                    left,
-                )
+                reply = await self._submit_once(submission, message, until - asked_at)
                 break
             except PeerError as error:
                 # The job may be stored by now; with the same id it is safe to ask again.
                 unknown = True
+                now = self.around.clock.now()
                 self.around.log.write(
                     "owner-silent",
                     job=submission.job_id,
                     pool=message.pool,
                     reason=str(error),
-                    left=round(until - clock.now(), 3),
+                    left=round(until - now, 3),
                 )
-            waited = clock.now() - asked_at
-            if waited > BROKEN_SECONDS or until - clock.now() < ASK_AGAIN_SECONDS:
+            if now - asked_at > BROKEN_SECONDS or until - now < ASK_AGAIN_SECONDS:
                 return SubmitResult(Outcome.UNKNOWN, "owner-silent")
             await anyio.sleep(SEARCH_PAUSE_SECONDS)
         if reply is None and unknown:
@@ -135,6 +125,21 @@
         )
         return SubmitResult(outcome, reply.reason, reply.retry_seconds or NO_OWNER_RETRY_SECONDS)
 
+    async def _submit_once(
+        self, submission: Submission, message: pb.SubmitRequest, time_left: float
+    ) -> pb.SubmitReply | None:
+        """Return the owner's reply, None if there is no owner.
+
+        :raises PeerError: if the owner got the job and did not reply
+        """
+        message.time_left_seconds = wait = min(time_left, OWNER_ANSWER_SECONDS)
+
+        def locally(owner: PoolOwner) -> Awaitable[pb.SubmitReply]:
+            return submit_locally(owner, submission, wait)
+
+        pool = submission.queue.pool
+        return await self._ask(pool, locally, "Submit", message, time_left)
+
     async def find(self, queue: QueueRule, job_id: str, time_left: float) -> JobState | None:
         """Return a job's state, None if there is no such job.
 
