--- a/tests/integration/test_soak.py
+++ b/tests/integration/test_soak.py
@@ -8,7 +8,7 @@
 #: seed and length; each with what was found
 SEEDS = [
     (1, 15.0),
-    # A daemon that had just started said 404 to jobs of steps, before it had read the configuration.
+    # A daemon that had just started said 404 before it had read the configuration.
     (101, 20.0),
 ]
 
