--- a/limpetpulley/ownership/tests/test_load.py
+++ b/limpetpulley/ownership/tests/test_load.py
@@ -7,6 +7,8 @@
 from .. import intake
 from .loadplayer import TEAMS, Load, play_load, served
 
+#: the plays are shared by the tests of one worker
+pytestmark = pytest.mark.xdist_group("load")
 #: demand of about five times the mean, beyond what a pool holds; with the VMs of the pool that is
 #: off it can be served
 PEAKS = Load(peak=18.0, quiet=0.5, turn=3.0, vms=2, spare=4)
