Refuse new jobs at once while the store is away; never refuse a job that may be stored

What nobody has tried to write certainly never runs: while a write has failed and the claim's last renewal is older than 0.8 s, new jobs are refused with 503, Retry-After and reason store-away. An outcome now keeps that it is doubtful; so does a job in doubt that is asked for again. Tests: ownership/tests/test_intake.

--- a/limpetpulley/api/tests/test_outcomes.py
+++ b/limpetpulley/api/tests/test_outcomes.py
@@ -36,6 +36,7 @@
     "fits-nowhere": (Outcome.REFUSED, 503),
     "id-in-use": (Outcome.REFUSED, 503),
     "not-stored": (Outcome.REFUSED, 503),
+    "store-away": (Outcome.REFUSED, 503),
     "refused": (Outcome.REFUSED, 503),
     "no-owner": (Outcome.UNAVAILABLE, 503),
     "owner-silent": (Outcome.UNKNOWN, 504),
--- a/limpetpulley/ownership/intake.py
+++ b/limpetpulley/ownership/intake.py
@@ -29,6 +29,9 @@
 
 #: time until which a caller is told to come back after an owner's failure, in whole seconds
 FAILURE_RETRY_SECONDS = 1
+#: age of the claim's last renewal beyond which, with a write that failed, the store counts as away:
+#: two renewals without an answer
+STORE_AWAY_SECONDS = 0.8
 
 
 @attrs.frozen
@@ -51,6 +54,7 @@
 
     :param refused: notes the work that was refused
     :param wake: called when a job was accepted
+    :param claim_age: returns the time since the owner's claim was last renewed, in seconds
     """
 
     def __init__(
@@ -61,7 +65,9 @@
         writer: OwnerWriter,
         refused: RefusedWork,
         wake: Callable[[], None],
+        claim_age: Callable[[], float],
     ):
+        self.claim_age = claim_age
         self.around = around
         self.book = book
         self.shares = shares
@@ -84,6 +90,10 @@
             reason = "" if same else "id-in-use"
             return Verdict(same, retry_seconds=LONGEST_RETRY_SECONDS, reason=reason)
         outcome = self.open.get(submission.job_id)
+        if outcome is None and self._is_store_away():
+            verdict = Verdict(False, retry_seconds=FAILURE_RETRY_SECONDS, reason="store-away")
+            self._log_verdict(submission, verdict)
+            return verdict
         if outcome is None:
             job = self._make_job(key, submission)
             verdict = self.assess(job, submission)
@@ -96,11 +106,16 @@
         elif outcome.job.key != key:
             return Verdict(False, retry_seconds=LONGEST_RETRY_SECONDS, reason="id-in-use")
         elif outcome.settled.is_set():
-            outcome = self._store(outcome.job)
+            outcome = self._store(outcome.job, doubtful=True)
         return await self._wait_stored(outcome, wait_seconds)
 
-    def _store(self, job: Job) -> StoreOutcome:
-        outcome = self.open[job.key.job_id] = StoreOutcome(job, self._note_outcome)
+    def _is_store_away(self) -> bool:
+        """Return whether neither a write nor the claim's renewal was answered lately."""
+        return self.writer.failing and self.claim_age() > STORE_AWAY_SECONDS
+
+    def _store(self, job: Job, doubtful: bool = False) -> StoreOutcome:
+        outcome = StoreOutcome(job, self._note_outcome, doubtful)
+        self.open[job.key.job_id] = outcome
         self.writer.create(outcome)
         return outcome
 
--- a/limpetpulley/ownership/owner.py
+++ b/limpetpulley/ownership/owner.py
@@ -71,7 +71,9 @@
         self.shares = TeamShares(pool)
         self.keeper = ShareKeeper(around, self.book, self.shares, self.writer)
         self.refused = RefusedWork()
-        self.intake = Intake(around, self.book, self.shares, self.writer, self.refused, self.wake)
+        self.intake = Intake(
+            around, self.book, self.shares, self.writer, self.refused, self.wake, claim_age
+        )
         self.tickets = TicketKeeper(around, self.book, self.wake)
         self.agents: dict[str, WorkerAgent] = {}
         self.roster = RosterKeeper(around, self.book, self.writer, self.wake)
--- a/limpetpulley/ownership/tests/test_intake.py
+++ b/limpetpulley/ownership/tests/test_intake.py
@@ -4,7 +4,7 @@
 import pytest
 
 from ...batch import JobState
-from ...exception import PeerError
+from ...exception import PeerError, StoreRefused, StoreUnavailable
 from .. import Outcome
 from .test_calm_day import NAMES, play, two_steps
 
@@ -93,3 +93,48 @@
     assert outcome is Outcome.ACCEPTED
     assert failures == 0
     assert len(stored) == 1
+
+
+def test_while_the_store_is_away_new_jobs_are_refused_at_once_and_never_run():
+    async def story(day):
+        owner = day.fleet.owner_of("desk")
+        day.fleet.faults.outage = True
+        _, first = await day.submit("desk", two_steps(), at=owner, job_id=JOB_ID)
+        begun = day.clock.now()
+        refused, second = await day.submit("desk", two_steps(), at=owner)
+        taken = day.clock.now() - begun
+        day.fleet.faults.outage = False
+        await anyio.sleep(6.0)
+        _, third = await day.submit("desk", two_steps())
+        await anyio.sleep(3.0)
+        ran = {run.order.task.job_id for run in day.fleet.runs}
+        return first, second, taken, third.outcome, refused in ran
+
+    first, second, taken, third, ran = play(story)
+    assert first.outcome is Outcome.UNKNOWN
+    assert (second.outcome, second.reason) == (Outcome.REFUSED, "store-away")
+    assert second.retry_seconds > 0
+    assert taken < 0.1
+    assert third is Outcome.ACCEPTED
+    assert not ran
+
+
+def test_a_job_that_may_be_stored_is_not_refused_though_the_store_refuses_it_now():
+    async def story(day):
+        owner = day.fleet.owner_of("desk")
+        writer = day.fleet.daemons[owner].node.owned["desk"].writer
+        kept, answers = writer.commit, [StoreUnavailable("no answer"), StoreRefused("busy")]
+
+        async def commit(compares, writes):
+            if answers:
+                raise answers.pop(0)
+            return await kept(compares, writes)
+
+        writer.commit = commit
+        told = []
+        for _ in range(2):
+            _, result = await day.submit("desk", two_steps(), at=owner, job_id=JOB_ID)
+            told.append(result.outcome)
+        return told
+
+    assert play(story) == [Outcome.UNKNOWN, Outcome.ACCEPTED]
--- a/limpetpulley/ownership/writer.py
+++ b/limpetpulley/ownership/writer.py
@@ -39,11 +39,13 @@
     """What became of a job's description.
 
     :param noted: called when the outcome is known
+    :param doubtful: whether a write of it was not answered: it may be stored, or be later
     :param stored: whether it is stored, None if that is not known
     """
 
     job: Job
     noted: Callable[[StoreOutcome], None] = lambda outcome: None
+    doubtful: bool = False
     stored: bool | None = None
     settled: anyio.Event = attrs.field(factory=anyio.Event)
 
@@ -150,7 +152,6 @@
                 self._note_stored([job], {job_id: self.book.progress.newest.get(job_id, 0)})
 
     def _note_stored(self, jobs: Sequence[Job], versions: dict[str, int]) -> None:
-        self.failing = False
         self.book.mark_stored(versions)
         for job in jobs:
             if job.state.final:
@@ -199,6 +200,7 @@
         if scope.cancelled_caught:
             raise StoreUnavailable(f"no answer to a write in {patience} s")
         self.patience = ANSWER_SECONDS
+        self.failing = False
         if result.ok:
             return result.revision
         found = await self.around.store.get(self.claim.key)
@@ -224,10 +226,12 @@
         except StoreRefused as error:
             self._note_failure(error, len(batch))
             for outcome in batch:
-                if not outcome.settled.is_set():
+                if not outcome.settled.is_set() and not outcome.doubtful:
                     outcome.settle(False)
         except (StoreUnavailable, StoreError) as error:
             self._note_failure(error, len(batch))
+            for outcome in batch:
+                outcome.doubtful = True
 
     async def _create(self, batch: list[StoreOutcome]) -> bool:
         keys = [self.around.keys.description(outcome.job.key) for outcome in batch]
