--- a/limpetpulley/api/batches.py
+++ b/limpetpulley/api/batches.py
@@ -13,7 +13,7 @@
 from ..config import digest_secret
 from ..exception import JobRefused, RecordError, StoreError, StoreUnavailable
 from ..ownership import BatchNode, Outcome, Submission
-from .http import Receive, Scope, Send, get_header, read_body, send_json, send_problem
+from .http import Receive, Scope, Send, get_header, read_body, send_json, send_problem, send_refusal
 
 __all__ = ["BatchesApp", "Dialect", "Target", "own_dialect"]
 
@@ -101,18 +101,8 @@
         try:
             await self._serve(request, scope, receive, send_noting)
         except JobRefused as refused:
-            headers = []
-            if refused.retry_after is not None:
-                headers.append((b"retry-after", str(int(refused.retry_after)).encode()))
             request.reason, request.detail = refused.reason, refused.detail
-            await send_problem(
-                send_noting,
-                refused.status,
-                refused.reason,
-                refused.detail,
-                headers,
-                run=refused.run,
-            )
+            await send_refusal(send_noting, refused)
         except (StoreUnavailable, StoreError) as error:
             request.reason, request.detail = "unavailable", str(error)
             headers = [(b"retry-after", str(RETRY_SECONDS).encode())]
--- a/limpetpulley/api/callers.py
+++ b/limpetpulley/api/callers.py
@@ -91,7 +91,7 @@
         except JobRefused as refused:
             self.jobs.note_refused(job_id, queue, refused)
             if refused.reason != "caller-gone":
-                await send_refusal(send, refused, job_id)
+                await send_refusal(send, refused, job=job_id)
             return
         if answer is not None:
             await _send_answer(send, answer, job_id, self.readiness.not_ready() != "")
--- a/limpetpulley/api/http.py
+++ b/limpetpulley/api/http.py
@@ -120,8 +120,11 @@
     await send_bytes(send, status, content, b"application/problem+json", headers)
 
 
-async def send_refusal(send: Send, refused: JobRefused, job_id: str) -> None:
-    """Send the answer to a job that was refused."""
+async def send_refusal(send: Send, refused: JobRefused, **members: Any) -> None:
+    """Send the answer to a job that was refused.
+
+    :param members: further members of the problem
+    """
     headers = []
     if refused.retry_after is not None:
         headers.append((b"retry-after", str(max(1, math.ceil(refused.retry_after))).encode()))
@@ -134,5 +137,5 @@
         refused.detail,
         headers,
         run=refused.run,
-        job=job_id,
+        **members,
     )
--- a/limpetpulley/cli/batch.py
+++ b/limpetpulley/cli/batch.py
@@ -32,8 +32,12 @@
     return ExitStatus.OK
 
 
-def _callers() -> str:
-    return attrs.field(
+@attrs.define(kw_only=True)
+class _CallersCommand:
+    """A command that speaks to a daemon as a caller of a queue."""
+
+    queue: str = attrs.field(kw_only=False)
+    callers: str = attrs.field(
         default="127.0.0.1:8400",
         metadata={
             "cappa": cappa.Arg(
@@ -43,10 +47,7 @@
             )
         },
     )
-
-
-def _access_key() -> str:
-    return attrs.field(
+    access_key: str = attrs.field(
         default="",
         metadata={
             "cappa": cappa.Arg(
@@ -57,13 +58,20 @@
         },
     )
 
+    def client(self) -> OperatorsClient:
+        """Return what speaks to the daemon."""
+        return OperatorsClient(self.callers, self.access_key)
+
+    def path(self, job_id: str = "") -> str:
+        """Return the path of a job, or of all jobs of the queue."""
+        return f"/queues/{self.queue}/batches" + (f"/{job_id}" if job_id else "")
+
 
 @cappa.command(name="submit", help="Hand in a job of steps; print its id.")
 @attrs.define
-class SubmitBatch:
+class SubmitBatch(_CallersCommand):
     """Hands in a job."""
 
-    queue: str
     file: str = attrs.field(
         metadata={"cappa": cappa.Arg(help="JSON file of the job, - for standard input")}
     )
@@ -74,14 +82,11 @@
     follow: bool = attrs.field(
         default=False, metadata={"cappa": cappa.Arg(long=True, help="wait for its end")}
     )
-    callers: str = _callers()
-    access_key: str = _access_key()
 
     def run(self, session: Session) -> int:
         """Hand the job in, again with the same id as long as its fate is not known."""
         job_id = self.id or secrets.token_hex(8)
-        client = OperatorsClient(self.callers, self.access_key)
-        path = f"/queues/{self.queue}/batches/{job_id}"
+        client, path = self.client(), self.path(job_id)
         client.put(path, _read_job(self.file))
         if not self.follow:
             return tell(session, {"job": job_id}, job_id)
@@ -95,51 +100,38 @@
 
 @cappa.command(name="state", help="Show the state of a job of steps.")
 @attrs.define
-class BatchState:
+class BatchState(_CallersCommand):
     """Shows a job's state."""
 
-    queue: str
     id: str
-    callers: str = _callers()
-    access_key: str = _access_key()
 
     def run(self, session: Session) -> int:
         """Print the state."""
-        client = OperatorsClient(self.callers, self.access_key)
-        told = client.get(f"/queues/{self.queue}/batches/{self.id}")
+        told = self.client().get(self.path(self.id))
         return tell(session, told, told["state"])
 
 
 @cappa.command(name="cancel", help="Cancel a job of steps.")
 @attrs.define
-class CancelBatch:
+class CancelBatch(_CallersCommand):
     """Cancels a job."""
 
-    queue: str
     id: str
-    callers: str = _callers()
-    access_key: str = _access_key()
 
     def run(self, session: Session) -> int:
         """Cancel it and print its state."""
-        client = OperatorsClient(self.callers, self.access_key)
-        told = client.delete(f"/queues/{self.queue}/batches/{self.id}")
+        told = self.client().delete(self.path(self.id))
         return tell(session, told, told["state"])
 
 
 @cappa.command(name="pending", help="Count a queue's jobs that have not begun.")
 @attrs.define
-class PendingBatches:
+class PendingBatches(_CallersCommand):
     """Counts jobs."""
 
-    queue: str
-    callers: str = _callers()
-    access_key: str = _access_key()
-
     def run(self, session: Session) -> int:
         """Print the number."""
-        client = OperatorsClient(self.callers, self.access_key)
-        told = client.get(f"/queues/{self.queue}/batches")
+        told = self.client().get(self.path())
         return tell(session, told, str(told["pending"]))
 
 
--- a/limpetpulley/daemon/steps.py
+++ b/limpetpulley/daemon/steps.py
@@ -7,13 +7,15 @@
 
 import anyio
 import anyio.abc
+import attrs
 
 from ..api.batches import BatchesApp, own_dialect
-from ..api.http import Receive, Scope, Send, send_problem
+from ..api.http import Receive, Scope, Send, send_refusal
 from ..batch.keys import BatchKeys
 from ..clock import Clock
 from ..config import ConfigReplica
 from ..config.steps import make_batch_config
+from ..exception import JobRefused
 from ..fleet.wire import HttpVms, NoVms
 from ..http_client import HttpCaller
 from ..ownership import Around, BatchNode, Member, Timing, WaveBoard
@@ -97,7 +99,7 @@
         if config == self.around.config or not (config.queues or self.joined):
             return
         self.version += 1
-        self.node.use_config(make_batch_config(self.replica, self.version))
+        self.node.use_config(attrs.evolve(config, version=self.version))
         if not self.joined:
             self.joined = True
             self.tasks.start_soon(keep_running, self.listing.mirror.run)
@@ -112,12 +114,13 @@
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Answer a caller's request about jobs of steps."""
         if not self.joined and not self.is_configured():
-            headers = [(b"retry-after", str(RETRY_SECONDS).encode())]
             detail = "no configuration yet"
-            await send_problem(send, 503, "no-config", detail, headers, run="no")
+            refused = JobRefused(503, "no-config", detail, retry_after=RETRY_SECONDS)
+            await send_refusal(send, refused)
             return
         if not self.joined:
-            await send_problem(send, 404, "no-such-queue", "no queue takes jobs of steps", run="no")
+            refused = JobRefused(404, "no-such-queue", "no queue takes jobs of steps")
+            await send_refusal(send, refused)
             return
         await self.app(scope, receive, send)
 
--- a/limpetpulley/fleet/wire.py
+++ b/limpetpulley/fleet/wire.py
@@ -5,11 +5,9 @@
 import json
 from typing import Any
 
-import cattrs
-from cattrs.preconf.json import JsonConverter, make_converter
-
-from ..exception import HttpError, PlatformError
+from ..exception import HttpError, PlatformError, RecordError
 from ..http_client import HttpCaller
+from ..reading import message_converter, read_message
 from .vms import FleetVm, OrderOutcome
 
 __all__ = ["CONVERTER", "HttpVms", "NoVms"]
@@ -19,15 +17,8 @@
 OK = 200
 
 
-def _make_converter() -> JsonConverter:
-    converter = make_converter()
-    converter.register_unstructure_hook(OrderOutcome, lambda outcome: outcome.name.lower())
-    converter.register_structure_hook(OrderOutcome, lambda name, _: OrderOutcome[name.upper()])
-    return converter
-
-
 #: turns messages into plain values for JSON and back
-CONVERTER = _make_converter()
+CONVERTER = message_converter(OrderOutcome)
 
 
 class HttpVms:
@@ -73,9 +64,9 @@
 
     def _read(self, content: bytes, wanted: Any) -> Any:
         try:
-            return CONVERTER.structure(json.loads(content), wanted)
-        except (ValueError, KeyError, TypeError, cattrs.BaseValidationError) as error:
-            raise PlatformError(f"list of VMs: unreadable answer: {error!r}") from None
+            return read_message(CONVERTER, content, wanted)
+        except RecordError as error:
+            raise PlatformError(f"list of VMs: unreadable answer: {error}") from None
 
 
 class NoVms:
--- a/limpetpulley/ownership/handlers.py
+++ b/limpetpulley/ownership/handlers.py
@@ -89,9 +89,7 @@
 
     def _owner(self, pool: str) -> PoolOwner | None:
         owner = self.owned.get(pool)
-        if owner is None or not owner.ready.is_set() or owner.finished.is_set():
-            return None
-        return owner
+        return owner if owner is not None and owner.serves else None
 
     async def _answer(
         self, stream: Any, locally: Callable[[PoolOwner, Any], Awaitable[Any]], otherwise: Any
--- a/limpetpulley/ownership/intake.py
+++ b/limpetpulley/ownership/intake.py
@@ -10,12 +10,11 @@
 
 from ..batch import Job, JobKey, JobSpec, QueueRule
 from ..pool import PoolBook
-from ..pool.outlook import expected_objective, predict, remaining_work
+from ..pool.outlook import QueueOutlook, expected_objective, remaining_work
 from ..quota.shares import TeamShares
 from ..scheduling.backlog import (
     LONGEST_RETRY_SECONDS,
     USEFUL_FACTOR,
-    Prediction,
     Verdict,
     judge,
     judge_late,
@@ -147,26 +146,26 @@
             return Verdict(False, retry_seconds=LONGEST_RETRY_SECONDS, reason="fits-nowhere")
         if job.spec.lasting or job.spec.timed:
             return Verdict(True)
-        verdict = judge(self._predict(job, submission))
+        now, day = self.around.clock.now(), self.around.day()
+        outlook = QueueOutlook(self.book, self.shares, job.team, now, day)
+        verdict = judge(outlook.predict(job))
         if verdict.accepted:
             return verdict
-        return self._assess_late(job, submission, verdict)
+        return self._assess_late(job, submission, outlook, verdict)
 
-    def _assess_late(self, job: Job, submission: Submission, verdict: Verdict) -> Verdict:
+    def _assess_late(
+        self, job: Job, submission: Submission, outlook: QueueOutlook, verdict: Verdict
+    ) -> Verdict:
         """Decide whether a job that cannot go before others may go behind them."""
-        asked_at = self.around.day() - submission.elapsed_seconds
+        asked_at = outlook.day - submission.elapsed_seconds
         last = round(asked_at + USEFUL_FACTOR * (job.due_by - asked_at), 3)
         later = attrs.evolve(job, due_by=last, behind=True)
-        behind = judge_late(self._predict(later, submission))
+        behind = judge_late(outlook.predict(later))
         if not behind.accepted:
             return verdict
         job.due_by, job.behind = last, True
         return behind
 
-    def _predict(self, job: Job, submission: Submission) -> Prediction:
-        now, day = self.around.clock.now(), self.around.day()
-        return predict(self.book, self.shares, submission.queue, job, now, day)
-
     def _make_job(self, key: JobKey, submission: Submission) -> Job:
         queue, day = submission.queue, self.around.day()
         objective = expected_objective(
--- a/limpetpulley/ownership/owner.py
+++ b/limpetpulley/ownership/owner.py
@@ -135,9 +135,14 @@
             )
             raise
 
+    @property
+    def serves(self) -> bool:
+        """Return whether callers can be answered: taken over, and not given up."""
+        return self.ready.is_set() and not self.finished.is_set()
+
     async def give_up(self) -> None:
         """Store what is known and stop; the claim is released by whoever calls this."""
-        if self.ready.is_set() and not self.finished.is_set():
+        if self.serves:
             await self.writer.flush()
         self.scope.cancel()
         await self.finished.wait()
--- a/limpetpulley/ownership/service.py
+++ b/limpetpulley/ownership/service.py
@@ -160,18 +160,9 @@
         :raises StoreUnavailable: if the pool's owner cannot be asked
         """
         message = pb.PendingRequest(pool=queue.pool, queue=queue.name)
-        try:
-            reply = await self._ask(
-                queue.pool,
-                lambda owner: count_locally(owner, message),
-                "CountPending",
-                message,
-                time_left,
-            )
-        except PeerError as error:
-            raise StoreUnavailable(str(error)) from None
-        if reply is None:
-            raise StoreUnavailable(f"pool {queue.pool} has no owner")
+        reply = await self._reply(
+            queue.pool, partial(_call, count_locally, message), "CountPending", message, time_left
+        )
         return reply.pending
 
     async def _job(
@@ -186,14 +177,9 @@
         pool = queue.pool
         for _ in range(2):
             message = pb.JobRequest(pool=pool, queue=queue.name, job_id=job_id)
-            try:
-                reply = await self._ask(
-                    pool, partial(_call, locally, message), method, message, time_left
-                )
-            except PeerError as error:
-                raise StoreUnavailable(str(error)) from None
-            if reply is None:
-                raise StoreUnavailable(f"pool {pool} has no owner")
+            reply = await self._reply(
+                pool, partial(_call, locally, message), method, message, time_left
+            )
             if reply.outcome == pb.ACCEPTED:
                 return JobState(reply.state)
             elsewhere = await self._stored_pool(key)
@@ -214,6 +200,26 @@
         except RecordError as error:
             raise StoreUnavailable(str(error)) from None
 
+    async def _reply(
+        self,
+        pool: str,
+        locally: Callable[[PoolOwner], Awaitable[Any]],
+        method: str,
+        message: Any,
+        time_left: float,
+    ) -> Any:
+        """Return the reply of a pool's owner.
+
+        :raises StoreUnavailable: if none is found, or it does not reply
+        """
+        try:
+            reply = await self._ask(pool, locally, method, message, time_left)
+        except PeerError as error:
+            raise StoreUnavailable(str(error)) from None
+        if reply is None:
+            raise StoreUnavailable(f"pool {pool} has no owner")
+        return reply
+
     async def _ask(
         self,
         pool: str,
@@ -232,7 +238,7 @@
             owner = self.directory.owner_of(pool)
             if owner is not None and owner.name == self.me.name:
                 mine = self.owned.get(pool)
-                if mine is not None and mine.ready.is_set() and not mine.finished.is_set():
+                if mine is not None and mine.serves:
                     return await locally(mine)
             elif owner is not None:
                 timeout = max(0.1, min(OWNER_ANSWER_SECONDS, time_left))
@@ -248,10 +254,8 @@
 
 
 async def _call(
-    locally: Callable[[PoolOwner, pb.JobRequest], Awaitable[pb.StateReply]],
-    message: pb.JobRequest,
-    owner: PoolOwner,
-) -> pb.StateReply:
+    locally: Callable[[PoolOwner, Any], Awaitable[Any]], message: Any, owner: PoolOwner
+) -> Any:
     return await locally(owner, message)
 
 
--- a/limpetpulley/ownership/sharing.py
+++ b/limpetpulley/ownership/sharing.py
@@ -11,7 +11,7 @@
 from ..quota.shares import ShareChange, ShareRecord, TeamShares
 from ..store import Compare, Put
 from .around import Around
-from .writer import OwnerWriter
+from .writer import PAIRS_A_TRANSACTION, OwnerWriter
 
 __all__ = ["ShareKeeper"]
 
@@ -19,8 +19,6 @@
 LOOK_SECONDS = 0.5
 #: shortest time between two looks while something waits for a larger share
 SHORT_LOOK_SECONDS = 0.05
-
-
 #: time between two reads while something waits for what other pools give back, in seconds
 REREAD_SECONDS = 0.2
 
@@ -107,7 +105,7 @@
 
     def _changes(self) -> list[ShareChange]:
         changes = self.shares.plan(self.book.usage, wanted_by_team(self.book))
-        return changes[:15]
+        return changes[:PAIRS_A_TRANSACTION]
 
     def _log(self, changes: list[ShareChange]) -> None:
         for change in changes:
--- a/limpetpulley/ownership/writer.py
+++ b/limpetpulley/ownership/writer.py
@@ -14,15 +14,15 @@
 from ..store import Compare, Delete, Put
 from .around import Around
 
-__all__ = ["OwnerWriter", "StoreOutcome"]
+__all__ = ["PAIRS_A_TRANSACTION", "OwnerWriter", "StoreOutcome"]
 
 #: entries that one transaction may have, the comparison with the claim included; from the
 #: platform's description of its store
 TRANSACTION_ENTRIES = 32
 #: time between two writes of progress, unless a job has ended
 FLUSH_SECONDS = 0.06
-#: jobs whose progress one transaction may store: each takes a condition and a write
-PROGRESS_JOBS = (TRANSACTION_ENTRIES - 1) // 2
+#: records that one transaction may write under a condition each, or remove two of
+PAIRS_A_TRANSACTION = (TRANSACTION_ENTRIES - 1) // 2
 #: pause after a write without an answer
 RETRY_SECONDS = 0.05
 #: time for a write's answer: the store answers in milliseconds, and one whose answer was lost is
@@ -97,7 +97,7 @@
             await self.create_needed.wait()
             self.create_needed = anyio.Event()
             while self.created:
-                batch = self.created[: (TRANSACTION_ENTRIES - 1) // 2]
+                batch = self.created[:PAIRS_A_TRANSACTION]
                 del self.created[: len(batch)]
                 try:
                     await self._create_batch(batch)
@@ -119,7 +119,7 @@
 
     async def flush(self) -> None:
         """Store all progress that is not stored yet."""
-        while jobs := self.book.unstored_jobs()[:PROGRESS_JOBS]:
+        while jobs := self.book.unstored_jobs()[:PAIRS_A_TRANSACTION]:
             versions = {job.key.job_id: self.book.progress.newest[job.key.job_id] for job in jobs}
             try:
                 if await self._store_progress(jobs):
@@ -177,9 +177,8 @@
     async def remove(self, jobs: Sequence[Job]) -> None:
         """Remove the records of ended jobs."""
         keys = self.around.keys
-        step = (TRANSACTION_ENTRIES - 1) // 2
-        for first in range(0, len(jobs), step):
-            part = jobs[first : first + step]
+        for first in range(0, len(jobs), PAIRS_A_TRANSACTION):
+            part = jobs[first : first + PAIRS_A_TRANSACTION]
             removals = [Delete(keys.description(job.key)) for job in part]
             removals += [Delete(keys.progress(job.key)) for job in part]
             await self.commit([], removals)
--- a/limpetpulley/platform/advice.py
+++ b/limpetpulley/platform/advice.py
@@ -9,9 +9,11 @@
 from ..ownership import Advice
 from ..pool.tickets import TicketRequest
 from ..reading import load, number, rows
+from .config import MILLISECONDS
 
 __all__ = ["PlatformAdviser"]
 
+#: longest time for a call, in seconds; the service takes its time for each worker that is named
 CALL_SECONDS = 3.0
 OK = 200
 
@@ -40,6 +42,6 @@
             reply = load(answer.content)
             # "healthy" lists the workers that may run the step, each with its ticket.
             tickets = {str(row[0]): str(row[1]) for row in rows(reply, "healthy")}
-            return Advice(tickets, number(reply, "validMs") / 1000)
+            return Advice(tickets, number(reply, "validMs") / MILLISECONDS)
         except (HttpError, RecordError, IndexError, TypeError) as error:
             raise AdviceError(str(error)) from None
--- a/limpetpulley/platform/callers.py
+++ b/limpetpulley/platform/callers.py
@@ -10,12 +10,11 @@
 from ..batch import BatchConfig, JobSpec, Step
 from ..exception import RecordError
 from ..reading import flag, load, number, rows, text, whole
-from .config import amount
+from .config import MILLISECONDS, amount
 
 __all__ = ["decode_job_spec", "platform_dialect"]
 
 JOB_ID = re.compile(r"[0-9a-fA-F]{16}")
-MILLISECONDS = 1000.0
 
 
 def platform_dialect() -> Dialect:
--- a/limpetpulley/platform/config.py
+++ b/limpetpulley/platform/config.py
@@ -8,10 +8,11 @@
 from ..exception import RecordError
 from ..reading import flag, load, number, rows, text, whole
 
-__all__ = ["CONFIG_KEY", "OPERATOR_PREFIX", "amount", "decode_config"]
+__all__ = ["CONFIG_KEY", "MILLISECONDS", "OPERATOR_PREFIX", "amount", "decode_config"]
 
 OPERATOR_PREFIX = "op/"
 CONFIG_KEY = "op/config"
+#: milliseconds in a second: the unit of most times on the wire
 MILLISECONDS = 1000.0
 
 
--- a/limpetpulley/platform/settings.py
+++ b/limpetpulley/platform/settings.py
@@ -11,12 +11,12 @@
 from ..ownership import Timing
 from ..ownership.daemon import BatchSettings
 from ..reading import load, number, text
+from .config import MILLISECONDS
 
 __all__ = ["SETTINGS_VARIABLE", "PlatformSettings", "read_settings", "read_timing"]
 
 #: environment variable with the path of the settings file
 SETTINGS_VARIABLE = "LIMPETPULLEY_CONFIG"
-MILLISECONDS = 1000.0
 #: the first of the ports between daemons is theirs; the next one, which the deploy file names,
 #: serves the metrics
 METRICS_OFFSET = 1
--- a/limpetpulley/platform/store.py
+++ b/limpetpulley/platform/store.py
@@ -13,6 +13,7 @@
 from ..http_client import HttpAnswer, HttpCaller
 from ..reading import load, rows, text, whole
 from ..store import Compare, Delete, Entry, Event, Put, Snapshot, TxnResult
+from .config import MILLISECONDS
 
 __all__ = ["PlatformStore"]
 
@@ -79,7 +80,7 @@
 
     async def grant_lease(self, seconds: float) -> int:
         """Return the identifier of a new lease."""
-        answer = await self._call("POST", "/api/kv-lease", {"ttlMs": int(seconds * 1000)})
+        answer = await self._call("POST", "/api/kv-lease", {"ttlMs": int(seconds * MILLISECONDS)})
         return whole(_body(answer, OK), "lease")
 
     async def renew_lease(self, lease: int) -> bool:
@@ -100,7 +101,7 @@
         """Yield the changes under a prefix after a revision, in order."""
         start = f"/api/kv-watch?pathPrefix={quote(prefix, safe='')}"
         while True:
-            target = f"{start}&after={after}&waitMs={int(WATCH_SECONDS * 1000)}"
+            target = f"{start}&after={after}&waitMs={int(WATCH_SECONDS * MILLISECONDS)}"
             answer = await self._call("GET", target, seconds=WATCH_SECONDS + ANSWER_SECONDS)
             if answer.status == GONE:
                 raise StoreError(f"changes after revision {after} are no longer known")
--- a/limpetpulley/platform/vms.py
+++ b/limpetpulley/platform/vms.py
@@ -15,6 +15,7 @@
 __all__ = ["WAVE_PREFIX", "PlatformVms", "decode_wave", "encode_wave_state", "wave_state_key"]
 
 WAVE_PREFIX = "op/wave/"
+#: longest time for a call, in seconds
 CALL_SECONDS = 2.0
 OK, BAD_REQUEST, CONFLICT = 200, 400, 409
 PHASES = {
--- a/limpetpulley/platform/workers.py
+++ b/limpetpulley/platform/workers.py
@@ -2,11 +2,10 @@
 
 from __future__ import annotations
 
-import json
 from typing import Any
 
 from ..batch import EndKind, TaskId
-from ..exception import HttpError, NotOwnerError, RecordError, WorkerError
+from ..exception import NotOwnerError, RecordError, WorkerError
 from ..http_client import HttpAnswer, HttpCaller
 from ..reading import load, rows, text, whole
 from ..workers import (
@@ -20,16 +19,12 @@
     StartReply,
     StopOrder,
 )
-from .config import amount
+from ..workers.calls import ANSWER_SECONDS, ORDER_SECONDS, post_order
+from .config import MILLISECONDS, amount
 
 __all__ = ["SERVERS_PREFIX", "PlatformWorkers", "decode_task", "decode_worker", "encode_task"]
 
 SERVERS_PREFIX = "servers/"
-MILLISECONDS = 1000.0
-#: longest time for a call that does not wait, in seconds
-CALL_SECONDS = 1.0
-#: time for an answer beyond the time that a hold waits
-ANSWER_SECONDS = 1.0
 STATES = {"ready": False, "draining": True}
 OK, BAD_REQUEST, CONFLICT, MISDIRECTED, TOO_MANY, AWAY = 200, 400, 409, 421, 429, 503
 REJECTIONS = {
@@ -175,18 +170,11 @@
         worker: ListedWorker,
         path: str,
         body: dict[str, Any],
-        seconds: float = CALL_SECONDS,
+        seconds: float = ORDER_SECONDS,
     ) -> HttpAnswer:
-        headers = {
-            "Content-Type": "application/json",
-            # The intended lifetime is named by the worker's id; another one there rejects.
-            "Expect-Instance": worker.worker_id,
-        }
-        content = json.dumps(body, separators=(",", ":")).encode()
-        try:
-            return await self.http.request("POST", worker.address, path, headers, content, seconds)
-        except HttpError as error:
-            raise WorkerError(f"{worker.worker_id}: {error}") from None
+        # The intended lifetime is named by the worker's id; another one there rejects.
+        headers = {"Expect-Instance": worker.worker_id}
+        return await post_order(self.http, worker, path, body, seconds, headers)
 
 
 def _read(worker: ListedWorker, answer: HttpAnswer) -> dict[str, Any]:
--- a/limpetpulley/pool/copies.py
+++ b/limpetpulley/pool/copies.py
@@ -50,4 +50,4 @@
 
 def stop_copy(book: PoolBook, run: Run) -> None:
     """Have a copy stopped as soon as its worker answers."""
-    book.strays.setdefault(StopOrder(run.worker_id, run.task, run.number), 0.0)
+    book.strays.setdefault(StopOrder.of(run), 0.0)
--- a/limpetpulley/pool/outlook.py
+++ b/limpetpulley/pool/outlook.py
@@ -13,10 +13,10 @@
 from .planning import behind_room, rank
 
 __all__ = [
+    "QueueOutlook",
     "expected_objective",
     "least_workers",
     "pool_room",
-    "predict",
     "ready_cores",
     "remaining_work",
     "wanted_by_team",
@@ -41,44 +41,56 @@
     return room
 
 
-def predict(
-    book: PoolBook, shares: TeamShares, queue: QueueRule, candidate: Job, now: float, day: float
-) -> Prediction:
-    """Predict what accepting a job would mean.
+class QueueOutlook:
+    """What is predicted of a pool's queue now, and of one more job in it.
 
-    :param candidate: the job, as it would be added
+    :param team: team that the new job is charged to
     :param now: local time
     :param day: time of day, in seconds since 1970
     """
-    size = _largest(book)
-    others = [
-        job
-        for job in book.jobs.values()
-        if not job.state.final and not job.spec.lasting and not job.spec.timed
-    ]
-    others.sort(key=rank)
-    place = sum(1 for job in others if rank(job) < rank(candidate))
-    teams = _team_room(book, shares, [*others, candidate], size)
-    teams[BEHIND] = behind_room(book) / (size.cpu_millicores or 1)
-    room = _free_room(book, size)
-    rows = [_forecast(book, job, size, now) for job in others]
-    new = _forecast(book, candidate, size, now)
-    coming = tuple((max(0.0, when - now), PACKED_PART) for when in book.coming)
-    before = play_forward(rows, room, teams, coming)
-    after = play_forward([*rows[:place], new, *rows[place:]], room, teams, coming)
-    end = after.pop(place)
-    harmed = sum(
-        remaining_work(book, job)
-        for job, was, becomes in zip(others, before, after, strict=True)
-        if not job.behind and day + was <= job.due_by < day + becomes
-    )
-    return Prediction(
-        end,
-        candidate.due_by - day,
-        len(candidate.spec.steps),
-        remaining_work(book, candidate),
-        harmed,
-    )
+
+    def __init__(self, book: PoolBook, shares: TeamShares, team: str, now: float, day: float):
+        self.book = book
+        self.now = now
+        self.day = day
+        self.size = _largest(book)
+        self.jobs = [
+            job
+            for job in book.jobs.values()
+            if not job.state.final and not job.spec.lasting and not job.spec.timed
+        ]
+        self.jobs.sort(key=rank)
+        self.teams = _team_room(book, shares, {job.team for job in self.jobs} | {team}, self.size)
+        self.teams[BEHIND] = behind_room(book) / (self.size.cpu_millicores or 1)
+        self.room = _free_room(book, self.size)
+        self.coming = tuple((max(0.0, when - now), PACKED_PART) for when in book.coming)
+        self.rows = [_forecast(book, job, self.size, now) for job in self.jobs]
+        self.ends = self._play(self.rows)
+
+    def predict(self, candidate: Job) -> Prediction:
+        """Predict what accepting a job would mean.
+
+        :param candidate: the job, as it would be added
+        """
+        place = sum(1 for job in self.jobs if rank(job) < rank(candidate))
+        new = _forecast(self.book, candidate, self.size, self.now)
+        after = self._play([*self.rows[:place], new, *self.rows[place:]])
+        end = after.pop(place)
+        harmed = sum(
+            remaining_work(self.book, job)
+            for job, was, becomes in zip(self.jobs, self.ends, after, strict=True)
+            if not job.behind and self.day + was <= job.due_by < self.day + becomes
+        )
+        return Prediction(
+            end,
+            candidate.due_by - self.day,
+            len(candidate.spec.steps),
+            remaining_work(self.book, candidate),
+            harmed,
+        )
+
+    def _play(self, rows: list[ForecastJob]) -> list[float]:
+        return play_forward(rows, self.room, self.teams, self.coming)
 
 
 def least_workers(book: PoolBook) -> int:
@@ -181,11 +193,11 @@
 
 
 def _team_room(
-    book: PoolBook, shares: TeamShares, jobs: Iterable[Job], size: Amount
+    book: PoolBook, shares: TeamShares, teams: Iterable[str], size: Amount
 ) -> dict[str, float]:
     """Return what each team with a limit may take beyond what it runs, in workers."""
     found: dict[str, float] = {}
-    for team in {job.team for job in jobs}:
+    for team in teams:
         cores = shares.available_cores(team)
         if math.isfinite(cores):
             running = book.usage.get(team, Amount()).cpu_millicores / 1000
--- a/limpetpulley/pool/planning.py
+++ b/limpetpulley/pool/planning.py
@@ -83,22 +83,21 @@
         job = book.jobs.get(run.task.job_id)
         unwanted = job is None or not job.wants(run.task)
         if unwanted and run.phase is not RunPhase.STOPPING:
-            stop_run(run, now)
-            orders.append(StopOrder(run.worker_id, run.task, run.number))
+            orders.append(stop_run(run, now))
     for run in broken_gangs(book):
-        stop_run(run, now)
-        orders.append(StopOrder(run.worker_id, run.task, run.number))
+        orders.append(stop_run(run, now))
     for worker in book.workers.values():
         if worker.cordoned or worker.listed.draining:
             orders += _evacuate(book, worker, now, limits)
     return orders
 
 
-def stop_run(run: Run, now: float) -> None:
-    """Mark a run as being stopped."""
+def stop_run(run: Run, now: float) -> StopOrder:
+    """Mark a run as being stopped; return the order."""
     run.phase = RunPhase.STOPPING
     run.settled_at = None
     run.sent_at = now
+    return StopOrder.of(run)
 
 
 def _evacuate(book: PoolBook, worker: Worker, now: float, limits: PlanningLimits) -> list[Order]:
@@ -121,8 +120,7 @@
             continue
         heard_since = now - KNOWN_SECONDS
         if step.may_miss is None or missing(book, job, run.task, heard_since) < step.may_miss:
-            stop_run(run, now)
-            orders.append(StopOrder(run.worker_id, run.task, run.number))
+            orders.append(stop_run(run, now))
     return orders
 
 
@@ -160,11 +158,10 @@
         waited = now - run.sent_at
         if run.phase is RunPhase.STOPPING and waited >= RESEND_STOP_SECONDS:
             run.sent_at = now
-            orders.append(StopOrder(run.worker_id, run.task, run.number))
+            orders.append(StopOrder.of(run))
         elif run.phase is RunPhase.STARTING and waited >= RESEND_START_SECONDS:
             if run.begun_at is None or now - run.begun_at >= GIVE_UP_START_SECONDS:
-                stop_run(run, now)
-                orders.append(StopOrder(run.worker_id, run.task, run.number))
+                orders.append(stop_run(run, now))
             else:
                 run.sent_at = now
                 run.unanswered += 1
@@ -185,9 +182,14 @@
         and unanswered[worker.worker_id] < limits.starts_at_once
     ]
     orders: list[Order] = []
-    for job in sorted((book.jobs[job_id] for job_id in book.ready), key=rank):
+    waiting = sorted((book.jobs[job_id] for job_id in book.ready), key=rank)
+    left = behind_room(book) if any(job.behind for job in waiting) else 0
+    for job in waiting:
         if book.may_start(job):
-            orders += _start_job(book, job, workers, shares, now)
+            starts = _start_job(book, job, workers, shares, now, left if job.behind else math.inf)
+            if job.behind:
+                left -= sum(book.runs[start.task].charge.cpu_millicores for start in starts)
+            orders += starts
     return orders
 
 
@@ -210,12 +212,15 @@
 
 
 def _start_job(
-    book: PoolBook, job: Job, workers: list[Worker], shares: Shares, now: float
-) -> list[Order]:
-    orders: list[Order] = []
+    book: PoolBook, job: Job, workers: list[Worker], shares: Shares, now: float, left: float
+) -> list[StartOrder]:
+    """Start what fits of a job.
+
+    :param left: millicores that it may still take
+    """
+    orders: list[StartOrder] = []
     beside: dict[tuple[int, int], Counter[str]] = {}
     full: set[tuple[int, int]] = set()
-    left = behind_room(book) if job.behind else math.inf
     for task in list(book.ready.get(job.key.job_id, ())):
         place = (task.occurrence, task.step)
         step = job.step_of(task)
@@ -243,7 +248,7 @@
 
 def _start_gang(
     book: PoolBook, job: Job, task: TaskId, workers: list[Worker], shares: Shares, now: float
-) -> list[Order]:
+) -> list[StartOrder]:
     """Start all tasks of a gang under one number, or none."""
     step, tasks = job.step_of(task), gang_tasks(job, task)
     running = book.usage.get(job.team, Amount())
--- a/limpetpulley/pool/tests/test_outlook.py
+++ b/limpetpulley/pool/tests/test_outlook.py
@@ -4,13 +4,12 @@
 
 import pytest
 
-from ...batch import Amount, Job, JobKey, JobSpec, QueueRule, Step
+from ...batch import Amount, Job, JobKey, JobSpec, Step
 from ...quota.shares import TeamShares
 from ...workers import HoldReply, ListedWorker
 from .. import PoolBook
-from ..outlook import predict
+from ..outlook import QueueOutlook
 
-QUEUE = QueueRule("quotes", "", "/", "desk", stretch=2.0, latency_target_seconds=1.0)
 NOW, DAY = 50.0, 1000.0
 
 
@@ -44,7 +43,8 @@
 )
 def test_vms_on_their_way_bring_the_end_nearer(workers, coming, count, end):
     book = make_book(workers, coming)
-    found = predict(book, TeamShares("desk"), QUEUE, make_job(count), NOW, DAY)
+    outlook = QueueOutlook(book, TeamShares("desk"), "", NOW, DAY)
+    found = outlook.predict(make_job(count))
     assert math.isclose(found.end_seconds, end)
 
 
--- a/limpetpulley/reading.py
+++ b/limpetpulley/reading.py
@@ -2,12 +2,25 @@
 
 from __future__ import annotations
 
+import enum
 import json
 from typing import Any
 
+import cattrs
+from cattrs.preconf.json import JsonConverter, make_converter
+
 from .exception import RecordError
 
-__all__ = ["flag", "load", "number", "rows", "text", "whole"]
+__all__ = [
+    "flag",
+    "load",
+    "message_converter",
+    "number",
+    "read_message",
+    "rows",
+    "text",
+    "whole",
+]
 
 
 def load(content: bytes | str) -> dict[str, Any]:
@@ -77,3 +90,26 @@
     if not isinstance(value, list):
         raise RecordError(f"{name} is not a list")
     return value
+
+
+def message_converter(*named: type[enum.Enum]) -> JsonConverter:
+    """Return what turns messages into plain values for JSON and back.
+
+    :param named: enumerations whose members are told by name, in lower case
+    """
+    converter = make_converter()
+    for each in named:
+        converter.register_unstructure_hook(each, lambda member: member.name.lower())
+        converter.register_structure_hook(each, lambda name, wanted: wanted[name.upper()])
+    return converter
+
+
+def read_message(converter: JsonConverter, content: bytes, wanted: Any) -> Any:
+    """Return the message of a type that JSON holds.
+
+    :raises RecordError: if it holds none
+    """
+    try:
+        return converter.structure(json.loads(content), wanted)
+    except (ValueError, KeyError, TypeError, cattrs.BaseValidationError) as error:
+        raise RecordError(f"not a {getattr(wanted, '__name__', wanted)}: {error!r}") from None
--- a/limpetpulley/standin/batchfleet.py
+++ b/limpetpulley/standin/batchfleet.py
@@ -137,7 +137,7 @@
         """Return the live daemon that owns a pool, or None."""
         for name, daemon in self.daemons.items():
             owner = daemon.node.owned.get(pool)
-            if owner is not None and owner.ready.is_set() and not owner.finished.is_set():
+            if owner is not None and owner.serves:
                 return name
         return None
 
--- a/limpetpulley/workers/measured.py
+++ b/limpetpulley/workers/measured.py
@@ -2,51 +2,38 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable
-from typing import Protocol, TypeVar
-
+from ..telemetry import BatchMetrics
 from .orders import PaceOrder, StartOrder, StartReply, StopOrder, WorkerOrders
 from .state import HoldReply, ListedWorker
 
 __all__ = ["MeasuredOrders"]
 
-Result = TypeVar("Result")
 TO = "worker"
 
 
-class Meter(Protocol):
-    """What notes calls and decisions."""
-
-    async def measure(self, to: str, call: str, running: Awaitable[Result]) -> Result:
-        """Return the result of a call, and note its time and whether it failed."""
-
-    def count_event(self, event: str, reason: object) -> None:
-        """Count a decision."""
-
-
 class MeasuredOrders:
     """Passes orders on; notes the time of each but holds, which wait for news."""
 
-    def __init__(self, orders: WorkerOrders, meter: Meter):
+    def __init__(self, orders: WorkerOrders, metrics: BatchMetrics):
         self.orders = orders
-        self.meter = meter
+        self.metrics = metrics
 
     async def start(
         self, worker: ListedWorker, order: StartOrder, token: int, until_seconds: float
     ) -> StartReply:
         """Start a run that may live until a worker time."""
         running = self.orders.start(worker, order, token, until_seconds)
-        reply = await self.meter.measure(TO, "start", running)
-        self.meter.count_event("start-answered", reply.outcome.name.lower().replace("_", "-"))
+        reply = await self.metrics.measure(TO, "start", running)
+        self.metrics.count_event("start-answered", reply.outcome.name.lower().replace("_", "-"))
         return reply
 
     async def stop(self, worker: ListedWorker, order: StopOrder, token: int) -> float:
         """Stop a run; return the worker's time."""
-        return await self.meter.measure(TO, "stop", self.orders.stop(worker, order, token))
+        return await self.metrics.measure(TO, "stop", self.orders.stop(worker, order, token))
 
     async def pace(self, worker: ListedWorker, order: PaceOrder, token: int) -> float:
         """Set a run's speed; return the worker's time."""
-        return await self.meter.measure(TO, "pace", self.orders.pace(worker, order, token))
+        return await self.metrics.measure(TO, "pace", self.orders.pace(worker, order, token))
 
     async def hold(
         self,
--- a/limpetpulley/workers/orders.py
+++ b/limpetpulley/workers/orders.py
@@ -7,7 +7,7 @@
 import attrs
 
 from ..batch import TaskId
-from .state import HoldReply, ListedWorker, StartOutcome
+from .state import HoldReply, ListedWorker, Run, StartOutcome
 
 __all__ = ["PaceOrder", "StartOrder", "StartReply", "StopOrder", "WorkerOrders"]
 
@@ -36,6 +36,11 @@
     task: TaskId
     number: int
 
+    @classmethod
+    def of(cls, run: Run) -> StopOrder:
+        """Return the order to stop a run."""
+        return cls(run.worker_id, run.task, run.number)
+
 
 @attrs.frozen
 class PaceOrder:
--- a/limpetpulley/workers/wire.py
+++ b/limpetpulley/workers/wire.py
@@ -5,12 +5,11 @@
 import json
 from typing import Any, TypeVar
 
-import cattrs
-from cattrs.preconf.json import JsonConverter, make_converter
-
 from ..batch import TaskId
-from ..exception import HttpError, NotOwnerError, RecordError, WorkerError
+from ..exception import NotOwnerError, RecordError, WorkerError
 from ..http_client import HttpAnswer, HttpCaller
+from ..reading import message_converter, read_message
+from .calls import ANSWER_SECONDS, ORDER_SECONDS, post_order
 from .orders import PaceOrder, StartOrder, StartReply, StopOrder
 from .state import HoldReply, ListedWorker, StartOutcome
 
@@ -22,35 +21,17 @@
     "encode_listed",
 ]
 
-#: longest time for a call that does not wait, in seconds; a worker answers within milliseconds
-CALL_SECONDS = 1.0
-#: time for an answer beyond the time that a hold waits, in seconds
-ANSWER_SECONDS = 1.0
 OK, NOT_FOUND, CONFLICT = 200, 404, 409
 Read = TypeVar("Read")
 
 
-def _make_converter() -> JsonConverter:
-    converter = make_converter()
-    converter.register_unstructure_hook(StartOutcome, lambda outcome: outcome.name.lower())
-    converter.register_structure_hook(StartOutcome, lambda name, _: StartOutcome[name.upper()])
-    converter.register_structure_hook(TaskId, lambda row, _: _task(*row))
-    return converter
-
-
 def _task(job_id: str, occurrence: int, step: int, position: int) -> TaskId:
     return TaskId(str(job_id), int(occurrence), int(step), int(position))
 
 
 #: turns messages into plain values for JSON and back
-CONVERTER = _make_converter()
-
-
-def _read(content: bytes, wanted: type[Read]) -> Read:
-    try:
-        return CONVERTER.structure(json.loads(content), wanted)
-    except (ValueError, KeyError, TypeError, cattrs.BaseValidationError) as error:
-        raise RecordError(f"not a {wanted.__name__}: {error!r}") from None
+CONVERTER = message_converter(StartOutcome)
+CONVERTER.register_structure_hook(TaskId, lambda row, _: _task(*row))
 
 
 def encode_listed(worker: ListedWorker) -> bytes:
@@ -63,7 +44,7 @@
 
     :raises RecordError: if the entry is damaged; it then names no worker
     """
-    return _read(value, ListedWorker)
+    return read_message(CONVERTER, value, ListedWorker)
 
 
 class OrderPath:
@@ -130,15 +111,10 @@
         worker: ListedWorker,
         order: str,
         body: dict[str, Any],
-        seconds: float = CALL_SECONDS,
+        seconds: float = ORDER_SECONDS,
     ) -> HttpAnswer:
         path = f"/workers/{worker.worker_id}/{order}"
-        headers = {"Content-Type": "application/json"}
-        content = json.dumps(body, separators=(",", ":")).encode()
-        try:
-            return await self.http.request("POST", worker.address, path, headers, content, seconds)
-        except HttpError as error:
-            raise WorkerError(f"{worker.worker_id}: {error}") from None
+        return await post_order(self.http, worker, path, body, seconds)
 
     def _accept(self, worker: ListedWorker, answer: HttpAnswer, wanted: type[Read]) -> Read:
         if answer.status == CONFLICT:
@@ -146,6 +122,6 @@
         if answer.status != OK:
             raise WorkerError(f"{worker.worker_id}: answered {answer.status}")
         try:
-            return _read(answer.content, wanted)
+            return read_message(CONVERTER, answer.content, wanted)
         except RecordError as error:
             raise WorkerError(f"{worker.worker_id}: {error}") from None
