Settle jobs in doubt that nobody asks for again

Cause: a job whose writes were not answered stayed in the owner's list of doubts for good unless its caller came back. If it was stored, it did not run and was not told of ("does not know the job yet") until the pool changed its owner; if not, its entry was never removed. Ruled out: asking the store by a write, which would run jobs whose callers have gone. Before: the two new cases of test_intake fail (one doubt left after 12 s). Conclusion: doubts are bounded in time.

--- a/limpetpulley/ownership/intake.py
+++ b/limpetpulley/ownership/intake.py
@@ -9,6 +9,8 @@
 import attrs
 
 from ..batch import Job, JobKey, JobSpec, QueueRule
+from ..batch.records import encode_description
+from ..exception import StoreError, StoreUnavailable
 from ..pool import PoolBook
 from ..pool.outlook import QueueOutlook, expected_objective, remaining_work
 from ..quota.shares import TeamShares
@@ -31,6 +33,13 @@
 #: age of the claim's last renewal beyond which, with a write that failed, the store counts as away:
 #: two renewals without an answer
 STORE_AWAY_SECONDS = 0.8
+#: time between two looks at the jobs in doubt, in seconds
+DOUBT_PAUSE_SECONDS = 1.0
+#: time after its last try beyond which a write without an answer is not carried out any more, in
+#: seconds; from the platform's writes, which are late by a few
+LATEST_WRITE_SECONDS = 8.0
+#: most jobs in doubt that one look asks the store for, so that its rate is kept to
+DOUBTS_AT_ONCE = 8
 
 
 @attrs.frozen
@@ -108,6 +117,35 @@
             outcome = self._store(outcome.job, doubtful=True)
         return await self._wait_stored(outcome, wait_seconds)
 
+    async def run_doubts(self) -> None:
+        """Find out what became of jobs in doubt that nobody asks for again, until cancelled."""
+        while True:
+            await anyio.sleep(DOUBT_PAUSE_SECONDS)
+            doubts = [outcome for outcome in self.open.values() if outcome.settled.is_set()]
+            try:
+                for outcome in doubts[:DOUBTS_AT_ONCE]:
+                    await self._settle_doubt(outcome)
+            except (StoreUnavailable, StoreError) as error:
+                self.around.log.write("doubts-left", pool=self.book.pool, reason=str(error))
+
+    async def _settle_doubt(self, outcome: StoreOutcome) -> None:
+        """Take a job into the book if it is stored; forget it once it cannot be stored later."""
+        key = outcome.job.key
+        found = await self.around.store.get(self.around.keys.description(key))
+        age = self.around.clock.now() - outcome.doubted_at
+        if self.open.get(key.job_id) is not outcome:
+            return
+        if found is None and age < LATEST_WRITE_SECONDS:
+            # The next look begins with the others.
+            self.open[key.job_id] = self.open.pop(key.job_id)
+            return
+        outcome.stored = found is not None and found.value == encode_description(outcome.job)
+        self._note_outcome(outcome)
+        self.wake()
+        self.around.log.write(
+            "doubt-settled", job=key.job_id, queue=key.queue, stored=outcome.stored
+        )
+
     def _is_store_away(self) -> bool:
         """Return whether neither a write nor the claim's renewal was answered lately."""
         return self.writer.failing and self.claim_age() > STORE_AWAY_SECONDS
@@ -134,6 +172,7 @@
         """Take a stored job into the book, also when nobody waits for it any more."""
         job = outcome.job
         if outcome.stored is None:
+            outcome.doubted_at = self.around.clock.now()
             return
         self.open.pop(job.key.job_id, None)
         if outcome.stored and job.key.job_id not in self.book.jobs:
--- a/limpetpulley/ownership/owner.py
+++ b/limpetpulley/ownership/owner.py
@@ -101,6 +101,7 @@
                         self.writer.run_flushes,
                         self.keeper.run,
                         self.reporter.run,
+                        self.intake.run_doubts,
                         self.roster.run,
                         self.tickets.run,
                         self._run_plans,
--- a/limpetpulley/ownership/tests/test_intake.py
+++ b/limpetpulley/ownership/tests/test_intake.py
@@ -6,6 +6,7 @@
 from ...batch import JobState
 from ...exception import PeerError, StoreRefused, StoreUnavailable
 from .. import Outcome
+from ..intake import LATEST_WRITE_SECONDS
 from .test_calm_day import NAMES, play, two_steps
 
 JOB_ID = "00000000000000ff"
@@ -138,3 +139,36 @@
         return told
 
     assert play(story) == [Outcome.UNKNOWN, Outcome.ACCEPTED]
+
+
+@pytest.mark.parametrize("carried_out", [True, False])
+def test_a_job_in_doubt_that_nobody_asks_for_again_is_settled(carried_out):
+    async def story(day):
+        owner = day.fleet.owner_of("desk")
+        node = day.fleet.daemons[owner].node
+        intake, writer = node.owned["desk"].intake, node.owned["desk"].writer
+        kept, lost = writer.commit, [True, True]
+
+        async def commit(compares, writes):
+            if not lost:
+                return await kept(compares, writes)
+            if carried_out and len(lost) == 1:
+                await kept(compares, writes)
+            lost.pop()
+            raise StoreUnavailable("no answer")
+
+        writer.commit = commit
+        _, first = await day.submit("desk", two_steps(), at=owner, job_id=JOB_ID)
+        held = len(intake.open)
+        await anyio.sleep(LATEST_WRITE_SECONDS + 4.0)
+        left, queue = len(intake.open), day.fleet.config.queues["desk"]
+        state = await node.service.find(queue, JOB_ID, 3.0)
+        _, again = await day.submit("desk", two_steps(), at=owner, job_id=JOB_ID)
+        await anyio.sleep(3.0)
+        return first.outcome, held, left, state, again.outcome, len(day.fleet.runs)
+
+    first, held, left, state, again, runs = play(story)
+    assert (first, held) == (Outcome.UNKNOWN, 1)
+    assert left == 0
+    assert state is (JobState.COMPLETED if carried_out else None)
+    assert (again, runs) == (Outcome.ACCEPTED, 3)
--- a/limpetpulley/ownership/writer.py
+++ b/limpetpulley/ownership/writer.py
@@ -41,12 +41,14 @@
     :param noted: called when the outcome is known
     :param doubtful: whether a write of it was not answered: it may be stored, or be later
     :param stored: whether it is stored, None if that is not known
+    :param doubted_at: when the last try ended without an answer, by local time
     """
 
     job: Job
     noted: Callable[[StoreOutcome], None] = lambda outcome: None
     doubtful: bool = False
     stored: bool | None = None
+    doubted_at: float = 0.0
     settled: anyio.Event = attrs.field(factory=anyio.Event)
 
     def settle(self, stored: bool | None) -> None:
