--- a/limpetpulley/ownership/service.py
+++ b/limpetpulley/ownership/service.py
@@ -29,7 +29,8 @@
 #: pause between two looks for the pool's owner
 SEARCH_PAUSE_SECONDS = 0.05
 #: longest time after which a call without an answer counts as broken off, and is made again; one
-#: that took longer found an owner that cannot store, in seconds
+#: that took longer found an owner that cannot store, unless the pool has another one by then, in
+#: seconds
 BROKEN_SECONDS = 0.6
 #: shortest time for which an owner that did not answer is asked once more, in seconds
 ASK_AGAIN_SECONDS = 0.25
@@ -99,6 +100,7 @@
         until, unknown = self.around.clock.now() + time_left, False
         while True:
             asked_at = self.around.clock.now()
+            owner = self.directory.owner_of(message.pool)
             try:
                 reply = await self._submit_once(submission, message, until - asked_at)
                 break
@@ -113,7 +115,10 @@
                     reason=str(error),
                     left=round(until - now, 3),
                 )
-            if now - asked_at > BROKEN_SECONDS or until - now < ASK_AGAIN_SECONDS:
+            cannot_store = now - asked_at > BROKEN_SECONDS
+            if cannot_store and self.directory.owner_of(message.pool) != owner:
+                cannot_store = False
+            if cannot_store or until - now < ASK_AGAIN_SECONDS:
                 return SubmitResult(Outcome.UNKNOWN, "owner-silent")
             await anyio.sleep(SEARCH_PAUSE_SECONDS)
         if reply is None and unknown:
--- a/limpetpulley/ownership/tests/test_intake.py
+++ b/limpetpulley/ownership/tests/test_intake.py
@@ -172,3 +172,20 @@
     assert left == 0
     assert state is (JobState.COMPLETED if carried_out else None)
     assert (again, runs) == (Outcome.ACCEPTED, 3)
+
+
+@pytest.mark.parametrize("after", [0.0, 0.3, 0.6, 0.9])
+def test_a_job_handed_in_while_its_owner_is_lost_reaches_the_next_one(after):
+    async def story(day):
+        owner = day.fleet.owner_of("desk")
+        other = next(name for name in NAMES if name != owner)
+        day.fleet.kill(owner)
+        await anyio.sleep(after)
+        _, result = await day.submit("desk", two_steps(), at=other, job_id=JOB_ID)
+        await anyio.sleep(4.0)
+        return result.outcome, await day.states(), len(entries(day))
+
+    outcome, states, stored = play(story)
+    assert outcome is Outcome.ACCEPTED
+    assert list(states.values()) == [JobState.COMPLETED]
+    assert stored == 1
