--- a/limpetpulley/ownership/directory.py
+++ b/limpetpulley/ownership/directory.py
@@ -4,7 +4,7 @@
 
 import json
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 import attrs
 import xxhash
@@ -13,10 +13,20 @@
 from ..exception import RecordError
 from ..store import Event
 
-__all__ = ["Directory", "Member", "Ownership", "choose_claims", "decode_member", "encode_member"]
+__all__ = [
+    "Directory",
+    "Member",
+    "Ownership",
+    "choose_claims",
+    "choose_release",
+    "decode_member",
+    "encode_member",
+]
 
 #: time that a pool may be without an owner before the next daemon in line claims it, in seconds
 PATIENCE_SECONDS = 0.4
+#: claims by which a daemon must pass another one to hand a pool over: fewer would only swap places
+UNEVEN_CLAIMS = 2
 
 
 @attrs.frozen
@@ -124,6 +134,21 @@
     return claims
 
 
+def choose_release(directory: Directory, me: Member, jobs: Mapping[str, int]) -> str | None:
+    """Return the pool that a daemon should hand over, None if the others hold as many.
+
+    Answers daemons that start or come back after the others have claimed everything: one processor
+    then decides for several pools at their peaks while others have nothing to do.
+
+    :param jobs: number of jobs in each pool that may be handed over; the pool with the fewest goes
+    """
+    load = Counter(claim.member for claim in directory.owners.values())
+    fewest = min((load[name] for name in directory.members), default=0)
+    if not jobs or load[me.name] < fewest + UNEVEN_CLAIMS:
+        return None
+    return min(jobs, key=lambda pool: (jobs[pool], pool))
+
+
 def _weight(name: str, pool: str) -> int:
     return xxhash.xxh64_intdigest(f"{name}/{pool}".encode())
 
--- a/limpetpulley/ownership/node.py
+++ b/limpetpulley/ownership/node.py
@@ -15,7 +15,7 @@
 from .around import Around
 from .board import WaveBoard
 from .borrowing import EntryBorrower
-from .directory import Directory, Member, choose_claims
+from .directory import Directory, Member, choose_claims, choose_release
 from .handlers import BatchHandlers
 from .owner import PoolOwner
 from .planner import PLANNER, FleetPlanning
@@ -34,6 +34,9 @@
 #: time in which members make themselves known before pools are claimed for the first time; all
 #: daemons of a deployment start within 0.3 s of each other
 SETTLE_SECONDS = 0.5
+#: time for which another daemon must hold fewer pools before one is handed over, so that claims that
+#: are being made count; and between two that are handed over, in seconds
+UNEVEN_SECONDS = 1.0
 
 
 class BatchNode:
@@ -77,6 +80,8 @@
         )
         self.handlers.store_age = self.session.age
         self.begun_at = around.clock.now()
+        # Since when, by local time, another daemon has held fewer pools.
+        self.uneven_since: float | None = None
         self.leaving = False
         self.look = anyio.Event()
 
@@ -165,6 +170,31 @@
             self.look = anyio.Event()
             if not self.leaving and self._may_claim():
                 await self._claim_open_pools()
+                await self._even_out()
+
+    async def _even_out(self) -> None:
+        """Hand a pool over if this daemon has long held more of them than another one."""
+        now = self.around.clock.now()
+        jobs = {pool: len(owner.book.ready) for pool, owner in self.owned.items() if owner.serves}
+        pool = choose_release(self.directory, self.member, jobs)
+        if pool is None:
+            self.uneven_since = None
+            return
+        if self.uneven_since is None:
+            self.uneven_since = now
+        if now - self.uneven_since < UNEVEN_SECONDS:
+            return
+        self.uneven_since = None
+        owner = self.owned[pool]
+        self.around.log.write("pool-handed-over", pool=pool, token=owner.token, jobs=jobs[pool])
+        with anyio.move_on_after(GIVE_UP_SECONDS):
+            await owner.give_up()
+        owner.stop()
+        try:
+            await self.session.release({self.around.keys.owner(pool): owner.token})
+        except (StoreUnavailable, StoreError) as error:
+            # The claim stands, so this daemon takes the pool over again.
+            self.around.log.write("claims-not-released", reason=str(error))
 
     def _may_claim(self) -> bool:
         settled = self.around.clock.now() - self.begun_at >= SETTLE_SECONDS
