--- a/limpetpulley/ownership/node.py
+++ b/limpetpulley/ownership/node.py
@@ -34,8 +34,8 @@
 #: time in which members make themselves known before pools are claimed for the first time; all
 #: daemons of a deployment start within 0.3 s of each other
 SETTLE_SECONDS = 0.5
-#: time for which another daemon must hold fewer pools before one is handed over, so that claims that
-#: are being made count; and between two that are handed over, in seconds
+#: time for which another daemon must hold fewer pools before one is handed over, so that claims
+#: that are being made count; and between two that are handed over, in seconds
 UNEVEN_SECONDS = 1.0
 
 
