--- a/limpetpulley/api/tests/test_outcomes.py
+++ b/limpetpulley/api/tests/test_outcomes.py
@@ -34,6 +34,7 @@
     "late": (Outcome.REFUSED, 503),
     "harms-others": (Outcome.REFUSED, 503),
     "fits-nowhere": (Outcome.REFUSED, 503),
+    "no-workers": (Outcome.REFUSED, 503),
     "id-in-use": (Outcome.REFUSED, 503),
     "not-stored": (Outcome.REFUSED, 503),
     "store-away": (Outcome.REFUSED, 503),
