Let the part for jobs of steps hear of a configuration that a peer sent

The owner had the job all the time. Ruled out: the records (the job ended and was stored), the owner's removal of old jobs. Before: the new test of the heartbeats hears "node" only; after: what the daemon itself listens to.

--- a/limpetpulley/daemon/heartbeat.py
+++ b/limpetpulley/daemon/heartbeat.py
@@ -47,9 +47,6 @@
     def busy_vms(self) -> list[str]:
         """Return the VMs that run this daemon's jobs."""
 
-    def on_config(self) -> None:
-        """Note that the configuration has changed."""
-
 
 class Heartbeats:
     """Tells every other daemon regularly what it needs to know, and fetches what is missing.
@@ -160,7 +157,8 @@
                 node.replica.apply(record)
             node.replica.advance(reply.revision)
             node.link.config_loaded = True
-            node.on_config()
+            # Whoever uses the configuration hears of it here as from the store.
+            node.link.on_config()
         except (PeerError, ConfigError) as error:
             logging.warning("peers: configuration: %s", error)
         finally:
