--- a/measure/turns.py
+++ b/measure/turns.py
@@ -2,15 +2,20 @@
 
 from __future__ import annotations
 
+import heapq
+import math
 from contextlib import ExitStack
 from unittest.mock import patch
 
 from limpetpulley.batch import Job
-from limpetpulley.ownership.tests.loadplayer import Told, play_load, served
+from limpetpulley.ownership.tests.loadplayer import CAPACITY, POOLS, Told, play_load, served
 from limpetpulley.ownership.tests.test_load import LATE_WORTH, PEAKS, useful
 from limpetpulley.scheduling.backlog import Verdict
 
 SEEDS = (1, 2, 3)
+#: smallest part of a job that the bound tells apart
+SMALLEST_PART = 1 / 64
+ROUNDING_SECONDS = 1e-6
 JUDGE = "limpetpulley.ownership.intake.judge"
 JUDGE_LATE = "limpetpulley.ownership.intake.judge_late"
 RANKS = ("limpetpulley.pool.planning.rank", "limpetpulley.pool.outlook.rank")
@@ -44,13 +49,81 @@
     ]
     print("| way | in time | a late end worth half | of some use | refused |")
     print("|---|---:|---:|---:|---:|")
+    played: dict[bool, list[list[Told]]] = {}
     for name, ways, moves in rows:
         plays = play(ways, moves)
+        played.setdefault(moves, plays)
         figures = [
             sum(figure(told) for told in plays) / len(plays)
             for figure in (served, lambda told: served(told, LATE_WORTH), useful, refused)
         ]
         print(f"| {name} | " + " | ".join(f"{value:.3f}" for value in figures) + " |", flush=True)
+    for moves, plays in played.items():
+        name = "moves that cost nothing" if moves else "no moves"
+        print(f"| bound, all known before, {name} | {bounds(plays, moves):.3f} | | | |")
+
+
+def bound(told: list[Told], worth: dict[str, float], cores: float) -> float:
+    """Return the worth in time that no scheduler can pass.
+
+    It knows all run times and every job to come, pays for no move, and may split and interrupt
+    tasks at will: the jobs of most worth for a core-second go first, each as far as those before
+    still end in time.
+
+    :param worth: the jobs' worth, by identifier
+    :param cores: processors that serve these jobs
+    """
+    taken: list[tuple[float, float, float]] = []
+    good = 0.0
+    for each in sorted(told, key=lambda each: -worth[each.job_id] / each.work):
+        due = each.asked_at + each.objective
+        part, step = 0.0, 1.0
+        while step >= SMALLEST_PART:
+            tried = (each.asked_at, due, (part + step) * each.work)
+            if part + step <= 1.0 and ends_in_time([*taken, tried], cores):
+                part += step
+            step /= 2
+        taken.append((each.asked_at, due, part * each.work))
+        good += part * worth[each.job_id]
+    return good
+
+
+def ends_in_time(rows: list[tuple[float, float, float]], cores: float) -> bool:
+    """Return whether the earliest due first serves all rows of begin, due time and work."""
+    waiting: list[list[float]] = []
+    now, coming = 0.0, sorted(rows)
+    while coming or waiting:
+        if not waiting:
+            now = max(now, coming[0][0])
+        while coming and coming[0][0] <= now:
+            _, due, work = coming.pop(0)
+            heapq.heappush(waiting, [due, work])
+        due, work = waiting[0]
+        until = min(now + work / cores, coming[0][0] if coming else math.inf)
+        if until > due + ROUNDING_SECONDS:
+            return False
+        waiting[0][1] -= (until - now) * cores
+        now = until
+        if waiting[0][1] <= ROUNDING_SECONDS:
+            heapq.heappop(waiting)
+    return True
+
+
+def bounds(plays: list[list[Told]], moves: bool) -> float:
+    """Return the mean bound of some plays."""
+    each = PEAKS.vms * CAPACITY.cpu_millicores / 1000
+    found = []
+    for told in plays:
+        mean = sum(one.work for one in told) / len(told)
+        worth = {one.job_id: min(4.0, 0.3 + 0.7 * one.work / mean) for one in told}
+        if moves:
+            spare = PEAKS.spare * CAPACITY.cpu_millicores / 1000
+            good = bound(told, worth, each * len(POOLS) + spare)
+        else:
+            parts = [[one for one in told if one.pool == pool] for pool in POOLS]
+            good = sum(bound(part, worth, each) for part in parts)
+        found.append(good / sum(worth.values()))
+    return sum(found) / len(found)
 
 
 def refused(told: list[Told]) -> float:
