--- a/limpetpulley/ownership/tests/test_load.py
+++ b/limpetpulley/ownership/tests/test_load.py
@@ -73,6 +73,7 @@
     assert served(told) > served(play_load(PEAKS, seed)) + NOISE
 
 
+@pytest.mark.xdist_group("late")
 def test_late_jobs_behind_the_others_bring_more_than_they_cost(monkeypatch):
     """Played without moves: the pool cannot serve all in time."""
     told = [play_load(PEAKS, seed, moves=False) for seed in MANY_SEEDS]
