Open a watch of the product's own store anew when it has brought nothing for 8 s

The watch's connection had no time limit for reading; the users' platform bounds it by its own waiting time. Before: the new test sees one of two changes; after: both.

--- a/limpetpulley/store/etcd.py
+++ b/limpetpulley/store/etcd.py
@@ -16,6 +16,9 @@
 
 CALL_TIMEOUT_SECONDS = 2.0
 MAX_CONNECTIONS = 8
+#: time after which a watch that has brought nothing is opened anew: its connection may have gone
+#: silent while new ones work, in seconds
+QUIET_SECONDS = 8.0
 
 
 class EtcdStore:
@@ -23,11 +26,15 @@
 
     :param url: base address of the gateway, such as ``http://127.0.0.1:2379``
     :param timeout: longest time for one call, in seconds
+    :param quiet: time after which a watch that has brought nothing is opened anew, in seconds
     """
 
-    def __init__(self, url: str, timeout: float = CALL_TIMEOUT_SECONDS):
+    def __init__(
+        self, url: str, timeout: float = CALL_TIMEOUT_SECONDS, quiet: float = QUIET_SECONDS
+    ):
         self.url = url.rstrip("/")
         self.timeout = timeout
+        self.quiet = quiet
         self.kept = httpcore.AsyncConnectionPool(max_connections=MAX_CONNECTIONS)
         self.fresh = httpcore.AsyncConnectionPool(
             max_connections=MAX_CONNECTIONS, max_keepalive_connections=0
@@ -85,6 +92,22 @@
 
     async def watch(self, prefix: str, after: int) -> AsyncIterator[list[Event]]:
         """Yield the changes under a prefix after a revision, in order."""
+        while True:
+            try:
+                async for events in self._watch_once(prefix, after):
+                    after = max(after, events[-1].revision)
+                    yield events
+                return
+            except httpcore.ReadTimeout:
+                continue
+            except (
+                httpcore.NetworkError,
+                httpcore.ProtocolError,
+                httpcore.TimeoutException,
+            ) as error:
+                raise StoreUnavailable(f"watch ended: {error!r}") from None
+
+    async def _watch_once(self, prefix: str, after: int) -> AsyncIterator[list[Event]]:
         body = {
             "create_request": {
                 "key": _b64(prefix),
@@ -92,21 +115,23 @@
                 "start_revision": str(after + 1),
             }
         }
-        timeout = {"connect": self.timeout, "write": self.timeout, "read": None, "pool": None}
-        try:
-            async with self.fresh.stream(
-                "POST",
-                self.url + "/v3/watch",
-                headers={"content-type": "application/json"},
-                content=json.dumps(body).encode(),
-                extensions={"timeout": timeout},
-            ) as response:
-                async for message in _read_messages(response):
-                    events = _read_events(message)
-                    if events:
-                        yield events
-        except (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException) as error:
-            raise StoreUnavailable(f"watch ended: {error!r}") from None
+        timeout = {
+            "connect": self.timeout,
+            "write": self.timeout,
+            "read": self.quiet,
+            "pool": None,
+        }
+        async with self.fresh.stream(
+            "POST",
+            self.url + "/v3/watch",
+            headers={"content-type": "application/json"},
+            content=json.dumps(body).encode(),
+            extensions={"timeout": timeout},
+        ) as response:
+            async for message in _read_messages(response):
+                events = _read_events(message)
+                if events:
+                    yield events
 
     async def _call(
         self, pool: httpcore.AsyncConnectionPool, path: str, body: dict[str, Any]
--- a/limpetpulley/store/tests/test_etcd.py
+++ b/limpetpulley/store/tests/test_etcd.py
@@ -8,7 +8,7 @@
 from ...api.http import send_bytes
 from ...api.server import HttpServer
 from ...exception import StoreError, StoreUnavailable
-from ...standin import MemoryFleet, PlatformStandin
+from ...standin import FaultProxy, MemoryFleet, PlatformStandin
 from ..etcd import EtcdStore
 from ..memory import MemoryStore
 from ..store import Compare, Delete, Put
@@ -65,6 +65,36 @@
     assert_that(result, Equals([("/a", b"1"), ("/a", b"2"), ("/a", None)]))
 
 
+def test_a_watch_whose_connection_went_silent_is_opened_anew():
+    async def run():
+        async with anyio.create_task_group() as tasks:
+            server = HttpServer(standin(), "127.0.0.1", 0)
+            await tasks.start(server.serve)
+            proxy = FaultProxy(server.port)
+            await tasks.start(proxy.serve)
+            store = EtcdStore(f"http://127.0.0.1:{proxy.port}", timeout=0.5, quiet=0.3)
+            seen = []
+
+            async def watch():
+                async for events in store.watch("a/", 0):
+                    seen.extend(event.key for event in events)
+
+            tasks.start_soon(watch)
+            await store.commit([], [Put("a/1", b"")])
+            await anyio.sleep(0.2)
+            proxy.silence()
+            writer = EtcdStore(f"http://127.0.0.1:{server.port}", timeout=0.5)
+            await writer.commit([], [Put("a/2", b"")])
+            with anyio.move_on_after(3.0):
+                while len(seen) < 2:
+                    await anyio.sleep(0.05)
+            server.stop()
+            tasks.cancel_scope.cancel()
+        return seen
+
+    assert anyio.run(run) == ["a/1", "a/2"]
+
+
 def test_keys_of_a_lapsed_lease_are_gone():
     async def run(store):
         lease = await store.grant_lease(1)
