--- a/limpetpulley/api/server.py
+++ b/limpetpulley/api/server.py
@@ -17,6 +17,8 @@
 HEAD_TIMEOUT_SECONDS = 10.0
 MAX_HEAD_BYTES = 32 * 1024
 KEEP_ALIVE_SECONDS = 30
+#: pause between two looks whether the server has begun to listen, in seconds
+START_POLL_SECONDS = 0.005
 
 
 class GuardedProtocol(HttpToolsProtocol):
@@ -104,7 +106,7 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._run)
             while not self.server.started and not self.server.should_exit:
-                await anyio.sleep(0.005)
+                await anyio.sleep(START_POLL_SECONDS)
             task_status.started()
 
     def stop(self) -> None:
--- a/limpetpulley/daemon/main.py
+++ b/limpetpulley/daemon/main.py
@@ -13,7 +13,7 @@
 from absl import logging
 
 from .. import __version__
-from ..exception import LimpetpulleyError, SettingsError
+from ..exception import LimpetpulleyError, SettingsError, leaves
 from ..settings import Settings, load_settings
 from ..settings.daemon import flag_of, variable_of
 from ..store import EtcdStore
@@ -89,11 +89,3 @@
         for error in leaves(group):
             print(f"limpetpulleyd: {error}", file=sys.stderr)
         sys.exit(EXIT_FAILURE)
-
-
-def leaves(group: BaseExceptionGroup) -> list[BaseException]:
-    """Return the errors of a group and of the groups within it."""
-    found: list[BaseException] = []
-    for error in group.exceptions:
-        found += leaves(error) if isinstance(error, BaseExceptionGroup) else [error]
-    return found
--- a/limpetpulley/daemon/server.py
+++ b/limpetpulley/daemon/server.py
@@ -83,7 +83,7 @@
         handlers.node = self.node
         self._build_steps(store, peer_address, log, metrics)
         self.callers.connect(self.node.jobs, self.node)
-        operators = OperatorsApp(
+        self.operators = OperatorsApp(
             self.node.replica,
             self.node.writer,
             self.node.jobs,
@@ -92,7 +92,6 @@
             settings.operator_key,
             self.node.fleet_report,
         )
-        self.operators = operators
         self.metrics = MetricsApp(metrics)
         self.operators_server = HttpServer(
             self.serve_operator, settings.host, settings.operators_port
--- a/limpetpulley/exception.py
+++ b/limpetpulley/exception.py
@@ -28,6 +28,7 @@
     "NotOwnerError",
     "HttpError",
     "AdviceError",
+    "leaves",
 ]
 
 
@@ -162,3 +163,11 @@
 
 class NotOwnerError(LimpetpulleyError):
     """This daemon does not own the pool, or owns it no longer."""
+
+
+def leaves(group: BaseExceptionGroup) -> list[BaseException]:
+    """Return the errors of a group and of the groups within it."""
+    found: list[BaseException] = []
+    for error in group.exceptions:
+        found += leaves(error) if isinstance(error, BaseExceptionGroup) else [error]
+    return found
--- a/limpetpulley/membership/planner.py
+++ b/limpetpulley/membership/planner.py
@@ -175,11 +175,7 @@
     }
     if not raised:
         return None
-    added = {
-        resource: count - view.excess.get(resource, 0)
-        for resource, count in raised.items()
-        if count > view.excess.get(resource, 0)
-    }
+    added = _beyond_excess(view, raised)
     reached = {resource: limits[resource] for resource in raised}
     return _grant(view, added, {**view.limits, **reached}, view.quarantine)
 
@@ -190,13 +186,17 @@
     freed = _add_up(item.permits for item in view.quarantine if item.serial in released)
     left = tuple(item for item in view.quarantine if item.serial not in released)
     shadows = tuple(item for item in view.shadows if item.serial not in released)
-    # What was in use beyond a limit when the epoch opened may still be.
-    added = {
+    added = _beyond_excess(view, freed)
+    return attrs.evolve(_grant(view, added, view.limits, left), shadows=shadows)
+
+
+def _beyond_excess(view: View, counts: Mapping[str, int]) -> dict[str, int]:
+    """Return permits without those that were in use beyond a limit when the epoch opened."""
+    return {
         resource: count - view.excess.get(resource, 0)
-        for resource, count in freed.items()
+        for resource, count in counts.items()
         if count > view.excess.get(resource, 0)
     }
-    return attrs.evolve(_grant(view, added, view.limits, left), shadows=shadows)
 
 
 def _grant(
--- a/limpetpulley/ownership/owner.py
+++ b/limpetpulley/ownership/owner.py
@@ -10,7 +10,7 @@
 from ..batch import Job, JobKey, JobState
 from ..batch.keys import SHARDS
 from ..batch.records import RosterEntry, decode_job, decode_roster, pool_of
-from ..exception import NotOwnerError, RecordError, StoreError, StoreUnavailable
+from ..exception import NotOwnerError, RecordError, StoreError, StoreUnavailable, leaves
 from ..peer import batch_pb2 as pb
 from ..pool import Change, PlanningLimits, PoolBook, plan_orders
 from ..quota.shares import TeamShares
@@ -114,10 +114,10 @@
                     self.follow_workers()
         except* NotOwnerError as group:
             self.around.log.write(
-                "owner-deposed", pool=self.pool, token=self.token, reason=_first_reason(group)
+                "owner-deposed", pool=self.pool, token=self.token, reason=str(leaves(group)[0])
             )
         except* (StoreError, StoreUnavailable) as group:
-            self.around.log.write("takeover-failed", pool=self.pool, reason=_first_reason(group))
+            self.around.log.write("takeover-failed", pool=self.pool, reason=str(leaves(group)[0]))
         finally:
             self.finished.set()
 
@@ -351,11 +351,3 @@
         if change.task is not None:
             fields |= {"task": ".".join(map(str, change.task)), "run": change.number}
         self.around.log.write(change.what, **fields, detail=change.detail)
-
-
-def _first_reason(group: BaseExceptionGroup) -> str:
-    """Return the message of the first error of a group, which may hold groups."""
-    found: BaseException = group
-    while isinstance(found, BaseExceptionGroup):
-        found = found.exceptions[0]
-    return str(found)
--- a/limpetpulley/ownership/service.py
+++ b/limpetpulley/ownership/service.py
@@ -115,9 +115,8 @@
                     reason=str(error),
                     left=round(until - now, 3),
                 )
-            cannot_store = now - asked_at > BROKEN_SECONDS
-            if cannot_store and self.directory.owner_of(message.pool) != owner:
-                cannot_store = False
+            same = self.directory.owner_of(message.pool) == owner
+            cannot_store = same and now - asked_at > BROKEN_SECONDS
             if cannot_store or until - now < ASK_AGAIN_SECONDS:
                 return SubmitResult(Outcome.UNKNOWN, "owner-silent")
             await anyio.sleep(SEARCH_PAUSE_SECONDS)
