Ask for all VMs of a peak at once, by what is handed in, and order them side by side

Six moves a pool and look, one order awaited after the other with a store write between them, plans made anew each look, and a need that was read off tasks that already waited.

A pool keeps one VM more than its lasting tasks need only while one of its own is due for maintenance: the lease of a lost worker's tasks (4.2 s) is longer than a VM's way.

With it, since it stands in the same files: a cancel that is asked for again is acknowledged only once it is stored.

--- a/limpetpulley/fleet/upkeep.py
+++ b/limpetpulley/fleet/upkeep.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Container
 
 import attrs
 
@@ -73,6 +74,7 @@
     now: float,
     day: float,
     seconds: float,
+    needed: Container[str] = frozenset(),
 ) -> set[str]:
     """Return the VMs of a wave that should be emptied and then maintained.
 
@@ -83,6 +85,8 @@
     :param now: local time
     :param day: time of day, in seconds since 1970
     :param seconds: time that maintenance takes
+    :param needed: VMs of pools that are off which are about to join a pool that lacks some; they
+        wait while there is time
     """
     away = wave.away(vms, now, seconds)
     left = [vm for vm in wave.left(vms) if vm not in away and vms[vm].phase is Phase.UP]
@@ -102,7 +106,7 @@
             break
         pool = vms[vm].pool
         load = loads.get(pool)
-        if vm in chosen:
+        if vm in chosen or (vm in needed and not hurry):
             continue
         if load is not None and load.vms:
             most = max(1, int(load.vms * POOL_PART))
--- a/limpetpulley/fleet/vms.py
+++ b/limpetpulley/fleet/vms.py
@@ -20,13 +20,14 @@
 
 
 class OrderOutcome(enum.Enum):
-    """What the platform says to an order for a VM."""
+    """What the platform says to an order for a VM; ``TOO_MANY`` is for the rate of orders."""
 
     DONE = enum.auto()
     BUSY = enum.auto()
     STALE_HOLDER = enum.auto()
     NOT_IN_WAVE = enum.auto()
     REFUSED = enum.auto()
+    TOO_MANY = enum.auto()
 
 
 @attrs.frozen
--- a/limpetpulley/ownership/around.py
+++ b/limpetpulley/ownership/around.py
@@ -29,6 +29,7 @@
     :param maintenance: time that a VM's maintenance takes
     :param holder_lease: time in which two holders must not give orders for VMs in turn
     :param grace: time between the order to stop and the end of a process
+    :param vm_orders_per_second: orders for VMs that the platform takes from all daemons
     """
 
     longest_hold: float = 10.0
@@ -38,6 +39,7 @@
     maintenance: float = 2.0
     holder_lease: float = 3.0
     grace: float = 6.0
+    vm_orders_per_second: float = 64.0
 
 
 @attrs.define
--- a/limpetpulley/ownership/intake.py
+++ b/limpetpulley/ownership/intake.py
@@ -14,6 +14,7 @@
 from ..pool import PoolBook
 from ..pool.outlook import QueueOutlook, expected_objective, remaining_work
 from ..quota.shares import TeamShares
+from ..scheduling.arrivals import ArrivingWork
 from ..scheduling.backlog import (
     LONGEST_RETRY_SECONDS,
     USEFUL_FACTOR,
@@ -33,6 +34,8 @@
 #: age of the claim's last renewal beyond which, with a write that failed, the store counts as away:
 #: two renewals without an answer
 STORE_AWAY_SECONDS = 0.8
+#: reason of a job that no worker can hold
+FITS_NOWHERE = "fits-nowhere"
 #: time between two looks at the jobs in doubt, in seconds
 DOUBT_PAUSE_SECONDS = 1.0
 #: time after its last try beyond which a write without an answer is not carried out any more, in
@@ -61,6 +64,7 @@
     """Accepts or refuses the jobs of one pool.
 
     :param refused: notes the work that was refused
+    :param arriving: notes the work that is handed in
     :param wake: called when a job was accepted
     :param claim_age: returns the time since the owner's claim was last renewed, in seconds
     """
@@ -72,6 +76,7 @@
         shares: TeamShares,
         writer: OwnerWriter,
         refused: RefusedWork,
+        arriving: ArrivingWork,
         wake: Callable[[], None],
         claim_age: Callable[[], float],
     ):
@@ -81,6 +86,7 @@
         self.shares = shares
         self.writer = writer
         self.refused = refused
+        self.arriving = arriving
         self.wake = wake
         # Accepted jobs that are being stored, or of which it is not known whether they are. Asked
         # for again, such a job is neither decided about anew nor refused: it may be stored.
@@ -104,11 +110,13 @@
             return verdict
         if outcome is None:
             job = self._make_job(key, submission)
+            work, now = remaining_work(self.book, job), self.around.clock.now()
             verdict = self.assess(job, submission)
             self._log_verdict(submission, verdict)
+            if not (job.spec.lasting or job.spec.timed or verdict.reason == FITS_NOWHERE):
+                self.arriving.note(now, submission.job_id, work, self._slack(job))
             if not verdict.accepted:
-                work = remaining_work(self.book, job)
-                self.refused.note(self.around.clock.now(), submission.job_id, work)
+                self.refused.note(now, submission.job_id, work)
                 return verdict
             outcome = self._store(job)
         elif outcome.job.key != key:
@@ -184,7 +192,7 @@
         if not workers:
             return Verdict(False, retry_seconds=FAILURE_RETRY_SECONDS, reason="no-workers")
         if not all(fits_empty(step, workers) for step in job.spec.steps):
-            return Verdict(False, retry_seconds=LONGEST_RETRY_SECONDS, reason="fits-nowhere")
+            return Verdict(False, retry_seconds=LONGEST_RETRY_SECONDS, reason=FITS_NOWHERE)
         if job.spec.lasting or job.spec.timed:
             return Verdict(True)
         now, day = self.around.clock.now(), self.around.day()
@@ -223,6 +231,11 @@
             due_by=round(day - submission.elapsed_seconds + objective, 3),
         )
 
+    def _slack(self, job: Job) -> float:
+        """Return the time that a new job may wait and still end in time, in seconds."""
+        chain = job.spec.chain_seconds(self.book.times.expect(job.key.queue, job.spec))
+        return job.due_by - self.around.day() - chain
+
     def _log_verdict(self, submission: Submission, verdict: Verdict) -> None:
         self.around.log.write(
             "job-accepted" if verdict.accepted else "job-refused",
--- a/limpetpulley/ownership/listing.py
+++ b/limpetpulley/ownership/listing.py
@@ -13,8 +13,9 @@
 
 __all__ = ["WorkerListing"]
 
-#: time between two looks at the workers' entries, which change with every heartbeat, for a daemon
-#: that owns a pool and for one that does not, in seconds
+#: time between two looks at the workers' entries, which change with every heartbeat, in seconds:
+#: for a daemon whose pool expects VMs, for one that owns a pool, and for one that does not
+EXPECTING_GAP_SECONDS = 0.1
 OWNER_GAP_SECONDS = 0.3
 IDLE_GAP_SECONDS = 2.0
 
@@ -45,10 +46,15 @@
             prefix,
             clock,
             self._changed,
-            gap=lambda: OWNER_GAP_SECONDS if node.owned else IDLE_GAP_SECONDS,
+            gap=self._gap,
         )
         node.mirrors[prefix] = self.mirror
 
+    def _gap(self) -> float:
+        if any(owner.book.coming for owner in self.node.owned.values()):
+            return EXPECTING_GAP_SECONDS
+        return OWNER_GAP_SECONDS if self.node.owned else IDLE_GAP_SECONDS
+
     def _changed(self, events: list[Event]) -> None:
         for event in events:
             worker_id = event.key.removeprefix(self.mirror.prefix)
--- a/limpetpulley/ownership/owner.py
+++ b/limpetpulley/ownership/owner.py
@@ -14,6 +14,7 @@
 from ..peer import batch_pb2 as pb
 from ..pool import Change, PlanningLimits, PoolBook, plan_orders
 from ..quota.shares import TeamShares
+from ..scheduling.arrivals import ArrivingWork
 from ..scheduling.backlog import Verdict
 from ..scheduling.pacing import pace_fillers
 from ..store import Compare, Event
@@ -74,14 +75,22 @@
         self.shares = TeamShares(pool)
         self.keeper = ShareKeeper(around, self.book, self.shares, self.writer)
         self.refused = RefusedWork()
+        self.arriving = ArrivingWork()
         self.intake = Intake(
-            around, self.book, self.shares, self.writer, self.refused, self.wake, claim_age
+            around,
+            self.book,
+            self.shares,
+            self.writer,
+            self.refused,
+            self.arriving,
+            self.wake,
+            claim_age,
         )
         self.tickets = TicketKeeper(around, self.book, self.wake)
         self.agents: dict[str, WorkerAgent] = {}
         self.roster = RosterKeeper(around, self.book, self.writer, self.wake)
         self.reporter = PoolReporter(
-            around, self.book, self.refused, self.roster, ask_planner, self.wake
+            around, self.book, self.refused, self.arriving, self.roster, ask_planner, self.wake
         )
         self.dirty = anyio.Event()
         self.progress_event = anyio.Event()
@@ -233,7 +242,8 @@
         if self.book.cancel(job, self.around.day()):
             self.around.log.write("job-cancelled", job=key.job_id, queue=key.queue)
             self.wake()
-            await self.writer.wait_stored(job)
+        # Asked for again, the first call's change may not be stored yet.
+        await self.writer.wait_stored(job)
         return job.state
 
     def find(self, key: JobKey) -> Job | None:
--- a/limpetpulley/ownership/planner.py
+++ b/limpetpulley/ownership/planner.py
@@ -2,14 +2,18 @@
 
 from __future__ import annotations
 
+import enum
 import json
-from collections.abc import Callable
+from collections import Counter
+from collections.abc import Callable, Container
 
 import anyio
+import anyio.abc
 import attrs
 
 from ..exception import PlatformError, StoreError, StoreUnavailable
-from ..fleet.demand import PoolLoad, PoolMoves, choose_moves
+from ..fleet.demand import FleetPlan, PoolLoad, PoolMoves, choose_leaving, plan_pools
+from ..fleet.pace import OrderPace
 from ..fleet.upkeep import WaveProgress, choose_upkeep, is_finished
 from ..fleet.vms import FleetVm, OrderOutcome, Phase, VmOrders, WaveOrder
 from ..peer import batch_pb2 as pb
@@ -22,8 +26,16 @@
 
 #: name under which the planner's claim stands among the pools' owners
 PLANNER = "@planner"
-#: time between two looks, in seconds
-LOOK_SECONDS = 0.25
+#: time between two looks, in seconds: while VMs should change their place, and otherwise
+SOON_SECONDS = 0.1
+LOOK_SECONDS = 0.2
+#: pause before an order without an answer is given again, in seconds
+REPEAT_SECONDS = 0.3
+#: pause between two writes of the waves' progress, in seconds
+STORE_GAP_SECONDS = 0.2
+#: why a VM is emptied: it is to be maintained in a wave, whose name follows, or leaves its pool
+WAVE = "wave"
+LEAVING = "move"
 #: part of the claim's lease after whose last renewal no more orders are given: another holder may
 #: begin when it has lapsed
 CLAIM_PART = 0.8
@@ -50,6 +62,25 @@
 class _Report:
     message: pb.PoolReport
     at: float
+    rows: dict[str, pb.WorkerReport]
+
+
+class _Urgency(enum.IntEnum):
+    """Which orders go first when not all can be given at once."""
+
+    LACKING = enum.auto()
+    UPKEEP = enum.auto()
+    NEEDLESS = enum.auto()
+
+
+@attrs.frozen
+class _VmOrder:
+    """A VM that is to be maintained in a wave, or to be moved to a target pool."""
+
+    vm: FleetVm
+    urgency: _Urgency
+    target: str = ""
+    wave: str = ""
 
 
 class FleetPlanning:
@@ -82,7 +113,15 @@
         self.emptying: dict[str, str] = {}
         # When the owner was told to empty a VM, by local time.
         self.told: dict[str, float] = {}
+        # Target and latest arrival of VMs that were moved, by local time.
         self.moving: dict[str, tuple[str, float]] = {}
+        # VMs whose maintenance was ordered, until the list must show it, by local time.
+        self.begun: dict[str, float] = {}
+        # VMs about which an order is being given.
+        self.ordering: set[str] = set()
+        self.pace = OrderPace(around.timing.vm_orders_per_second)
+        # Waves whose progress is not stored yet.
+        self.unstored: set[str] = set()
         self.memory = PoolMoves()
         # Workers whose VM was ordered away, and until when they take no runs for that, by local
         # time. An order that was carried out before is confirmed though the worker stays.
@@ -96,19 +135,34 @@
         """Plan until cancelled."""
         # An earlier holder may have ordered a moment ago; holders do not take turns.
         await anyio.sleep(self.around.timing.holder_lease)
+        async with anyio.create_task_group() as self.tasks:
+            self.tasks.start_soon(self._store_waves)
+            while True:
+                try:
+                    await self._look()
+                except PlatformError as error:
+                    self.around.log.write("vms-unknown", reason=str(error))
+                except (StoreUnavailable, StoreError) as error:
+                    self.around.log.write("wave-not-stored", reason=str(error))
+                await anyio.sleep(SOON_SECONDS if self.emptying or self.moving else LOOK_SECONDS)
+
+    async def _store_waves(self) -> None:
+        """Store the progress of waves, that of orders which come together at once."""
         while True:
-            try:
-                await self._look()
-            except PlatformError as error:
-                self.around.log.write("vms-unknown", reason=str(error))
-            except (StoreUnavailable, StoreError) as error:
-                self.around.log.write("wave-not-stored", reason=str(error))
-            await anyio.sleep(LOOK_SECONDS)
+            await anyio.sleep(STORE_GAP_SECONDS)
+            names, self.unstored = self.unstored, set()
+            for name in names:
+                try:
+                    await self._store_wave(self.waves[name])
+                except (StoreUnavailable, StoreError) as error:
+                    self.unstored.add(name)
+                    self.around.log.write("wave-not-stored", wave=name, reason=str(error))
 
     def take_report(self, message: pb.PoolReport) -> pb.PoolPlan:
         """Take a pool's report; return which of its VMs are to be emptied."""
-        self.reports[message.pool] = _Report(message, self.around.clock.now())
-        mine = {row.worker for row in message.workers}
+        rows = {row.worker: row for row in message.workers}
+        self.reports[message.pool] = _Report(message, self.around.clock.now(), rows)
+        mine = rows.keys()
         for row in message.workers:
             self.seen.setdefault(row.worker, self.around.clock.now())
         ended = {row.worker for row in message.workers if self._has_ended(row.worker, row.vm)}
@@ -152,91 +206,119 @@
 
     async def _look(self) -> None:
         now = self.around.clock.now()
-        self.vms = {vm.name: vm for vm in await self.orders.list_vms()}
-        self.listed_at = now
+        vms = {vm.name: vm for vm in await self.orders.list_vms()}
+        self.vms, self.listed_at = vms, now
         if not self.memory.homes:
             await self._read_homes()
         self._settle_moves(now)
         loads = self._loads(now)
-        self._log_loads(loads, now)
+        plan = plan_pools(loads, self._coming(), self.memory, now)
+        self._log_loads(loads, plan, now)
         await self._follow_waves()
-        wanted: dict[str, str] = {}
-        seconds = self.around.timing.maintenance + RETURN_SECONDS
-        for wave in self.waves.values():
-            if not wave.completed:
-                reason = f"wave {wave.order.name}"
-                begun = {vm for vm, why in self.emptying.items() if why == reason}
-                day = self.around.day()
-                chosen = choose_upkeep(
-                    wave, self.vms, loads, set(self.emptying), begun, now, day, seconds
-                )
-                wanted |= dict.fromkeys(chosen, reason)
-        for vm, target in self._choose_moves(loads, now).items():
-            wanted.setdefault(vm, f"move {target}")
+        wanted = self._choose_upkeep(loads, sum(plan.lacking.values()), now)
+        wanted |= self._choose_leaving(plan, wanted)
+        wanted |= {vm: why for vm, why in self.emptying.items() if vm in self.ordering}
         self._set_emptying(wanted)
-        await self._give_orders(now)
+        self._give_orders(plan, now)
+
+    def _free(self) -> list[FleetVm]:
+        """Return the VMs that are up and about which no order was given."""
+        return [
+            vm
+            for vm in self.vms.values()
+            if vm.phase is Phase.UP
+            and not any(vm.name in away for away in (self.moving, self.begun, self.ordering))
+        ]
 
     def _loads(self, now: float) -> dict[str, PoolLoad]:
         config = self.around.config
         if config is None:
             return {}
+        upkeep = {vm for vm, why in self.emptying.items() if why != LEAVING}
+        due = [vm for wave in self.waves.values() for vm in wave.left(self.vms)]
+        maintained = {self.vms[name].pool for name in [*due, *upkeep] if name in self.vms}
+        here: dict[str, list[FleetVm]] = {}
+        for vm in self._free():
+            if vm.name not in upkeep:
+                here.setdefault(vm.pool, []).append(vm)
         loads = {}
         for pool, rule in config.pools.items():
             report = self.reports.get(pool)
             if rule.standby or report is None or now - report.at > REPORT_SECONDS:
                 continue
-            told = report.message
-            vms = [vm for vm in self.vms.values() if vm.pool == pool and vm.phase is Phase.UP]
+            told, vms = report.message, here.get(pool, [])
+            # A pool without VMs gets some of the size that the others have.
+            sizes = [vm.cores for vm in vms or self.vms.values()]
             loads[pool] = PoolLoad(
-                sum(vm.cores for vm in vms) / max(1, len(vms)),
+                sum(sizes) / max(1, len(sizes)),
                 told.running_cores,
                 told.waiting_core_seconds,
                 told.ready_cores,
                 told.refused_core_seconds,
                 len(vms),
-                told.least_workers,
+                # Tasks that last leave a VM for maintenance only if there is another one for them.
+                told.least_workers + (pool in maintained),
+                told.lasting_cores,
+                told.arriving_cores,
             )
         return loads
 
-    def _choose_moves(self, loads: dict[str, PoolLoad], now: float) -> dict[str, str]:
-        """Return target pool by VM, those that are on their way to be moved included."""
-        config = self.around.config
-        assert config is not None
-        due = {vm for wave in self.waves.values() for vm in wave.left(self.vms)}
-        kept = {
-            vm: why.removeprefix("move ")
-            for vm, why in self.emptying.items()
-            if why.startswith("move ") and vm in self.vms and self.vms[vm].phase is Phase.UP
-        }
-        free = [
-            vm for vm in self.vms.values() if vm.phase is Phase.UP and vm.name not in self.emptying
+    def _coming(self) -> dict[str, int]:
+        """Return how many VMs are on their way to each pool, after a move or maintenance."""
+        back = [
+            vm.pool
+            for vm in self.vms.values()
+            if vm.phase is Phase.MAINTENANCE or vm.name in self.begun
         ]
-        idle = {
-            pool: sum(1 for vm in free if vm.pool == pool and vm.name not in due)
-            for pool, rule in config.pools.items()
-            if rule.standby
-        }
-        coming: dict[str, int] = {}
-        back = [vm.pool for vm in self.vms.values() if vm.phase is Phase.MAINTENANCE]
-        under_way = [target for target, _ in self.moving.values()]
-        for target in [*kept.values(), *under_way, *back]:
-            coming[target] = coming.get(target, 0) + 1
-        leaving: dict[str, int] = {}
-        for name in self.emptying:
-            if name in self.vms:
-                leaving[self.vms[name].pool] = leaving.get(self.vms[name].pool, 0) + 1
-        for move in choose_moves(loads, idle, coming, leaving, self.memory, now):
-            leaves_off = config.pools[move.source].standby
-            candidates = [
-                vm for vm in free if vm.pool == move.source and not (leaves_off and vm.name in due)
-            ]
-            candidates.sort(key=self._use)
-            for vm in candidates[: move.count]:
-                kept[vm.name] = move.target
-                self.around.log.write(
-                    "move-planned", vm=vm.name, source=move.source, target=move.target
-                )
-        return kept
+        return dict(Counter([target for target, _ in self.moving.values()] + back))
+
+    def _choose_upkeep(
+        self, loads: dict[str, PoolLoad], lacking: int, now: float
+    ) -> dict[str, str]:
+        """Return the VMs to be emptied for maintenance, with the wave as the reason.
+
+        :param lacking: VMs that pools lack now
+        """
+        wanted: dict[str, str] = {}
+        free = {vm.name for vm in self._free()}
+        off = [vm for vm in self._free() if self._is_off(vm.pool)]
+        due = {vm for wave in self.waves.values() for vm in wave.left(self.vms)}
+        needed = {vm.name for vm in sorted(off, key=lambda vm: vm.name in due)[:lacking]}
+        for wave in self.waves.values():
+            if wave.completed:
+                continue
+            reason = f"{WAVE} {wave.order.name}"
+            begun = {vm for vm, why in self.emptying.items() if why == reason}
+            chosen = choose_upkeep(
+                wave,
+                self.vms,
+                loads,
+                set(self.emptying),
+                begun,
+                now,
+                self.around.day(),
+                self.around.timing.maintenance + RETURN_SECONDS,
+                needed,
+            )
+            wanted |= dict.fromkeys(chosen & free, reason)
+        return wanted
+
+    def _choose_leaving(self, plan: FleetPlan, upkeep: Container[str]) -> dict[str, str]:
+        """Return the VMs to be emptied because they leave their pool."""
+        free = [vm for vm in self._free() if vm.name not in upkeep]
+        off = sum(1 for vm in free if self._is_off(vm.pool))
+        wanted: dict[str, str] = {}
+        for pool, count in choose_leaving(plan, off).items():
+            vms = [vm for vm in free if vm.pool == pool]
+            # Those that are being emptied go on, as long as their pool can spare them.
+            vms.sort(key=lambda vm: (vm.name not in self.emptying, *self._use(vm)))
+            wanted |= dict.fromkeys((vm.name for vm in vms[:count]), LEAVING)
+        return wanted
+
+    def _is_off(self, pool: str) -> bool:
+        config = self.around.config
+        rule = config.pools.get(pool) if config else None
+        return rule is not None and rule.standby
 
     def _use(self, vm: FleetVm) -> tuple:
         told = self._row(vm)
@@ -244,8 +326,7 @@
 
     def _row(self, vm: FleetVm) -> pb.WorkerReport | None:
         report = self.reports.get(vm.pool)
-        rows = report.message.workers if report else ()
-        return next((row for row in rows if row.worker == vm.worker_id), None)
+        return report.rows.get(vm.worker_id) if report else None
 
     def _is_empty(self, vm: FleetVm, now: float) -> bool:
         if not vm.worker_id:
@@ -265,48 +346,119 @@
         self.emptying = wanted
         self.told = {vm: at for vm, at in self.told.items() if vm in wanted}
 
-    async def _give_orders(self, now: float) -> None:
-        if self.claim_age() > LEASE_SECONDS * CLAIM_PART:
+    def _may_order(self) -> bool:
+        return self.claim_age() <= LEASE_SECONDS * CLAIM_PART
+
+    def _give_orders(self, plan: FleetPlan, now: float) -> None:
+        """Order what can be ordered now, what is worth most first."""
+        if not self._may_order():
             self.around.log.write("orders-withheld", age=round(self.claim_age(), 2))
             return
-        for name, why in list(self.emptying.items()):
+        orders = self._upkeep_orders(now) + self._move_orders(plan, now)
+        orders.sort(key=lambda order: order.urgency)
+        given = self.pace.take(len(orders), now)
+        for order in orders[:given]:
+            self.ordering.add(order.vm.name)
+            self.tasks.start_soon(self._carry_out, order)
+        if given < len(orders):
+            self.around.log.write("orders-put-off", orders=len(orders) - given)
+
+    def _upkeep_orders(self, now: float) -> list[_VmOrder]:
+        orders = []
+        for name, why in self.emptying.items():
+            what, _, wave = why.partition(" ")
             vm = self.vms.get(name)
-            if vm is None or vm.phase is not Phase.UP or not self._is_empty(vm, now):
-                continue
-            what, _, target = why.partition(" ")
-            if what == "wave":
-                await self._maintain(vm, self.waves[target])
-            else:
-                await self._move(vm, target)
+            if what == WAVE and vm is not None and self._is_empty(vm, now):
+                orders.append(_VmOrder(vm, _Urgency.UPKEEP, wave=wave))
+        return orders
 
-    async def _maintain(self, vm: FleetVm, wave: WaveProgress) -> None:
-        now = self.around.clock.now()
-        away = wave.away(self.vms, now, self.around.timing.maintenance + RETURN_SECONDS)
-        if len(away - {vm.name}) >= wave.order.at_once:
-            return
-        wave.ordered[vm.name] = self.around.clock.now()
-        self.ended[vm.worker_id] = self.around.clock.now() + RETIRE_SECONDS
-        outcome = await self.orders.maintain(vm.name, wave.order.name, self.holder, self.token)
-        self._log_order("vm-maintained", vm, wave.order.name, outcome)
-        if outcome in (OrderOutcome.DONE, OrderOutcome.NOT_IN_WAVE):
-            self.emptying.pop(vm.name, None)
-            wave.done.add(vm.name)
-            await self._store_wave(wave)
-        else:
-            wave.ordered.pop(vm.name)
-            self.ended.pop(vm.worker_id, None)
+    def _move_orders(self, plan: FleetPlan, now: float) -> list[_VmOrder]:
+        """Return the moves of VMs that can go at once.
 
-    async def _move(self, vm: FleetVm, target: str) -> None:
-        self.ended[vm.worker_id] = self.around.clock.now() + RETIRE_SECONDS
-        outcome = await self.orders.move(vm.name, target, self.holder, self.token)
-        self._log_order("vm-moved", vm, target, outcome)
-        if outcome is not OrderOutcome.DONE:
+        VMs that leave their pool anyway go to the pools that lack some, then those of pools that
+        are off, and of these first the ones that need no maintenance soon.
+        """
+        free = [vm for vm in self._free() if self.emptying.get(vm.name, LEAVING) == LEAVING]
+        due = {vm for wave in self.waves.values() for vm in wave.left(self.vms)}
+        empty = [vm for vm in free if vm.name in self.emptying and self._is_empty(vm, now)]
+        off = [vm for vm in free if self._is_off(vm.pool)]
+        off.sort(key=lambda vm: vm.name in due)
+        ready = empty + off
+        orders = []
+        for pool, count in plan.lacking.items():
+            for vm in ready[:count]:
+                orders.append(_VmOrder(vm, _Urgency.LACKING, target=pool))
+            del ready[:count]
+        pools = self.around.config.pools if self.around.config else ()
+        away = next((pool for pool in pools if self._is_off(pool)), None)
+        left = dict(plan.needless)
+        for vm in ready:
+            if away is not None and left.get(vm.pool, 0) > 0 and not self._is_off(vm.pool):
+                left[vm.pool] -= 1
+                orders.append(_VmOrder(vm, _Urgency.NEEDLESS, target=away))
+        return orders
+
+    async def _carry_out(self, order: _VmOrder) -> None:
+        """Give an order until it is answered; its VM counts as away until then."""
+        vm = order.vm
+        try:
+            while self._is_due(order):
+                self.ended[vm.worker_id] = self.around.clock.now() + RETIRE_SECONDS
+                try:
+                    outcome = await self._give(order)
+                except PlatformError as error:
+                    # It may have been carried out, or may be later: the same one is given again.
+                    self.around.log.write("vm-order-unanswered", vm=vm.name, reason=str(error))
+                    await anyio.sleep(REPEAT_SECONDS)
+                    continue
+                self._note_outcome(order, outcome)
+                return
+            self.around.log.write("vm-order-given-up", vm=vm.name, target=order.target)
+        finally:
+            self.ordering.discard(vm.name)
+
+    def _is_due(self, order: _VmOrder) -> bool:
+        """Return whether an order may be sent right now."""
+        now = self.around.clock.now()
+        if not self._may_order():
+            return False
+        if order.wave:
+            wave = self.waves[order.wave]
+            away = wave.away(self.vms, now, self.around.timing.maintenance + RETURN_SECONDS)
+            if len(away - {order.vm.name}) >= wave.order.at_once:
+                return False
+            wave.ordered[order.vm.name] = now
+        listed = self.vms.get(order.vm.name)
+        unchanged = listed is not None and listed.worker_id == order.vm.worker_id
+        return not unchanged or self._is_empty(order.vm, now)
+
+    async def _give(self, order: _VmOrder) -> OrderOutcome:
+        if order.wave:
+            return await self.orders.maintain(order.vm.name, order.wave, self.holder, self.token)
+        return await self.orders.move(order.vm.name, order.target, self.holder, self.token)
+
+    def _note_outcome(self, order: _VmOrder, outcome: OrderOutcome) -> None:
+        vm, now = order.vm, self.around.clock.now()
+        done = outcome is OrderOutcome.DONE
+        event = "vm-maintained" if order.wave else "vm-moved"
+        self._log_order(event, vm, order.wave or order.target, outcome)
+        if outcome is OrderOutcome.TOO_MANY:
+            self.pace.note_refused()
+        if not done:
             self.ended.pop(vm.worker_id, None)
-        if outcome is not OrderOutcome.BUSY:
+        if order.wave:
+            wave = self.waves[order.wave]
+            if done or outcome is OrderOutcome.NOT_IN_WAVE:
+                wave.done.add(vm.name)
+                self.unstored.add(order.wave)
+                self.emptying.pop(vm.name, None)
+            else:
+                wave.ordered.pop(vm.name, None)
+            if done:
+                self.begun[vm.name] = now + LIST_LAG_SECONDS
+        elif done:
             self.emptying.pop(vm.name, None)
-        if outcome is OrderOutcome.DONE:
-            until = self.around.clock.now() + self.around.timing.move + JOIN_SECONDS
-            self.moving[vm.name] = (target, until)
+            self.moving[vm.name] = (order.target, now + self.around.timing.move + JOIN_SECONDS)
 
     def _settle_moves(self, now: float) -> None:
         self.ended = {worker: until for worker, until in self.ended.items() if until > now}
@@ -315,6 +467,7 @@
             joined = vm is not None and vm.pool == target and vm.phase is Phase.UP
             if joined or until <= now:
                 del self.moving[name]
+        self.begun = {name: until for name, until in self.begun.items() if until > now}
 
     async def _read_homes(self) -> None:
         """Read how many VMs each pool began with; the first planner stores it."""
@@ -337,6 +490,7 @@
                 if not wave.completed:
                     await self._store_wave(wave)
             if not wave.completed and is_finished(wave, self.vms):
+                self.unstored.discard(name)
                 wave.completed = True
                 await self._store_wave(wave)
                 self.around.log.write("wave-completed", wave=name, vms=len(order.vms))
@@ -360,7 +514,7 @@
             ],
         )
 
-    def _log_loads(self, loads: dict[str, PoolLoad], now: float) -> None:
+    def _log_loads(self, loads: dict[str, PoolLoad], plan: FleetPlan, now: float) -> None:
         if now - self.logged_at < LOG_SECONDS:
             return
         self.logged_at = now
@@ -370,7 +524,11 @@
                 pool: {
                     "vms": load.vms,
                     "room": round(load.room_cores),
-                    "wanted": round(load.wanted_cores, 1),
+                    "wanted": load.wanted_vms,
+                    "used": round(load.used_cores),
+                    "arriving": round(load.arriving_cores),
+                    "lacking": plan.lacking.get(pool, 0),
+                    "needless": plan.needless.get(pool, 0),
                     "refused": round(load.refused_core_seconds, 1),
                     "age": round(now - self.reports[pool].at, 2),
                 }
@@ -378,6 +536,7 @@
             },
             emptying=len(self.emptying),
             moving=len(self.moving),
+            ordering=len(self.ordering),
         )
 
     def _log_order(self, event: str, vm: FleetVm, target: str, outcome: OrderOutcome) -> None:
--- a/limpetpulley/ownership/reporting.py
+++ b/limpetpulley/ownership/reporting.py
@@ -12,13 +12,17 @@
 from ..peer import batch_pb2 as pb
 from ..pool import PoolBook
 from ..pool.outlook import least_workers, pool_room, ready_cores, remaining_work
+from ..scheduling.arrivals import ArrivingWork
 from .around import Around
 from .roster import RosterKeeper
 
 __all__ = ["PoolReporter", "RefusedWork"]
 
-#: time between two reports, in seconds
-REPORT_SECONDS = 0.2
+#: time between two reports, in seconds: of a pool whose VMs should change, and of any other
+SOON_SECONDS = 0.1
+REPORT_SECONDS = 0.25
+#: part of a pool's room that demand takes when more VMs may be wanted soon
+BUSY_PART = 0.6
 #: time without the planner's answer after which no VM is emptied any more, in seconds
 PLAN_SECONDS = 3.0
 #: time over which refused work is counted, in seconds
@@ -45,6 +49,7 @@
 class PoolReporter:
     """Tells the planner how a pool is doing.
 
+    :param arriving: work that is handed in
     :param roster: workers that may hold runs of an earlier owner
     :param ask: sends a report to the planner, wherever it is; returns None if there is none
     :param changed: called when the book has changed
@@ -55,6 +60,7 @@
         around: Around,
         book: PoolBook,
         refused: RefusedWork,
+        arriving: ArrivingWork,
         roster: RosterKeeper,
         ask: Callable[[pb.PoolReport], Awaitable[pb.PoolPlan | None]],
         changed: Callable[[], None],
@@ -62,6 +68,7 @@
         self.around = around
         self.book = book
         self.refused = refused
+        self.arriving = arriving
         self.roster = roster
         self.ask = ask
         self.changed = changed
@@ -70,7 +77,8 @@
     async def run(self) -> None:
         """Report until cancelled."""
         while True:
-            plan = await self.ask(self.make_report())
+            report = self.make_report()
+            plan = await self.ask(report)
             now = self.around.clock.now()
             if plan is not None and plan.outcome == pb.ACCEPTED:
                 self.answered_at = now
@@ -79,7 +87,10 @@
             elif now - self.answered_at > PLAN_SECONDS:
                 self.book.coming = []
                 self.use_plan(set(), ())
-            await anyio.sleep(REPORT_SECONDS)
+            demand = max(report.running_cores, report.lasting_cores + report.arriving_cores)
+            changes = self.book.coming or any(row.cordoned for row in report.workers)
+            soon = changes or demand > BUSY_PART * report.room_cores
+            await anyio.sleep(SOON_SECONDS if soon else REPORT_SECONDS)
 
     def use_plan(self, emptied: set[str], ended: Iterable[str]) -> None:
         """Start nothing more on workers that are to be emptied; drop the runs of ended ones."""
@@ -138,6 +149,11 @@
             ready_cores=ready_cores(book),
             least_workers=least_workers(book),
             refused_core_seconds=self.refused.total(self.around.clock.now()),
+            lasting_cores=sum(
+                run.charge.cpu_millicores for run in book.runs.values() if self._lasts(run)
+            )
+            / 1000,
+            arriving_cores=self.arriving.cores(self.around.clock.now()),
         )
 
     def _lasts(self, run) -> bool:
--- a/limpetpulley/ownership/tests/test_reporting.py
+++ b/limpetpulley/ownership/tests/test_reporting.py
@@ -11,6 +11,7 @@
 from ...batch.records import RosterEntry
 from ...clock import ManualClock
 from ...pool import PoolBook
+from ...scheduling.arrivals import ArrivingWork
 from ...store import MemoryStore
 from ...telemetry import EventLog
 from ...workers import ListedWorker
@@ -34,7 +35,9 @@
     for name in ("listed", "left"):
         book.list_worker(ListedWorker(name, "desk", f"{name}:1", 1, Amount(1000), f"vm-{name}"))
     book.unlist_worker("left")
-    return book, PoolReporter(around, book, RefusedWork(), roster, None, lambda: None)
+    return book, PoolReporter(
+        around, book, RefusedWork(), ArrivingWork(), roster, None, lambda: None
+    )
 
 
 def test_a_report_names_every_worker_that_is_waited_for():
--- a/limpetpulley/platform/vms.py
+++ b/limpetpulley/platform/vms.py
@@ -17,7 +17,7 @@
 WAVE_PREFIX = "op/wave/"
 #: longest time for a call, in seconds
 CALL_SECONDS = 2.0
-OK, BAD_REQUEST, CONFLICT = 200, 400, 409
+OK, BAD_REQUEST, CONFLICT, TOO_MANY = 200, 400, 409, 429
 PHASES = {
     "up": Phase.UP,
     "moving": Phase.MOVING,
@@ -107,6 +107,8 @@
             return OrderOutcome.DONE
         if answer.status == BAD_REQUEST:
             return OrderOutcome.REFUSED
+        if answer.status == TOO_MANY:
+            return OrderOutcome.TOO_MANY
         if answer.status == CONFLICT:
             try:
                 return REASONS.get(text(load(answer.content), "reason"), OrderOutcome.REFUSED)
--- a/limpetpulley/scheduling/placement.py
+++ b/limpetpulley/scheduling/placement.py
@@ -1,8 +1,9 @@
 """Where a task runs. No I/O.
 
 Answers the load of a pool whose queues peak beyond what it holds, with tasks of very unequal size
-among tasks that last: timed tasks go where most processors are free, so that runs slow each other
-little; tasks that last share few workers, so that the other ones are quickly emptied.
+among tasks that last: timed tasks fill the workers that they leave the least room on, so that wide
+tasks find whole workers and what is not needed stands empty; tasks that last share few workers, so
+that the other ones are quickly emptied.
 """
 
 from __future__ import annotations
@@ -67,23 +68,23 @@
         rank = (
             worker.worker_id not in shunned,
             near,
-            *_spread(step, worker, room),
+            *_tightness(step, worker, room),
         )
         if best is None or rank > best_rank:
             best, best_rank = worker, rank
     return best
 
 
-def _spread(step: Step, worker: Worker, room: Amount) -> tuple[bool, float]:
-    """Return what tasks are spread by.
+def _tightness(step: Step, worker: Worker, room: Amount) -> tuple[bool, float]:
+    """Return what tasks are placed by: the highest goes first.
 
-    Tasks that last are packed onto few workers, as long as these keep half of their room: what
-    is left without them can be emptied at once.
+    Tasks are packed onto few workers, so that the others can be emptied at once; those that last as
+    long as their workers keep half of their room. Of a gang, each task is lost with any other, so
+    that there is no harm in spreading it.
     """
     free = _free_share(room, worker.listed.capacity)
-    if step.lasting and free > LASTING_ROOM_PART:
-        return True, -free
-    return False, free
+    spread = step.gang or (step.lasting and free <= LASTING_ROOM_PART)
+    return (False, free) if spread else (True, -free)
 
 
 def _has_label(step: Step, worker: Worker) -> bool:
--- a/limpetpulley/standin/vms.py
+++ b/limpetpulley/standin/vms.py
@@ -32,6 +32,8 @@
     :param off: pools whose VMs are off
     :param capacity: room of each worker
     :param changed: called with all workers whenever one joins or leaves
+    :param seconds: time that a move or maintenance takes
+    :param order_seconds: time until an order is answered
     """
 
     def __init__(
@@ -44,6 +46,7 @@
         capacity: Amount,
         changed: Callable[[dict[str, ListedWorker]], None],
         seconds: float = 1.5,
+        order_seconds: float = 0.0,
     ):
         self.tasks = tasks
         self.clock = clock
@@ -53,6 +56,7 @@
         self.capacity = capacity
         self.changed = changed
         self.seconds = seconds
+        self.order_seconds = order_seconds
         self.vms: dict[str, _Vm] = {}
         self.listed: dict[str, ListedWorker] = {}
         self.waves: dict[str, WaveOrder] = {}
@@ -77,6 +81,7 @@
 
     async def move(self, vm: str, pool: str, holder: str, token: int) -> OrderOutcome:
         """Move a VM to a pool."""
+        await anyio.sleep(self.order_seconds)
         found = self.vms[vm]
         if found.phase is not Phase.UP:
             return OrderOutcome.BUSY
@@ -88,6 +93,7 @@
 
     async def maintain(self, vm: str, wave: str, holder: str, token: int) -> OrderOutcome:
         """Begin a VM's maintenance."""
+        await anyio.sleep(self.order_seconds)
         found = self.vms[vm]
         done = self.maintained.setdefault(wave, set())
         if vm in done:
