Let a planning round cost what its events cost, and keep a forecast between submissions

Cause: plan_orders went over all runs four times and all workers five times, a start over all workers several times; each submission rebuilt the forecast of the whole queue.

--- a/limpetpulley/ownership/intake.py
+++ b/limpetpulley/ownership/intake.py
@@ -12,7 +12,12 @@
 from ..batch.records import encode_description
 from ..exception import StoreError, StoreUnavailable
 from ..pool import PoolBook
-from ..pool.outlook import QueueOutlook, expected_objective, remaining_work
+from ..pool.outlook import (
+    QueueOutlook,
+    expected_objective,
+    predict_without_wait,
+    remaining_work,
+)
 from ..quota.shares import TeamShares
 from ..scheduling.arrivals import ArrivingWork
 from ..scheduling.backlog import (
@@ -34,6 +39,10 @@
 #: age of the claim's last renewal beyond which, with a write that failed, the store counts as away:
 #: two renewals without an answer
 STORE_AWAY_SECONDS = 0.8
+#: part of the processor's time that forecasts of the queue may take
+OUTLOOK_PART = 0.2
+#: longest time for which a forecast serves, in seconds; a tenth of a typical objective
+LONGEST_OUTLOOK_SECONDS = 0.25
 #: reason of a job that no worker can hold
 FITS_NOWHERE = "fits-nowhere"
 #: time between two looks at the jobs in doubt, in seconds
@@ -91,6 +100,9 @@
         # Accepted jobs that are being stored, or of which it is not known whether they are. Asked
         # for again, such a job is neither decided about anew nor refused: it may be stored.
         self.open: dict[str, StoreOutcome] = {}
+        # Forecast of the queue, and until when it serves for new jobs, by local time.
+        self.outlook: QueueOutlook | None = None
+        self.outlook_until = 0.0
 
     async def submit(self, submission: Submission, wait_seconds: float) -> Verdict | None:
         """Accept or refuse a job; return None if it is not known whether it is stored.
@@ -195,21 +207,41 @@
             return Verdict(False, retry_seconds=LONGEST_RETRY_SECONDS, reason=FITS_NOWHERE)
         if job.spec.lasting or job.spec.timed:
             return Verdict(True)
-        now, day = self.around.clock.now(), self.around.day()
-        outlook = QueueOutlook(self.book, self.shares, job.team, now, day)
-        verdict = judge(outlook.predict(job))
-        if verdict.accepted:
+        at_once = predict_without_wait(self.book, self.shares, job, self.around.day())
+        if at_once is not None and (verdict := judge(at_once)).accepted:
             return verdict
-        return self._assess_late(job, submission, outlook, verdict)
+        outlook = self._look_ahead(job.team)
+        age = self.around.clock.now() - outlook.now
+        verdict = judge(outlook.predict(job, age))
+        if not verdict.accepted:
+            verdict = self._assess_late(job, submission, outlook, age, verdict)
+        if verdict.accepted and self.outlook is outlook:
+            outlook.accept(job)
+        return verdict
+
+    def _look_ahead(self, team: str) -> QueueOutlook:
+        """Return a forecast of the queue that is young enough for what it costs."""
+        now = self.around.clock.now()
+        if self.outlook is None or now >= self.outlook_until:
+            self.outlook = QueueOutlook(self.book, self.shares, team, now, self.around.day())
+            cost = self.around.clock.now() - now
+            self.outlook_until = now + min(LONGEST_OUTLOOK_SECONDS, cost / OUTLOOK_PART)
+        self.outlook.add_team(self.shares, team)
+        return self.outlook
 
     def _assess_late(
-        self, job: Job, submission: Submission, outlook: QueueOutlook, verdict: Verdict
+        self,
+        job: Job,
+        submission: Submission,
+        outlook: QueueOutlook,
+        age: float,
+        verdict: Verdict,
     ) -> Verdict:
         """Decide whether a job that cannot go before others may go behind them."""
         asked_at = outlook.day - submission.elapsed_seconds
         last = round(asked_at + USEFUL_FACTOR * (job.due_by - asked_at), 3)
         later = attrs.evolve(job, due_by=last, behind=True)
-        behind = judge_late(outlook.predict(later))
+        behind = judge_late(outlook.predict(later, age))
         if not behind.accepted:
             return verdict
         job.due_by, job.behind = last, True
--- a/limpetpulley/pool/book.py
+++ b/limpetpulley/pool/book.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable, Iterable
 
 import attrs
@@ -67,6 +68,10 @@
         self.jobs: dict[str, Job] = {}
         self.workers: dict[str, Worker] = {}
         self.runs: dict[TaskId, Run] = {}
+        self.runs_by_job: dict[str, dict[TaskId, Run]] = {}
+        # Tasks whose run may be wanted no longer, since the last look.
+        self.suspects: set[TaskId] = set()
+        self.looked_at = -math.inf
         self.ready: dict[str, list[TaskId]] = {}
         self.usage: dict[str, Amount] = {}
         self.checkpoints: dict[TaskId, str] = {}
@@ -99,6 +104,7 @@
         """Forget a job whose records were removed."""
         self.jobs.pop(job_id, None)
         self.ready.pop(job_id, None)
+        self.suspects.update(self.runs_by_job.get(job_id, ()))
         self.progress.forget(job_id)
 
     def cancel(self, job: Job, now: float) -> bool:
@@ -114,12 +120,14 @@
 
         :param now: time of day, in seconds since 1970
         """
-        waiting = [task for task in job.open_tasks(now) if task not in self.runs]
+        runs = self.runs_by_job.get(job.key.job_id, {})
+        waiting = [task for task in job.open_tasks(now) if task not in runs]
         if waiting:
             self.ready[job.key.job_id] = waiting
         else:
             self.ready.pop(job.key.job_id, None)
         if job.state.final:
+            self.suspects.update(self.runs_by_job.get(job.key.job_id, ()))
             self.inherited.discard(job.key.job_id)
             for held in (self.checkpoints, self.failed_on):
                 for task in [task for task in held if task.job_id == job.key.job_id]:
@@ -294,11 +302,24 @@
 
     def runs_of(self, job_id: str) -> Iterable[Run]:
         """Yield the runs of a job."""
-        return (run for run in self.runs.values() if run.task.job_id == job_id)
+        return self.runs_by_job.get(job_id, {}).values()
+
+    def place_run(self, run: Run) -> None:
+        """Make a run its task's run."""
+        self.runs[run.task] = run
+        self.runs_by_job.setdefault(run.task.job_id, {})[run.task] = run
+
+    def displace_run(self, run: Run) -> None:
+        """Let a run be its task's run no longer."""
+        del self.runs[run.task]
+        mine = self.runs_by_job[run.task.job_id]
+        del mine[run.task]
+        if not mine:
+            del self.runs_by_job[run.task.job_id]
 
     def add_run(self, run: Run, worker: Worker) -> None:
         """Add a run to its worker, its team's use, and as its task's run."""
-        self.runs[run.task] = run
+        self.place_run(run)
         worker.add(run)
         self.usage[run.team] = self.usage.get(run.team, Amount()) + run.charge
         self.end_wait(run.task)
@@ -313,7 +334,7 @@
 
     def _remove(self, run: Run) -> None:
         if not is_copied(self, run):
-            del self.runs[run.task]
+            self.displace_run(run)
         self.workers[run.worker_id].remove(run)
         self.usage[run.team] = self.usage[run.team] - run.charge
 
@@ -344,6 +365,8 @@
         judge_end(self, worker, end)
         if end.kind is not EndKind.DONE and end.checkpoint and job.wants(end.task):
             self.checkpoints[job.unit_of(end.task)] = end.checkpoint
+        if end.task in self.runs:
+            self.suspects.add(end.task)
         if job.note_end(end.task, end.number, end.kind, day):
             self.progress.touch(job.key.job_id)
             self.progress.note_end(worker.worker_id, end.position, job.key.job_id)
--- a/limpetpulley/pool/copies.py
+++ b/limpetpulley/pool/copies.py
@@ -29,7 +29,7 @@
             continue
         step = job.step_of(run.task)
         if step.speculative and not step.lasting and not step.gang:
-            del book.runs[run.task]
+            book.displace_run(run)
             book.report(Change("run-copied", worker.worker_id, run.task, run.number, "silent"))
             book.wait_again(run.task)
             if run.unanswered:
--- a/limpetpulley/pool/outlook.py
+++ b/limpetpulley/pool/outlook.py
@@ -10,6 +10,7 @@
 from ..quota.shares import TeamShares
 from ..scheduling.backlog import Prediction, objective_seconds
 from ..scheduling.forecast import ForecastJob, ForecastStep, play_forward
+from ..scheduling.placement import is_plain
 from .book import PoolBook
 from .planning import behind_room, rank
 
@@ -17,6 +18,7 @@
     "QueueOutlook",
     "expected_objective",
     "least_workers",
+    "predict_without_wait",
     "pool_room",
     "ready_cores",
     "remaining_work",
@@ -68,16 +70,33 @@
         self.begun = _begun_by_step(book, now)
         self.rows = [self._forecast(job) for job in self.jobs]
         self.ends = self._play(self.rows)
-
-    def predict(self, candidate: Job) -> Prediction:
+        # Place, row and ends of all jobs with the job that was predicted last.
+        self.predicted: tuple[int, ForecastJob, list[float]]
+
+    def add_team(self, shares: TeamShares, team: str) -> None:
+        """Take a team's room into account, before a job of it is predicted."""
+        if team not in self.teams:
+            self.teams |= _team_room(self.book, shares, {team}, self.size)
+
+    def accept(self, job: Job) -> None:
+        """Add a job that was accepted as it was predicted last."""
+        place, row, ends = self.predicted
+        self.rows.insert(place, row)
+        self.jobs.insert(place, job)
+        self.ends = ends
+
+    def predict(self, candidate: Job, age: float = 0.0) -> Prediction:
         """Predict what accepting a job would mean.
 
         :param candidate: the job, as it would be added
+        :param age: time since this was worked out, in seconds
         """
         place = bisect.bisect_left(self.jobs, rank(candidate), key=rank)
         new = self._forecast(candidate)
         after = self._play([*self.rows[:place], new, *self.rows[place:]])
-        end = after.pop(place)
+        self.predicted = (place, new, list(after))
+        chain = candidate.spec.chain_seconds(tuple(step.seconds for step in new.steps))
+        end = max(after.pop(place), age + chain)
         harmed = sum(
             remaining_work(self.book, job)
             for job, was, becomes in zip(self.jobs, self.ends, after, strict=True)
@@ -106,6 +125,35 @@
         return ForecastJob(steps, BEHIND if job.behind else job.team)
 
 
+def predict_without_wait(
+    book: PoolBook, shares: TeamShares, candidate: Job, day: float
+) -> Prediction | None:
+    """Predict a job that can start at once and delays no other, None if it may have to wait.
+
+    Answers the times between peaks, and peaks whose VMs have come: most jobs are judged by this.
+    """
+    if any(not book.jobs[job_id].behind for job_id in book.ready if _is_timely(book, job_id)):
+        return None
+    widest = max((step.charge * step.count for step in candidate.spec.steps), key=_millicores)
+    needs_room = not all(is_plain(step) for step in candidate.spec.steps)
+    free = [worker.room for worker in _open_workers(book)]
+    cores = sum(room.cpu_millicores for room in free) * PACKED_PART
+    memory = sum(room.memory_mb for room in free) * PACKED_PART
+    if needs_room or widest.cpu_millicores > cores or widest.memory_mb > memory:
+        return None
+    if not all(any(step.charge.fits(room) for room in free) for step in candidate.spec.steps):
+        return None
+    if not shares.allows(candidate.team, book.usage.get(candidate.team, Amount()), widest):
+        return None
+    seconds = book.times.expect(candidate.key.queue, candidate.spec)
+    return Prediction(
+        candidate.spec.chain_seconds(seconds),
+        candidate.due_by - day,
+        len(candidate.spec.steps),
+        remaining_work(book, candidate),
+    )
+
+
 def least_workers(book: PoolBook) -> int:
     """Return the fewest workers over which the tasks that last can be spread."""
     steps = [
@@ -175,6 +223,14 @@
     ]
 
 
+def _is_timely(book: PoolBook, job_id: str) -> bool:
+    return not book.jobs[job_id].spec.lasting
+
+
+def _millicores(amount: Amount) -> int:
+    return amount.cpu_millicores
+
+
 def _largest(book: PoolBook) -> Amount:
     """Return the room of a worker, in each dimension the largest."""
     sizes = [worker.listed.capacity for worker in book.workers.values()] or [Amount()]
--- a/limpetpulley/pool/planning.py
+++ b/limpetpulley/pool/planning.py
@@ -14,7 +14,7 @@
 import attrs
 
 from ..batch import Amount, Job, TaskId
-from ..scheduling.placement import choose_worker, is_open
+from ..scheduling.placement import Places, choose_worker, is_open, is_plain, most_room
 from ..workers import PaceOrder, Run, RunPhase, StartOrder, StopOrder, Worker
 from .book import PoolBook
 from .gangs import broken_gangs, gang_tasks, place_gang
@@ -23,6 +23,8 @@
 
 Order = StartOrder | StopOrder | PaceOrder
 
+#: time between two looks at all runs and workers, for what comes due, in seconds
+LOOK_SECONDS = 0.1
 #: time after which a start that got no answer is sent again, in seconds
 RESEND_START_SECONDS = 0.5
 #: time after which a start that got no answer is given up by a stop, in seconds
@@ -65,25 +67,37 @@
     :param now: local time
     :param day: time of day, in seconds since 1970
     """
-    book.expire(now)
-    book.refresh_due(day)
-    orders: list[Order] = [*_stops(book, now, limits)]
-    orders += _resends(book, now)
+    orders: list[Order] = []
+    if not 0.0 < now - book.looked_at < LOOK_SECONDS:
+        book.looked_at = now
+        book.expire(now)
+        book.refresh_due(day)
+        book.suspects.update(book.runs)
+        orders += _stops(book, now, limits)
+        orders += _resends(book, now)
+    orders = _unwanted(book, now) + orders
     orders += _starts(book, shares, now, limits)
     return orders
 
 
-def _stops(book: PoolBook, now: float, limits: PlanningLimits) -> list[Order]:
+def _unwanted(book: PoolBook, now: float) -> list[Order]:
+    """Stop the runs that are of no use any more, of those of which something was heard."""
     orders: list[Order] = []
     for stray, sent in book.strays.items():
         if now - sent >= RESEND_STOP_SECONDS:
             book.strays[stray] = now
             orders.append(stray)
-    for run in book.runs.values():
-        job = book.jobs.get(run.task.job_id)
-        unwanted = job is None or not job.wants(run.task)
-        if unwanted and run.phase is not RunPhase.STOPPING:
+    for task in book.suspects:
+        run, job = book.runs.get(task), book.jobs.get(task.job_id)
+        unwanted = job is None or not job.wants(task)
+        if run is not None and unwanted and run.phase is not RunPhase.STOPPING:
             orders.append(stop_run(run, now))
+    book.suspects.clear()
+    return orders
+
+
+def _stops(book: PoolBook, now: float, limits: PlanningLimits) -> list[Order]:
+    orders: list[Order] = []
     for run in broken_gangs(book):
         orders.append(stop_run(run, now))
     for worker in book.workers.values():
@@ -170,22 +184,19 @@
 
 
 def _starts(book: PoolBook, shares: Shares, now: float, limits: PlanningLimits) -> list[Order]:
-    unanswered = Counter(
-        run.worker_id
-        for run in book.runs.values()
-        if run.phase is RunPhase.STARTING and run.settled_at is None
-    )
+    orders: list[Order] = []
+    if not book.ready:
+        return orders
     workers = [
-        worker
-        for worker in book.workers.values()
-        if is_open(worker, now, limits.contact_seconds)
-        and unanswered[worker.worker_id] < limits.starts_at_once
+        worker for worker in book.workers.values() if is_open(worker, now, limits.contact_seconds)
     ]
-    orders: list[Order] = []
-    if not workers:
+    most = most_room(workers)
+    waiting = [job for job in map(book.jobs.__getitem__, book.ready) if _may_fit(job, most)]
+    workers = [worker for worker in workers if _unanswered(worker) < limits.starts_at_once]
+    if not waiting or not workers:
         return orders
-    places = _Places(workers)
-    waiting = sorted((book.jobs[job_id] for job_id in book.ready), key=rank)
+    places = Places(workers)
+    waiting.sort(key=rank)
     left = behind_room(book) if any(job.behind for job in waiting) else 0
     for job in waiting:
         if book.may_start(job):
@@ -196,6 +207,19 @@
     return orders
 
 
+def _unanswered(worker: Worker) -> int:
+    return sum(
+        1
+        for run in worker.runs.values()
+        if run.phase is RunPhase.STARTING and run.settled_at is None
+    )
+
+
+def _may_fit(job: Job, most: Amount) -> bool:
+    """Return whether a task of any of a job's steps fits anywhere; most do not in a full pool."""
+    return any(step.charge.fits(most) for step in job.spec.steps)
+
+
 def behind_room(book: PoolBook) -> int:
     """Return the millicores that jobs which go behind others may still take."""
     room = sum(
@@ -214,30 +238,8 @@
     return (not job.spec.lasting, job.priority, job.behind, job.due_by, job.key)
 
 
-class _Places:
-    """Workers that are open, and the most room on any of them in each dimension.
-
-    A full pool has a long queue; most of its tasks are passed over by this bound alone.
-
-    :param workers: workers that are open
-    """
-
-    def __init__(self, workers: list[Worker]):
-        self.workers = workers
-        self.note_start()
-
-    def note_start(self) -> None:
-        """Work the bound out again."""
-        rooms = [worker.room for worker in self.workers]
-        self.most = Amount(
-            max(room.cpu_millicores for room in rooms),
-            max(room.memory_mb for room in rooms),
-            max(room.accelerators for room in rooms),
-        )
-
-
 def _start_job(
-    book: PoolBook, job: Job, places: _Places, shares: Shares, now: float, left: float
+    book: PoolBook, job: Job, places: Places, shares: Shares, now: float, left: float
 ) -> list[StartOrder]:
     """Start what fits of a job.
 
@@ -263,18 +265,23 @@
         if step.gang:
             full.add(place)
             orders += _start_gang(book, job, task, allowed, shares, now)
-            places.note_start()
+            for order in orders:
+                places.note_start(book.workers[order.worker_id])
             continue
         if place not in beside:
             beside[place] = beside_task(book, task) if step.max_per_worker else Counter()
-        worker = choose_worker(step, allowed, beside[place], book.failed_on.get(task, ()))
+        if allowed is places.workers and is_plain(step) and task not in book.failed_on:
+            worker = places.tightest(step)
+        else:
+            shunned = book.failed_on.get(task, ())
+            worker = choose_worker(step, allowed, beside[place], shunned)
         if worker is None:
             full.add(place)
             continue
         beside[place][worker.worker_id] += 1
         left -= step.charge.cpu_millicores
         orders.append(_start_run(book, job, task, worker, now))
-        places.note_start()
+        places.note_start(worker)
     return orders
 
 
--- a/limpetpulley/pool/progress.py
+++ b/limpetpulley/pool/progress.py
@@ -27,6 +27,8 @@
         self.newest: dict[str, int] = {}
         self.stored: dict[str, int] = {}
         self.unstored: dict[str, list[_Unstored]] = {}
+        # Jobs whose newest progress is not stored, in the order of their changes.
+        self.open: dict[str, None] = {}
 
     def add(self, job_id: str) -> None:
         """Add a job whose progress is stored as it is."""
@@ -36,10 +38,12 @@
         """Forget a job."""
         self.newest.pop(job_id, None)
         self.stored.pop(job_id, None)
+        self.open.pop(job_id, None)
 
     def touch(self, job_id: str) -> None:
         """Note that a job's progress has changed."""
         self.newest[job_id] += 1
+        self.open[job_id] = None
 
     def is_stored(self, job_id: str) -> bool:
         """Return whether a job's newest progress is stored."""
@@ -47,7 +51,7 @@
 
     def open_jobs(self) -> list[str]:
         """Return the jobs whose newest progress is not stored."""
-        return [job_id for job_id in self.newest if not self.is_stored(job_id)]
+        return list(self.open)
 
     def note_end(self, worker_id: str, position: int, job_id: str) -> None:
         """Note that a worker's end waits for a job's progress of now to be stored."""
@@ -59,6 +63,8 @@
         for job_id, version in versions.items():
             if job_id in self.stored:
                 self.stored[job_id] = max(version, self.stored[job_id])
+                if self.is_stored(job_id):
+                    self.open.pop(job_id, None)
 
     def stored_through(self, worker_id: str, seen_through: int) -> int:
         """Return the position up to which a worker's ends may be acknowledged.
--- a/limpetpulley/pool/reconcile.py
+++ b/limpetpulley/pool/reconcile.py
@@ -74,6 +74,6 @@
     job = book.jobs.get(run.task.job_id)
     if job is None or not job.wants(run.task):
         return None
-    book.runs[run.task] = run
+    book.place_run(run)
     book.end_wait(run.task)
     return run
--- a/limpetpulley/scheduling/placement.py
+++ b/limpetpulley/scheduling/placement.py
@@ -11,10 +11,13 @@
 from collections import Counter
 from collections.abc import Iterable
 
+import attrs
+from sortedcontainers import SortedList
+
 from ..batch import Amount, Step
 from ..workers import Worker
 
-__all__ = ["choose_worker", "fits_empty", "is_open"]
+__all__ = ["Places", "choose_worker", "fits_empty", "is_open", "is_plain", "most_room"]
 
 #: part of a worker's room that must be free where one more task that lasts is packed
 LASTING_ROOM_PART = 0.55
@@ -44,6 +47,57 @@
     )
 
 
+def most_room(workers: Iterable[Worker]) -> Amount:
+    """Return the most room that is free on any worker, in each dimension."""
+    rooms = [worker.room for worker in workers] or [Amount()]
+    return Amount(
+        max(room.cpu_millicores for room in rooms),
+        max(room.memory_mb for room in rooms),
+        max(room.accelerators for room in rooms),
+    )
+
+
+def is_plain(step: Step) -> bool:
+    """Return whether a step's tasks may run on any worker that has room for them."""
+    wishes = step.lasting or step.gang or step.label or step.near_rack or step.max_per_worker
+    return not wishes
+
+
+class Places:
+    """Workers that are open, by the processors that are free on them.
+
+    A full pool has a long queue; most of its tasks are passed over by the most room on any worker.
+
+    :param workers: workers that are open, one at least
+    """
+
+    def __init__(self, workers: list[Worker]):
+        self.workers = workers
+        self.free = {worker.worker_id: worker.room.cpu_millicores for worker in workers}
+        self.order = SortedList((room, worker_id) for worker_id, room in self.free.items())
+        self.by_id = {worker.worker_id: worker for worker in workers}
+        self.most = most_room(workers)
+
+    def tightest(self, step: Step) -> Worker | None:
+        """Return the worker with the fewest free processors that has room for a task."""
+        need = step.charge
+        begin = self.order.bisect_left((need.cpu_millicores, ""))
+        for _, worker_id in self.order.islice(begin):
+            worker = self.by_id[worker_id]
+            if need.fits(worker.room):
+                return worker
+        return None
+
+    def note_start(self, worker: Worker) -> None:
+        """Note that a worker's room has changed."""
+        worker_id = worker.worker_id
+        self.order.remove((self.free[worker_id], worker_id))
+        self.free[worker_id] = worker.room.cpu_millicores
+        self.order.add((self.free[worker_id], worker_id))
+        # Of what is scarce less often, the most at the beginning is bound enough.
+        self.most = attrs.evolve(self.most, cpu_millicores=self.order[-1][0])
+
+
 def choose_worker(
     step: Step,
     workers: Iterable[Worker],
--- a/limpetpulley/workers/state.py
+++ b/limpetpulley/workers/state.py
@@ -192,6 +192,8 @@
     used: Amount = Amount()
     lease: WorkerLease = attrs.field(factory=WorkerLease)
     runs: dict[TaskId, Run] = attrs.field(factory=dict)
+    # The free room, and the capacity and use that it was worked out from.
+    _room: tuple[Amount, Amount, Amount] | None = None
 
     @property
     def worker_id(self) -> str:
@@ -201,7 +203,10 @@
     @property
     def room(self) -> Amount:
         """Return the room that is free."""
-        return self.listed.capacity - self.used
+        kept, capacity = self._room, self.listed.capacity
+        if kept is None or kept[0] is not capacity or kept[1] is not self.used:
+            kept = self._room = (capacity, self.used, capacity - self.used)
+        return kept[2]
 
     def add(self, run: Run) -> None:
         """Add a run."""
