--- a/limpetpulley/fleet/vms.py
+++ b/limpetpulley/fleet/vms.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import enum
+from collections.abc import Callable
 from typing import Protocol
 
 import attrs
 
-__all__ = ["FleetVm", "OrderOutcome", "Phase", "VmOrders", "WaveOrder"]
+__all__ = ["FleetVm", "Holder", "OrderOutcome", "Phase", "VmOrders", "WaveOrder"]
 
 
 class Phase(enum.StrEnum):
@@ -61,6 +62,24 @@
     at_once: int
 
 
+def _always() -> bool:
+    return True
+
+
+@attrs.frozen
+class Holder:
+    """Who gives an order, and with which permission; nobody for a call that needs none.
+
+    :param token: fencing token of its claim
+    :param holds: returns whether it may give orders right now; asked right before one is sent,
+        since a process may have been paused since it decided
+    """
+
+    name: str = ""
+    token: int = 0
+    holds: Callable[[], bool] = _always
+
+
 class VmOrders(Protocol):
     """The platform's list of VMs and its orders for them.
 
@@ -71,8 +90,8 @@
     async def list_vms(self) -> list[FleetVm]:
         """Return all VMs."""
 
-    async def move(self, vm: str, pool: str, holder: str, token: int) -> OrderOutcome:
+    async def move(self, vm: str, pool: str, holder: Holder) -> OrderOutcome:
         """Move a VM to a pool; everything that runs there ends at once."""
 
-    async def maintain(self, vm: str, wave: str, holder: str, token: int) -> OrderOutcome:
+    async def maintain(self, vm: str, wave: str, holder: Holder) -> OrderOutcome:
         """Begin a VM's maintenance; everything that runs there ends at once."""
--- a/limpetpulley/fleet/wire.py
+++ b/limpetpulley/fleet/wire.py
@@ -8,7 +8,7 @@
 from ..exception import HttpError, PlatformError, RecordError
 from ..http_client import HttpCaller
 from ..reading import message_converter, read_message
-from .vms import FleetVm, OrderOutcome
+from .vms import FleetVm, Holder, OrderOutcome
 
 __all__ = ["CONVERTER", "HttpVms", "NoVms"]
 
@@ -39,22 +39,32 @@
         answer = await self._call("GET", "/vms", None)
         return self._read(answer, list[FleetVm])
 
-    async def move(self, vm: str, pool: str, holder: str, token: int) -> OrderOutcome:
+    async def move(self, vm: str, pool: str, holder: Holder) -> OrderOutcome:
         """Move a VM to a pool; everything that runs there ends at once."""
-        body = {"pool": pool, "holder": holder, "token": token}
-        return self._read(await self._call("POST", f"/vms/{vm}/move", body), OrderOutcome)
+        body = {"pool": pool, "holder": holder.name, "token": holder.token}
+        return self._read(await self._call("POST", f"/vms/{vm}/move", body, holder), OrderOutcome)
 
-    async def maintain(self, vm: str, wave: str, holder: str, token: int) -> OrderOutcome:
+    async def maintain(self, vm: str, wave: str, holder: Holder) -> OrderOutcome:
         """Begin a VM's maintenance; everything that runs there ends at once."""
-        body = {"wave": wave, "holder": holder, "token": token}
-        return self._read(await self._call("POST", f"/vms/{vm}/maintain", body), OrderOutcome)
-
-    async def _call(self, method: str, path: str, body: dict[str, Any] | None) -> bytes:
+        body = {"wave": wave, "holder": holder.name, "token": holder.token}
+        return self._read(
+            await self._call("POST", f"/vms/{vm}/maintain", body, holder), OrderOutcome
+        )
+
+    async def _call(
+        self, method: str, path: str, body: dict[str, Any] | None, holder: Holder | None = None
+    ) -> bytes:
         content = b"" if body is None else json.dumps(body).encode()
         headers = {"Content-Type": "application/json"}
         try:
             answer = await self.http.request(
-                method, self.address, path, headers, content, CALL_SECONDS
+                method,
+                self.address,
+                path,
+                headers,
+                content,
+                CALL_SECONDS,
+                holder.holds if holder else None,
             )
         except HttpError as error:
             raise PlatformError(f"list of VMs: {error}") from None
@@ -76,10 +86,10 @@
         """Return no VMs."""
         return []
 
-    async def move(self, vm: str, pool: str, holder: str, token: int) -> OrderOutcome:
+    async def move(self, vm: str, pool: str, holder: Holder) -> OrderOutcome:
         """Refuse."""
         return OrderOutcome.REFUSED
 
-    async def maintain(self, vm: str, wave: str, holder: str, token: int) -> OrderOutcome:
+    async def maintain(self, vm: str, wave: str, holder: Holder) -> OrderOutcome:
         """Refuse."""
         return OrderOutcome.REFUSED
--- a/limpetpulley/http_client.py
+++ b/limpetpulley/http_client.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import socket
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Protocol
 
 import anyio
@@ -50,12 +50,15 @@
         headers: Mapping[str, str],
         content: bytes,
         timeout: float,
+        may_send: Callable[[], bool] | None = None,
     ) -> HttpAnswer:
         """Return the answer to a call.
 
         :param address: ``host:port``
         :param target: path and query
         :param timeout: longest time for the whole call, in seconds
+        :param may_send: asked right before the first byte is sent, after a connection was made;
+            nothing is sent if it returns False
         :raises HttpError: if no whole answer came; the call may have been carried out
         """
 
@@ -158,6 +161,7 @@
         headers: Mapping[str, str],
         content: bytes,
         timeout: float,
+        may_send: Callable[[], bool] | None = None,
     ) -> HttpAnswer:
         """Return the answer to a call."""
         self.calls += 1
@@ -166,7 +170,7 @@
         try:
             with anyio.fail_after(timeout):
                 async with place.slots:
-                    return await self._call(place, address, request)
+                    return await self._call(place, address, request, may_send)
         except TimeoutError:
             self._drop_idle(place)
             raise HttpError(f"{address}: no answer in {timeout:.1f} s") from None
@@ -176,11 +180,19 @@
         for place in self.addresses.values():
             self._drop_idle(place)
 
-    async def _call(self, place: _Address, address: str, request: bytes) -> HttpAnswer:
+    async def _call(
+        self,
+        place: _Address,
+        address: str,
+        request: bytes,
+        may_send: Callable[[], bool] | None,
+    ) -> HttpAnswer:
         loop = asyncio.get_running_loop()
         connection = self._take(place, loop.time()) or await _connect(address)
         answered = False
         try:
+            if may_send is not None and not may_send():
+                raise HttpError(f"{address}: not sent, the permission for it has run out")
             answer = await connection.send(request)
             answered = True
             return answer
--- a/limpetpulley/ownership/planner.py
+++ b/limpetpulley/ownership/planner.py
@@ -15,7 +15,7 @@
 from ..fleet.demand import FleetPlan, PoolLoad, PoolMoves, choose_leaving, plan_pools
 from ..fleet.pace import OrderPace
 from ..fleet.upkeep import WaveProgress, choose_upkeep, is_finished
-from ..fleet.vms import FleetVm, OrderOutcome, Phase, VmOrders, WaveOrder
+from ..fleet.vms import FleetVm, Holder, OrderOutcome, Phase, VmOrders, WaveOrder
 from ..peer import batch_pb2 as pb
 from ..store import Compare, Put
 from .around import Around
@@ -104,8 +104,8 @@
         self.around = around
         self.orders = orders
         self.board = board
-        self.holder = holder
         self.token = token
+        self.holder = Holder(holder, token, self._may_order)
         self.claim = Compare(around.keys.owner(PLANNER), token)
         self.reports: dict[str, _Report] = {}
         self.vms: dict[str, FleetVm] = {}
@@ -434,8 +434,8 @@
 
     async def _give(self, order: _VmOrder) -> OrderOutcome:
         if order.wave:
-            return await self.orders.maintain(order.vm.name, order.wave, self.holder, self.token)
-        return await self.orders.move(order.vm.name, order.target, self.holder, self.token)
+            return await self.orders.maintain(order.vm.name, order.wave, self.holder)
+        return await self.orders.move(order.vm.name, order.target, self.holder)
 
     def _note_outcome(self, order: _VmOrder, outcome: OrderOutcome) -> None:
         vm, now = order.vm, self.around.clock.now()
--- a/limpetpulley/ownership/tests/fleetplayer.py
+++ b/limpetpulley/ownership/tests/fleetplayer.py
@@ -58,6 +58,7 @@
     :param order: pools in the order in which they peak
     :param length: length of a peak, in seconds
     :param gap: time between two peaks, in seconds
+    :param rise: time in which a peak rises, and falls, in seconds
     :param run_seconds: run time of a task
     :param orders_per_second: orders that the platform takes
     :param order_seconds: time until an order is answered
@@ -70,6 +71,7 @@
     order: str = "abcd"
     length: float = 8.0
     gap: float = 0.8
+    rise: float = 0.01
     run_seconds: float = 0.9
     orders_per_second: float = 310.0
     order_seconds: float = 0.03
@@ -216,7 +218,10 @@
             and load.order[int(turn)] == pool.name
             and into < load.length
         )
-        share = 0.0 if since < 0 else load.peak if peaks else load.quiet
+        share = 0.0 if since < 0 else load.quiet
+        if peaks:
+            slope = min(1.0, into / load.rise, (load.length - into) / load.rise)
+            share = max(share, load.peak * slope)
         return share * home * SLOTS / load.run_seconds
 
     def _tick(self, pool: _Pool, since: float, now: float) -> None:
--- a/limpetpulley/platform/tests/test_workers.py
+++ b/limpetpulley/platform/tests/test_workers.py
@@ -10,7 +10,7 @@
 from ...batch import Amount, EndKind, TaskId
 from ...clock import SystemClock
 from ...exception import NotOwnerError, PlatformError, WorkerError
-from ...fleet.vms import OrderOutcome, Phase
+from ...fleet.vms import Holder, OrderOutcome, Phase
 from ...http_client import KeptHttp
 from ...standin.workers import MemoryWorker, TaskPlan
 from ...workers import ListedWorker, PaceOrder, StartOrder, StartOutcome, StopOrder
@@ -144,19 +144,25 @@
         platform.machines[2] |= {"state": "upkeep", "id": "", "labels": ["a", "r2"]}
         vms = PlatformVms(workers.http, listed.address)
         found = await vms.list_vms()
-        outcome = await vms.move("m-1", "tour", "entry-1", 12)
-        await vms.maintain("m-2", "1", "entry-1", 12)
+        outcome = await vms.move("m-1", "tour", Holder("entry-1", 12))
+        await vms.maintain("m-2", "1", Holder("entry-1", 12))
         platform.answers = [(409, b'{"reason": "busy"}')]
-        busy = await vms.maintain("m-2", "1", "entry-1", 12)
+        busy = await vms.maintain("m-2", "1", Holder("entry-1", 12))
+        lapsed = Holder("entry-1", 12, lambda: False)
+        with pytest.raises(PlatformError):
+            await vms.move("m-1", "tour", lapsed)
+        platform.answers = [(429, b"{}")]
+        too_many = await vms.move("m-3", "tour", Holder("entry-1", 12))
         platform.answers = [(429, b"{}")]
         with pytest.raises(PlatformError):
             await vms.list_vms()
-        return found, outcome, busy, platform.orders
+        return found, (outcome, busy, too_many), platform.orders
 
-    found, outcome, busy, orders = with_worker(play)
+    found, outcomes, orders = with_worker(play)
     assert_that([vm.name for vm in found], Equals([f"m-{number}" for number in range(7)]))
     assert_that((found[2].phase, found[2].rack), Equals((Phase.MAINTENANCE, "r2")))
-    assert_that((outcome, busy), Equals((OrderOutcome.DONE, OrderOutcome.BUSY)))
+    expected = (OrderOutcome.DONE, OrderOutcome.BUSY, OrderOutcome.TOO_MANY)
+    assert_that(outcomes, Equals(expected))
     assert_that(
         [(name, headers["lease-holder"], headers["fencing-token"]) for name, headers, _ in orders],
         Equals([("machine-move", "entry-1", "12"), ("machine-upkeep", "entry-1", "12")]),
--- a/limpetpulley/platform/vms.py
+++ b/limpetpulley/platform/vms.py
@@ -7,7 +7,7 @@
 from urllib.parse import quote
 
 from ..exception import HttpError, PlatformError, RecordError
-from ..fleet.vms import FleetVm, OrderOutcome, Phase, WaveOrder
+from ..fleet.vms import FleetVm, Holder, OrderOutcome, Phase, WaveOrder
 from ..http_client import HttpAnswer, HttpCaller
 from ..reading import load, number, rows, text, whole
 from .config import amount
@@ -72,7 +72,7 @@
         found: list[FleetVm] = []
         target = "/api/machines"
         while True:
-            answer = await self._call("GET", target, {}, b"")
+            answer = await self._call("GET", target, {}, b"", Holder())
             if answer.status != OK:
                 raise PlatformError(f"the list of machines answered {answer.status}")
             try:
@@ -84,25 +84,23 @@
                 return found
             target = f"/api/machines?pageToken={quote(str(page['nextToken']), safe='')}"
 
-    async def move(self, vm: str, pool: str, holder: str, token: int) -> OrderOutcome:
+    async def move(self, vm: str, pool: str, holder: Holder) -> OrderOutcome:
         """Move a machine to a pool."""
         body = {"machine": vm, "pool": pool}
-        return await self._order("/api/machine-move", body, holder, token)
+        return await self._order("/api/machine-move", body, holder)
 
-    async def maintain(self, vm: str, wave: str, holder: str, token: int) -> OrderOutcome:
+    async def maintain(self, vm: str, wave: str, holder: Holder) -> OrderOutcome:
         """Begin a machine's upkeep."""
         body = {"machine": vm, "wave": int(wave)}
-        return await self._order("/api/machine-upkeep", body, holder, token)
+        return await self._order("/api/machine-upkeep", body, holder)
 
-    async def _order(
-        self, path: str, body: dict[str, Any], holder: str, token: int
-    ) -> OrderOutcome:
+    async def _order(self, path: str, body: dict[str, Any], holder: Holder) -> OrderOutcome:
         headers = {
             "Content-Type": "application/json",
-            "Lease-Holder": holder,
-            "Fencing-Token": str(token),
+            "Lease-Holder": holder.name,
+            "Fencing-Token": str(holder.token),
         }
-        answer = await self._call("POST", path, headers, json.dumps(body).encode())
+        answer = await self._call("POST", path, headers, json.dumps(body).encode(), holder)
         if answer.status == OK:
             return OrderOutcome.DONE
         if answer.status == BAD_REQUEST:
@@ -117,11 +115,11 @@
         raise PlatformError(f"{path} answered {answer.status}")
 
     async def _call(
-        self, method: str, target: str, headers: dict[str, str], content: bytes
+        self, method: str, target: str, headers: dict[str, str], body: bytes, holder: Holder
     ) -> HttpAnswer:
         try:
             return await self.http.request(
-                method, self.address, target, headers, content, CALL_SECONDS
+                method, self.address, target, headers, body, CALL_SECONDS, holder.holds
             )
         except HttpError as error:
             raise PlatformError(str(error)) from None
--- a/limpetpulley/standin/host.py
+++ b/limpetpulley/standin/host.py
@@ -15,6 +15,7 @@
 from ..batch import Amount
 from ..clock import Clock
 from ..exception import LimpetpulleyError, NotOwnerError, WorkerError
+from ..fleet.vms import Holder
 from ..fleet.wire import CONVERTER as VM_CONVERTER
 from ..store import Delete, Put, Store
 from ..tasks import keep_running
@@ -135,11 +136,11 @@
         return await self.orders.pace(listed, paced, token)
 
     async def _order_vm(self, vm: str, order: str, document: dict[str, Any]) -> Any:
-        holder, token = document["holder"], document["token"]
+        holder = Holder(document["holder"], document["token"])
         if order == "move":
-            outcome = await self.vms.move(vm, document["pool"], holder, token)
+            outcome = await self.vms.move(vm, document["pool"], holder)
         else:
-            outcome = await self.vms.maintain(vm, document["wave"], holder, token)
+            outcome = await self.vms.maintain(vm, document["wave"], holder)
         return VM_CONVERTER.unstructure(outcome)
 
     async def _keep_entries(self) -> None:
--- a/limpetpulley/standin/vms.py
+++ b/limpetpulley/standin/vms.py
@@ -9,7 +9,7 @@
 
 from ..batch import Amount
 from ..clock import Clock
-from ..fleet.vms import FleetVm, OrderOutcome, Phase, WaveOrder
+from ..fleet.vms import FleetVm, Holder, OrderOutcome, Phase, WaveOrder
 from ..workers import ListedWorker, StartOrder
 from .workers import MemoryWorker, MemoryWorkers, TaskPlan
 
@@ -79,7 +79,7 @@
             for vm in self.vms.values()
         ]
 
-    async def move(self, vm: str, pool: str, holder: str, token: int) -> OrderOutcome:
+    async def move(self, vm: str, pool: str, holder: Holder) -> OrderOutcome:
         """Move a VM to a pool."""
         await anyio.sleep(self.order_seconds)
         found = self.vms[vm]
@@ -91,7 +91,7 @@
             found.pool = pool
         return OrderOutcome.DONE
 
-    async def maintain(self, vm: str, wave: str, holder: str, token: int) -> OrderOutcome:
+    async def maintain(self, vm: str, wave: str, holder: Holder) -> OrderOutcome:
         """Begin a VM's maintenance."""
         await anyio.sleep(self.order_seconds)
         found = self.vms[vm]
--- a/limpetpulley/workers/tests/test_wire.py
+++ b/limpetpulley/workers/tests/test_wire.py
@@ -39,7 +39,7 @@
         self.error = error
         self.asked = []
 
-    async def request(self, method, address, target, headers, content, timeout):
+    async def request(self, method, address, target, headers, content, timeout, may_send=None):
         self.asked.append((address, target, json.loads(content), timeout))
         if self.error:
             raise self.error
