Give orders for VMs in a module of their own, with tests of lost answers

Behaviour unchanged. ownership/planner had 550 lines; what carries orders out, repeats them until they are answered and knows which VMs are away because of them is ownership/vmorders now. test_vmorders: orders side by side, the same token after a lost answer, nothing sent once the permission or the emptiness is gone, the urgent ones first, a wave's bound though orders go out together.

--- a/limpetpulley/ownership/planner.py
+++ b/limpetpulley/ownership/planner.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import enum
 import json
 from collections import Counter
 from collections.abc import Callable, Container
@@ -13,14 +12,14 @@
 
 from ..exception import PlatformError, StoreError, StoreUnavailable
 from ..fleet.demand import FleetPlan, PoolLoad, PoolMoves, choose_leaving, plan_pools
-from ..fleet.pace import OrderPace
 from ..fleet.upkeep import WaveProgress, choose_upkeep, is_finished
-from ..fleet.vms import FleetVm, Holder, OrderOutcome, Phase, VmOrders, WaveOrder
+from ..fleet.vms import FleetVm, Holder, Phase, VmOrders, WaveOrder
 from ..peer import batch_pb2 as pb
 from ..store import Compare, Put
 from .around import Around
 from .board import WaveBoard
 from .session import LEASE_SECONDS
+from .vmorders import LIST_LAG_SECONDS, RETURN_SECONDS, OrderDesk, Urgency, VmOrder
 
 __all__ = ["PLANNER", "FleetPlanning"]
 
@@ -29,8 +28,6 @@
 #: time between two looks, in seconds: while VMs should change their place, and otherwise
 SOON_SECONDS = 0.1
 LOOK_SECONDS = 0.2
-#: pause before an order without an answer is given again, in seconds
-REPEAT_SECONDS = 0.3
 #: pause between two writes of the waves' progress, in seconds
 STORE_GAP_SECONDS = 0.2
 #: why a VM is emptied: it is to be maintained in a wave, whose name follows, or leaves its pool
@@ -41,21 +38,8 @@
 CLAIM_PART = 0.8
 #: age of a pool's report above which the pool is left as it is, in seconds
 REPORT_SECONDS = 2.5
-#: time for which nothing starts on a worker whose VM was ordered away, in seconds
-RETIRE_SECONDS = 3.0
-#: longest time by which the platform's list of VMs lags, in seconds
-LIST_LAG_SECONDS = 0.8
 #: time between two log lines on the pools' loads, in seconds
 LOG_SECONDS = 1.0
-#: time after an order in which its VM counts as away beyond the maintenance itself
-RETURN_SECONDS = 0.6
-#: time in which a moved VM joins its pool beyond the move itself
-JOIN_SECONDS = 3.0
-#: time from the end of a move until the owner has heard the VM's new worker: its entry is seen, its
-#: name stored in the roster, a call answered
-ARRIVAL_SECONDS = 0.6
-#: shortest time until a VM is expected whose worker is overdue
-LEAST_ARRIVAL_SECONDS = 0.2
 
 
 @attrs.define
@@ -65,24 +49,6 @@
     rows: dict[str, pb.WorkerReport]
 
 
-class _Urgency(enum.IntEnum):
-    """Which orders go first when not all can be given at once."""
-
-    LACKING = enum.auto()
-    UPKEEP = enum.auto()
-    NEEDLESS = enum.auto()
-
-
-@attrs.frozen
-class _VmOrder:
-    """A VM that is to be maintained in a wave, or to be moved to a target pool."""
-
-    vm: FleetVm
-    urgency: _Urgency
-    target: str = ""
-    wave: str = ""
-
-
 class FleetPlanning:
     """Plans while this daemon holds the planner's claim.
 
@@ -113,19 +79,10 @@
         self.emptying: dict[str, str] = {}
         # When the owner was told to empty a VM, by local time.
         self.told: dict[str, float] = {}
-        # Target and latest arrival of VMs that were moved, by local time.
-        self.moving: dict[str, tuple[str, float]] = {}
-        # VMs whose maintenance was ordered, until the list must show it, by local time.
-        self.begun: dict[str, float] = {}
-        # VMs about which an order is being given.
-        self.ordering: set[str] = set()
-        self.pace = OrderPace(around.timing.vm_orders_per_second)
-        # Waves whose progress is not stored yet.
-        self.unstored: set[str] = set()
+        self.desk = OrderDesk(around, orders, self.holder, self.waves, self._may_go)
         self.memory = PoolMoves()
-        # Workers whose VM was ordered away, and until when they take no runs for that, by local
-        # time. An order that was carried out before is confirmed though the worker stays.
-        self.ended: dict[str, float] = {}
+        # Group of the orders that are being given, so that they end with the planning.
+        self.tasks = around.tasks
         self.logged_at = 0.0
         # When a worker was first reported, and when the list of VMs was asked for, by local time.
         self.seen: dict[str, float] = {}
@@ -144,18 +101,20 @@
                     self.around.log.write("vms-unknown", reason=str(error))
                 except (StoreUnavailable, StoreError) as error:
                     self.around.log.write("wave-not-stored", reason=str(error))
-                await anyio.sleep(SOON_SECONDS if self.emptying or self.moving else LOOK_SECONDS)
+                await anyio.sleep(
+                    SOON_SECONDS if self.emptying or self.desk.moving else LOOK_SECONDS
+                )
 
     async def _store_waves(self) -> None:
         """Store the progress of waves, that of orders which come together at once."""
         while True:
             await anyio.sleep(STORE_GAP_SECONDS)
-            names, self.unstored = self.unstored, set()
+            names, self.desk.unstored = self.desk.unstored, set()
             for name in names:
                 try:
                     await self._store_wave(self.waves[name])
                 except (StoreUnavailable, StoreError) as error:
-                    self.unstored.add(name)
+                    self.desk.unstored.add(name)
                     self.around.log.write("wave-not-stored", wave=name, reason=str(error))
 
     def take_report(self, message: pb.PoolReport) -> pb.PoolPlan:
@@ -172,24 +131,14 @@
                 self.told.setdefault(name, self.around.clock.now())
         emptied = {
             self.vms[vm].worker_id for vm in self.emptying if vm in self.vms
-        } | self.ended.keys()
+        } | self.desk.ended.keys()
         return pb.PoolPlan(
             outcome=pb.ACCEPTED,
             cordoned_workers=sorted(mine & emptied),
             ended_workers=sorted(ended),
-            coming_seconds=self._coming_to(message.pool),
+            coming_seconds=self.desk.coming_to(message.pool),
         )
 
-    def _coming_to(self, pool: str) -> list[float]:
-        """Return the seconds until VMs that were moved to a pool take tasks."""
-        now = self.around.clock.now()
-        arrivals = (
-            until - JOIN_SECONDS + ARRIVAL_SECONDS
-            for target, until in self.moving.values()
-            if target == pool
-        )
-        return sorted(max(LEAST_ARRIVAL_SECONDS, when - now) for when in arrivals)
-
     def _has_ended(self, worker_id: str, vm_name: str) -> bool:
         """Return whether a worker's VM runs another worker now, or was ordered away."""
         if not vm_name or self.listed_at <= self.seen[worker_id] + LIST_LAG_SECONDS:
@@ -210,24 +159,21 @@
         self.vms, self.listed_at = vms, now
         if not self.memory.homes:
             await self._read_homes()
-        self._settle_moves(now)
+        self.desk.settle(vms, now)
         loads = self._loads(now)
         plan = plan_pools(loads, self._coming(), self.memory, now)
         self._log_loads(loads, plan, now)
         await self._follow_waves()
         wanted = self._choose_upkeep(loads, sum(plan.lacking.values()), now)
         wanted |= self._choose_leaving(plan, wanted)
-        wanted |= {vm: why for vm, why in self.emptying.items() if vm in self.ordering}
+        wanted |= {vm: why for vm, why in self.emptying.items() if vm in self.desk.giving}
         self._set_emptying(wanted)
         self._give_orders(plan, now)
 
     def _free(self) -> list[FleetVm]:
         """Return the VMs that are up and about which no order was given."""
         return [
-            vm
-            for vm in self.vms.values()
-            if vm.phase is Phase.UP
-            and not any(vm.name in away for away in (self.moving, self.begun, self.ordering))
+            vm for vm in self.vms.values() if vm.phase is Phase.UP and not self.desk.has(vm.name)
         ]
 
     def _loads(self, now: float) -> dict[str, PoolLoad]:
@@ -268,9 +214,9 @@
         back = [
             vm.pool
             for vm in self.vms.values()
-            if vm.phase is Phase.MAINTENANCE or vm.name in self.begun
+            if vm.phase is Phase.MAINTENANCE or vm.name in self.desk.begun
         ]
-        return dict(Counter([target for target, _ in self.moving.values()] + back))
+        return dict(Counter([target for target, _ in self.desk.moving.values()] + back))
 
     def _choose_upkeep(
         self, loads: dict[str, PoolLoad], lacking: int, now: float
@@ -355,24 +301,24 @@
             self.around.log.write("orders-withheld", age=round(self.claim_age(), 2))
             return
         orders = self._upkeep_orders(now) + self._move_orders(plan, now)
-        orders.sort(key=lambda order: order.urgency)
-        given = self.pace.take(len(orders), now)
-        for order in orders[:given]:
-            self.ordering.add(order.vm.name)
-            self.tasks.start_soon(self._carry_out, order)
-        if given < len(orders):
-            self.around.log.write("orders-put-off", orders=len(orders) - given)
-
-    def _upkeep_orders(self, now: float) -> list[_VmOrder]:
+        self.desk.give(orders, self.tasks, now)
+
+    def _may_go(self, vm: FleetVm) -> bool:
+        """Return whether a VM may be ordered away: it is empty, or not as it was."""
+        listed = self.vms.get(vm.name)
+        unchanged = listed is not None and listed.worker_id == vm.worker_id
+        return not unchanged or self._is_empty(vm, self.around.clock.now())
+
+    def _upkeep_orders(self, now: float) -> list[VmOrder]:
         orders = []
         for name, why in self.emptying.items():
             what, _, wave = why.partition(" ")
             vm = self.vms.get(name)
             if what == WAVE and vm is not None and self._is_empty(vm, now):
-                orders.append(_VmOrder(vm, _Urgency.UPKEEP, wave=wave))
+                orders.append(VmOrder(vm, Urgency.UPKEEP, wave=wave))
         return orders
 
-    def _move_orders(self, plan: FleetPlan, now: float) -> list[_VmOrder]:
+    def _move_orders(self, plan: FleetPlan, now: float) -> list[VmOrder]:
         """Return the moves of VMs that can go at once.
 
         VMs that leave their pool anyway go to the pools that lack some, then those of pools that
@@ -387,7 +333,7 @@
         orders = []
         for pool, count in plan.lacking.items():
             for vm in ready[:count]:
-                orders.append(_VmOrder(vm, _Urgency.LACKING, target=pool))
+                orders.append(VmOrder(vm, Urgency.LACKING, target=pool))
             del ready[:count]
         pools = self.around.config.pools if self.around.config else ()
         away = next((pool for pool in pools if self._is_off(pool)), None)
@@ -395,80 +341,9 @@
         for vm in ready:
             if away is not None and left.get(vm.pool, 0) > 0 and not self._is_off(vm.pool):
                 left[vm.pool] -= 1
-                orders.append(_VmOrder(vm, _Urgency.NEEDLESS, target=away))
+                orders.append(VmOrder(vm, Urgency.NEEDLESS, target=away))
         return orders
 
-    async def _carry_out(self, order: _VmOrder) -> None:
-        """Give an order until it is answered; its VM counts as away until then."""
-        vm = order.vm
-        try:
-            while self._is_due(order):
-                self.ended[vm.worker_id] = self.around.clock.now() + RETIRE_SECONDS
-                try:
-                    outcome = await self._give(order)
-                except PlatformError as error:
-                    # It may have been carried out, or may be later: the same one is given again.
-                    self.around.log.write("vm-order-unanswered", vm=vm.name, reason=str(error))
-                    await anyio.sleep(REPEAT_SECONDS)
-                    continue
-                self._note_outcome(order, outcome)
-                return
-            self.around.log.write("vm-order-given-up", vm=vm.name, target=order.target)
-        finally:
-            self.ordering.discard(vm.name)
-
-    def _is_due(self, order: _VmOrder) -> bool:
-        """Return whether an order may be sent right now."""
-        now = self.around.clock.now()
-        if not self._may_order():
-            return False
-        if order.wave:
-            wave = self.waves[order.wave]
-            away = wave.away(self.vms, now, self.around.timing.maintenance + RETURN_SECONDS)
-            if len(away - {order.vm.name}) >= wave.order.at_once:
-                return False
-            wave.ordered[order.vm.name] = now
-        listed = self.vms.get(order.vm.name)
-        unchanged = listed is not None and listed.worker_id == order.vm.worker_id
-        return not unchanged or self._is_empty(order.vm, now)
-
-    async def _give(self, order: _VmOrder) -> OrderOutcome:
-        if order.wave:
-            return await self.orders.maintain(order.vm.name, order.wave, self.holder)
-        return await self.orders.move(order.vm.name, order.target, self.holder)
-
-    def _note_outcome(self, order: _VmOrder, outcome: OrderOutcome) -> None:
-        vm, now = order.vm, self.around.clock.now()
-        done = outcome is OrderOutcome.DONE
-        event = "vm-maintained" if order.wave else "vm-moved"
-        self._log_order(event, vm, order.wave or order.target, outcome)
-        if outcome is OrderOutcome.TOO_MANY:
-            self.pace.note_refused()
-        if not done:
-            self.ended.pop(vm.worker_id, None)
-        if order.wave:
-            wave = self.waves[order.wave]
-            if done or outcome is OrderOutcome.NOT_IN_WAVE:
-                wave.done.add(vm.name)
-                self.unstored.add(order.wave)
-                self.emptying.pop(vm.name, None)
-            else:
-                wave.ordered.pop(vm.name, None)
-            if done:
-                self.begun[vm.name] = now + LIST_LAG_SECONDS
-        elif done:
-            self.emptying.pop(vm.name, None)
-            self.moving[vm.name] = (order.target, now + self.around.timing.move + JOIN_SECONDS)
-
-    def _settle_moves(self, now: float) -> None:
-        self.ended = {worker: until for worker, until in self.ended.items() if until > now}
-        for name, (target, until) in list(self.moving.items()):
-            vm = self.vms.get(name)
-            joined = vm is not None and vm.pool == target and vm.phase is Phase.UP
-            if joined or until <= now:
-                del self.moving[name]
-        self.begun = {name: until for name, until in self.begun.items() if until > now}
-
     async def _read_homes(self) -> None:
         """Read how many VMs each pool began with; the first planner stores it."""
         counts: dict[str, int] = {}
@@ -490,7 +365,7 @@
                 if not wave.completed:
                     await self._store_wave(wave)
             if not wave.completed and is_finished(wave, self.vms):
-                self.unstored.discard(name)
+                self.desk.unstored.discard(name)
                 wave.completed = True
                 await self._store_wave(wave)
                 self.around.log.write("wave-completed", wave=name, vms=len(order.vms))
@@ -535,16 +410,6 @@
                 for pool, load in loads.items()
             },
             emptying=len(self.emptying),
-            moving=len(self.moving),
-            ordering=len(self.ordering),
-        )
-
-    def _log_order(self, event: str, vm: FleetVm, target: str, outcome: OrderOutcome) -> None:
-        self.around.log.write(
-            event,
-            vm=vm.name,
-            pool=vm.pool,
-            target=target,
-            token=self.token,
-            outcome=outcome.name.lower(),
+            moving=len(self.desk.moving),
+            ordering=len(self.desk.giving),
         )
--- a/limpetpulley/ownership/tests/test_planner.py
+++ b/limpetpulley/ownership/tests/test_planner.py
@@ -15,7 +15,8 @@
 from ...store import MemoryStore
 from ...telemetry import EventLog
 from .. import Around, Timing, WaveBoard
-from ..planner import JOIN_SECONDS, FleetPlanning
+from ..planner import FleetPlanning
+from ..vmorders import JOIN_SECONDS
 
 
 class ListedVms:
@@ -91,7 +92,7 @@
     async def play():
         clock, vms = ManualClock(100.0), ListedVms()
         planning = make_planning(clock, vms)
-        planning.moving = {"m-1": ("desk", clock.now() + Timing().move + JOIN_SECONDS)}
+        planning.desk.moving = {"m-1": ("desk", clock.now() + Timing().move + JOIN_SECONDS)}
         clock.advance(after)
         vms.vms = listed(Phase.MOVING, "")
         await planning._look()
