--- a/limpetpulley/fleet/demand.py
+++ b/limpetpulley/fleet/demand.py
@@ -32,10 +32,10 @@
 #: the same before it goes to a pool that lacks VMs, so that chance does not send it to and fro
 LEND_SECONDS = 0.7
 #: part of its own VMs that a quiet pool keeps which has not peaked yet
-READY_PART = 0.25
+READY_PART = 0.4
 #: part of its own VMs beyond which a pool's need is its peak
 PEAK_PART = 0.5
-#: fewest VMs that a pool keeps, so that the loss of one does not stop it
+#: fewest VMs that a pool keeps, so that the loss of one leaves room for its tasks that last
 LEAST_VMS = 2
 
 
@@ -49,7 +49,7 @@
     :param ready_cores: processors that waiting tasks would use now if there were room
     :param refused_core_seconds: work that was refused in the last second
     :param vms: number of its VMs
-    :param least_vms: fewest VMs that it needs for its tasks that last
+    :param least_vms: fewest VMs over which its tasks that last can be spread
     :param lasting_cores: processors in use by tasks that last
     :param arriving_cores: processors that serve what is handed in now
     """
@@ -90,7 +90,7 @@
     @property
     def kept_vms(self) -> int:
         """Return the fewest VMs that the pool keeps."""
-        return max(LEAST_VMS, self.least_vms)
+        return max(LEAST_VMS, self.least_vms + 1)
 
 
 @attrs.frozen
--- a/limpetpulley/ownership/planner.py
+++ b/limpetpulley/ownership/planner.py
@@ -181,8 +181,6 @@
         if config is None:
             return {}
         upkeep = {vm for vm, why in self.emptying.items() if why != LEAVING}
-        due = [vm for wave in self.waves.values() for vm in wave.left(self.vms)]
-        maintained = {self.vms[name].pool for name in [*due, *upkeep] if name in self.vms}
         here: dict[str, list[FleetVm]] = {}
         for vm in self._free():
             if vm.name not in upkeep:
@@ -202,8 +200,7 @@
                 told.ready_cores,
                 told.refused_core_seconds,
                 len(vms),
-                # Tasks that last leave a VM for maintenance only if there is another one for them.
-                told.least_workers + (pool in maintained),
+                told.least_workers,
                 told.lasting_cores,
                 told.arriving_cores,
             )
