Open a watch of the workers' entries anew when it brings nothing for 1.6 s

After an outage in which the store was silent, a daemon's watch hung on a connection that stayed silent; it is given up after 10 s only. The daemon claimed a pool meanwhile, did not see that a worker had said that it leaves, and started tasks there 2.5 and 3 s later; the bound is 2 s. Ruled out: the planner (no move of that VM), a late answer of the worker.

Workers' entries change with every heartbeat, so that a watch which brings nothing for longer than one is silent. test_mirror fails without it. Not changed: the watches of the directory and of the operator's entries, which change seldom.

--- a/limpetpulley/ownership/listing.py
+++ b/limpetpulley/ownership/listing.py
@@ -18,6 +18,9 @@
 EXPECTING_GAP_SECONDS = 0.1
 OWNER_GAP_SECONDS = 0.3
 IDLE_GAP_SECONDS = 2.0
+#: longest time without news of any worker: a little more than a heartbeat, and short enough that a
+#: worker which leaves is not used for longer than the platform allows (2 s)
+SILENCE_SECONDS = 1.6
 
 
 class WorkerListing:
@@ -47,6 +50,7 @@
             clock,
             self._changed,
             gap=self._gap,
+            silence=SILENCE_SECONDS,
         )
         node.mirrors[prefix] = self.mirror
 
--- a/limpetpulley/store/mirror.py
+++ b/limpetpulley/store/mirror.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
 
 import anyio
 
@@ -30,6 +30,8 @@
         when it answers again
     :param gap: returns the time to wait between two answers of a watch, in seconds, so that
         frequent changes cost fewer calls
+    :param silence: longest time without an answer of a watch, in seconds, where entries change
+        often; one that brings nothing for longer is opened anew. None for a watch's own time
     """
 
     def __init__(
@@ -40,6 +42,7 @@
         changed: Callable[[list[Event]], None],
         lost: Callable[[str], None] = lambda reason: None,
         gap: Callable[[], float] = lambda: 0.0,
+        silence: float | None = None,
     ):
         self.store = store
         self.prefix = prefix
@@ -47,6 +50,7 @@
         self.changed = changed
         self.lost = lost
         self.gap = gap
+        self.silence = silence
         self.entries: dict[str, Entry] = {}
         self.revision = 0
         self.heard_at = clock.now()
@@ -60,7 +64,7 @@
             try:
                 if not self.loaded.is_set():
                     await self.load()
-                async for events in self.store.watch(self.prefix, self.revision):
+                async for events in self._watch():
                     pause = FIRST_PAUSE_SECONDS
                     self._heard()
                     self.apply(events)
@@ -75,6 +79,22 @@
             await anyio.sleep(pause)
             pause = min(2 * pause, LONGEST_PAUSE_SECONDS)
 
+    async def _watch(self) -> AsyncIterator[list[Event]]:
+        """Yield the changes of a watch.
+
+        :raises StoreUnavailable: if it brings nothing for too long: its connection may be silent
+        """
+        watch = aiter(self.store.watch(self.prefix, self.revision))
+        while True:
+            try:
+                with anyio.fail_after(self.silence):
+                    events = await anext(watch)
+            except StopAsyncIteration:
+                return
+            except TimeoutError:
+                raise StoreUnavailable(f"a watch brought nothing in {self.silence} s") from None
+            yield events
+
     async def load(self) -> None:
         """Read all entries and apply what differs."""
         snapshot = await self.store.read(self.prefix)
--- /dev/null
+++ b/limpetpulley/store/tests/test_mirror.py
@@ -0,0 +1,44 @@
+"""A copy of entries that follows the store, also when a watch falls silent."""
+
+import anyio
+import pytest
+
+from ...standin.virtual import VirtualClock, run_virtual
+from .. import MemoryStore, Mirror, Put
+
+
+class SilentStore:
+    """A store whose first watch never brings anything."""
+
+    def __init__(self, store):
+        self.store = store
+        self.watches = 0
+
+    async def read(self, prefix):
+        return await self.store.read(prefix)
+
+    async def watch(self, prefix, after):
+        self.watches += 1
+        if self.watches == 1:
+            await anyio.sleep_forever()
+        async for events in self.store.watch(prefix, after):
+            yield events
+
+
+@pytest.mark.parametrize(("silence", "seen"), [(1.6, True), (None, False)])
+def test_a_silent_watch_is_opened_anew(silence, seen):
+    async def run():
+        store = MemoryStore(VirtualClock())
+        mirror = Mirror(
+            SilentStore(store), "w/", VirtualClock(), lambda events: None, silence=silence
+        )
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(mirror.run)
+            await anyio.sleep(0.1)
+            await store.commit([], [Put("w/1", b"draining")])
+            await anyio.sleep(1.9)
+            found = "w/1" in mirror.entries
+            tasks.cancel_scope.cancel()
+        return found
+
+    assert run_virtual(run) is seen
