Store which VMs will be ordered before the orders go; a new planner orders all others at once

Cause: a planner slept for the lease of VM orders (3 s) before its first look, since its predecessor might just have ordered any VM. After each loss of the planner no VM moved for 4.4 s, half a peak.

Now a planner writes the names of the VMs under its claim before their orders are sent; its successor leaves those alone for what is left of the lease and orders, looks, plans and tells owners from its first moment. Peaks that were seen are stored beside them. On SIGTERM the planner stores what is left of each wait and gives its claim up before the pools, in one write that says that it claims no more. A write compares the record's revision too: one that is carried out late would otherwise take names away (a test fails without it).

Found on the way: a lease counted from its answer, not from when it was asked for, so that a slow answer let a planner order after its claim had lapsed (test_session fails without the mend).

--- a/limpetpulley/batch/keys.py
+++ b/limpetpulley/batch/keys.py
@@ -32,6 +32,7 @@
         self.rosters = prefix + "roster/"
         self.waves = prefix + "wave/"
         self.homes = prefix + "homes"
+        self.succession = prefix + "succession"
 
     def member(self, name: str) -> str:
         """Return the key of a live daemon."""
--- a/limpetpulley/fleet/turns.py
+++ b/limpetpulley/fleet/turns.py
@@ -1,20 +1,19 @@
 """Which pool's peak comes next, and when. No I/O.
 
 Answers pools that peak one after the other: VMs that arrive when a peak begins spare it its first
-seconds. What is foreseen is learned from the peaks that were seen, by this planner alone: a next
-planner learns it again within one round of all pools. Where peaks do not come in turns, nothing is
-foreseen.
+seconds. What is foreseen is learned from the peaks that were seen, by this planner and those before
+it. Where peaks do not come in turns, nothing is foreseen.
 """
 
 from __future__ import annotations
 
 import math
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from statistics import fmean, pstdev
 
 import attrs
 
-__all__ = ["TurnWatch"]
+__all__ = ["Peak", "TurnWatch"]
 
 #: time before a foreseen peak at which its VMs are asked for, in seconds: what a move takes, and
 #: an owner to use what joined
@@ -34,18 +33,29 @@
 
 
 @attrs.define
-class _Peak:
+class Peak:
+    """A peak of a pool's demand.
+
+    :param begun_at: when it began, in seconds of the clock of whoever holds this
+    :param seen_at: when it was last seen
+    :param height: most VMs that it wanted
+    """
+
     pool: str
     begun_at: float
     seen_at: float
     height: int
 
+    def shifted(self, seconds: float) -> Peak:
+        """Return the peak by a clock that is ahead by some seconds."""
+        return attrs.evolve(self, begun_at=self.begun_at + seconds, seen_at=self.seen_at + seconds)
+
 
 class TurnWatch:
     """Watches peaks come and go."""
 
     def __init__(self) -> None:
-        self.peaks: list[_Peak] = []
+        self.peaks: list[Peak] = []
 
     def note(self, pool: str, peaks: bool, wanted: int, now: float) -> None:
         """Note a look at a pool.
@@ -58,11 +68,21 @@
             return
         last = self._last(pool)
         if last is None or now - last.seen_at > QUIET_SECONDS:
-            self.peaks = [*self.peaks[-32:], _Peak(pool, now, now, wanted)]
+            self.peaks = [*self.peaks[-32:], Peak(pool, now, now, wanted)]
         else:
             last.seen_at = now
             last.height = max(last.height, wanted)
 
+    def remember(self, earlier: Sequence[Peak]) -> None:
+        """Take over the peaks that another watch has seen before."""
+        for peak in self.peaks[:]:
+            before = [old for old in earlier if old.pool == peak.pool]
+            if before and peak.begun_at - before[-1].seen_at <= QUIET_SECONDS:
+                before[-1].seen_at = peak.seen_at
+                before[-1].height = max(before[-1].height, peak.height)
+                self.peaks.remove(peak)
+        self.peaks = sorted([*earlier, *self.peaks], key=lambda peak: peak.begun_at)
+
     def may_rest(self, pool: str, pools: Iterable[str], now: float) -> bool:
         """Return whether another pool should peak before this one does again.
 
@@ -112,5 +132,5 @@
         left = set(pools) - {peak.pool for peak in self.peaks}
         return left.pop() if len(left) == 1 else None
 
-    def _last(self, pool: str) -> _Peak | None:
+    def _last(self, pool: str) -> Peak | None:
         return next((peak for peak in reversed(self.peaks) if peak.pool == pool), None)
--- a/limpetpulley/ownership/directory.py
+++ b/limpetpulley/ownership/directory.py
@@ -42,6 +42,7 @@
     :param incarnation: its start, in milliseconds since 1970
     :param address: ``host:port`` for other daemons
     :param strength: processors that its VM has for it, less where its link is narrow
+    :param leaving: whether it hands over what it owns and claims no more
     """
 
     name: str
@@ -49,6 +50,7 @@
     address: str
     data_centre: str = ""
     strength: float = WEAKEST
+    leaving: bool = False
 
 
 @attrs.frozen
@@ -82,6 +84,7 @@
             str(told["address"]),
             str(told.get("data_centre", "")),
             strength if strength > 0 and math.isfinite(strength) else WEAKEST,
+            told.get("leaving") is True,
         )
     except (ValueError, TypeError, KeyError, AttributeError) as error:
         raise RecordError(f"unreadable record of a member: {error!r}") from None
@@ -135,7 +138,8 @@
     :param pools: all pools
     :param now: local time
     """
-    members = {**directory.members, me.name: me}
+    staying = {name: each for name, each in directory.members.items() if not each.leaving}
+    members = {**staying, me.name: me}
     load = Counter(claim.member for claim in directory.owners.values())
     claims = []
     for pool in sorted(pools):
@@ -166,7 +170,7 @@
     others = (
         (load[name] + 1) / member.strength
         for name, member in directory.members.items()
-        if name != me.name
+        if name != me.name and not member.leaving
     )
     if not jobs or load[me.name] / me.strength <= min(others, default=math.inf):
         return None
--- a/limpetpulley/ownership/node.py
+++ b/limpetpulley/ownership/node.py
@@ -99,10 +99,8 @@
     async def leave(self) -> None:
         """Hand all pools over and end the lease."""
         self.leaving = True
+        await self._leave_planning()
         claims = {}
-        self.stop_planning()
-        if self.planning is not None:
-            claims[self.around.keys.owner(PLANNER)] = self.planning.token
         for pool, owner in list(self.owned.items()):
             with anyio.move_on_after(GIVE_UP_SECONDS):
                 await owner.give_up()
@@ -115,6 +113,20 @@
         except (StoreUnavailable, StoreError) as error:
             self.around.log.write("claims-not-released", reason=str(error))
 
+    async def _leave_planning(self) -> None:
+        """Let another daemon plan at once, before the pools are handed over."""
+        planning = self.planning
+        self.stop_planning()
+        try:
+            with anyio.move_on_after(GIVE_UP_SECONDS):
+                if planning is not None:
+                    await planning.hand_over()
+                await self.session.step_back(
+                    {self.around.keys.owner(PLANNER): planning.token} if planning else {}
+                )
+        except (StoreUnavailable, StoreError) as error:
+            self.around.log.write("claims-not-released", reason=str(error))
+
     @property
     def is_ready(self) -> bool:
         """Return whether callers can be served: each pool has a live owner."""
--- a/limpetpulley/ownership/planner.py
+++ b/limpetpulley/ownership/planner.py
@@ -18,6 +18,7 @@
 from ..store import Compare, Put
 from .around import Around
 from .board import WaveBoard
+from .intents import IntentLog
 from .session import LEASE_SECONDS
 from .vmorders import LIST_LAG_SECONDS, RETURN_SECONDS, OrderDesk, Urgency, VmOrder
 
@@ -79,8 +80,11 @@
         self.emptying: dict[str, str] = {}
         # When the owner was told to empty a VM, by local time.
         self.told: dict[str, float] = {}
-        self.desk = OrderDesk(around, orders, self.holder, self.waves, self._may_go)
         self.memory = PoolMoves()
+        self.intents = IntentLog(around, self.claim, self.memory.turns)
+        self.desk = OrderDesk(around, orders, self.holder, self.waves, self.intents, self._may_go)
+        self.inherited = False
+        self.ended = anyio.Event()
         # Group of the orders that are being given, so that they end with the planning.
         self.tasks = around.tasks
         self.logged_at = 0.0
@@ -90,20 +94,28 @@
 
     async def run(self) -> None:
         """Plan until cancelled."""
-        # An earlier holder may have ordered a moment ago; holders do not take turns.
-        await anyio.sleep(self.around.timing.holder_lease)
-        async with anyio.create_task_group() as self.tasks:
-            self.tasks.start_soon(self._store_waves)
-            while True:
-                try:
-                    await self._look()
-                except PlatformError as error:
-                    self.around.log.write("vms-unknown", reason=str(error))
-                except (StoreUnavailable, StoreError) as error:
-                    self.around.log.write("wave-not-stored", reason=str(error))
-                await anyio.sleep(
-                    SOON_SECONDS if self.emptying or self.desk.moving else LOOK_SECONDS
-                )
+        try:
+            async with anyio.create_task_group() as self.tasks:
+                self.tasks.start_soon(self.intents.run)
+                self.tasks.start_soon(self._store_waves)
+                await self._keep_looking()
+        finally:
+            self.ended.set()
+
+    async def hand_over(self) -> None:
+        """Leave what the next planner needs, after the planning was cancelled."""
+        await self.ended.wait()
+        await self.intents.hand_over()
+
+    async def _keep_looking(self) -> None:
+        while True:
+            try:
+                await self._look()
+            except PlatformError as error:
+                self.around.log.write("vms-unknown", reason=str(error))
+            except (StoreUnavailable, StoreError) as error:
+                self.around.log.write("wave-not-stored", reason=str(error))
+            await anyio.sleep(SOON_SECONDS if self.emptying or self.desk.moving else LOOK_SECONDS)
 
     async def _store_waves(self) -> None:
         """Store the progress of waves, that of orders which come together at once."""
@@ -154,9 +166,12 @@
         return vm.phase is Phase.UP and vm.worker_id != worker_id and (bool(vm.worker_id) or off)
 
     async def _look(self) -> None:
-        now = self.around.clock.now()
+        now, heir = self.around.clock.now(), self.intents.loaded and not self.inherited
         vms = {vm.name: vm for vm in await self.orders.list_vms()}
         self.vms, self.listed_at = vms, now
+        if heir:
+            self.desk.inherit(vms, now)
+            self.inherited = True
         if not self.memory.homes:
             await self._read_homes()
         self.desk.settle(vms, now)
@@ -176,6 +191,9 @@
             vm for vm in self.vms.values() if vm.phase is Phase.UP and not self.desk.has(vm.name)
         ]
 
+    def _may_be_ordered(self, vm: FleetVm) -> bool:
+        return not self.intents.is_held(vm.name)
+
     def _loads(self, now: float) -> dict[str, PoolLoad]:
         config = self.around.config
         if config is None:
@@ -249,12 +267,18 @@
     def _choose_leaving(self, plan: FleetPlan, upkeep: Container[str]) -> dict[str, str]:
         """Return the VMs to be emptied because they leave their pool."""
         free = [vm for vm in self._free() if vm.name not in upkeep]
-        off = sum(1 for vm in free if self._is_off(vm.pool))
+        off = sum(1 for vm in free if self._is_off(vm.pool) and self._may_be_ordered(vm))
         wanted: dict[str, str] = {}
         for pool, count in choose_leaving(plan, off).items():
             vms = [vm for vm in free if vm.pool == pool]
             # Those that are being emptied go on, as long as their pool can spare them.
-            vms.sort(key=lambda vm: (vm.name not in self.emptying, *self._use(vm)))
+            vms.sort(
+                key=lambda vm: (
+                    vm.name not in self.emptying,
+                    self.intents.is_held(vm.name),
+                    *self._use(vm),
+                )
+            )
             wanted |= dict.fromkeys((vm.name for vm in vms[:count]), LEAVING)
         return wanted
 
@@ -294,6 +318,8 @@
 
     def _give_orders(self, plan: FleetPlan, now: float) -> None:
         """Order what can be ordered now, what is worth most first."""
+        if not self.inherited:
+            return
         if not self._may_order():
             self.around.log.write("orders-withheld", age=round(self.claim_age(), 2))
             return
@@ -311,7 +337,9 @@
         for name, why in self.emptying.items():
             what, _, wave = why.partition(" ")
             vm = self.vms.get(name)
-            if what == WAVE and vm is not None and self._is_empty(vm, now):
+            if what != WAVE or vm is None or not self._may_be_ordered(vm):
+                continue
+            if self._is_empty(vm, now):
                 orders.append(VmOrder(vm, Urgency.UPKEEP, wave=wave))
         return orders
 
@@ -326,7 +354,7 @@
         empty = [vm for vm in free if vm.name in self.emptying and self._is_empty(vm, now)]
         off = [vm for vm in free if self._is_off(vm.pool)]
         off.sort(key=lambda vm: vm.name in due)
-        ready = empty + off
+        ready = [vm for vm in empty + off if self._may_be_ordered(vm)]
         orders = []
         for pool, count in plan.lacking.items():
             for vm in ready[:count]:
@@ -359,6 +387,7 @@
             wave = self.waves.get(name)
             if wave is None:
                 wave = self.waves[name] = await self._read_wave(order)
+                self._inherit_upkeep(wave)
                 if not wave.completed:
                     await self._store_wave(wave)
             if not wave.completed and is_finished(wave, self.vms):
@@ -367,6 +396,12 @@
                 await self._store_wave(wave)
                 self.around.log.write("wave-completed", wave=name, vms=len(order.vms))
 
+    def _inherit_upkeep(self, wave: WaveProgress) -> None:
+        """Count the VMs as down that the planner before may just have had maintained."""
+        for intent in self.intents.inherited.values():
+            if intent.wave == wave.order.name:
+                wave.ordered[intent.vm] = self.intents.begun_at
+
     async def _read_wave(self, order: WaveOrder) -> WaveProgress:
         entry = await self.around.store.get(self.around.keys.wave(order.name))
         if entry is None:
--- a/limpetpulley/ownership/session.py
+++ b/limpetpulley/ownership/session.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 import anyio
+import attrs
 
 from ..batch.keys import BatchKeys
 from ..clock import Clock
@@ -119,6 +120,18 @@
         for key, token in claims.items():
             await self.store.commit([Compare(key, token)], [Delete(key)])
 
+    async def step_back(self, claims: dict[str, int]) -> None:
+        """Tell the others that this daemon claims no more, and release some claims with it.
+
+        :param claims: token by key
+        """
+        self.member = attrs.evolve(self.member, leaving=True)
+        if not self.lease:
+            return
+        told = Put(self.keys.member(self.member.name), encode_member(self.member), self.lease)
+        compares = [Compare(key, token) for key, token in claims.items()]
+        await self.store.commit(compares, [told, *(Delete(key) for key in claims)])
+
     async def end(self) -> None:
         """End the lease and the member key with it, for good."""
         self.closed = True
@@ -127,9 +140,11 @@
             self.lease = 0
 
     async def _begin(self) -> None:
+        # The lease runs from when the store hears of it, which may be long before its answer.
+        asked_at = self.clock.now()
         lease = await self.store.grant_lease(LEASE_SECONDS)
         key = self.keys.member(self.member.name)
         await self.store.commit([], [Put(key, encode_member(self.member), lease)])
         self.lease = lease
-        self.renewed_at = self.clock.now()
+        self.renewed_at = asked_at
         self.log.write("session-begun", lease=lease, incarnation=self.member.incarnation)
--- a/limpetpulley/ownership/tests/fleetplayer.py
+++ b/limpetpulley/ownership/tests/fleetplayer.py
@@ -24,10 +24,10 @@
 from ...standin.virtual import VirtualClock, run_virtual
 from ...standin.vms import MemoryVms
 from ...standin.workers import MemoryWorkers
-from ...store import MemoryStore
+from ...store import Compare, MemoryStore, Put
 from ...telemetry import EventLog
 from .. import Around, Timing, WaveBoard
-from ..planner import FleetPlanning
+from ..planner import PLANNER, FleetPlanning
 
 __all__ = ["FleetLoad", "FleetPlay", "play_fleet"]
 
@@ -182,6 +182,7 @@
 
     async def play(self) -> FleetPlay:
         self.planning.memory.homes = dict(self.load.homes)
+        await self._claim()
         self.tasks.start_soon(self.planning.run)
         begun, reported = self.clock.now(), 0.0
         rounds = len(self.load.order) * (self.load.length + self.load.gap)
@@ -200,6 +201,11 @@
         self.result.most_down = self.vms.most_down
         return self.result
 
+    async def _claim(self) -> None:
+        around = self.planning.around
+        claimed = await around.store.commit([], [Put(around.keys.owner(PLANNER), b"")])
+        self.planning.intents.claim = Compare(around.keys.owner(PLANNER), claimed.revision)
+
     def _follow_wave(self, since: float) -> None:
         wave = self.load.wave
         if wave is None or since < self.load.wave_at:
--- a/limpetpulley/ownership/tests/test_directory.py
+++ b/limpetpulley/ownership/tests/test_directory.py
@@ -94,6 +94,15 @@
     assert sorted(pool for claims in found.values() for pool in claims) == sorted(names)
 
 
+def test_a_daemon_that_leaves_claims_nothing_and_gets_nothing():
+    directory = strong_directory({}, "as")
+    directory.members["s"] = attrs.evolve(directory.members["s"], leaving=True)
+    assert choose_claims(directory, directory.members["a"], ["p"], 100.0) == ["p"]
+    directory.owners = {"p": Ownership("a", 1, 5)}
+    assert choose_release(directory, directory.members["a"], {"p": 1}) is None
+    assert decode_member(encode_member(directory.members["s"])).leaving
+
+
 @pytest.mark.parametrize(
     ("told", "strength"),
     [
--- a/limpetpulley/ownership/tests/test_session.py
+++ b/limpetpulley/ownership/tests/test_session.py
@@ -91,3 +91,27 @@
 def test_a_lease_that_has_ended_is_given_up_and_begun_anew():
     found, _ = play(lambda number: math.inf if 3 <= number < 6 else 0.002)
     assert found == 1
+
+
+def test_a_lease_counts_from_when_it_was_asked_for():
+    """Its answer may come late; a permission that rests on it must not outlive it."""
+
+    async def start():
+        clock = VirtualClock()
+        store = MemoryStore(clock)
+        granted = store.grant_lease
+
+        async def grant_slowly(seconds):
+            lease = await granted(seconds)
+            await anyio.sleep(1.0)
+            return lease
+
+        store.grant_lease = grant_slowly
+        member = Member("entry-1", 1, "192.0.2.1:7000")
+        session = Session(
+            store, BatchKeys("lp/"), member, clock, quiet_log("entry-1"), lambda: None
+        )
+        await session._begin()
+        return session.age()
+
+    assert run_virtual(start) >= 1.0
--- a/limpetpulley/ownership/tests/test_vmorders.py
+++ b/limpetpulley/ownership/tests/test_vmorders.py
@@ -9,12 +9,14 @@
 
 from ...batch.keys import BatchKeys
 from ...exception import PlatformError
+from ...fleet.turns import TurnWatch
 from ...fleet.upkeep import WaveProgress
 from ...fleet.vms import FleetVm, Holder, OrderOutcome, Phase, WaveOrder
 from ...standin.virtual import VirtualClock, run_virtual
-from ...store import MemoryStore
+from ...store import Compare, MemoryStore, Put
 from ...telemetry import EventLog
 from .. import Around, Timing
+from ..intents import IntentLog
 from ..vmorders import OrderDesk, Urgency, VmOrder
 
 DONE, BUSY, TOO_MANY = OrderOutcome.DONE, OrderOutcome.BUSY, OrderOutcome.TOO_MANY
@@ -55,8 +57,14 @@
         around = Around(
             MemoryStore(clock), BatchKeys("lp/"), None, clock, log, Timing(), None, clock.now
         )
-        desk = OrderDesk(around, platform, Holder("entry-1", 7, holds), waves or {}, may_go)
+        claim = await around.store.commit([], [Put(around.keys.owner("@planner"), b"")])
+        intents = IntentLog(
+            around, Compare(around.keys.owner("@planner"), claim.revision), TurnWatch()
+        )
+        holder = Holder("entry-1", 7, holds)
+        desk = OrderDesk(around, platform, holder, waves or {}, intents, may_go)
         async with anyio.create_task_group() as tasks:
+            tasks.start_soon(intents.run)
             result = await story(desk, tasks, clock)
             tasks.cancel_scope.cancel()
         return result
--- a/limpetpulley/ownership/vmorders.py
+++ b/limpetpulley/ownership/vmorders.py
@@ -11,9 +11,11 @@
 
 from ..exception import PlatformError
 from ..fleet.pace import OrderPace
+from ..fleet.succession import OrderIntent
 from ..fleet.upkeep import WaveProgress
 from ..fleet.vms import FleetVm, Holder, OrderOutcome, Phase, VmOrders
 from .around import Around
+from .intents import IntentLog
 
 __all__ = ["LIST_LAG_SECONDS", "RETURN_SECONDS", "OrderDesk", "Urgency", "VmOrder"]
 
@@ -58,6 +60,7 @@
     :param orders: carries orders to the platform
     :param holder: the planner; its permission is asked for right before each order
     :param waves: waves by name; what an order means for one is noted there
+    :param intents: stores each order's intent before it is given
     :param may_go: returns whether a VM, as it was listed when its order was decided, may still be
         ordered away: it is empty, or not as it was
     """
@@ -68,12 +71,14 @@
         orders: VmOrders,
         holder: Holder,
         waves: dict[str, WaveProgress],
+        intents: IntentLog,
         may_go: Callable[[FleetVm], bool],
     ):
         self.around = around
         self.orders = orders
         self.holder = holder
         self.waves = waves
+        self.intents = intents
         self.may_go = may_go
         self.pace = OrderPace(around.timing.vm_orders_per_second)
         # VMs about which an order is being given.
@@ -90,6 +95,20 @@
         # VMs as they were listed last.
         self.listed: dict[str, FleetVm] = {}
 
+    def inherit(self, vms: dict[str, FleetVm], now: float) -> None:
+        """Take over what the planner before has ordered, or may have.
+
+        :param vms: VMs by a list that is younger than its last order
+        """
+        for intent in self.intents.inherited.values():
+            vm = vms.get(intent.vm)
+            if intent.target and vm is not None and vm.phase is Phase.MOVING:
+                joined = now + self.around.timing.move + JOIN_SECONDS
+                self.moving[intent.vm] = (intent.target, joined)
+            if intent.worker_id:
+                # The order may still be on its way.
+                self.ended[intent.worker_id] = self.intents.held_until(intent)
+
     def settle(self, vms: dict[str, FleetVm], now: float) -> None:
         """Take a new list of VMs into account."""
         self.listed = vms
@@ -129,21 +148,34 @@
         """Give an order until it is answered; its VM counts as away until then."""
         vm = order.vm
         try:
-            while self._is_due(order):
-                self.ended[vm.worker_id] = self.around.clock.now() + RETIRE_SECONDS
-                try:
-                    outcome = await self._send(order)
-                except PlatformError as error:
-                    # It may have been carried out, or may be later: the same one is given again.
-                    self.around.log.write("vm-order-unanswered", vm=vm.name, reason=str(error))
-                    await anyio.sleep(REPEAT_SECONDS)
-                    continue
-                self._note_outcome(order, outcome)
-                return
-            self.around.log.write("vm-order-given-up", vm=vm.name, target=order.target)
+            intent = OrderIntent(vm.name, vm.worker_id, order.target, order.wave)
+            if await self.intents.cover(intent) and self._is_as_decided(vm):
+                await self._repeat(order)
+            else:
+                self.around.log.write("vm-order-given-up", vm=vm.name, target=order.target)
         finally:
+            self.intents.close(vm.name)
             self.giving.discard(vm.name)
 
+    def _is_as_decided(self, vm: FleetVm) -> bool:
+        """Return whether a VM still is what it was when its order was decided."""
+        return self.listed.get(vm.name, vm) == vm
+
+    async def _repeat(self, order: VmOrder) -> None:
+        vm = order.vm
+        while self._is_due(order):
+            self.ended[vm.worker_id] = self.around.clock.now() + RETIRE_SECONDS
+            try:
+                outcome = await self._send(order)
+            except PlatformError as error:
+                # It may have been carried out, or may be later: the same one is given again.
+                self.around.log.write("vm-order-unanswered", vm=vm.name, reason=str(error))
+                await anyio.sleep(REPEAT_SECONDS)
+                continue
+            self._note_outcome(order, outcome)
+            return
+        self.around.log.write("vm-order-given-up", vm=vm.name, target=order.target)
+
     def _is_due(self, order: VmOrder) -> bool:
         """Return whether an order may be sent right now; of a wave, count its VM as down."""
         if not self.holder.holds():
