Load at a daemon's start only what its kind needs

A daemon that comes back after a loss serves nobody meanwhile, and on VMs with a fraction of a core that is seconds.

Packages `api`, `fleet`, `quota`, `scheduling`, and parts of `peer`, `store` and `telemetry`, are imported by module now; secrets of access keys stand beside the packages.

Weighed and not taken: uvloop in place of asyncio's own loop.

--- a/limpetpulley/api/__init__.py
+++ b/limpetpulley/api/__init__.py
@@ -1,7 +1,6 @@
-"""HTTP interfaces for callers and operators."""
+"""HTTP interfaces for callers and operators: import what is needed from the modules.
 
-from .callers import CallersApp
-from .operators import OperatorsApp
-from .server import HttpServer
+A daemon of one kind should not load the interfaces of the other at its start.
+"""
 
-__all__ = ["CallersApp", "HttpServer", "OperatorsApp"]
+__all__: list[str] = []
--- a/limpetpulley/api/batches.py
+++ b/limpetpulley/api/batches.py
@@ -10,9 +10,9 @@
 
 from ..batch import BatchConfig, JobSpec, JobState, QueueRule
 from ..batch.records import decode_spec
-from ..config import digest_secret
 from ..exception import JobRefused, RecordError, StoreError, StoreUnavailable
 from ..ownership import BatchNode, Outcome, Submission
+from ..secret import digest_secret
 from .http import Receive, Scope, Send, get_header, read_body, send_json, send_problem, send_refusal
 
 __all__ = ["BatchesApp", "Dialect", "Target", "own_dialect"]
--- a/limpetpulley/cli/trace.py
+++ b/limpetpulley/cli/trace.py
@@ -10,7 +10,7 @@
 import attrs
 import cappa
 
-from ..telemetry import Story, TraceLine, read_lines, trace
+from ..telemetry.trace import Story, TraceLine, read_lines, trace
 from .client import ExitStatus, OperatorsError
 from .session import Session
 
--- a/limpetpulley/config/__init__.py
+++ b/limpetpulley/config/__init__.py
@@ -1,8 +1,8 @@
 """Configuration objects, their checks, and the replica that every daemon keeps."""
 
+from ..secret import digest_secret, make_secret
 from .check import check_objects, find_problems
 from .document import Change, diff_documents, dump_document, load_document
-from .keys import digest_secret, make_secret
 from .objects import (
     KINDS,
     AccessKey,
--- a/limpetpulley/config/tests/test_replica.py
+++ b/limpetpulley/config/tests/test_replica.py
@@ -7,7 +7,7 @@
 from testtools.matchers import Equals, Is
 
 from ...exception import ConfigError
-from ..keys import digest_secret
+from ...secret import digest_secret
 from ..objects import AccessKey, Pool, Vm, VmPhase
 from ..replica import ConfigReplica, Record, decode_record, encode_record
 
--- a/limpetpulley/daemon/handlers.py
+++ b/limpetpulley/daemon/handlers.py
@@ -7,8 +7,9 @@
 from ..exception import ConfigError, PeerError
 from ..idempotency import KeyState
 from ..membership import decode_view
-from ..peer import PeerBase, convert
+from ..peer import convert
 from ..peer import peer_pb2 as pb
+from ..peer.peer_grpc import PeerBase
 from .departure import take_over
 from .reporting import collect_report
 
--- a/limpetpulley/daemon/heartbeat.py
+++ b/limpetpulley/daemon/heartbeat.py
@@ -14,7 +14,7 @@
 from ..membership import Member
 from ..peer import PeerCaller, convert
 from ..peer import peer_pb2 as pb
-from ..quota import GroupReport
+from ..quota.adviser import GroupReport
 from ..scheduling.starter import Starter
 from ..settings import Settings
 from ..tasks import start_guarded
--- a/limpetpulley/daemon/main.py
+++ b/limpetpulley/daemon/main.py
@@ -16,7 +16,7 @@
 from ..exception import LimpetpulleyError, SettingsError, leaves
 from ..settings import Settings, load_settings
 from ..settings.daemon import flag_of, variable_of
-from ..store import EtcdStore
+from ..store.etcd import EtcdStore
 from ..telemetry import BatchMetrics, EventLog
 from ..vms import HttpPlatform
 from .server import Daemon
--- a/limpetpulley/daemon/node.py
+++ b/limpetpulley/daemon/node.py
@@ -12,7 +12,8 @@
 from ..config import ConfigReplica, Queue, Team, Vm, VmPhase
 from ..config.writer import ConfigWriter
 from ..exception import PlatformError
-from ..fleet import FleetPlanner, FleetReport
+from ..fleet.planner import FleetPlanner
+from ..fleet.report import FleetReport
 from ..idempotency import RecordBook
 from ..jobs import JobService
 from ..keyspace import Keyspace
@@ -20,9 +21,11 @@
 from ..metrics import Metrics, NullMetrics
 from ..peer import PeerCaller, convert
 from ..peer import peer_pb2 as pb
-from ..quota import Ledger, pool_group, slot_resource, team_group, team_resource
+from ..quota.ledger import Ledger
+from ..quota.resource import pool_group, slot_resource, team_group, team_resource
 from ..routing import Connections, Dispatcher, EndpointSet, Health
-from ..scheduling import Admission, PoolLoad, RunTimes
+from ..scheduling.admission import Admission, PoolLoad
+from ..scheduling.runtimes import RunTimes
 from ..scheduling.starter import Starter
 from ..settings import Settings
 from ..store import Store
--- a/limpetpulley/daemon/server.py
+++ b/limpetpulley/daemon/server.py
@@ -7,15 +7,18 @@
 import anyio
 from absl import logging
 
-from ..api import CallersApp, HttpServer, OperatorsApp
 from ..api.batches import BATCH_PATH
+from ..api.callers import CallersApp
 from ..api.http import Receive, Scope, Send
 from ..api.metrics import MetricsApp
+from ..api.operators import OperatorsApp
+from ..api.server import HttpServer
 from ..clock import SystemClock
 from ..exception import LimpetpulleyError
 from ..http_client import KeptHttp
 from ..metrics import make_metrics
 from ..peer import BatchStub, PeerClient, PeerServer
+from ..peer.peer_grpc import PeerStub
 from ..routing import EndpointConnections
 from ..settings import Settings
 from ..store import Store
@@ -63,7 +66,7 @@
             store,
             vm_list,
             workers,
-            PeerClient(),
+            PeerClient(PeerStub),
             EndpointConnections(clock),
             EndpointConnections(clock),
             tasks,
--- a/limpetpulley/daemon/trading.py
+++ b/limpetpulley/daemon/trading.py
@@ -15,9 +15,10 @@
 from ..membership import Member
 from ..peer import PeerCaller, convert
 from ..peer import peer_pb2 as pb
-from ..quota import Adviser, GroupReport, Ledger, Order, Transfer, make_adviser
+from ..quota.adviser import Adviser, GroupReport, Order, make_adviser
+from ..quota.ledger import Ledger, Transfer
 from ..quota.resource import POOL_PREFIX, is_team_group, team_group, team_resource
-from ..scheduling import PoolLoad
+from ..scheduling.admission import PoolLoad
 from ..scheduling.starter import Starter
 from ..tasks import start_guarded
 from .peers import PeerTable
--- a/limpetpulley/fleet/__init__.py
+++ b/limpetpulley/fleet/__init__.py
@@ -1,21 +1,6 @@
-"""Pools, moves, maintenance waves and the spare buffer."""
+"""Pools, moves, maintenance waves and the spare buffer: import from the modules.
 
-from .budgets import BudgetCount
-from .decide import decide
-from .planner import FleetPlanner
-from .preview import preview_wave
-from .report import FleetReport
-from .state import FleetState, PoolDemand, Step, StepKind, VmStatus
+A daemon that owns pools should not load the configuration objects of direct jobs at its start.
+"""
 
-__all__ = [
-    "BudgetCount",
-    "FleetPlanner",
-    "FleetReport",
-    "FleetState",
-    "PoolDemand",
-    "Step",
-    "StepKind",
-    "VmStatus",
-    "decide",
-    "preview_wave",
-]
+__all__: list[str] = []
--- a/limpetpulley/jobs.py
+++ b/limpetpulley/jobs.py
@@ -16,7 +16,8 @@
 from .metrics import Metrics
 from .routing.attempt import Answer, Body, Headers
 from .routing.dispatch import Dispatcher, JobRequest
-from .scheduling import Admission, PoolLoad, RunTimes
+from .scheduling.admission import Admission, PoolLoad
+from .scheduling.runtimes import RunTimes
 from .scheduling.starter import Starter
 
 __all__ = ["Explanation", "Forwarder", "JobService", "OnceGuard", "Submission"]
--- a/limpetpulley/membership/member.py
+++ b/limpetpulley/membership/member.py
@@ -11,7 +11,7 @@
 from absl import logging
 
 from ..clock import Clock
-from ..quota import Ledger
+from ..quota.ledger import Ledger
 from .view import MemberInfo, Quarantine, Shadow, View, ViewState
 
 __all__ = ["Collecting", "Member"]
--- a/limpetpulley/membership/tests/test_member.py
+++ b/limpetpulley/membership/tests/test_member.py
@@ -5,7 +5,7 @@
 from testtools.matchers import Equals, Is
 
 from ...clock import ManualClock
-from ...quota import Ledger
+from ...quota.ledger import Ledger
 from ..member import Member
 from ..planner import append_grants, divide, open_view, propose_view, start_view
 from ..proposer import Proposer
--- a/limpetpulley/membership/tests/test_protocol.py
+++ b/limpetpulley/membership/tests/test_protocol.py
@@ -20,7 +20,7 @@
 
 from ...clock import ManualClock
 from ...exception import PermitError
-from ...quota import Ledger
+from ...quota.ledger import Ledger
 from ..member import Member
 from ..planner import open_view
 from ..proposer import Proposer
--- a/limpetpulley/membership/tests/test_return.py
+++ b/limpetpulley/membership/tests/test_return.py
@@ -5,7 +5,7 @@
 from testtools.matchers import Equals
 
 from ...clock import ManualClock
-from ...quota import Ledger
+from ...quota.ledger import Ledger
 from ..member import Member
 from ..planner import open_view, propose_view, release_quarantine
 from ..view import MemberInfo, View, ViewState
--- a/limpetpulley/ownership/tests/test_return.py
+++ b/limpetpulley/ownership/tests/test_return.py
@@ -8,7 +8,7 @@
 from ..planner import PLANNER
 from .test_calm_day import NAMES, POOLS, play
 
-#: longest time from the daemons' start until every pool has an owner and VMs are planned, in seconds
+#: longest time from the daemons' start until each pool has an owner and VMs are planned, in seconds
 BACK_SECONDS = 0.4
 
 
--- a/limpetpulley/peer/client.py
+++ b/limpetpulley/peer/client.py
@@ -13,7 +13,6 @@
 
 from ..exception import PeerError, PeerUnreachable
 from ..tasks import absorb_cancellation
-from .peer_grpc import PeerStub
 
 __all__ = ["PeerCaller", "PeerClient"]
 
@@ -79,7 +78,7 @@
     :param stub: class of the stubs that know the service's methods
     """
 
-    def __init__(self, stub: Callable[[Channel], Any] = PeerStub) -> None:
+    def __init__(self, stub: Callable[[Channel], Any]) -> None:
         self.stub = stub
         self.channels: dict[str, _Peer] = {}
         self.calls = 0
--- a/limpetpulley/peer/convert.py
+++ b/limpetpulley/peer/convert.py
@@ -8,7 +8,8 @@
 from ..config.replica import decode_record, encode_record
 from ..idempotency import KeyRecord, KeyState
 from ..membership import MemberInfo
-from ..quota import Claim, GroupReport, Order, Transfer
+from ..quota.adviser import Claim, GroupReport, Order
+from ..quota.ledger import Transfer
 from . import peer_pb2 as pb
 
 __all__ = [
--- a/limpetpulley/peer/tests/test_client.py
+++ b/limpetpulley/peer/tests/test_client.py
@@ -4,9 +4,10 @@
 import pytest
 
 from ...exception import PeerError, PeerUnreachable
-from .. import PeerBase, PeerClient, PeerServer
+from .. import PeerClient, PeerServer
 from .. import peer_pb2 as pb
 from ..client import SILENT_SECONDS
+from ..peer_grpc import PeerBase, PeerStub
 
 
 class SlowPeer(PeerBase):
@@ -43,7 +44,7 @@
         peer = SlowPeer(seconds)
         server = PeerServer([peer], "127.0.0.1", 0)
         await server.start()
-        client = PeerClient()
+        client = PeerClient(PeerStub)
         address = f"127.0.0.1:{server.port}"
         ends = [""] * len(timeouts)
 
@@ -80,7 +81,7 @@
 
 def test_a_refused_connection_says_that_nothing_arrived():
     async def run():
-        client = PeerClient()
+        client = PeerClient(PeerStub)
         server = PeerServer([], "127.0.0.1", 0)
         port = server.port
         server.socket.close()
--- a/limpetpulley/quota/__init__.py
+++ b/limpetpulley/quota/__init__.py
@@ -1,20 +1,3 @@
-"""Permits: the divided parts of fleet-wide limits, and how they move between daemons."""
+"""Parts of fleet-wide limits, and how they move between daemons: import from the modules."""
 
-from .adviser import Adviser, Claim, GroupReport, Order, make_adviser
-from .ledger import Holding, Ledger, Transfer
-from .resource import pool_group, slot_resource, team_group, team_resource
-
-__all__ = [
-    "Adviser",
-    "Claim",
-    "GroupReport",
-    "Holding",
-    "Ledger",
-    "Order",
-    "Transfer",
-    "make_adviser",
-    "pool_group",
-    "slot_resource",
-    "team_group",
-    "team_resource",
-]
+__all__: list[str] = []
--- a/limpetpulley/scheduling/starter.py
+++ b/limpetpulley/scheduling/starter.py
@@ -12,17 +12,18 @@
 from absl import logging
 
 from ..clock import Clock
-from ..quota import (
-    Claim,
-    GroupReport,
-    Ledger,
-    Order,
+from ..quota.adviser import Claim, GroupReport, Order
+from ..quota.ledger import Ledger
+from ..quota.resource import (
+    POOL_PREFIX,
+    TEAM_PREFIX,
+    is_team_group,
     pool_group,
     slot_resource,
     team_group,
     team_resource,
+    vm_of,
 )
-from ..quota.resource import POOL_PREFIX, TEAM_PREFIX, is_team_group, vm_of
 from .waiting import WaitingJob, WaitingJobs
 
 __all__ = ["Starter", "VmChoice"]
--- a/limpetpulley/standin/cluster.py
+++ b/limpetpulley/standin/cluster.py
@@ -11,7 +11,7 @@
 import attrs
 import httpcore
 
-from ..api import CallersApp
+from ..api.callers import CallersApp
 from ..config import AccessKey, Change, ConfigObject, digest_secret
 from ..daemon import Node, Surroundings
 from ..daemon.departure import leave
--- a/limpetpulley/standin/main.py
+++ b/limpetpulley/standin/main.py
@@ -9,7 +9,8 @@
 from ..api.batches import BatchesApp, own_dialect
 from ..api.server import HttpServer
 from ..clock import SystemClock
-from ..store import EtcdStore, MemoryStore
+from ..store import MemoryStore
+from ..store.etcd import EtcdStore
 from .batchfleet import make_fleet
 from .endpoint import EndpointStandin
 from .fleet import MemoryFleet
--- a/limpetpulley/standin/network.py
+++ b/limpetpulley/standin/network.py
@@ -12,7 +12,7 @@
 import httpcore
 
 from ..exception import PeerError
-from ..peer import PeerBase
+from ..peer.peer_grpc import PeerBase
 from ..tasks import start_guarded
 
 __all__ = ["AsgiConnections", "MemoryNetwork", "NetworkCaller", "call_app"]
--- a/limpetpulley/store/__init__.py
+++ b/limpetpulley/store/__init__.py
@@ -1,6 +1,5 @@
-"""The platform's key-value store: its interface, and clients that speak to it."""
+"""The platform's key-value store: its interface, copies of it, and one in memory."""
 
-from .etcd import EtcdStore
 from .measured import MeasuredStore
 from .memory import MemoryStore
 from .mirror import Mirror
@@ -10,7 +9,6 @@
     "Compare",
     "Delete",
     "Entry",
-    "EtcdStore",
     "Event",
     "MeasuredStore",
     "MemoryStore",
--- a/measure/capacity.py
+++ b/measure/capacity.py
@@ -11,10 +11,11 @@
 from limpetpulley.config import AccessKey, Pool, Record, Team
 from limpetpulley.config.replica import encode_record
 from limpetpulley.membership import MemberInfo, encode_view, start_view
-from limpetpulley.peer import PeerBase, PeerClient, PeerServer, convert
+from limpetpulley.peer import PeerClient, PeerServer, convert
 from limpetpulley.peer import peer_pb2 as pb
-from limpetpulley.quota import Claim, GroupReport, slot_resource
-from limpetpulley.quota.resource import pool_group
+from limpetpulley.peer.peer_grpc import PeerBase, PeerStub
+from limpetpulley.quota.adviser import Claim, GroupReport
+from limpetpulley.quota.resource import pool_group, slot_resource
 from limpetpulley.standin import FaultProxy
 
 from .population import (
@@ -120,7 +121,7 @@
         await server.start()
         proxy = FaultProxy(server.port)
         await tasks.start(proxy.serve)
-        client = PeerClient()
+        client = PeerClient(PeerStub)
         for size in sizes:
             message = heartbeat(size)
             await client.call(f"127.0.0.1:{proxy.port}", "Exchange", message)
--- a/measure/fleet.py
+++ b/measure/fleet.py
@@ -9,8 +9,10 @@
 import attrs
 
 from limpetpulley.config import Budget, Pool, Vm, VmPhase, Wave
-from limpetpulley.fleet import BudgetCount, FleetState, StepKind, VmStatus, decide
+from limpetpulley.fleet.budgets import BudgetCount
+from limpetpulley.fleet.decide import decide
 from limpetpulley.fleet.preview import lower_bound_rounds
+from limpetpulley.fleet.state import FleetState, StepKind, VmStatus
 
 from .deployments import DEPLOYMENTS, Deployment
 from .table import Row
--- a/measure/population.py
+++ b/measure/population.py
@@ -11,11 +11,12 @@
 from limpetpulley.config.replica import decode_record, encode_record
 from limpetpulley.daemon.peers import PeerTable
 from limpetpulley.exception import EndpointError
-from limpetpulley.fleet import decide
+from limpetpulley.fleet.decide import decide
 from limpetpulley.idempotency import RecordBook
 from limpetpulley.membership import Member, MemberInfo, start_view
-from limpetpulley.quota import Claim, GroupReport, Ledger, make_adviser, slot_resource
-from limpetpulley.quota.resource import pool_group, team_resource
+from limpetpulley.quota.adviser import Claim, GroupReport, make_adviser
+from limpetpulley.quota.ledger import Ledger
+from limpetpulley.quota.resource import pool_group, slot_resource, team_resource
 from limpetpulley.routing import EndpointConnections, EndpointSet, Health, JobRequest
 from limpetpulley.routing.attempt import Answer, Attempt, Body
 from limpetpulley.scheduling.starter import Starter
--- a/measure/sharing.py
+++ b/measure/sharing.py
@@ -9,7 +9,7 @@
 import attrs
 
 from limpetpulley.config import Vm, Wave
-from limpetpulley.scheduling import due_shares
+from limpetpulley.scheduling.share import due_shares
 from limpetpulley.standin.cluster import Cluster, Outcome
 from limpetpulley.standin.virtual import run_virtual
 
--- a/tests/scenarios/expectations.py
+++ b/tests/scenarios/expectations.py
@@ -8,7 +8,7 @@
 import anyio
 import attrs
 
-from limpetpulley.quota import slot_resource, team_resource
+from limpetpulley.quota.resource import slot_resource, team_resource
 from limpetpulley.standin.cluster import Cluster, Outcome
 
 SAMPLE_SECONDS = 0.05
