Take demand to rise only where it grew by more than chance explains

Hypothesis: on small pools a few large jobs after a pause look like a rise, and the VMs that it asks for stand idle: 20 VMs of a peak whose tasks filled 14.

Now growth counts beyond 1.75 deviations: the most that leaves a doubling within a second what the tests ask for. Kept, since it asks for VMs that are used.

--- a/limpetpulley/scheduling/arrivals.py
+++ b/limpetpulley/scheduling/arrivals.py
@@ -23,6 +23,9 @@
 LEAD_SECONDS = 2.0
 #: most that the rate is expected to grow in that time, as a part of it
 MOST_RISE = 0.8
+#: standard deviations by which demand must have grown to be taken to rise on: a few large jobs that
+#: come by chance after a pause would ask for VMs that nothing uses
+RISE_DEVIATIONS = 1.75
 #: weight of one more job in the mean time that jobs have to wait
 LEARNING_RATE = 0.1
 #: time for which a job that comes back is known, in seconds; callers give up sooner
@@ -71,7 +74,7 @@
     def _rise(self, recent: list[float], now: float, span: float) -> float:
         """Return by how much the rate should grow until VMs that are asked for now have joined."""
         before = self._between(now - 2 * span, now - span)
-        growth = sum(recent) - sum(before) - _chance([*recent, *before])
+        growth = sum(recent) - sum(before) - RISE_DEVIATIONS * _chance([*recent, *before])
         ahead = LEAD_SECONDS / span
         return max(0.0, min(growth * ahead, sum(recent) * MOST_RISE)) / span
 
--- a/limpetpulley/scheduling/tests/test_arrivals.py
+++ b/limpetpulley/scheduling/tests/test_arrivals.py
@@ -33,6 +33,17 @@
     assert least <= arrive(rows).cores(now) <= most
 
 
+@pytest.mark.parametrize(
+    ("before", "lately", "most"),
+    [(1, 4, 1.0), (2, 6, 1.0), (4, 9, 1.0), (25, 60, 1.6)],
+    ids=["one large job", "a few", "several", "a peak"],
+)
+def test_a_rise_is_more_than_a_few_large_jobs(before, lately, most):
+    """VMs asked for beyond what comes in stand idle for seconds."""
+    work = arrive([*steady(before, 100.0, 3.0, 4.0), *steady(lately, 100.0, 4.0, 5.0)])
+    assert work.cores(5.0) <= most * lately * 100.0
+
+
 def test_a_job_that_comes_back_counts_once():
     work = ArrivingWork()
     for at in (0.0, 0.2, 0.4):
