--- a/limpetpulley/ownership/directory.py
+++ b/limpetpulley/ownership/directory.py
@@ -15,6 +15,7 @@
 from ..store import Event
 
 __all__ = [
+    "PLANNER",
     "WEAKEST",
     "Directory",
     "Member",
@@ -26,10 +27,18 @@
     "judge_strength",
 ]
 
+#: name under which the claim of the planner of VMs stands among the pools' owners
+PLANNER = "@planner"
 #: time that a pool may be without an owner before the next daemon in line claims it, in seconds
 PATIENCE_SECONDS = 0.4
 #: strength of a daemon that does not tell its own: that of the weakest VMs, in processors
 WEAKEST = 0.1
+#: time over which daemons that were restarted one after the other count as one series, in
+#: milliseconds; and by how much their starts differ from that of the others at least
+SERIES_MILLISECONDS = 60_000
+APART_MILLISECONDS = 1_000
+#: part of the strongest daemon's strength that a restarted one must have to be preferred
+STRONG_PART = 0.5
 #: Mbit/s that an owner's calls take while they keep a processor busy: some 900 calls of 1.5 KB a
 #: second each way, with room for twice as much
 MBITS_A_PROCESSOR = 40.0
@@ -132,14 +141,15 @@
     """Return the pools that a daemon should claim now.
 
     Pools go to the daemons that have the fewest for their strength; among equals rendezvous hashing
-    decides, so that all daemons choose alike. A pool that stays without an owner is claimed by the
-    next in line.
+    decides, so that all daemons choose alike. While daemons are restarted one after the other, the
+    planner's place goes to one that was, which stays longest. A pool that stays without an owner is
+    claimed by the next in line.
 
     :param pools: all pools
     :param now: local time
     """
-    staying = {name: each for name, each in directory.members.items() if not each.leaving}
-    members = {**staying, me.name: me}
+    members = {name: each for name, each in directory.members.items() if not each.leaving}
+    members[me.name] = me
     load = Counter(claim.member for claim in directory.owners.values())
     claims = []
     for pool in sorted(pools):
@@ -147,9 +157,14 @@
         if claim is not None and not directory.left_over(claim):
             continue
         waited = now - directory.unowned_since.setdefault(pool, now)
+        staying = _restarted(members, load) if pool == PLANNER else set()
         line = sorted(
             members,
-            key=lambda name: ((load[name] + 1) / members[name].strength, _weight(name, pool)),
+            key=lambda name: (
+                name not in staying,
+                (load[name] + 1) / members[name].strength,
+                _weight(name, pool),
+            ),
         )
         turn = int(waited / PATIENCE_SECONDS)
         if me.name in line[: turn + 1]:
@@ -158,6 +173,17 @@
     return claims
 
 
+def _restarted(members: Mapping[str, Member], load: Mapping[str, int]) -> set[str]:
+    """Return the strong daemons without pools that were restarted in a series of several."""
+    starts = [member.incarnation for member in members.values()]
+    since = max(min(starts) + APART_MILLISECONDS, max(starts) - SERIES_MILLISECONDS)
+    series = {name for name, member in members.items() if member.incarnation >= since}
+    if len(series) < 2:
+        return set()
+    strong = STRONG_PART * max(member.strength for member in members.values())
+    return {name for name in series if not load[name] and members[name].strength >= strong}
+
+
 def choose_release(directory: Directory, me: Member, jobs: Mapping[str, int]) -> str | None:
     """Return the pool that a daemon should hand over, None if no other one is better for it.
 
--- a/limpetpulley/ownership/node.py
+++ b/limpetpulley/ownership/node.py
@@ -15,10 +15,10 @@
 from .around import Around
 from .board import WaveBoard
 from .borrowing import EntryBorrower
-from .directory import Directory, Member, choose_claims, choose_release
+from .directory import PLANNER, Directory, Member, choose_claims, choose_release
 from .handlers import BatchHandlers
 from .owner import PoolOwner
-from .planner import PLANNER, FleetPlanning
+from .planner import FleetPlanning
 from .reporting import ask_planner
 from .service import BatchService
 from .session import Session
--- a/limpetpulley/ownership/planner.py
+++ b/limpetpulley/ownership/planner.py
@@ -18,17 +18,18 @@
 from ..store import Compare, Put
 from .around import Around
 from .board import WaveBoard
+from .directory import PLANNER
 from .intents import IntentLog
 from .session import LEASE_SECONDS
 from .vmorders import LIST_LAG_SECONDS, RETURN_SECONDS, OrderDesk, Urgency, VmOrder
 
-__all__ = ["PLANNER", "FleetPlanning"]
+__all__ = ["FleetPlanning"]
 
-#: name under which the planner's claim stands among the pools' owners
-PLANNER = "@planner"
 #: time between two looks, in seconds: while VMs should change their place, and otherwise
 SOON_SECONDS = 0.1
 LOOK_SECONDS = 0.2
+#: time after its claim in which a planner looks often, since first reports come one by one
+FIRST_SECONDS = 1.0
 #: pause between two writes of the waves' progress, in seconds
 STORE_GAP_SECONDS = 0.2
 #: why a VM is emptied: it is to be maintained in a wave, whose name follows, or leaves its pool
@@ -115,7 +116,9 @@
                 self.around.log.write("vms-unknown", reason=str(error))
             except (StoreUnavailable, StoreError) as error:
                 self.around.log.write("wave-not-stored", reason=str(error))
-            await anyio.sleep(SOON_SECONDS if self.emptying or self.desk.moving else LOOK_SECONDS)
+            first = self.around.clock.now() - self.intents.begun_at < FIRST_SECONDS
+            soon = first or self.emptying or self.desk.moving
+            await anyio.sleep(SOON_SECONDS if soon else LOOK_SECONDS)
 
     async def _store_waves(self) -> None:
         """Store the progress of waves, that of orders which come together at once."""
--- a/limpetpulley/ownership/reporting.py
+++ b/limpetpulley/ownership/reporting.py
@@ -18,7 +18,8 @@
 
 __all__ = ["PoolReporter", "RefusedWork"]
 
-#: time between two reports, in seconds: of a pool whose VMs should change, and of any other
+#: time between two reports, in seconds: of a pool whose VMs should change or that has no planner,
+#: and of any other
 SOON_SECONDS = 0.1
 REPORT_SECONDS = 0.25
 #: part of a pool's room that demand takes when more VMs may be wanted soon
@@ -89,7 +90,7 @@
                 self.use_plan(set(), ())
             demand = max(report.running_cores, report.lasting_cores + report.arriving_cores)
             changes = self.book.coming or any(row.cordoned for row in report.workers)
-            soon = changes or demand > BUSY_PART * report.room_cores
+            soon = plan is None or changes or demand > BUSY_PART * report.room_cores
             await anyio.sleep(SOON_SECONDS if soon else REPORT_SECONDS)
 
     def use_plan(self, emptied: set[str], ended: Iterable[str]) -> None:
--- a/limpetpulley/ownership/tests/fleetplayer.py
+++ b/limpetpulley/ownership/tests/fleetplayer.py
@@ -27,7 +27,8 @@
 from ...store import Compare, MemoryStore, Put
 from ...telemetry import EventLog
 from .. import Around, Timing, WaveBoard
-from ..planner import PLANNER, FleetPlanning
+from ..directory import PLANNER
+from ..planner import FleetPlanning
 
 __all__ = ["FleetLoad", "FleetPlay", "play_fleet"]
 
--- a/limpetpulley/ownership/tests/test_directory.py
+++ b/limpetpulley/ownership/tests/test_directory.py
@@ -7,6 +7,7 @@
 from ...batch import JobState
 from ...batch.keys import BatchKeys
 from ..directory import (
+    PLANNER,
     WEAKEST,
     Directory,
     Member,
@@ -103,6 +104,31 @@
     assert decode_member(encode_member(directory.members["s"])).leaving
 
 
+@pytest.mark.parametrize(
+    ("starts", "claims", "planner"),
+    [
+        ({"a": 0, "b": 0, "s": 0, "t": 0}, {}, "st"),
+        ({"a": 0, "b": 0, "s": 0, "t": 50_000}, {}, "st"),
+        ({"a": 0, "b": 9_000, "s": 0, "t": 5_000}, {}, "t"),
+        ({"a": 9_000, "b": 5_000, "s": 0, "t": 0}, {}, "st"),
+        ({"a": 0, "b": 9_000, "s": 0, "t": 5_000}, {"p": "t"}, "s"),
+        ({"a": 0, "b": 200, "s": 900, "t": 300}, {}, "st"),
+    ],
+    ids=["none", "one", "a series", "weak ones", "one that owns a pool", "the first start"],
+)
+def test_the_planner_goes_to_a_daemon_that_was_restarted_in_a_series(starts, claims, planner):
+    directory = strong_directory(claims, "abst")
+    for name, start in starts.items():
+        directory.members[name] = attrs.evolve(directory.members[name], incarnation=start)
+    owners = [
+        name
+        for name in "abst"
+        if choose_claims(directory, directory.members[name], [PLANNER], 100.0)
+    ]
+    assert len(owners) == 1
+    assert owners[0] in planner
+
+
 @pytest.mark.parametrize(
     ("told", "strength"),
     [
--- a/limpetpulley/ownership/tests/test_return.py
+++ b/limpetpulley/ownership/tests/test_return.py
@@ -5,7 +5,7 @@
 import anyio
 import pytest
 
-from ..planner import PLANNER
+from ..directory import PLANNER
 from .test_calm_day import NAMES, POOLS, play
 
 #: longest time from the daemons' start until each pool has an owner and VMs are planned, in seconds
--- a/limpetpulley/ownership/tests/test_succession.py
+++ b/limpetpulley/ownership/tests/test_succession.py
@@ -22,8 +22,9 @@
 from ...store import Compare, MemoryStore, Put
 from ...telemetry import EventLog
 from .. import Around, Member, Timing, WaveBoard
+from ..directory import PLANNER
 from ..intents import ON_THE_WAY_SECONDS, REFRESH_SECONDS, IntentLog
-from ..planner import PLANNER, FleetPlanning
+from ..planner import FleetPlanning
 from ..session import Session
 
 KEYS = BatchKeys("lp/")
