Notice a silent watch of the store within four seconds

A watch waited 8 s at the store and was given up after 10 s. The directory's and the operator's seldom bring anything, so that a daemon whose connections had gone silent followed neither owners nor configurations for that long, while a change must be in force 2 s after it, and 3 s after the disturbance. Watches wait for 2 s now: one call more a second and daemon. test_store's new test fails before the change.

--- a/limpetpulley/platform/store.py
+++ b/limpetpulley/platform/store.py
@@ -20,7 +20,7 @@
 #: longest time for one call, in seconds
 CALL_SECONDS = 1.5
 #: longest time that a watch waits for a change; a silent connection is found after it
-WATCH_SECONDS = 8.0
+WATCH_SECONDS = 2.0
 #: time for an answer beyond the time that a watch waits
 ANSWER_SECONDS = 2.0
 JSON_HEADERS = {"Content-Type": "application/json"}
--- a/limpetpulley/platform/tests/test_store.py
+++ b/limpetpulley/platform/tests/test_store.py
@@ -6,7 +6,7 @@
 from testtools.matchers import Contains, Equals, HasLength, Is
 
 from ...api.server import HttpServer
-from ...exception import StoreError, StoreUnavailable
+from ...exception import HttpError, StoreError, StoreUnavailable
 from ...http_client import KeptHttp
 from ...store import Compare, Delete, Put
 from .. import store as store_module
@@ -149,3 +149,30 @@
     assert_that(snapshot.entries, HasLength(1))
     assert_that(snapshot.entries, Contains(entry))
     assert_that(entry is None, Is(False))
+
+
+class SilentHttp:
+    """Connections that stay silent; keeps how long a call may take."""
+
+    def __init__(self):
+        self.patience = []
+
+    async def request(self, method, address, target, headers, content, timeout, may_send=None):
+        self.patience.append(timeout)
+        raise HttpError("no answer in time")
+
+
+#: time after a disturbance until a daemon must act by what is stored, in seconds: the shortest
+#: contact of the users' bounds, and the bound on changes of the configuration
+IN_FORCE_SECONDS = 3.0 + 2.0
+
+
+def test_a_silent_watch_is_noticed_before_what_it_hides_must_be_in_force():
+    async def play():
+        http = SilentHttp()
+        with pytest.raises(StoreUnavailable):
+            await anext(aiter(PlatformStore(http, "192.0.2.1:1").watch("a/", 0)))
+        return http.patience
+
+    (patience,) = anyio.run(play)
+    assert patience < IN_FORCE_SECONDS
