Take a worker's runs for ended when the platform lists its VM as down

The age of the list is still compared.

A worker may return under the same id, and a start order without an answer may be carried out late: such runs are stopped there first, and a late reply of an ended worker is ignored.

--- a/limpetpulley/ownership/planner.py
+++ b/limpetpulley/ownership/planner.py
@@ -168,14 +168,14 @@
         )
 
     def _has_ended(self, worker_id: str, vm_name: str) -> bool:
-        """Return whether a worker's VM runs another worker now, or was moved or maintained."""
+        """Return whether a worker's VM is down, was moved or maintained, or runs another worker."""
         if not vm_name or self.listed_at <= self.first_reported_at[worker_id] + LIST_LAG_SECONDS:
             # A list that is older than the worker still shows the previous worker of the VM.
             return False
         vm = self.vms.get(vm_name)
         if vm is None:
             return bool(self.vms)
-        if vm.phase in (Phase.MOVING, Phase.MAINTENANCE):
+        if vm.phase in (Phase.MOVING, Phase.MAINTENANCE, Phase.DOWN):
             return True
         pool_config = self.context.config.pools.get(vm.pool) if self.context.config else None
         standby = pool_config is not None and pool_config.standby
--- a/limpetpulley/pool/state.py
+++ b/limpetpulley/pool/state.py
@@ -36,6 +36,9 @@
 
 #: run numbers reserved for one owner; a new owner's numbers start above them
 RUN_NUMBERS_PER_OWNER = 1 << 20
+#: longest time after which a start order without an answer may still be executed, in seconds; the
+#: platform delays orders by up to 12 s
+MAX_ORDER_DELAY_SECONDS = 15.0
 #: maximum number of ends in one reply of a worker; a longer list may be truncated
 MAX_LISTED_ENDS = 500
 
@@ -78,6 +81,9 @@
         self.checkpoints: dict[TaskId, str] = {}
         self.failed_on: dict[TaskId, set[str]] = {}
         self.orphan_stops: dict[StopOrder, float] = {}
+        # Stops for start orders to ended workers that had no answer, with the local time at which
+        # the worker was found to have ended: it may return under the same identifier.
+        self.late_start_stops: dict[StopOrder, float] = {}
         self.unreconciled_workers: dict[str, float] = {}
         self.inherited: set[str] = set()
         self.progress = ProgressLedger()
@@ -159,9 +165,13 @@
     def update_listed_worker(self, listed: ListedWorker) -> Worker:
         """Add or update a worker of this pool from the platform's list."""
         worker = self.workers.get(listed.worker_id)
+        if worker is not None and worker.ended and listed.incarnation > worker.listed.incarnation:
+            self._remove_worker(worker)
+            worker = None
         if worker is None:
             worker = self.workers[listed.worker_id] = Worker(listed)
             del self.expected_join_times[:1]
+            self._queue_late_start_stops(listed.worker_id)
         elif listed.incarnation > worker.listed.incarnation:
             worker.listed = listed
             self.handle_worker_restart(worker, "listed")
@@ -170,6 +180,17 @@
         worker.present = True
         return worker
 
+    def _queue_late_start_stops(self, worker_id: str) -> None:
+        """Queue stops for the start orders that a worker's previous incarnation did not answer."""
+        stops = [stop for stop in self.late_start_stops if stop.worker_id == worker_id]
+        for stop in stops:
+            del self.late_start_stops[stop]
+            self.orphan_stops.setdefault(stop, 0.0)
+
+    def _remove_worker(self, worker: Worker) -> None:
+        del self.workers[worker.worker_id]
+        self.progress.remove_worker(worker.worker_id)
+
     def mark_unlisted(self, worker_id: str) -> None:
         """Mark a worker as missing from the platform's list; its runs may still be alive."""
         if worker_id in self.workers:
@@ -179,13 +200,16 @@
         """Drop the runs of the previous incarnation of a worker.
 
         A start that was not answered may still reach the new incarnation, so its run is stopped
-        there first.
+        there first. On an ended worker nothing is executed unless it returns; its tasks may
+        start elsewhere at once.
         """
         for run in list(worker.runs.values()):
             if run.unanswered_starts and not worker.ended:
                 run.phase, run.settled_at, run.sent_at = RunPhase.STOPPING, None, 0.0
-            else:
-                self.drop_run(run, "worker-restarted")
+                continue
+            if run.unanswered_starts:
+                self.late_start_stops[StopOrder.of(run)] = self.scanned_at
+            self.drop_run(run, "worker-restarted")
         for orphan in [
             orphan for orphan in self.orphan_stops if orphan.worker_id == worker.worker_id
         ]:
@@ -206,9 +230,11 @@
                     self.drop_run(run, "lease-lapsed")
             expired = worker.ended or worker.lease.has_lapsed(now)
             if not worker.present and expired and not worker.runs:
-                del self.workers[worker.worker_id]
-                self.progress.remove_worker(worker.worker_id)
+                self._remove_worker(worker)
                 self.on_event(PoolEvent("worker-gone", worker.worker_id))
+        for stop, since in list(self.late_start_stops.items()):
+            if now - since > MAX_ORDER_DELAY_SECONDS:
+                del self.late_start_stops[stop]
         for worker_id in [
             name for name, until in self.unreconciled_workers.items() if until <= now
         ]:
@@ -229,7 +255,7 @@
         :param now: local time of the reply
         :param wall_time: wall-clock time, in seconds since 1970
         """
-        if reply.incarnation and reply.incarnation < worker.listed.incarnation:
+        if worker.ended or (reply.incarnation and reply.incarnation < worker.listed.incarnation):
             return
         if reply.incarnation > worker.listed.incarnation:
             worker.listed = attrs.evolve(worker.listed, incarnation=reply.incarnation)
--- a/limpetpulley/pool/tests/test_planning.py
+++ b/limpetpulley/pool/tests/test_planning.py
@@ -255,6 +255,50 @@
     assert_that("w1" in pool_state.workers, Equals(kept))
 
 
+def end_worker(pool_state, name):
+    pool_state.workers[name].ended = True
+    pool_state.handle_worker_restart(pool_state.workers[name], "test")
+
+
+@pytest.mark.parametrize("answered", [True, False], ids=["answered", "unanswered"])
+def test_tasks_of_a_worker_whose_vm_is_down_restart_at_once_elsewhere(answered):
+    pool_state = make_pool_state(Step(1, TASK))
+    (order,) = plan(pool_state)
+    if answered:
+        pool_state.process_start_reply(pool_state.runs[order.task], StartOutcome.STARTED, 10.0, NOW)
+    end_worker(pool_state, order.worker_id)
+    pool_state.workers[order.worker_id].cordoned = True
+    (restart,) = plan(pool_state, now=NOW + 0.1)
+    assert isinstance(restart, StartOrder) and restart.worker_id != order.worker_id
+
+
+@pytest.mark.parametrize(
+    ("answered", "seconds", "stops"), [(True, 0.2, 0), (False, 0.2, 1), (False, 20.0, 0)]
+)
+def test_a_late_start_is_stopped_on_a_worker_that_returns_under_the_same_id(
+    answered, seconds, stops
+):
+    pool_state = make_pool_state(Step(1, TASK), workers=("w1",))
+    (order,) = plan(pool_state)
+    if answered:
+        pool_state.process_start_reply(pool_state.runs[order.task], StartOutcome.STARTED, 10.0, NOW)
+    end_worker(pool_state, "w1")
+    plan(pool_state, now=NOW + seconds)
+    returned = attrs.evolve(pool_state.workers["w1"].listed, incarnation=2)
+    worker = pool_state.update_listed_worker(returned)
+    assert not worker.ended and not worker.reconciled
+    expected = [StopOrder("w1", order.task, order.number)] * stops
+    assert_that(plan(pool_state, now=NOW + seconds + 0.1), Equals(expected))
+
+
+def test_a_late_reply_of_a_worker_whose_vm_is_down_is_ignored():
+    pool_state = make_pool_state(Step(1, TASK), workers=("w1",))
+    (order,) = plan(pool_state)
+    end_worker(pool_state, "w1")
+    hold(pool_state, "w1", [ListedRun(order.task, order.number)], clock=10.5)
+    assert_that(pool_state.runs, Equals({}))
+
+
 @pytest.mark.parametrize(("clock", "stops"), [(11.1, 0), (11.4, 1)])
 def test_adopted_run_may_still_be_stopped_by_the_earlier_owner(clock, stops):
     pool_state = make_pool_state(Step(2, TASK, lasting=True, may_miss=1))
--- a/limpetpulley/workers/state.py
+++ b/limpetpulley/workers/state.py
@@ -179,7 +179,8 @@
     :param reconciled: whether it has replied to a hold with this owner's token
     :param in_roster: whether the stored roster names it as a worker that may have runs of the pool
     :param cordoned: whether no more runs may be started on it
-    :param ended: whether its VM was moved or taken for maintenance, so that all its runs have ended
+    :param ended: whether its VM is down or was moved or taken for maintenance, so that all its runs
+        have ended
     :param silent: whether its last call got no reply
     :param last_reply_at: local time of its last reply
     :param processed_through: position of the last ended run that was processed
