--- /dev/null
+++ b/measure/report/__init__.py
@@ -0,0 +1,1 @@
+"""A report of a period, made from the daemons' structured logs."""
