--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 # The order of sets must not differ between runs.
 export PYTHONHASHSEED = 0
 
-.PHONY: demo test lint measure capacity generate clean
+.PHONY: demo test lint measure capacity report generate clean
 
 $(VENV)/installed: pyproject.toml constraints.txt
 	$(PYTHON) -m venv $(VENV)
@@ -16,6 +16,10 @@
 	$(BIN)/pip install --quiet --disable-pip-version-check -c constraints.txt -e '.[dev]'
 	touch $@
 
+$(VENV)/installed-report: $(VENV)/installed
+	$(BIN)/pip install --quiet --disable-pip-version-check -c constraints.txt -e '.[report]'
+	touch $@
+
 demo: $(VENV)/installed
 	$(BIN)/python -m limpetpulley.demo
 
@@ -34,6 +38,11 @@
 capacity: $(VENV)/installed-dev
 	$(BIN)/python -m measure.capacity
 
+# make report LOG=FILE [FAULTS=FILE] [ORIGIN=SECONDS]
+report: $(VENV)/installed-report
+	$(BIN)/python -m measure.report $(if $(FAULTS),--faults '$(FAULTS)') \
+	    $(if $(ORIGIN),--origin=$(ORIGIN)) '$(or $(LOG),$(error make report LOG=FILE))'
+
 generate: $(VENV)/installed-dev
 	$(BIN)/pip install --quiet --disable-pip-version-check -c constraints.txt -e '.[generate]'
 	$(BIN)/python -m grpc_tools.protoc -I. --python_out=. --pyi_out=. --grpclib_python_out=. \
