After a loss of all daemons, let each pool return at once to its last owner

A claim also writes the claimant's name under a key without a lease, in the same transaction. In its first half second a daemon claims at once what it claimed last; the rest is shared out as before. A pool that was handed over belongs to the daemon that claimed it then.

--- a/limpetpulley/batch/keys.py
+++ b/limpetpulley/batch/keys.py
@@ -29,6 +29,7 @@
         self.directory = prefix + "dir/"
         self.members = prefix + "dir/member/"
         self.owners = prefix + "dir/owner/"
+        self.last_owners = prefix + "dir/last/"
         self.descriptions = prefix + "job/"
         self.progress_records = prefix + "progress/"
         self.shares = prefix + "share/"
@@ -45,6 +46,10 @@
         """Return the key of the ownership of a pool."""
         return self.owners + pool
 
+    def last_owner(self, pool: str) -> str:
+        """Return the key of the last daemon that claimed a pool, which outlives the claim."""
+        return self.last_owners + pool
+
     def description(self, job: JobKey) -> str:
         """Return the key of a job's description."""
         return f"{self.descriptions}{_shard(job)}/{job.queue}/{job.job_id}"
--- a/limpetpulley/ownership/directory.py
+++ b/limpetpulley/ownership/directory.py
@@ -110,6 +110,8 @@
         self.keys = keys
         self.members: dict[str, Member] = {}
         self.owners: dict[str, Claim] = {}
+        # Name of the daemon that claimed each pool last, whether or not the claim still stands.
+        self.last_owners: dict[str, str] = {}
         self.unowned_since: dict[str, float] = {}
 
     def apply(self, events: Iterable[Event], now: float) -> None:
@@ -121,6 +123,9 @@
                 claim = Claim(member.name, member.incarnation, event.revision)
             if event.key.startswith(self.keys.members):
                 _set_or_remove(self.members, event.key.removeprefix(self.keys.members), member)
+            elif event.key.startswith(self.keys.last_owners):
+                pool = event.key.removeprefix(self.keys.last_owners)
+                _set_or_remove(self.last_owners, pool, member and member.name)
             elif event.key.startswith(self.keys.owners):
                 pool = event.key.removeprefix(self.keys.owners)
                 _set_or_remove(self.owners, pool, claim)
--- a/limpetpulley/ownership/node.py
+++ b/limpetpulley/ownership/node.py
@@ -242,9 +242,7 @@
                 continue
             previous = self.directory.owners.get(pool)
             try:
-                token = await self.session.claim(
-                    self.context.keys.owner(pool), previous.token if previous else 0
-                )
+                token = await self.session.claim(pool, previous.token if previous else 0)
             except (StoreUnavailable, StoreError) as error:
                 self.context.log.write("claim-failed", pool=pool, reason=str(error))
                 return
@@ -256,13 +254,22 @@
         """Return the pools claimed in the name of this daemon.
 
         Those without an owner here are claimed again: the owner has failed, or this daemon was
-        restarted before its lease ended.
+        restarted before its lease ended. After a loss of all daemons the leases have ended, and each
+        daemon takes back what it claimed last.
         """
-        return [
+        claims = [
             pool
             for pool, claim in self.directory.owners.items()
             if claim.member == self.member.name and claim.incarnation <= self.member.incarnation
         ]
+        if not self._is_startup_over() and self.context.config is not None:
+            claims += [
+                pool
+                for pool in (PLANNER, *self.context.config.pools)
+                if self.directory.last_owners.get(pool) == self.member.name
+                and pool not in self.directory.owners
+            ]
+        return claims
 
     def _start_owner(self, pool: str, token: int) -> None:
         if pool == PLANNER:
--- a/limpetpulley/ownership/session.py
+++ b/limpetpulley/ownership/session.py
@@ -102,16 +102,19 @@
         self.lease = 0
         self.on_lost()
 
-    async def claim(self, key: str, replaced: int) -> int:
-        """Claim a key; return the claim's token, or 0 if the key has changed or there is no lease.
+    async def claim(self, pool: str, replaced: int) -> int:
+        """Claim a pool; return the claim's token, or 0 if it was claimed or there is no lease.
 
-        :param replaced: revision of the claim that is replaced, 0 if the key must not exist
+        :param replaced: revision of the claim that is replaced, 0 if there must be none
         """
         lease = self.lease
         if not lease:
             return 0
-        value = encode_member(self.member)
-        result = await self.store.commit([Compare(key, replaced)], [Put(key, value, lease)])
+        key, value = self.keys.owner(pool), encode_member(self.member)
+        result = await self.store.commit(
+            [Compare(key, replaced)],
+            [Put(key, value, lease), Put(self.keys.last_owner(pool), value)],
+        )
         return result.revision if result.ok else 0
 
     async def release(self, claims: dict[str, int]) -> None:
--- a/limpetpulley/ownership/tests/test_recovery.py
+++ b/limpetpulley/ownership/tests/test_recovery.py
@@ -10,6 +10,8 @@
 
 #: longest time from the daemons' start until each pool has an owner and a planner runs, in seconds
 RECOVERY_SECONDS = 0.4
+#: the same if each pool's last owner is among the daemons that return
+RETURN_SECONDS = 0.1
 
 
 @pytest.mark.parametrize("seed", [1, 2, 3])
@@ -44,6 +46,31 @@
     assert max(owners.values()) <= 2
 
 
+@pytest.mark.parametrize("seed", [1, 2, 3])
+@pytest.mark.parametrize("missing", [0, 1])
+def test_each_pool_returns_at_once_to_its_last_owner(missing, seed):
+    async def scenario(deployment):
+        fleet = deployment.fleet
+        await anyio.sleep(1.0)
+        before = {pool: fleet.owner_of(pool) for pool in POOLS}
+        gone = [before[POOLS[0]]][:missing]
+        for name in DAEMON_NAMES:
+            fleet.kill(name)
+        await anyio.sleep(3.0)
+        returning = [name for name in DAEMON_NAMES if name not in gone]
+        for name in returning:
+            fleet.start_daemon(name)
+        await anyio.sleep(RETURN_SECONDS)
+        after = {pool: fleet.owner_of(pool) for pool in POOLS}
+        await anyio.sleep(RECOVERY_SECONDS)
+        owned = [fleet.owner_of(pool) for pool in POOLS]
+        return {pool: name for pool, name in before.items() if name not in gone}, after, owned
+
+    before, after, owned = run_scenario(scenario, seed=seed)
+    assert {pool: after[pool] for pool in before} == before
+    assert all(owned)
+
+
 def test_a_restarted_daemon_reclaims_its_pools_without_waiting_for_its_old_lease():
     async def scenario(deployment):
         fleet = deployment.fleet
--- a/limpetpulley/ownership/tests/test_succession.py
+++ b/limpetpulley/ownership/tests/test_succession.py
@@ -155,7 +155,7 @@
         try:
             if await self.simulation.store.get(KEYS.owner(PLANNER)) is not None:
                 return
-            token = await self.session.claim(KEYS.owner(PLANNER), 0)
+            token = await self.session.claim(PLANNER, 0)
         except Exception:
             return
         if not token:
