Read the tail latency of a worker's row in seconds

Cause: the adapter kept the gauge of a run as the platform sends it, in milliseconds, while its field is documented in seconds and the pacing divides it by a target in seconds, so that the pressure was 1000 times too high. The adapter divides once. The processor usage of other tasks stands in the same field and is in cores now; nothing reads it.

Before: the new test of a hold reply played through to the pacing, 5 of 5 fail (pressures 200 to 2000 for 0.2 to 2). After: all 25 of test_workers pass, and those of platform, scheduling and workers.

--- a/limpetpulley/platform/tests/test_workers.py
+++ b/limpetpulley/platform/tests/test_workers.py
@@ -1,5 +1,7 @@
 """Orders to workers and VMs with the platform's calls."""
 
+import json
+
 import anyio
 import attrs
 import pytest
@@ -7,15 +9,17 @@
 from testtools.matchers import Equals, Is
 
 from ...api.server import HttpServer
-from ...batch import Amount, EndKind, TaskId
+from ...batch import Amount, EndKind, Job, JobKey, JobSpec, Step, TaskId
 from ...clock import SystemClock
 from ...exception import NotOwnerError, PlatformError, WorkerError
 from ...fleet.vms import Holder, OrderOutcome, Phase
 from ...http_client import PooledHttpClient
+from ...pool import PoolState
+from ...scheduling.pacing import latency_pressure, pace_fillers
 from ...standin.workers import MemoryWorker, RunPlan
-from ...workers import ListedWorker, PaceOrder, StartOrder, StartOutcome, StopOrder
+from ...workers import ListedWorker, PaceOrder, Run, StartOrder, StartOutcome, StopOrder, Worker
 from ..vms import PlatformVms
-from ..workers import PlatformOrderSender
+from ..workers import PlatformOrderSender, encode_task
 from .standin import PlatformStandin
 
 TASK = TaskId("5c0e7a21d94b36f8", 0, 0, 3)
@@ -128,6 +132,35 @@
     with_worker(scenario)
 
 
+@pytest.mark.parametrize(
+    ("latency_ms", "pressure", "speeds"),
+    [(10, 0.2, []), (30, 0.6, []), (42, 0.84, []), (45, 0.9, [66]), (100, 2.0, [29])],
+)
+def test_fillers_are_paced_by_the_tail_latency_that_a_worker_lists(latency_ms, pressure, speeds):
+    serving = Step(1, Amount(1000, 10), lasting=True, latency_target_seconds=0.05)
+    filler = Step(1, Amount(1000, 10), lasting=True, filler=True)
+
+    async def scenario(workers, listed, platform):
+        pool_state = PoolState("desk", 1, 0.2, 10.0, 5.0)
+        worker = pool_state.workers["i-1"] = Worker(listed)
+        pool_state.add_job(Job(JobKey("q", "a"), JobSpec("", (serving, filler)), "desk"), 0.0)
+        rows = []
+        for step, gauge in ((serving, latency_ms), (filler, 900)):
+            task = TaskId("a", 0, len(rows), 0)
+            rows.append([encode_task(task), len(rows) + 1, "", 100, gauge])
+            pool_state.add_run(Run(task, len(rows), "i-1", step.charge), worker)
+        reply = {"clockMs": 20000, "running": rows}
+        platform.answers = [(200, json.dumps(reply).encode())]
+        pool_state.process_hold_reply(
+            worker, await workers.hold(listed, 3, 0, None, 0.0), 20.0, 0.0
+        )
+        return latency_pressure(pool_state, worker), pace_fillers(pool_state, 21.0)
+
+    found, orders = with_worker(scenario)
+    assert_that(found, Equals(pytest.approx(pressure)))
+    assert_that([order.percent for order in orders], Equals(speeds))
+
+
 def test_start_at_another_workers_address_is_detected():
     async def scenario(workers, listed, platform):
         other = attrs.evolve(listed, worker_id="i-2")
--- a/limpetpulley/platform/workers.py
+++ b/limpetpulley/platform/workers.py
@@ -202,7 +202,7 @@
 def _decode_running(row: list[Any]) -> ListedRun:
     # A row consists of task, run, checkpoint, percent and a gauge: for a task that serves requests
     # its tail latency in milliseconds, for another its processor usage in thousandths of a core.
-    gauge = float(row[4]) if len(row) > 4 else 0.0
+    gauge = float(row[4]) / MILLISECONDS if len(row) > 4 else 0.0
     return ListedRun(decode_task(row[0]), int(row[1]), row[2] or "", int(row[3]), gauge)
 
 
--- a/limpetpulley/workers/state.py
+++ b/limpetpulley/workers/state.py
@@ -90,7 +90,7 @@
     :param checkpoint: last checkpoint, empty for none
     :param percent: current speed, in percent of full speed
     :param gauge: for a task that serves requests, its tail latency over the last half second, in
-        seconds; for others the processor usage, in thousandths of a core
+        seconds; for others the processor usage, in cores
     """
 
     task: TaskId
