Reserve the metrics port in the test of the deploy file

Cause: free_ports took three free ports, while the daemon also listens at the one after the port between daemons, which nothing had reserved; it lay among the ephemeral ports, which any connection of another process may take until the daemon starts. The ports come from below the ephemeral ones now, by process, and the last one only with the one after it free.

Before: with the new choice of ports but only three of them looked at, as it was, the new test gets a port whose metrics port is taken. The clash itself, seen once, was not provoked.

--- a/limpetpulley/platform/tests/test_deploy.py
+++ b/limpetpulley/platform/tests/test_deploy.py
@@ -24,10 +24,15 @@
 from ...standin.workers import MemoryWorker, RunPlan
 from ...store import Put
 from ...workers import ListedWorker
+from ..settings import METRICS_PORT_OFFSET
 from .standin import PlatformStandin
 
 ROOT = pathlib.Path(__file__).parents[3]
 START_SECONDS = 20.0
+#: ports of this test process: below the ephemeral ports, which any connection may take, and below
+#: those of tests/integration
+FIRST_PORT = 10_000 + os.getpid() % 500 * 20
+PORTS = range(FIRST_PORT, FIRST_PORT + 20)
 JOB = {"spec": "text", "phases": [{"count": 2, "cpu": 100}, {"count": 1, "after": [0]}]}
 CONFIG = {
     "version": 3,
@@ -70,14 +75,31 @@
     assert_that(missing, Equals(set()))
 
 
-def free_ports(count):
-    sockets = [socket.socket() for _ in range(count)]
-    for free_socket in sockets:
-        free_socket.bind(("127.0.0.1", 0))
-    ports = [free_socket.getsockname()[1] for free_socket in sockets]
-    for free_socket in sockets:
-        free_socket.close()
-    return ports
+def is_free(port):
+    with socket.socket() as probe:
+        try:
+            probe.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
+
+
+def free_ports():
+    """Return the ports for callers, for readiness and between daemons.
+
+    The metrics port, which follows from the last one, is free as well and none of the others.
+    """
+    free = [port for port in PORTS if is_free(port)]
+    peers = next(port for port in free[2:] if port + METRICS_PORT_OFFSET in free)
+    return free[0], free[1], peers
+
+
+def test_port_between_daemons_is_passed_over_if_its_metrics_port_is_taken():
+    callers, readiness, peers = free_ports()
+    with socket.socket() as taken:
+        taken.bind(("127.0.0.1", peers + METRICS_PORT_OFFSET))
+        found = free_ports()
+    assert_that(found, Equals((callers, readiness, peers + METRICS_PORT_OFFSET + 1)))
 
 
 def render_settings(platform_port, callers, readiness, peers):
@@ -127,7 +149,7 @@
 
 
 async def run_daemon_with_job(tmp_path):
-    callers, readiness, peers = free_ports(3)
+    callers, readiness, peers = free_ports()
     async with anyio.create_task_group() as tasks:
         platform = PlatformStandin()
         server = HttpServer(platform, "127.0.0.1", 0)
