Report a group at once to its new adviser

Cause: a member reports idle permits, for which it has no waiting jobs, only with its heartbeat, and decides what goes to whom before it hears that the adviser is another one. Until the next heartbeat, a second later, the new adviser does not know these permits and sends that member no advice either. In the demonstration the jobs begin while the daemons hear of each other for the first time. The first daemon holds all permits; once its own studios jobs are done, 10 of 16 slots and 12 permits of the studios stand idle there while 40 of their jobs wait at the other two.

A member now reports a group as soon as a contact or a view changes its adviser; a change of one member concerns only that member's groups. The report is also sent with the next heartbeat, as before, should the call be lost. An adviser lost in silence still costs until the next contact.

--- a/limpetpulley/daemon/heartbeat.py
+++ b/limpetpulley/daemon/heartbeat.py
@@ -117,6 +117,7 @@
             return
         info = convert.from_member_info(reply.sender)
         node.peers.record_contact(info, reply.config_revision, reply.is_member, reply.leaving)
+        node.permit_distributor.report_to_new_advisers(node.permit_groups)
         if reply.view:
             node.store_sync.apply_view(reply.view, reply.view_revision)
         if reply.plans_fleet:
--- a/limpetpulley/daemon/node.py
+++ b/limpetpulley/daemon/node.py
@@ -300,6 +300,7 @@
             frozenset(message.busy_vms),
             {item.pool: (item.running, item.waiting) for item in message.demand},
         )
+        self.permit_distributor.report_to_new_advisers(self.permit_groups)
         self.permit_distributor.refresh_reports(info.member)
         if message.reports:
             self.permit_distributor.receive_reports(
@@ -359,6 +360,7 @@
         view = self.member.view
         if view is not None:
             self.dependencies.endpoints.set_daemon_count(len(view.members))
+        self.permit_distributor.report_to_new_advisers(self.permit_groups)
         self.starter.start_all_ready()
 
     def _apply_reductions(self) -> None:
--- a/limpetpulley/daemon/peers.py
+++ b/limpetpulley/daemon/peers.py
@@ -165,9 +165,13 @@
         view = self.member.view
         return view is not None and 2 * len(self.live_members()) > len(view.members)
 
+    def find_adviser_candidates(self) -> tuple[str, ...]:
+        """Return the members that may be advisers: the live ones that are not leaving."""
+        return tuple(name for name in self.live_members() if not self._is_leaving(name))
+
     def adviser_of(self, group: str) -> str | None:
         """Return the live member that is the adviser of a permit group, or None."""
-        candidates = tuple(name for name in self.live_members() if not self._is_leaving(name))
+        candidates = self.find_adviser_candidates()
         if candidates != self.adviser_candidates:
             self.adviser_candidates = candidates
             self.adviser_by_group.clear()
--- a/limpetpulley/daemon/permit_distribution.py
+++ b/limpetpulley/daemon/permit_distribution.py
@@ -80,6 +80,9 @@
         self.group_loads: dict[str, _GroupLoad] = {}
         self.unreported_groups: set[str] = set()
         self.last_reports: dict[str, dict[str, GroupReport]] = {}
+        self.informed_advisers: dict[str, str | None] = {}
+        # Candidates and groups that the advisers above follow from.
+        self.informed_of: tuple[tuple[str, ...], list[str]] = ((), [])
         self.changes_pending = anyio.Event()
         starter.notify = self._notify_change
 
@@ -125,6 +128,26 @@
                 )
                 self._call_in_background(adviser, "Report", batch)
 
+    def report_to_new_advisers(self, groups: list[str]) -> None:
+        """Report the groups whose adviser has changed since the last call.
+
+        Until then the new adviser does not know which permits are free here, so that jobs at
+        other members wait although this member has no job for them.
+
+        :param groups: all groups
+        """
+        candidates = self.peers.find_adviser_candidates()
+        if (candidates, groups) == self.informed_of or not self.member.is_member:
+            return
+        advisers = {group: self.peers.adviser_of(group) for group in groups}
+        changed = [
+            group
+            for group, adviser in advisers.items()
+            if adviser != self.informed_advisers.get(group)
+        ]
+        self.informed_advisers, self.informed_of = advisers, (candidates, groups)
+        self.report(changed)
+
     def reports_by_adviser(self, groups: Iterable[str]) -> dict[str, list[GroupReport]]:
         """Return the reports that changed since the last heartbeat, by adviser.
 
