Give the measurement of capacity its server in a sequence

Cause: PeerServer takes a sequence of services since it serves two of them; exchange_slopes still gave it one. The sizes and numbers of calls are parameters now, so that a test can run it with few calls.

--- a/measure/capacity.py
+++ b/measure/capacity.py
@@ -35,6 +35,7 @@
 
 __all__ = ["main"]
 
+HEARTBEAT_GROUPS = (1, 10, 20, 40)
 CALLS_PER_BLOCK = 150
 BLOCKS = 6
 CHANGED_FRACTION = 0.3
@@ -117,11 +118,20 @@
     return pb.Heartbeat(sender=info, epoch=7, config_revision=1234, reports=reports)
 
 
-async def exchange_slopes() -> list[Slope]:
-    """Return processor time (both ends) and bytes of a heartbeat over real connections."""
-    sizes, cpu_us, byte_counts = (1, 10, 20, 40), [], []
+async def exchange_slopes(
+    sizes: tuple[int, ...] = HEARTBEAT_GROUPS,
+    calls_per_block: int = CALLS_PER_BLOCK,
+    blocks_per_size: int = BLOCKS,
+) -> list[Slope]:
+    """Return processor time (both ends) and bytes of a heartbeat over real connections.
+
+    :param sizes: numbers of groups that the heartbeats report
+    :param calls_per_block: calls over which the processor time is averaged
+    :param blocks_per_size: blocks of calls of each size, of which the fastest counts
+    """
+    cpu_us, byte_counts = [], []
     async with anyio.create_task_group() as tasks:
-        server = PeerServer(_Peer(), "127.0.0.1", 0)
+        server = PeerServer([_Peer()], "127.0.0.1", 0)
         await server.start()
         proxy = FaultProxy(server.port)
         await tasks.start(proxy.serve)
@@ -130,15 +140,15 @@
             message = heartbeat(size)
             await client.call(f"127.0.0.1:{proxy.port}", "Exchange", message)
             bytes_before = proxy.bytes_forwarded
-            for _ in range(CALLS_PER_BLOCK):
+            for _ in range(calls_per_block):
                 await client.call(f"127.0.0.1:{proxy.port}", "Exchange", message)
-            byte_counts.append((proxy.bytes_forwarded - bytes_before) / CALLS_PER_BLOCK)
+            byte_counts.append((proxy.bytes_forwarded - bytes_before) / calls_per_block)
             blocks = []
-            for _ in range(BLOCKS):
+            for _ in range(blocks_per_size):
                 started_at = time.process_time()
-                for _ in range(CALLS_PER_BLOCK):
+                for _ in range(calls_per_block):
                     await client.call(f"127.0.0.1:{server.port}", "Exchange", message)
-                blocks.append((time.process_time() - started_at) / CALLS_PER_BLOCK * 1e6)
+                blocks.append((time.process_time() - started_at) / calls_per_block * 1e6)
             cpu_us.append(min(blocks))
         client.close()
         await server.stop()
