--- a/limpetpulley/daemon/permit_distribution.py
+++ b/limpetpulley/daemon/permit_distribution.py
@@ -80,6 +80,9 @@
         self.group_loads: dict[str, _GroupLoad] = {}
         self.unreported_groups: set[str] = set()
         self.last_reports: dict[str, dict[str, GroupReport]] = {}
+        self.informed_advisers: dict[str, str | None] = {}
+        # Candidates and groups that the advisers above follow from.
+        self.informed_of: tuple[tuple[str, ...], list[str]] = ((), [])
         self.changes_pending = anyio.Event()
         starter.notify = self._notify_change
 
@@ -125,6 +128,26 @@
                 )
                 self._call_in_background(adviser, "Report", batch)
 
+    def report_to_new_advisers(self, groups: list[str]) -> None:
+        """Report the groups whose adviser has changed since the last call.
+
+        Until then the new adviser does not know which permits are free here, so that jobs at
+        other members wait although this member has no job for them.
+
+        :param groups: all groups
+        """
+        candidates = self.peers.find_adviser_candidates()
+        if (candidates, groups) == self.informed_of or not self.member.is_member:
+            return
+        advisers = {group: self.peers.adviser_of(group) for group in groups}
+        changed = [
+            group
+            for group, adviser in advisers.items()
+            if adviser != self.informed_advisers.get(group)
+        ]
+        self.informed_advisers, self.informed_of = advisers, (candidates, groups)
+        self.report(changed)
+
     def reports_by_adviser(self, groups: Iterable[str]) -> dict[str, list[GroupReport]]:
         """Return the reports that changed since the last heartbeat, by adviser.
 
@@ -165,7 +188,18 @@
         self._advise(groups, refresh=False)
 
     def receive_advice(self, batch: pb.AdviceBatch) -> None:
-        """Apply an adviser's advice and execute its orders."""
+        """Apply an adviser's advice and execute its orders, if the sender may be an adviser.
+
+        What is dropped needs no reply: an order that was not handled expires at its adviser, and
+        the next report of the waiting jobs makes the adviser of the group order again.
+        """
+        if not self.peers.may_advise(batch.adviser):
+            logging.info(
+                "decision=advice from=%s orders=%d reason=not-a-member",
+                batch.adviser,
+                len(batch.orders),
+            )
+            return
         now = self.clock.now()
         for advice in batch.advice:
             was_contended = self.starter.is_contended(advice.group)
@@ -186,6 +220,14 @@
             self.starter.apply_order(order)
             return
         self.starter.mark_order_handled(order)
+        if not self.peers.is_member(order.target):
+            # Only a member of the same epoch can be credited.
+            logging.info(
+                "decision=transfer resource=%s to=%s reason=not-a-member",
+                order.resource,
+                order.target,
+            )
+            return
         try:
             free = self.ledger.free(order.resource)
             transfer = self.ledger.debit(order.resource, min(order.count, free))
