Accept a job whose record is in the store, also if it differs from the new submission

Cause: a description that an earlier attempt had stored late has another time of acceptance than the repeated submission. The record was taken for another job: the caller got 503 not-stored (never runs) while the next owner would read the record and run the job. A read of the record that the store refused counted as a refused write. Now: the stored job takes the submission's place; a record that cannot be read leaves the doubt.

--- a/limpetpulley/ownership/admission.py
+++ b/limpetpulley/ownership/admission.py
@@ -9,7 +9,6 @@
 import attrs
 
 from ..batch import Job, JobKey, JobSpec, QueueConfig
-from ..batch.records import encode_description
 from ..exception import StoreError, StoreUnavailable
 from ..pool import PoolState
 from ..pool.queue_forecast import (
@@ -151,15 +150,15 @@
     async def _resolve_in_doubt(self, outcome: StoreOutcome) -> None:
         """Add a job to the pool if it is stored; drop it if it can no longer become stored."""
         key = outcome.job.key
-        found = await self.context.store.get(self.context.keys.description(key))
+        found = await self.writer.read_stored(outcome)
         age = self.context.clock.now() - outcome.unanswered_at
         if self.pending.get(key.job_id) is not outcome:
             return
-        if found is None and age < MAX_WRITE_DELAY_SECONDS:
+        if not found and age < MAX_WRITE_DELAY_SECONDS:
             # Move the job to the end, so that the next check starts with the others.
             self.pending[key.job_id] = self.pending.pop(key.job_id)
             return
-        outcome.stored = found is not None and found.value == encode_description(outcome.job)
+        outcome.stored = found
         self._on_outcome(outcome)
         self.request_planning()
         self.context.log.write(
@@ -197,7 +196,8 @@
             outcome.unanswered_at = self.context.clock.now()
             return
         self.pending.pop(job.key.job_id, None)
-        if outcome.stored and job.key.job_id not in self.pool_state.jobs:
+        is_new = job.key.job_id not in self.pool_state.jobs
+        if outcome.stored and is_new and job.pool == self.pool_state.pool:
             self.pool_state.add_job(job, self.context.wall_time())
 
     def assess(self, job: Job, submission: Submission) -> Verdict:
--- a/limpetpulley/ownership/tests/test_admission.py
+++ b/limpetpulley/ownership/tests/test_admission.py
@@ -7,8 +7,10 @@
 import anyio
 import pytest
 
-from ...batch import JobState
+from ...batch import Job, JobKey, JobState
+from ...batch.records import encode_description
 from ...exception import PeerError, StoreRefused, StoreUnavailable
+from ...store import Put
 from .. import Outcome
 from ..admission import MAX_WRITE_DELAY_SECONDS
 from .test_daemons import DAEMON_NAMES, run_scenario, two_step_spec
@@ -210,3 +212,55 @@
     assert outcome is Outcome.ACCEPTED
     assert list(states.values()) == [JobState.COMPLETED]
     assert stored == 1
+
+
+class FailingReads:
+    """A daemon's client of the store whose reads of one key fail at first."""
+
+    def __init__(self, store, key, errors):
+        self.store = store
+        self.key = key
+        self.errors = list(errors)
+
+    def __getattr__(self, name):
+        return getattr(self.store, name)
+
+    async def get(self, key):
+        if key == self.key and self.errors:
+            raise self.errors.pop()
+        return await self.store.get(key)
+
+
+READ_ERRORS = {
+    "answered": [],
+    "refused": [StoreRefused("busy")] * 3,
+    "unanswered": [StoreUnavailable("no answer")] * 3,
+}
+
+
+@pytest.mark.parametrize("reads", READ_ERRORS)
+def test_job_whose_record_is_in_the_store_is_accepted_as_it_is_stored(reads):
+    """The record was written by an attempt that was given up, and took effect even later."""
+
+    async def scenario(deployment):
+        owner = deployment.fleet.owner_of("desk")
+        node, key = deployment.fleet.daemons[owner].node, JobKey("desk", JOB_ID)
+        wall_time = node.context.wall_time()
+        stored = Job(
+            key, two_step_spec(), "desk", "agents", 2, accepted_at=wall_time - 20, due_by=wall_time
+        )
+        put = Put(node.context.keys.description(key), encode_description(stored))
+        await deployment.fleet.store.commit([], [put])
+        node.context.store = FailingReads(node.context.store, put.key, READ_ERRORS[reads])
+        outcomes = []
+        for _ in range(3):
+            _, result = await deployment.submit("desk", two_step_spec(), at=owner, job_id=JOB_ID)
+            outcomes.append(result.outcome)
+        await anyio.sleep(3.0)
+        return outcomes, await deployment.states(), len(deployment.fleet.runs)
+
+    outcomes, states, runs = run_scenario(scenario)
+    assert Outcome.REFUSED not in outcomes
+    assert outcomes[-1] is Outcome.ACCEPTED
+    assert list(states.values()) == [JobState.COMPLETED]
+    assert runs == 3
--- a/limpetpulley/ownership/writer.py
+++ b/limpetpulley/ownership/writer.py
@@ -11,8 +11,8 @@
 import attrs
 
 from ..batch import Job
-from ..batch.records import encode_description, encode_progress
-from ..exception import NotOwnerError, StoreError, StoreRefused, StoreUnavailable
+from ..batch.records import decode_job, encode_description, encode_progress
+from ..exception import NotOwnerError, RecordError, StoreError, StoreRefused, StoreUnavailable
 from ..pool import PoolState
 from ..store import Compare, Delete, Put
 from .context import DaemonContext
@@ -42,6 +42,7 @@
 class StoreOutcome:
     """Outcome of storing a job's description.
 
+    :param job: the job, replaced by the stored one if an earlier write has stored it differently
     :param on_settled: called when the write attempts have ended
     :param may_be_stored: whether a write was not answered: it may have been, or may still be,
         applied
@@ -250,8 +251,13 @@
                     outcome.settle(True)
                 return
             for outcome in batch:
-                stored = await self._create([outcome]) or await self._is_stored(outcome.job)
-                outcome.settle(stored)
+                if await self._create([outcome]):
+                    outcome.settle(True)
+                    continue
+                # The record exists, or existed when the write was rejected.
+                outcome.may_be_stored = True
+                if await self.read_stored(outcome):
+                    outcome.settle(True)
         except StoreRefused as error:
             self._log_failure(error, len(batch))
             for outcome in batch:
@@ -270,10 +276,21 @@
         ]
         return bool(await self.commit([Compare(key, 0) for key in keys], writes))
 
-    async def _is_stored(self, job: Job) -> bool:
-        """Return whether an earlier write, whose answer was lost, has stored this description."""
-        entry = await self.context.store.get(self.context.keys.description(job.key))
-        return entry is not None and entry.value == encode_description(job)
+    async def read_stored(self, outcome: StoreOutcome) -> bool:
+        """Return whether the job is stored, and replace it by the stored one.
+
+        :raises StoreError: if the store does not answer or the record cannot be read
+        """
+        key = outcome.job.key
+        entry = await self.context.store.get(self.context.keys.description(key))
+        if entry is None:
+            return False
+        if entry.value != encode_description(outcome.job):
+            try:
+                outcome.job = decode_job(key, entry.value, None)
+            except RecordError as error:
+                raise StoreError(f"{entry.key}: {error}") from None
+        return True
 
     def _log_failure(self, error: Exception, count: int) -> None:
         if not self.failing:
