Refuse gangs that do not fit the pool, and jobs beyond their team's limit, at once

Cause: admission looked at each task by itself, so that a gang larger than all workers of its pool, or than its team's limit, was accepted and never started; so was a lasting task beyond the limit. A task beyond the limit that is not lasting was refused as late. Now: 503 fits-nowhere with the longest retry time, as for a task that no worker can run. Ruled out: that waiting for VMs would help.

--- a/limpetpulley/api/tests/batch_callers.py
+++ b/limpetpulley/api/tests/batch_callers.py
@@ -103,11 +103,14 @@
     return {"payload": str(seconds), "steps": [step]}
 
 
-def run_callers(scenario, vms=4, moves=True, latency_target_seconds=1.0):
+def run_callers(
+    scenario, vms=4, moves=True, latency_target_seconds=1.0, limit=test_daemons.NO_LIMIT
+):
     """Run a scenario with callers of three daemons; return its result.
 
     :param vms: number of VMs of the pool, each with four cores
     :param moves: whether VMs may be moved to the pool
+    :param limit: limit of the callers' team
     """
 
     async def run(deployment):
@@ -116,7 +119,7 @@
         with anyio.fail_after(TIME_LIMIT_SECONDS):
             return await scenario(Callers(deployment))
 
-    config = test_daemons.make_config()
+    config = test_daemons.make_config(limit)
     config.queues["desk"] = attrs.evolve(
         config.queues["desk"],
         public=True,
--- a/limpetpulley/ownership/admission.py
+++ b/limpetpulley/ownership/admission.py
@@ -8,9 +8,10 @@
 import anyio
 import attrs
 
-from ..batch import Job, JobKey, JobSpec, QueueConfig
+from ..batch import Job, JobKey, JobSpec, QueueConfig, Step
 from ..exception import StoreError, StoreUnavailable
 from ..pool import PoolState
+from ..pool.gangs import fits_empty_pool
 from ..pool.queue_forecast import (
     QueueForecast,
     expected_objective,
@@ -27,6 +28,7 @@
     judge_late,
 )
 from ..scheduling.placement import fits_empty_worker
+from ..workers import Worker
 from .context import DaemonContext
 from .reporting import RefusedWork
 from .writer import OwnerWriter, StoreOutcome
@@ -42,7 +44,7 @@
 FORECAST_CPU_FRACTION = 0.2
 #: longest time for which a forecast is used, in seconds; a tenth of a typical latency objective
 MAX_FORECAST_AGE_SECONDS = 0.25
-#: refusal reason for a job with a task that fits no worker
+#: refusal reason for a job with a task that fits no worker, or a gang that does not fit the pool
 FITS_NOWHERE = "fits-nowhere"
 #: interval between checks of jobs in doubt, in seconds
 IN_DOUBT_CHECK_SECONDS = 1.0
@@ -205,7 +207,7 @@
         workers = [worker for worker in self.pool_state.workers.values() if worker.present]
         if not workers:
             return Verdict(False, retry_seconds=FAILURE_RETRY_SECONDS, reason="no-workers")
-        if not all(fits_empty_worker(step, workers) for step in job.spec.steps):
+        if not all(self._fits_empty_pool(step, job.team, workers) for step in job.spec.steps):
             return Verdict(False, retry_seconds=LONGEST_RETRY_SECONDS, reason=FITS_NOWHERE)
         if job.spec.lasting or job.spec.timed:
             return Verdict(True)
@@ -223,6 +225,15 @@
             forecast.accept(job)
         return verdict
 
+    def _fits_empty_pool(self, step: Step, team: str, workers: list[Worker]) -> bool:
+        """Return whether a step could run if nothing else did: a gang all at once."""
+        together = step.charge * (step.count if step.gang else 1)
+        if not self.shares.fits_limit(team, together):
+            return False
+        if step.gang:
+            return fits_empty_pool(step, [worker.listed for worker in workers])
+        return fits_empty_worker(step, workers)
+
     def _current_forecast(self, team: str) -> QueueForecast:
         """Return the cached queue forecast, or a new one if the cached one has expired.
 
--- a/limpetpulley/pool/gangs.py
+++ b/limpetpulley/pool/gangs.py
@@ -13,23 +13,23 @@
 
 from ..batch import Amount, Job, Step, TaskId
 from ..scheduling.placement import choose_worker
-from ..workers import Run, RunPhase, Worker
+from ..workers import ListedWorker, Run, RunPhase, Worker
 from .state import PoolState
 
-__all__ = ["find_broken_gang_runs", "place_gang"]
+__all__ = ["find_broken_gang_runs", "fits_empty_pool", "place_gang"]
 
 
 @attrs.define(eq=False)
 class _TentativeWorker:
     """A worker with the capacity that tentative placements leave free."""
 
-    listed: object
+    listed: ListedWorker
     room: Amount
 
     @property
     def worker_id(self) -> str:
         """Return the worker's identifier."""
-        return self.listed.worker_id  # type: ignore[attr-defined]
+        return self.listed.worker_id
 
 
 def place_gang(
@@ -54,12 +54,21 @@
     return None
 
 
+def fits_empty_pool(step: Step, workers: Iterable[ListedWorker]) -> bool:
+    """Return whether all tasks of a gang would fit on the workers if these were empty."""
+    tasks = [TaskId("", 0, 0, position) for position in range(step.count)]
+    empty = [_TentativeWorker(worker, worker.capacity) for worker in workers]
+    return _place_all(step, tasks, empty) is not None
+
+
 def _rack_rank(step: Step, group: list[Worker]) -> tuple[bool, int]:
     free = sum(worker.room.cpu_millicores for worker in group)
     return group[0].listed.rack != step.near_rack, -free
 
 
-def _place_all(step: Step, tasks: list[TaskId], workers: list[Worker]) -> dict[TaskId, str] | None:
+def _place_all(
+    step: Step, tasks: list[TaskId], workers: Iterable[Worker | _TentativeWorker]
+) -> dict[TaskId, str] | None:
     tentative = [_TentativeWorker(worker.listed, worker.room) for worker in workers]
     tasks_per_worker: Counter[str] = Counter()
     placement: dict[TaskId, str] = {}
--- a/limpetpulley/quota/shares.py
+++ b/limpetpulley/quota/shares.py
@@ -80,6 +80,14 @@
             for maximum, needed, allowed in zip(_triple(limit), total, share, strict=True)
         )
 
+    def fits_limit(self, team: str, amount: Amount) -> bool:
+        """Return whether an amount is within a team's limit over all pools."""
+        limit = self.limits.get(team, Amount())
+        return all(
+            not maximum or needed <= maximum
+            for maximum, needed in zip(_triple(limit), _triple(amount), strict=True)
+        )
+
     def share(self, team: str) -> ResourceTriple:
         """Return what a team may run here, scaled down while the shares exceed a lowered limit."""
         record = self.records.get(team, ShareRecord())
