Start a late job's task that exceeds the fraction for late jobs if none of them runs

Cause: jobs accepted behind all others may use half of the pool's processors. In a pool that has shrunk since, a task that needs more than that half never started, however empty the pool was. Now: while no such job runs, one task of the first of them may exceed the fraction. Ruled out by the other rows: starts on workers that are not listed or have no room, and late jobs that wait in a pool with room, alone or beside other jobs. The forecast keeps the fraction. The tests' option against moves of VMs is set before the daemons start: a VM had joined while they did.

--- a/limpetpulley/api/tests/batch_callers.py
+++ b/limpetpulley/api/tests/batch_callers.py
@@ -5,7 +5,6 @@
 import anyio
 import attrs
 
-from ...fleet.vms import OrderOutcome
 from ...ownership.tests import test_daemons
 from ...standin.network import call_app
 from ..batches import BatchesApp, native_dialect
@@ -114,8 +113,6 @@
     """
 
     async def run(deployment):
-        if not moves:
-            deployment.fleet.vms.move = refuse_move
         with anyio.fail_after(TIME_LIMIT_SECONDS):
             return await scenario(Callers(deployment))
 
@@ -126,8 +123,4 @@
         open_to=TEAM,
         latency_target_seconds=latency_target_seconds,
     )
-    return test_daemons.run_scenario(run, config, vms=vms)
-
-
-async def refuse_move(vm, pool, holder):
-    return OrderOutcome.BUSY
+    return test_daemons.run_scenario(run, config, vms=vms, moves=moves)
--- a/limpetpulley/ownership/tests/test_daemons.py
+++ b/limpetpulley/ownership/tests/test_daemons.py
@@ -20,7 +20,7 @@
     TeamConfig,
 )
 from ...exception import StoreRefused, StoreUnavailable
-from ...fleet.vms import WaveOrder
+from ...fleet.vms import OrderOutcome, WaveOrder
 from ...standin.batchfleet import BatchFleet
 from ...standin.store import STORE_HOST
 from ...standin.virtual import VirtualClock, run_virtual
@@ -53,13 +53,15 @@
 class Deployment:
     """Three daemons with their workers and VMs, and callers that submit jobs."""
 
-    def __init__(self, tasks, config, seed=1, vms=4):
+    def __init__(self, tasks, config, seed=1, vms=4, moves=True):
         self.clock = VirtualClock()
         self.fleet = BatchFleet(tasks, self.clock, config, Amount(4000, 8000), seed)
         for number in range(vms):
             for pool in POOLS:
                 self.fleet.vms.add(f"{pool}-{number}", pool, f"r{number % 2}")
         self.fleet.vms.add("off-0", "off", "r0")
+        if not moves:
+            self.fleet.vms.move = refuse_move
         self.accepted = {}
         self.refused = []
         self.count = 0
@@ -114,10 +116,20 @@
     return JobSpec("lasts", (Step(count, TASK, lasting=True, may_miss=may_miss),))
 
 
-def run_scenario(scenario, config=None, seed=1, vms=4):
+async def refuse_move(vm, pool, holder):
+    return OrderOutcome.BUSY
+
+
+def run_scenario(scenario, config=None, seed=1, vms=4, moves=True):
+    """Run a scenario with three daemons; return its result.
+
+    :param vms: number of VMs of each pool
+    :param moves: whether VMs may be moved between pools
+    """
+
     async def run():
         async with anyio.create_task_group() as tasks:
-            deployment = Deployment(tasks, config or make_config(), seed, vms)
+            deployment = Deployment(tasks, config or make_config(), seed, vms, moves)
             await deployment.start()
             result = await scenario(deployment)
             tasks.cancel_scope.cancel()
--- a/limpetpulley/pool/planning.py
+++ b/limpetpulley/pool/planning.py
@@ -225,17 +225,16 @@
     worker_index = WorkerIndex(workers)
     waiting.sort(key=rank)
     millicores_left = behind_capacity(pool_state) if any(job.behind for job in waiting) else 0
+    behind_runs = any(job.behind for job in waiting) and _behind_usage(pool_state) > 0
     for job in waiting:
         if pool_state.may_start(job):
-            starts = _start_job(
-                pool_state,
-                job,
-                worker_index,
-                shares,
-                now,
-                millicores_left if job.behind else math.inf,
-            )
+            limit = millicores_left if job.behind else math.inf
+            if job.behind and not behind_runs:
+                # In a pool that has shrunk, a single task may exceed the fraction.
+                limit = max(limit, _widest_ready_task(pool_state, job))
+            starts = _start_job(pool_state, job, worker_index, shares, now, limit)
             if job.behind:
+                behind_runs = behind_runs or bool(starts)
                 millicores_left -= sum(
                     pool_state.runs[start.task].charge.cpu_millicores for start in starts
                 )
@@ -263,12 +262,23 @@
         for worker in pool_state.workers.values()
         if worker.present
     )
+    return int(capacity * BEHIND_FRACTION) - _behind_usage(pool_state)
+
+
+def _behind_usage(pool_state: PoolState) -> int:
+    """Return the millicores that jobs running behind all others use."""
     used = 0
     for run in pool_state.runs.values():
         job = pool_state.jobs.get(run.task.job_id)
         if job is not None and job.behind:
             used += run.charge.cpu_millicores
-    return int(capacity * BEHIND_FRACTION) - used
+    return used
+
+
+def _widest_ready_task(pool_state: PoolState, job: Job) -> int:
+    """Return the most millicores that a ready task of a job needs."""
+    tasks = pool_state.ready.get(job.key.job_id, ())
+    return max((job.step_of(task).charge.cpu_millicores for task in tasks), default=0)
 
 
 def rank(job: Job) -> tuple:
