Settle jobs in doubt as soon as the store answers again

Cause of 504 answers after writes without an answer: two attempts, then the caller was told 504 with half of its time left, and nobody tried again until it asked; jobs that came meanwhile stood in the queue behind these attempts and got 504 too, although no write was ever sent for them. The claim of a pool and the renewal of a lease waited out calls that the silence had swallowed. Now: attempts go on while a caller waits; a job for which nothing was sent is refused with 503 store-away; records in doubt are read every 0.25 s, and the first answer after a silence of 0.5 s gives up the writes, renewals and claims that were made in it, which are repeated at once under the same conditions. A job is stored only by a conditional write that succeeds or by its record. A test in test_admission.py let the write take effect while the caller still waited, which is now answered at once; it takes effect after the caller's 504 instead.

--- a/limpetpulley/ownership/admission.py
+++ b/limpetpulley/ownership/admission.py
@@ -37,8 +37,8 @@
 
 #: retry delay that callers get after a failure of the owner or the store, in whole seconds
 FAILURE_RETRY_SECONDS = 1
-#: age of the claim's last renewal beyond which, after a failed write, the store counts as
-#: unavailable, in seconds: two renewals without an answer
+#: time since the last answered call was made beyond which, after a failed write, the store counts
+#: as unavailable, in seconds: two renewals of the claim without an answer
 STORE_UNAVAILABLE_SECONDS = 0.8
 #: fraction of processor time that queue forecasts may use
 FORECAST_CPU_FRACTION = 0.2
@@ -46,13 +46,14 @@
 MAX_FORECAST_AGE_SECONDS = 0.25
 #: refusal reason for a job with a task that fits no worker, or a gang that does not fit the pool
 FITS_NOWHERE = "fits-nowhere"
-#: interval between checks of jobs in doubt, in seconds
-IN_DOUBT_CHECK_SECONDS = 1.0
+#: interval between checks of jobs in doubt, in seconds; a check does not wait for earlier ones, so
+#: that it notices soon when the store answers again
+IN_DOUBT_CHECK_SECONDS = 0.25
 #: time after the last attempt beyond which an unanswered write is no longer applied, in seconds;
 #: from the platform's writes, which are late by a few seconds
 MAX_WRITE_DELAY_SECONDS = 8.0
 #: largest number of jobs in doubt that one check looks up, to stay within the store's rate limit
-MAX_IN_DOUBT_CHECKS = 8
+MAX_IN_DOUBT_CHECKS = 2
 
 
 @attrs.frozen
@@ -76,7 +77,6 @@
     :param refused_work: records the work that was refused
     :param arriving_work: records the work that is submitted
     :param request_planning: called when a job was accepted
-    :param claim_age: returns the time since the owner's claim was last renewed, in seconds
     """
 
     def __init__(
@@ -88,9 +88,7 @@
         refused_work: RefusedWork,
         arriving_work: ArrivalEstimator,
         request_planning: Callable[[], None],
-        claim_age: Callable[[], float],
     ):
-        self.claim_age = claim_age
         self.context = context
         self.pool_state = pool_state
         self.shares = shares
@@ -101,6 +99,7 @@
         # Accepted jobs that are being stored or are in doubt, by job id. A repeated submission of
         # such a job is neither decided again nor refused, since the job may be stored.
         self.pending: dict[str, StoreOutcome] = {}
+        self.are_checks_failing = False
         # Cached forecast of the queue, and its expiry time by the local clock.
         self.forecast: QueueForecast | None = None
         self.forecast_expires_at = 0.0
@@ -139,15 +138,27 @@
         return await self._wait_until_stored(outcome, wait_seconds)
 
     async def run_in_doubt_checks(self) -> None:
-        """Resolve jobs in doubt that are not submitted again, until cancelled."""
-        while True:
-            await anyio.sleep(IN_DOUBT_CHECK_SECONDS)
-            in_doubt = [outcome for outcome in self.pending.values() if outcome.settled.is_set()]
-            try:
+        """Resolve jobs in doubt by their records until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            while True:
+                await anyio.sleep(IN_DOUBT_CHECK_SECONDS)
+                if self._is_store_unavailable():
+                    self.writer.refuse_unsent()
+                in_doubt = [each for each in self.pending.values() if each.may_be_stored]
                 for outcome in in_doubt[:MAX_IN_DOUBT_CHECKS]:
-                    await self._resolve_in_doubt(outcome)
-            except (StoreUnavailable, StoreError) as error:
+                    # Move the job to the end, so that the next check starts with the others.
+                    job_id = outcome.job.key.job_id
+                    self.pending[job_id] = self.pending.pop(job_id)
+                    tasks.start_soon(self._check_doubt, outcome)
+
+    async def _check_doubt(self, outcome: StoreOutcome) -> None:
+        try:
+            await self._resolve_in_doubt(outcome)
+            self.are_checks_failing = False
+        except (StoreUnavailable, StoreError) as error:
+            if not self.are_checks_failing:
                 self.context.log.write("doubts-left", pool=self.pool_state.pool, reason=str(error))
+            self.are_checks_failing = True
 
     async def _resolve_in_doubt(self, outcome: StoreOutcome) -> None:
         """Add a job to the pool if it is stored; drop it if it can no longer become stored."""
@@ -156,20 +167,21 @@
         age = self.context.clock.now() - outcome.unanswered_at
         if self.pending.get(key.job_id) is not outcome:
             return
-        if not found and age < MAX_WRITE_DELAY_SECONDS:
-            # Move the job to the end, so that the next check starts with the others.
-            self.pending[key.job_id] = self.pending.pop(key.job_id)
+        is_being_written = not outcome.settled.is_set()
+        if not found and (is_being_written or age < MAX_WRITE_DELAY_SECONDS):
             return
         outcome.stored = found
         self._on_outcome(outcome)
+        outcome.settled.set()
         self.request_planning()
         self.context.log.write(
             "doubt-settled", job=key.job_id, queue=key.queue, stored=outcome.stored
         )
 
     def _is_store_unavailable(self) -> bool:
-        """Return whether the last write failed and the claim was not renewed recently."""
-        return self.writer.failing and self.claim_age() > STORE_UNAVAILABLE_SECONDS
+        """Return whether the last write failed and no other call was answered recently."""
+        age = self.context.clock.now() - self.context.store_contact.called_at
+        return self.writer.failing and age > STORE_UNAVAILABLE_SECONDS
 
     def _store_description(self, job: Job, may_be_stored: bool = False) -> StoreOutcome:
         outcome = StoreOutcome(job, self._on_outcome, may_be_stored)
@@ -180,13 +192,18 @@
     async def _wait_until_stored(
         self, outcome: StoreOutcome, wait_seconds: float
     ) -> Verdict | None:
+        wait_until = self.context.clock.now() + wait_seconds
+        outcome.wait_until = max(outcome.wait_until, wait_until)
         with anyio.move_on_after(wait_seconds):
             await outcome.settled.wait()
+        if outcome.is_unsent:
+            outcome.settle(False)
         if outcome.stored:
             self.request_planning()
             return Verdict(True)
         if outcome.stored is False:
-            return Verdict(False, retry_seconds=FAILURE_RETRY_SECONDS, reason="not-stored")
+            reason = "not-stored" if outcome.attempts else "store-away"
+            return Verdict(False, retry_seconds=FAILURE_RETRY_SECONDS, reason=reason)
         key = outcome.job.key
         self.context.log.write("job-in-doubt", job=key.job_id, queue=key.queue)
         return None
--- a/limpetpulley/ownership/context.py
+++ b/limpetpulley/ownership/context.py
@@ -14,6 +14,7 @@
 from ..telemetry import BatchMetrics, EventLog
 from ..workers import ListedWorker, OrderSender
 from .advice import Adviser
+from .store_contact import StoreContact
 
 __all__ = ["DaemonContext", "Timing"]
 
@@ -52,6 +53,7 @@
     :param workers: workers that the platform currently lists, by name
     :param config: current configuration, None before the first one has arrived
     :param wall_time: returns the wall-clock time, in seconds since 1970
+    :param store_contact: when the store answered this daemon
     """
 
     store: Store
@@ -66,3 +68,4 @@
     metrics: BatchMetrics = attrs.field(factory=BatchMetrics)
     workers: dict[str, ListedWorker] = attrs.field(factory=dict)
     config: BatchConfig | None = None
+    store_contact: StoreContact = attrs.field(factory=StoreContact)
--- a/limpetpulley/ownership/node.py
+++ b/limpetpulley/ownership/node.py
@@ -72,7 +72,13 @@
         self.handlers.handle_pool_report = self.handle_pool_report
         self.service = BatchService(context, member, self.directory, self.owned, peers)
         self.session = Session(
-            context.store, context.keys, member, context.clock, context.log, self.stop_owners
+            context.store,
+            context.keys,
+            member,
+            context.clock,
+            context.log,
+            self.stop_owners,
+            context.store_contact,
         )
         self.directory_mirror = Mirror(
             context.store,
--- a/limpetpulley/ownership/owner.py
+++ b/limpetpulley/ownership/owner.py
@@ -90,7 +90,6 @@
             self.refused_work,
             self.arriving_work,
             self.request_planning,
-            claim_age,
         )
         self.ticket_fetcher = TicketFetcher(context, self.pool_state, self.request_planning)
         self.worker_clients: dict[str, WorkerClient] = {}
--- a/limpetpulley/ownership/service.py
+++ b/limpetpulley/ownership/service.py
@@ -124,29 +124,25 @@
         )
         limits, may_be_stored = self._limit_times(time_left), False
         while True:
-            attempted_at = self.context.clock.now()
+            attempted_at, is_silent = self.context.clock.now(), False
             owner = self.directory.owner_of(message.pool)
             try:
                 reply = await self._submit_once(submission, message, limits)
-                reason = reply.reason if reply is not None else ""
-                is_unknown = reply is not None and reply.outcome == pb.UNKNOWN
             except PeerError as error:
-                reply, reason, is_unknown = None, "owner-silent", True
+                reply, is_silent, may_be_stored = None, True, True
                 self._log_silence(submission.job_id, message.pool, error, limits)
-            if not is_unknown or reason == "unreadable":
+            if reply is None and not may_be_stored:
+                return SubmitResult(Outcome.UNAVAILABLE, "no-owner")
+            if reply is not None and (reply.outcome != pb.UNKNOWN or reply.reason == "unreadable"):
                 break
             # The job may be stored already; submitting it again under the same id is safe.
             may_be_stored = True
             now = self.context.clock.now()
             same_owner = self.directory.owner_of(message.pool) == owner
-            is_silent = reply is None and now - attempted_at > MAX_BROKEN_CALL_SECONDS
-            if (same_owner and is_silent) or limits.deadline - now < MIN_RETRY_SECONDS:
-                return SubmitResult(Outcome.UNKNOWN, reason)
+            is_hopeless = is_silent and same_owner and now - attempted_at > MAX_BROKEN_CALL_SECONDS
+            if is_hopeless or limits.deadline - now < MIN_RETRY_SECONDS:
+                return SubmitResult(Outcome.UNKNOWN, reply.reason if reply else "owner-silent")
             await anyio.sleep(SEARCH_INTERVAL_SECONDS)
-        if reply is None and may_be_stored:
-            return SubmitResult(Outcome.UNKNOWN, "owner-silent")
-        if reply is None:
-            return SubmitResult(Outcome.UNAVAILABLE, "no-owner")
         outcome = {pb.ACCEPTED: Outcome.ACCEPTED, pb.REFUSED: Outcome.REFUSED}.get(
             reply.outcome, Outcome.UNKNOWN
         )
--- a/limpetpulley/ownership/session.py
+++ b/limpetpulley/ownership/session.py
@@ -13,6 +13,7 @@
 from ..store import Compare, Delete, Put, Store
 from ..telemetry import EventLog
 from .directory import Member, encode_member
+from .store_contact import StoreContact
 
 __all__ = ["LEASE_SECONDS", "Session"]
 
@@ -36,6 +37,7 @@
 
     :param member: this daemon
     :param on_lost: called when the lease was lost, so that all claims are abandoned
+    :param contact: records the store's answers to renewals
     """
 
     def __init__(
@@ -46,7 +48,9 @@
         clock: Clock,
         log: EventLog,
         on_lost: Callable[[], None],
+        contact: StoreContact | None = None,
     ):
+        self.contact = contact or StoreContact()
         self.store = store
         self.keys = keys
         self.member = member
@@ -83,12 +87,18 @@
         :raises StoreUnavailable: if no answer came in time
         """
         requested_at = self.clock.now()
-        with anyio.move_on_after(timeout) as scope:
-            if await self.store.renew_lease(self.lease):
+        with (
+            anyio.move_on_after(timeout) as scope,
+            self.contact.cancel_if_overtaken(scope, requested_at),
+        ):
+            renewed = await self.store.renew_lease(self.lease)
+        if not scope.cancelled_caught:
+            self.contact.note_answer(requested_at, self.clock.now())
+            if renewed:
                 self.renewed_at = requested_at
             else:
                 self.abandon("lease-ended")
-        if scope.cancelled_caught:
+        else:
             raise StoreUnavailable(f"lease renewal not answered within {timeout} s")
         return self.clock.now() - requested_at
 
@@ -106,13 +116,17 @@
         """Claim a key; return the claim's token, or 0 if the key has changed or there is no lease.
 
         :param replaced: revision of the claim that is replaced, 0 if the key must not exist
+        :raises StoreUnavailable: if the store did not answer; the key may still become claimed
         """
         lease = self.lease
         if not lease:
             return 0
         value = encode_member(self.member)
-        result = await self.store.commit([Compare(key, replaced)], [Put(key, value, lease)])
-        return result.revision if result.ok else 0
+        called_at = self.clock.now()
+        with anyio.CancelScope() as scope, self.contact.cancel_if_overtaken(scope, called_at):
+            result = await self.store.commit([Compare(key, replaced)], [Put(key, value, lease)])
+            return result.revision if result.ok else 0
+        raise StoreUnavailable(f"claim of {key} not answered, but a later call")
 
     async def release(self, claims: dict[str, int]) -> None:
         """Delete claimed keys, each only if its claim is still this daemon's.
--- /dev/null
+++ b/limpetpulley/ownership/store_contact.py
@@ -0,0 +1,62 @@
+"""When the store last answered a daemon, and which of its calls that silence has overtaken."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+import anyio
+
+__all__ = ["StoreContact"]
+
+#: time without any answer after which the next answer shows that earlier calls were lost, in
+#: seconds; a daemon renews its lease every 0.3 s
+SILENCE_SECONDS = 0.5
+
+
+class StoreContact:
+    """Tracks the answers of the store to the calls of one daemon.
+
+    After a silence, calls that were made during it are not waited for any longer: they are made
+    again. A call that is only slower than others is not given up.
+    """
+
+    def __init__(self) -> None:
+        # Start of the latest call that was answered, and time of the latest answer.
+        self.called_at = -math.inf
+        self.answered_at = -math.inf
+        self.answered = anyio.Event()
+        self.waiting_calls: dict[anyio.CancelScope, float] = {}
+
+    def note_answer(self, called_at: float, now: float) -> None:
+        """Record an answer.
+
+        :param called_at: when the call was made, by the local clock
+        :param now: local time
+        """
+        was_silent = now - self.answered_at > SILENCE_SECONDS
+        self.called_at = max(self.called_at, called_at)
+        self.answered_at = now
+        answered, self.answered = self.answered, anyio.Event()
+        answered.set()
+        for scope, waiting_since in list(self.waiting_calls.items()):
+            if was_silent and waiting_since < called_at:
+                scope.cancel()
+
+    @contextmanager
+    def cancel_if_overtaken(self, scope: anyio.CancelScope, called_at: float) -> Iterator[None]:
+        """Cancel a scope if the store answers a later call after a silence.
+
+        :param called_at: when the scope's call was made, by the local clock
+        """
+        self.waiting_calls[scope] = called_at
+        try:
+            yield
+        finally:
+            del self.waiting_calls[scope]
+
+    async def wait_for_answer(self, since: float) -> None:
+        """Wait until a call that was made after a local time is answered."""
+        while self.called_at <= since:
+            await self.answered.wait()
--- a/limpetpulley/ownership/tests/test_admission.py
+++ b/limpetpulley/ownership/tests/test_admission.py
@@ -165,7 +165,7 @@
     assert result.retry_seconds == 1
 
 
-@pytest.mark.parametrize("applied", [True, False])
+@pytest.mark.parametrize("applied", [True, False], ids=["applied late", "lost"])
 def test_job_in_doubt_is_resolved_without_another_submission(applied):
     async def scenario(deployment):
         owner = deployment.fleet.owner_of("desk")
@@ -174,15 +174,15 @@
         original_commit, attempts = writer.commit, []
 
         async def commit(compares, writes):
-            attempts.append(writes)
-            if applied and len(attempts) == 2:
-                await original_commit(compares, writes)
+            attempts.append((compares, writes))
             await anyio.sleep(0.1)
             raise StoreUnavailable("no answer")
 
         writer.commit = commit
         _, first = await deployment.submit("desk", two_step_spec(), at=owner, job_id=JOB_ID)
         writer.commit, in_doubt = original_commit, len(admission.pending)
+        if applied:
+            await original_commit(*attempts[1])
         await anyio.sleep(MAX_WRITE_DELAY_SECONDS + 4.0)
         remaining, queue = len(admission.pending), deployment.fleet.config.queues["desk"]
         state = await node.service.find(queue, JOB_ID, 3.0)
--- a/limpetpulley/ownership/writer.py
+++ b/limpetpulley/ownership/writer.py
@@ -34,11 +34,13 @@
 ANSWER_TIMEOUT_SECONDS = 0.6
 #: timeout of the next write after one that timed out, since the store may be slow, in seconds
 SLOW_ANSWER_TIMEOUT_SECONDS = 0.9
-#: write attempts for a new job while its caller waits
+#: least number of write attempts for a new job; there are more while a caller waits
 CREATE_ATTEMPTS = 2
+#: delay before the third and later attempts for a new job if the store remains silent, in seconds
+CREATE_RETRY_SECONDS = 0.3
 
 
-@attrs.define
+@attrs.define(eq=False)
 class StoreOutcome:
     """Outcome of storing a job's description.
 
@@ -48,6 +50,8 @@
         applied
     :param stored: whether the description is stored, None if unknown
     :param unanswered_at: when the last attempt ended without an answer, by the local clock
+    :param wait_until: until when a caller waits for the outcome, by the local clock
+    :param attempts: number of write attempts
     """
 
     job: Job
@@ -55,10 +59,19 @@
     may_be_stored: bool = False
     stored: bool | None = None
     unanswered_at: float = 0.0
+    wait_until: float = 0.0
+    attempts: int = 0
     settled: anyio.Event = attrs.field(factory=anyio.Event)
 
+    @property
+    def is_unsent(self) -> bool:
+        """Return whether no write was ever sent, so that the job is certainly not stored."""
+        return not self.attempts and not self.may_be_stored and not self.settled.is_set()
+
     def settle(self, stored: bool | None) -> None:
-        """Record the outcome and notify all that wait for it."""
+        """Record the outcome and notify all that wait for it, unless it is known already."""
+        if self.settled.is_set():
+            return
         self.stored = stored
         self.on_settled(self)
         self.settled.set()
@@ -113,18 +126,21 @@
 
     async def run_creations(self) -> None:
         """Store queued descriptions until cancelled, as many in one transaction as fit."""
-        while True:
-            await self.creation_requested.wait()
-            self.creation_requested = anyio.Event()
-            while self.queued_creations:
-                batch = self.queued_creations[:PAIRS_PER_TRANSACTION]
-                del self.queued_creations[: len(batch)]
-                try:
-                    await self._create_batch(batch)
-                finally:
-                    for outcome in batch:
-                        if not outcome.settled.is_set():
-                            outcome.settle(None)
+        try:
+            while True:
+                await self.creation_requested.wait()
+                self.creation_requested = anyio.Event()
+                while self.queued_creations:
+                    await self._create_next()
+        finally:
+            for outcome in self.queued_creations:
+                outcome.settle(None)
+
+    def refuse_unsent(self) -> None:
+        """Settle the outcomes of jobs for which no write was sent, because the store is silent."""
+        for outcome in self.queued_creations:
+            if outcome.is_unsent:
+                outcome.settle(False)
 
     async def run_flushes(self) -> None:
         """Store progress until cancelled: at once when a job has ended, otherwise at intervals."""
@@ -225,10 +241,17 @@
             applied later
         """
         answer_timeout, self.answer_timeout = self.answer_timeout, SLOW_ANSWER_TIMEOUT_SECONDS
-        with anyio.move_on_after(answer_timeout) as scope:
+        clock, contact = self.context.clock, self.context.store_contact
+        called_at = clock.now()
+        with (
+            anyio.move_on_after(answer_timeout) as scope,
+            contact.cancel_if_overtaken(scope, called_at),
+        ):
             result = await self.context.store.commit([self.claim, *compares], writes)
         if scope.cancelled_caught:
-            raise StoreUnavailable(f"store write timed out after {answer_timeout} s")
+            elapsed = round(clock.now() - called_at, 3)
+            raise StoreUnavailable(f"store write not answered within {elapsed} s")
+        contact.note_answer(called_at, clock.now())
         self.answer_timeout = ANSWER_TIMEOUT_SECONDS
         self.failing = False
         if result.ok:
@@ -238,11 +261,47 @@
             raise NotOwnerError(f"claim of pool {self.pool_state.pool} is no longer valid")
         return 0
 
-    async def _create_batch(self, batch: list[StoreOutcome]) -> None:
-        for _ in range(CREATE_ATTEMPTS):
-            unsettled = [outcome for outcome in batch if not outcome.settled.is_set()]
-            if unsettled:
-                await self._attempt_create(unsettled)
+    async def _create_next(self) -> None:
+        """Make an attempt for the first queued descriptions; queue those without an outcome again.
+
+        Descriptions for which no write was sent are not sent along with others that are in doubt,
+        so that their callers can be told that they are not stored.
+        """
+        clock, called_at = self.context.clock, self.context.clock.now()
+        waiting = [each for each in self.queued_creations if not each.settled.is_set()]
+        batch = [each for each in waiting if each.is_unsent == waiting[0].is_unsent]
+        batch = batch[:PAIRS_PER_TRANSACTION]
+        for outcome in batch:
+            outcome.attempts += 1
+        if batch:
+            await self._attempt_create(batch)
+        for outcome in batch:
+            if outcome.attempts >= CREATE_ATTEMPTS and clock.now() >= outcome.wait_until:
+                outcome.settle(None)
+        # While the store answers other calls, the other descriptions have their turn first.
+        if batch and self.context.store_contact.called_at > called_at:
+            self.queued_creations = [
+                *(each for each in self.queued_creations if each not in batch),
+                *batch,
+            ]
+        self.queued_creations = [
+            each for each in self.queued_creations if not each.settled.is_set()
+        ]
+        if any(not outcome.settled.is_set() for outcome in batch):
+            await self._wait_for_retry(called_at, max(outcome.attempts for outcome in batch))
+
+    async def _wait_for_retry(self, called_at: float, attempts: int) -> None:
+        """Wait until the store answers again, or for the delay before the next attempt.
+
+        :param called_at: when the last attempt was made, by the local clock
+        :param attempts: number of attempts so far
+        """
+        elapsed = self.context.clock.now() - called_at
+        delay = RETRY_DELAY_SECONDS
+        if attempts >= CREATE_ATTEMPTS:
+            delay = max(RETRY_DELAY_SECONDS, CREATE_RETRY_SECONDS - elapsed)
+        with anyio.move_on_after(delay):
+            await self.context.store_contact.wait_for_answer(called_at)
 
     async def _attempt_create(self, batch: list[StoreOutcome]) -> None:
         try:
@@ -251,6 +310,8 @@
                     outcome.settle(True)
                 return
             for outcome in batch:
+                if outcome.settled.is_set():
+                    continue
                 if await self._create([outcome]):
                     outcome.settle(True)
                     continue
@@ -281,8 +342,9 @@
 
         :raises StoreError: if the store does not answer or the record cannot be read
         """
-        key = outcome.job.key
+        key, called_at = outcome.job.key, self.context.clock.now()
         entry = await self.context.store.get(self.context.keys.description(key))
+        self.context.store_contact.note_answer(called_at, self.context.clock.now())
         if entry is None:
             return False
         if entry.value != encode_description(outcome.job):
