--- a/limpetpulley/ownership/node.py
+++ b/limpetpulley/ownership/node.py
@@ -72,7 +72,13 @@
         self.handlers.handle_pool_report = self.handle_pool_report
         self.service = BatchService(context, member, self.directory, self.owned, peers)
         self.session = Session(
-            context.store, context.keys, member, context.clock, context.log, self.stop_owners
+            context.store,
+            context.keys,
+            member,
+            context.clock,
+            context.log,
+            self.stop_owners,
+            context.store_contact,
         )
         self.directory_mirror = Mirror(
             context.store,
@@ -254,8 +260,8 @@
         """Return the pools claimed in the name of this daemon.
 
         Those without an owner here are claimed again: the owner has failed, or this daemon was
-        restarted before its lease ended. After a loss of all daemons the leases have ended, and each
-        daemon takes back what it claimed last.
+        restarted before its lease ended. After a loss of all daemons the leases have ended, and
+        each daemon takes back what it claimed last.
         """
         claims = [
             pool
--- a/limpetpulley/ownership/owner.py
+++ b/limpetpulley/ownership/owner.py
@@ -90,7 +90,6 @@
             self.refused_work,
             self.arriving_work,
             self.request_planning,
-            claim_age,
         )
         self.ticket_fetcher = TicketFetcher(context, self.pool_state, self.request_planning)
         self.worker_clients: dict[str, WorkerClient] = {}
@@ -258,7 +257,10 @@
         return await self.admission.submit(submission, wait_seconds)
 
     async def cancel(self, key: JobKey) -> JobState | None:
-        """Cancel a job; return its state once it is stored, None if there is no such job."""
+        """Cancel a job; return its state once it is stored, None if there is no such job.
+
+        :raises StoreUnavailable: if the owner stops before; the job may still be cancelled
+        """
         job = self.find(key)
         if job is None:
             return None
--- a/limpetpulley/ownership/tests/test_admission.py
+++ b/limpetpulley/ownership/tests/test_admission.py
@@ -7,8 +7,10 @@
 import anyio
 import pytest
 
-from ...batch import JobState
+from ...batch import Job, JobKey, JobState
+from ...batch.records import encode_description
 from ...exception import PeerError, StoreRefused, StoreUnavailable
+from ...store import Put
 from .. import Outcome
 from ..admission import MAX_WRITE_DELAY_SECONDS
 from .test_daemons import DAEMON_NAMES, run_scenario, two_step_spec
@@ -133,22 +135,17 @@
     async def scenario(deployment):
         owner = deployment.fleet.owner_of("desk")
         writer = deployment.fleet.daemons[owner].node.owned["desk"].writer
-        original_commit, answers = writer.commit, [
-            StoreUnavailable("no answer"),
-            StoreRefused("busy"),
-        ]
+        original_commit, errors = writer.commit, [StoreUnavailable("no answer")]
 
         async def commit(compares, writes):
-            if answers:
-                raise answers.pop(0)
-            return await original_commit(compares, writes)
+            await anyio.sleep(0.1)
+            raise errors.pop() if errors else StoreRefused("busy")
 
         writer.commit = commit
-        outcomes = []
-        for _ in range(2):
-            _, result = await deployment.submit("desk", two_step_spec(), at=owner, job_id=JOB_ID)
-            outcomes.append(result.outcome)
-        return outcomes
+        _, first = await deployment.submit("desk", two_step_spec(), at=owner, job_id=JOB_ID)
+        writer.commit = original_commit
+        _, second = await deployment.submit("desk", two_step_spec(), at=owner, job_id=JOB_ID)
+        return [first.outcome, second.outcome]
 
     assert run_scenario(scenario) == [Outcome.UNKNOWN, Outcome.ACCEPTED]
 
@@ -168,25 +165,24 @@
     assert result.retry_seconds == 1
 
 
-@pytest.mark.parametrize("applied", [True, False])
+@pytest.mark.parametrize("applied", [True, False], ids=["applied late", "lost"])
 def test_job_in_doubt_is_resolved_without_another_submission(applied):
     async def scenario(deployment):
         owner = deployment.fleet.owner_of("desk")
         node = deployment.fleet.daemons[owner].node
         admission, writer = node.owned["desk"].admission, node.owned["desk"].writer
-        original_commit, lost_answers = writer.commit, [True, True]
+        original_commit, attempts = writer.commit, []
 
         async def commit(compares, writes):
-            if not lost_answers:
-                return await original_commit(compares, writes)
-            if applied and len(lost_answers) == 1:
-                await original_commit(compares, writes)
-            lost_answers.pop()
+            attempts.append((compares, writes))
+            await anyio.sleep(0.1)
             raise StoreUnavailable("no answer")
 
         writer.commit = commit
         _, first = await deployment.submit("desk", two_step_spec(), at=owner, job_id=JOB_ID)
-        in_doubt = len(admission.pending)
+        writer.commit, in_doubt = original_commit, len(admission.pending)
+        if applied:
+            await original_commit(*attempts[1])
         await anyio.sleep(MAX_WRITE_DELAY_SECONDS + 4.0)
         remaining, queue = len(admission.pending), deployment.fleet.config.queues["desk"]
         state = await node.service.find(queue, JOB_ID, 3.0)
@@ -216,3 +212,55 @@
     assert outcome is Outcome.ACCEPTED
     assert list(states.values()) == [JobState.COMPLETED]
     assert stored == 1
+
+
+class FailingReads:
+    """A daemon's client of the store whose reads of one key fail at first."""
+
+    def __init__(self, store, key, errors):
+        self.store = store
+        self.key = key
+        self.errors = list(errors)
+
+    def __getattr__(self, name):
+        return getattr(self.store, name)
+
+    async def get(self, key):
+        if key == self.key and self.errors:
+            raise self.errors.pop()
+        return await self.store.get(key)
+
+
+READ_ERRORS = {
+    "answered": [],
+    "refused": [StoreRefused("busy")] * 3,
+    "unanswered": [StoreUnavailable("no answer")] * 3,
+}
+
+
+@pytest.mark.parametrize("reads", READ_ERRORS)
+def test_job_whose_record_is_in_the_store_is_accepted_as_it_is_stored(reads):
+    """The record was written by an attempt that was given up, and took effect even later."""
+
+    async def scenario(deployment):
+        owner = deployment.fleet.owner_of("desk")
+        node, key = deployment.fleet.daemons[owner].node, JobKey("desk", JOB_ID)
+        wall_time = node.context.wall_time()
+        stored = Job(
+            key, two_step_spec(), "desk", "agents", 2, accepted_at=wall_time - 20, due_by=wall_time
+        )
+        put = Put(node.context.keys.description(key), encode_description(stored))
+        await deployment.fleet.store.commit([], [put])
+        node.context.store = FailingReads(node.context.store, put.key, READ_ERRORS[reads])
+        outcomes = []
+        for _ in range(3):
+            _, result = await deployment.submit("desk", two_step_spec(), at=owner, job_id=JOB_ID)
+            outcomes.append(result.outcome)
+        await anyio.sleep(3.0)
+        return outcomes, await deployment.states(), len(deployment.fleet.runs)
+
+    outcomes, states, runs = run_scenario(scenario)
+    assert Outcome.REFUSED not in outcomes
+    assert outcomes[-1] is Outcome.ACCEPTED
+    assert list(states.values()) == [JobState.COMPLETED]
+    assert runs == 3
