Load absl at the first failure of a task, not at the start of a daemon

Cause: tasks.py imported absl.logging, with absl.flags and xml.dom.minidom, for a line that is written only when a task fails. Now it is loaded at the first failure, or in a thread 5 s after the start, so that a failure later on does not wait for it. Test: test_imports fails for absl and xml.dom.minidom before, passes after; it now also starts the daemon and looks at what is loaded until it owns its pool.

--- a/limpetpulley/ownership/daemon.py
+++ b/limpetpulley/ownership/daemon.py
@@ -8,6 +8,7 @@
 
 import anyio
 import anyio.abc
+import anyio.to_thread
 import attrs
 
 from .. import __version__
@@ -20,7 +21,7 @@
 from ..fleet.vms import VmPlatform
 from ..peer import BatchStub, PeerClient, PeerServer
 from ..store import Event, MeasuredStore, Mirror, Store
-from ..tasks import keep_running
+from ..tasks import keep_running, load_log, start_guarded
 from ..telemetry import BatchMetrics, EventLog
 from ..workers import ListedWorker, MeasuredOrderSender, OrderSender
 from .advice import Adviser
@@ -41,6 +42,9 @@
 SETTINGS_CHECK_SECONDS = 1.0
 #: interval between measurements of the event loop's lag, in seconds
 LAG_SAMPLE_SECONDS = 0.5
+#: time after the start at which the modules are loaded that a daemon does not need to start
+#: serving, in seconds: after the takeover of its pools, before one of them is likely to be needed
+DEFERRED_LOAD_SECONDS = 5.0
 
 
 @attrs.frozen
@@ -169,6 +173,7 @@
             self.tasks.start_soon(keep_running, loop)
         self.tasks.start_soon(keep_running, self._watch_settings)
         self.tasks.start_soon(keep_running, self._measure_loop_lag)
+        start_guarded(self.tasks, self._load_deferred_modules)
         self.node.start()
 
     async def stop(self) -> None:
@@ -208,6 +213,11 @@
             await anyio.sleep(LAG_SAMPLE_SECONDS)
             self.metrics.loop_lag_seconds.observe(clock.now() - started_at - LAG_SAMPLE_SECONDS)
 
+    async def _load_deferred_modules(self) -> None:
+        await anyio.sleep(DEFERRED_LOAD_SECONDS)
+        for load in (load_log,):
+            await anyio.to_thread.run_sync(load)
+
     def _update_gauges(self, metrics: BatchMetrics) -> None:
         metrics.owned_pools.set(len(self.node.owned))
         config = self.context.config
--- a/limpetpulley/platform/tests/test_imports.py
+++ b/limpetpulley/platform/tests/test_imports.py
@@ -1,11 +1,41 @@
 """Modules that a daemon on the platform loads at its start, while its pools have no owner."""
 
+import json
+import os
+import re
+import signal
 import subprocess
 import sys
 
+import anyio
 import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Contains
+
+from ...api.server import HttpServer
+from ...http_client import PooledHttpClient
+from ...store import Put
+from .standin import PlatformStandin
+from .test_deploy import CONFIG, ROOT, START_SECONDS, free_ports, render_settings
 
 PRINT_MODULES = "import sys, limpetpulley.platform.daemon; print(*sys.modules, sep='\\n')"
+#: a module in the output of Python's option ``-X importtime``
+IMPORTED_MODULE = re.compile(r"^import time: .*\| +([\w.]+)$", re.MULTILINE)
+
+NOT_AT_START = [
+    "absl",
+    "httpcore",
+    "limpetpulley.api.operators",
+    "limpetpulley.config",
+    "limpetpulley.fleet.planner",
+    "limpetpulley.membership",
+    "limpetpulley.peer.peer_pb2",
+    "limpetpulley.quota.adviser",
+    "limpetpulley.routing",
+    "xml.dom.minidom",
+]
+#: what the daemon needs later, which shows that the table of loaded modules is complete
+AT_START = ["grpclib.server", "limpetpulley.ownership.owner", "uvicorn.server"]
 
 
 @pytest.fixture(scope="module")
@@ -14,18 +44,67 @@
     return set(process.stdout.decode().split())
 
 
-@pytest.mark.parametrize(
-    "module",
-    [
-        "httpcore",
-        "limpetpulley.api.operators",
-        "limpetpulley.config",
-        "limpetpulley.fleet.planner",
-        "limpetpulley.membership",
-        "limpetpulley.peer.peer_pb2",
-        "limpetpulley.quota.adviser",
-        "limpetpulley.routing",
-    ],
-)
-def test_modules_for_direct_jobs_are_not_loaded(loaded_modules, module):
+@pytest.mark.parametrize("module", NOT_AT_START)
+def test_modules_not_needed_at_start_are_not_loaded(loaded_modules, module):
     assert module not in loaded_modules
+
+
+async def run_until_pools_are_owned(settings_path):
+    """Start the daemon with a store that has a configuration and end it once it owns its pool.
+
+    :returns: the names of the modules that it loaded
+    """
+    callers, readiness, peers = free_ports(3)
+    async with anyio.create_task_group() as tasks:
+        platform = PlatformStandin()
+        server = HttpServer(platform, "127.0.0.1", 0)
+        await tasks.start(server.serve)
+        await platform.store.commit([], [Put("op/config", json.dumps(CONFIG).encode())])
+        settings = render_settings(server.port, callers, readiness, peers)
+        settings_path.write_text(json.dumps(settings))
+        async with await anyio.open_process(
+            [sys.executable, "-X", "importtime", "-m", "limpetpulley.platform"],
+            cwd=ROOT,
+            env={"LIMPETPULLEY_CONFIG": str(settings_path), "PATH": os.environ["PATH"]},
+        ) as process:
+            errors = []
+            tasks.start_soon(read_all, process.stderr, errors)
+            with anyio.fail_after(START_SECONDS):
+                await wait_for_event(process.stdout, "pool-taken-over")
+                await wait_until_ready(PooledHttpClient(), f"127.0.0.1:{readiness}")
+            process.send_signal(signal.SIGKILL)
+            await process.wait()
+        tasks.cancel_scope.cancel()
+    return set(IMPORTED_MODULE.findall(b"".join(errors).decode()))
+
+
+async def read_all(stream, chunks):
+    async for chunk in stream:
+        chunks.append(chunk)
+
+
+async def wait_for_event(stream, event):
+    output = b""
+    async for chunk in stream:
+        output += chunk
+        if f'"event":"{event}"'.encode() in output:
+            return
+    raise AssertionError(f"the daemon ended without {event}: {output}")
+
+
+async def wait_until_ready(http, address):
+    while (await http.request("GET", address, "/api/readyz", {}, b"", 1.0)).status != 200:
+        await anyio.sleep(0.01)
+
+
+@pytest.fixture(scope="module")
+def modules_until_ownership(tmp_path_factory):
+    return anyio.run(run_until_pools_are_owned, tmp_path_factory.mktemp("start") / "boot.json")
+
+
+@pytest.mark.integration
+@pytest.mark.parametrize("module", NOT_AT_START)
+def test_modules_are_not_loaded_until_the_daemon_owns_its_pools(modules_until_ownership, module):
+    for needed_module in AT_START:
+        assert_that(modules_until_ownership, Contains(needed_module))
+    assert module not in modules_until_ownership
--- a/limpetpulley/tasks.py
+++ b/limpetpulley/tasks.py
@@ -5,12 +5,12 @@
 import asyncio
 import math
 from collections.abc import Awaitable, Callable
+from types import ModuleType
 from typing import Any
 
 import anyio
-from absl import logging
 
-__all__ = ["absorb_cancellation", "keep_running", "start_guarded"]
+__all__ = ["absorb_cancellation", "keep_running", "load_log", "start_guarded"]
 
 RESTART_SECONDS = 1.0
 
@@ -22,6 +22,13 @@
     tasks.start_soon(_guard, function, *args)
 
 
+def load_log() -> ModuleType:
+    """Return the module that logs failed tasks; a daemon does not need it to start serving."""
+    from absl import logging
+
+    return logging
+
+
 async def keep_running(function: Callable[[], Awaitable[Any]]) -> None:
     """Run a loop until cancelled; restart it after a failure."""
     while True:
@@ -34,11 +41,11 @@
     try:
         await function(*args)
     except Exception:
-        logging.exception("a task failed: %s", name)
+        load_log().exception("a task failed: %s", name)
     except anyio.get_cancelled_exc_class():
         if not absorb_cancellation():
             raise
-        logging.error("a task was cancelled from outside: %s", name)
+        load_log().error("a task was cancelled from outside: %s", name)
 
 
 def absorb_cancellation() -> bool:
