Load prometheus_client at the first scrape, not at the start of a daemon

Cause: prometheus_client imports exposition, and with it http.server, email, urllib.request and wsgiref, whichever of its modules is wanted; the first event of the log, daemon-started, is counted. Ruled out: importing prometheus_client.metrics alone, which runs the package's __init__ all the same; counting ourselves and exporting through a custom collector, which copies the library's types. Now what is observed is kept, at most 10000 observations, until the first scrape or 5 s after the start, when the library is loaded in a thread, and is passed on to the library's own types then. What differs: the _created samples of these series name the time of that instead of the first observation. Test: test_imports fails for http.server, prometheus_client and wsgiref before, passes after.

--- a/limpetpulley/api/batches.py
+++ b/limpetpulley/api/batches.py
@@ -116,8 +116,8 @@
         context = self.node.context
         seconds = context.clock.now() - record.started_at
         metrics = context.metrics
-        metrics.requests.labels(record.method, record.status, record.reason).inc()
-        metrics.request_seconds.labels(record.queue, record.method).observe(seconds)
+        metrics.count_request(record.method, record.status, record.reason)
+        metrics.observe_request(record.queue, record.method, seconds)
         if record.method == "GET" and record.status < MIN_ERROR_STATUS:
             return
         context.log.write(
--- a/limpetpulley/api/metrics.py
+++ b/limpetpulley/api/metrics.py
@@ -19,6 +19,7 @@
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Handle one request."""
         if scope["method"] == "GET":
+            await self.metrics.load()
             await send_bytes(send, 200, self.metrics.render(), CONTENT_TYPE)
         else:
             await send_json(send, {"message": "use GET"}, 405)
--- a/limpetpulley/ownership/daemon.py
+++ b/limpetpulley/ownership/daemon.py
@@ -5,6 +5,7 @@
 import signal
 import time
 from collections.abc import Callable
+from typing import TYPE_CHECKING
 
 import anyio
 import anyio.abc
@@ -31,6 +32,9 @@
 from .node import BatchNode
 from .waves import WaveRegistry
 
+if TYPE_CHECKING:
+    from ..telemetry.instruments import Instruments
+
 __all__ = ["BatchDaemon", "BatchSettings", "DaemonDependencies", "run_daemon"]
 
 KEY_PREFIX = "lp/"
@@ -211,26 +215,26 @@
         while True:
             started_at = clock.now()
             await anyio.sleep(LAG_SAMPLE_SECONDS)
-            self.metrics.loop_lag_seconds.observe(clock.now() - started_at - LAG_SAMPLE_SECONDS)
+            self.metrics.observe_loop_lag(clock.now() - started_at - LAG_SAMPLE_SECONDS)
 
     async def _load_deferred_modules(self) -> None:
         await anyio.sleep(DEFERRED_LOAD_SECONDS)
-        for load in (load_log,):
-            await anyio.to_thread.run_sync(load)
+        await anyio.to_thread.run_sync(load_log)
+        await self.metrics.load()
 
-    def _update_gauges(self, metrics: BatchMetrics) -> None:
-        metrics.owned_pools.set(len(self.node.owned))
+    def _update_gauges(self, instruments: Instruments) -> None:
+        instruments.owned_pools.set(len(self.node.owned))
         config = self.context.config
-        metrics.config_version.set(config.version if config else 0)
-        metrics.lines_dropped.set(self.log.dropped_lines)
+        instruments.config_version.set(config.version if config else 0)
+        instruments.lines_dropped.set(self.log.dropped_lines)
         for prefix, mirror in self.node.mirrors.items():
             age = self.context.clock.now() - mirror.last_reply_at
-            metrics.watch_age_seconds.labels(prefix).set(age)
+            instruments.watch_age_seconds.labels(prefix).set(age)
         for queue in config.queues.values() if config else ():
             owner = self.node.owned.get(queue.pool)
             if owner is not None:
                 depth = owner.count_pending(queue.name)
-                metrics.queue_depth.labels(queue.name).set(depth)
+                instruments.queue_depth.labels(queue.name).set(depth)
 
     async def serve_readiness(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Answer the readiness probe: 200 if callers can be served, otherwise 503."""
--- a/limpetpulley/ownership/owner.py
+++ b/limpetpulley/ownership/owner.py
@@ -370,7 +370,7 @@
         first = order.number == 1 and order.task.step == order.task.position == 0
         if job is not None and first and order.task.occurrence == 0:
             delay = self.context.wall_time() - job.accepted_at
-            self.context.metrics.start_seconds.labels(job.key.queue).observe(max(0.0, delay))
+            self.context.metrics.observe_start(job.key.queue, max(0.0, delay))
 
     async def _run_cleanup(self) -> None:
         retention = self.context.timing.keep_ended
--- a/limpetpulley/platform/tests/test_imports.py
+++ b/limpetpulley/platform/tests/test_imports.py
@@ -24,6 +24,7 @@
 
 NOT_AT_START = [
     "absl",
+    "http.server",
     "httpcore",
     "limpetpulley.api.operators",
     "limpetpulley.config",
@@ -32,6 +33,8 @@
     "limpetpulley.peer.peer_pb2",
     "limpetpulley.quota.adviser",
     "limpetpulley.routing",
+    "prometheus_client",
+    "wsgiref",
     "xml.dom.minidom",
 ]
 #: what the daemon needs later, which shows that the table of loaded modules is complete
--- a/limpetpulley/telemetry/metrics.py
+++ b/limpetpulley/telemetry/metrics.py
@@ -5,71 +5,69 @@
 import re
 import time
 from collections.abc import Awaitable, Callable
-from typing import TypeVar
+from typing import TYPE_CHECKING, TypeVar
 
-from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
+import anyio.to_thread
+
+if TYPE_CHECKING:
+    from .instruments import Instruments
 
 __all__ = ["BatchMetrics"]
 
-PREFIX = "limpetpulley"
-#: bucket bounds of the histograms, in seconds: calls, from those within one machine upwards, and
-#: start delays, up to the longest deadlines
-FAST_BUCKETS = (0.001, 0.003, 0.01, 0.03, 0.1, 0.3, 1.0, 3.0)
-SLOW_BUCKETS = (0.01, 0.03, 0.1, 0.3, 1.0, 3.0, 10.0, 30.0, 100.0)
 #: reasons that may become label values; free text, such as an error message, would create too many
 #: time series
 LABEL_PATTERN = re.compile(r"[a-z][a-z-]{0,30}")
+#: most observations that are kept in memory until the instruments are loaded
+MAX_PENDING_OBSERVATIONS = 10_000
 Result = TypeVar("Result")
 
 
+def _ignore(instruments: Instruments) -> None:
+    """Update no gauge."""
+
+
+def _import_instruments() -> type[Instruments]:
+    from .instruments import Instruments
+
+    return Instruments
+
+
 class BatchMetrics:
     """The metrics that one daemon exports.
 
+    A daemon does not load the instruments at its start, when its pools have no owner. What is
+    observed before they are loaded is kept and passed on to them.
+
     :param refresh: called before each export to update the gauges
     """
 
-    def __init__(self, refresh: Callable[[BatchMetrics], None] = lambda metrics: None):
+    def __init__(self, refresh: Callable[[Instruments], None] = _ignore):
         self.refresh = refresh
-        registry = self.registry = CollectorRegistry()
-
-        def counter(name: str, description: str, *labels: str) -> Counter:
-            return Counter(f"{PREFIX}_{name}", description, labels, registry=registry)
-
-        def histogram(name: str, description: str, buckets: tuple, *labels: str) -> Histogram:
-            return Histogram(
-                f"{PREFIX}_{name}", description, labels, registry=registry, buckets=buckets
-            )
-
-        def gauge(name: str, description: str, *labels: str) -> Gauge:
-            return Gauge(f"{PREFIX}_{name}", description, labels, registry=registry)
-
-        self.requests = counter(
-            "requests", "Callers' requests by status and reason", "method", "status", "reason"
-        )
-        self.request_seconds = histogram(
-            "request_seconds", "Time until a caller's answer", FAST_BUCKETS, "queue", "method"
-        )
-        self.events = counter(
-            "events", "Decisions, also those whose log lines were left out", "event", "reason"
-        )
-        self.start_seconds = histogram(
-            "start_seconds",
-            "Time from a job's acceptance to its first start",
-            SLOW_BUCKETS,
-            "queue",
-        )
-        self.calls = counter("calls", "Calls by result", "to", "call", "result")
-        self.call_seconds = histogram("call_seconds", "Time of a call", FAST_BUCKETS, "to", "call")
-        self.loop_lag_seconds = histogram(
-            "loop_lag_seconds", "How late the event loop woke a task", FAST_BUCKETS
-        )
-        self.owned_pools = gauge("owned_pools", "Pools that this daemon owns")
-        self.queue_depth = gauge("queue_depth", "Accepted jobs that have not begun", "queue")
-        self.config_version = gauge("config_version", "Version of the configuration in force")
-        self.watch_age_seconds = gauge(
-            "watch_age_seconds", "Time since the store last answered a watch", "prefix"
-        )
-        self.lines_dropped = gauge("log_lines_dropped", "Log lines lost to a slow reader")
+        self.instruments: Instruments | None = None
+        # Name, labels and seconds of observations; the seconds are None for a counter.
+        self.pending: list[tuple[str, tuple[object, ...], float | None]] = []
+
+    async def load(self) -> None:
+        """Load the instruments in a thread, unless they have been loaded."""
+        if self.instruments is None:
+            await anyio.to_thread.run_sync(_import_instruments)
+            self._get_instruments()
+
+    def count_request(self, method: str, status: int, reason: str) -> None:
+        """Count a caller's request by its answer."""
+        self._record("requests", (method, status, reason))
+
+    def observe_request(self, queue: str, method: str, seconds: float) -> None:
+        """Record the time until a caller's answer."""
+        self._record("request_seconds", (queue, method), seconds)
+
+    def observe_start(self, queue: str, seconds: float) -> None:
+        """Record the time from a job's acceptance to its first start."""
+        self._record("start_seconds", (queue,), seconds)
+
+    def observe_loop_lag(self, seconds: float) -> None:
+        """Record how late the event loop woke a task."""
+        self._record("loop_lag_seconds", (), seconds)
 
     def count_event(self, event: str, reason: object) -> None:
         """Count an event.
@@ -78,7 +76,7 @@
             label is empty
         """
         label = reason if isinstance(reason, str) and LABEL_PATTERN.fullmatch(reason) else ""
-        self.events.labels(event, label).inc()
+        self._record("events", (event, label))
 
     async def measure(self, target: str, call: str, pending: Awaitable[Result]) -> Result:
         """Await a call and return its result; record its duration and outcome.
@@ -97,10 +95,29 @@
             result = type(error).__name__
             raise
         finally:
-            self.calls.labels(target, call, result).inc()
-            self.call_seconds.labels(target, call).observe(time.perf_counter() - started_at)
+            self._record("calls", (target, call, result))
+            self._record("call_seconds", (target, call), time.perf_counter() - started_at)
 
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
-        self.refresh(self)
-        return generate_latest(self.registry)
+        instruments = self._get_instruments()
+        self.refresh(instruments)
+        return instruments.render()
+
+    def _record(self, name: str, labels: tuple[object, ...], seconds: float | None = None) -> None:
+        if self.instruments is None:
+            self.pending.append((name, labels, seconds))
+            if len(self.pending) >= MAX_PENDING_OBSERVATIONS:
+                self._get_instruments()
+        elif seconds is None:
+            self.instruments.count(name, labels)
+        else:
+            self.instruments.observe(name, labels, seconds)
+
+    def _get_instruments(self) -> Instruments:
+        if self.instruments is None:
+            self.instruments = _import_instruments()()
+            pending, self.pending = self.pending, []
+            for observation in pending:
+                self._record(*observation)
+        return self.instruments
