Convert job specifications and planner records without cattrs

Cause: the daemon on the platform loaded cattrs, with 27 modules, for two records of a few flat fields, and cattrs generated its functions at the first job that a takeover read. Now tables of converters name the fields; cattrs stays for the direct jobs' daemon and its protocols, in message_decoding. No module that this daemon loads until it owns its pools needs it any more. Kept: the bytes, the coercion of values, that unknown fields are ignored and what is rejected. Test: test_imports fails for cattrs before, passes after.

--- a/limpetpulley/batch/records.py
+++ b/limpetpulley/batch/records.py
@@ -6,11 +6,11 @@
 from typing import Any
 
 import attrs
-import cattrs
 
 from ..exception import RecordError
 from .job import Job
 from .model import JobKey, JobSpec, TaskId
+from .spec_encoding import decode_spec_fields, encode_spec_fields
 
 __all__ = [
     "RosterEntry",
@@ -26,14 +26,12 @@
     "decode_pool",
 ]
 
-_converter = cattrs.Converter(omit_if_default=True)
-
 
 def encode_description(job: Job) -> bytes:
     """Return the immutable record of an accepted job."""
     return _dump(
         {
-            "spec": _converter.unstructure(job.spec),
+            "spec": encode_spec_fields(job.spec),
             "pool": job.pool,
             "team": job.team,
             "attempts": job.max_attempts,
@@ -78,7 +76,7 @@
         progress_fields = json.loads(progress) if progress is not None else {}
         return Job(
             key,
-            _converter.structure(description_fields["spec"], JobSpec),
+            decode_spec_fields(description_fields["spec"]),
             description_fields["pool"],
             description_fields["team"],
             int(description_fields["attempts"]),
@@ -96,13 +94,13 @@
             started=bool(progress_fields.get("started")),
             ended_at=float(progress_fields.get("ended", 0.0)),
         )
-    except (ValueError, KeyError, TypeError, cattrs.BaseValidationError) as error:
+    except (ValueError, KeyError, TypeError, OverflowError) as error:
         raise RecordError(f"job {key.queue}/{key.job_id}: invalid record: {error!r}") from None
 
 
 def encode_spec(spec: JobSpec) -> bytes:
     """Return an encoded specification, to send it to another daemon."""
-    return _dump(_converter.unstructure(spec))
+    return _dump(encode_spec_fields(spec))
 
 
 def decode_spec(value: bytes) -> JobSpec:
@@ -111,8 +109,8 @@
     :raises RecordError: if it cannot be decoded
     """
     try:
-        return _converter.structure(json.loads(value), JobSpec)
-    except (ValueError, KeyError, TypeError, cattrs.BaseValidationError) as error:
+        return decode_spec_fields(json.loads(value))
+    except (ValueError, KeyError, TypeError, OverflowError) as error:
         raise RecordError(f"invalid job specification: {error!r}") from None
 
 
--- a/limpetpulley/fleet/planner_record.py
+++ b/limpetpulley/fleet/planner_record.py
@@ -10,10 +10,12 @@
 
 import json
 from collections.abc import Mapping
+from typing import Any
 
 import attrs
 
-from ..json_decoding import decode_message, make_message_converter
+from ..exception import RecordError
+from ..json_decoding import FieldConverters, decode_fields, parse_object
 from .peak_forecast import Peak
 
 __all__ = ["OrderIntent", "PlannerRecord", "decode_planner_record", "encode_planner_record"]
@@ -54,12 +56,19 @@
         return {intent.vm: intent for intent in self.intents}
 
 
-_converter = make_message_converter()
+INTENT_FIELDS: FieldConverters = {
+    "vm": str,
+    "worker_id": str,
+    "target": str,
+    "wave": str,
+    "wait": float,
+}
+PEAK_FIELDS: FieldConverters = {"pool": str, "begun_at": float, "seen_at": float, "height": int}
 
 
 def encode_planner_record(record: PlannerRecord) -> bytes:
     """Return the stored form of a record."""
-    return json.dumps(_converter.unstructure(record), separators=(",", ":")).encode()
+    return json.dumps(attrs.asdict(record), separators=(",", ":")).encode()
 
 
 def decode_planner_record(value: bytes) -> PlannerRecord:
@@ -67,4 +76,19 @@
 
     :raises RecordError: if it cannot be decoded
     """
-    return decode_message(_converter, value, PlannerRecord)
+    source = parse_object(value)
+    try:
+        return PlannerRecord(**decode_fields(source, RECORD_FIELDS))
+    except (ValueError, TypeError, OverflowError) as error:
+        raise RecordError(f"not a {PlannerRecord.__name__}: {error!r}") from None
+
+
+def _decode_intents(rows: list[dict[str, Any]]) -> tuple[OrderIntent, ...]:
+    return tuple(OrderIntent(**decode_fields(row, INTENT_FIELDS)) for row in rows)
+
+
+def _decode_peaks(rows: list[dict[str, Any]]) -> tuple[Peak, ...]:
+    return tuple(Peak(**decode_fields(row, PEAK_FIELDS)) for row in rows)
+
+
+RECORD_FIELDS: FieldConverters = {"token": int, "intents": _decode_intents, "peaks": _decode_peaks}
--- a/limpetpulley/fleet/wire.py
+++ b/limpetpulley/fleet/wire.py
@@ -7,7 +7,7 @@
 
 from ..exception import HttpError, PlatformError, RecordError
 from ..http_client import HttpClient
-from ..json_decoding import decode_message, make_message_converter
+from ..message_decoding import decode_message, make_message_converter
 from .vms import FleetVm, Holder, OrderOutcome
 
 __all__ = ["CONVERTER", "HttpVmPlatform", "UnsupportedVmPlatform"]
--- a/limpetpulley/json_decoding.py
+++ b/limpetpulley/json_decoding.py
@@ -2,26 +2,26 @@
 
 from __future__ import annotations
 
-import enum
 import json
+from collections.abc import Callable, Mapping
 from typing import Any
 
-import cattrs
-from cattrs.preconf.json import JsonConverter, make_converter
-
 from .exception import RecordError
 
 __all__ = [
-    "decode_message",
+    "FieldConverters",
+    "decode_fields",
     "get_bool",
     "get_int",
     "get_list",
     "get_number",
     "get_str",
-    "make_message_converter",
     "parse_object",
 ]
 
+#: functions that convert the values of an object's fields, by field
+FieldConverters = Mapping[str, Callable[[Any], Any]]
+
 
 def parse_object(content: bytes | str) -> dict[str, Any]:
     """Parse a JSON object.
@@ -92,26 +92,9 @@
     return value
 
 
-def make_message_converter(*enum_types: type[enum.Enum]) -> JsonConverter:
-    """Return a converter between message objects and JSON values.
+def decode_fields(source: dict[str, Any], converters: FieldConverters) -> dict[str, Any]:
+    """Return the converted fields that an object has; fields without a converter are ignored.
 
-    :param enum_types: enumerations whose members are encoded by name, in lower case
+    :raises ValueError, TypeError, OverflowError: if a field cannot be converted
     """
-    converter = make_converter()
-    for enum_type in enum_types:
-        converter.register_unstructure_hook(enum_type, lambda member: member.name.lower())
-        converter.register_structure_hook(enum_type, lambda name, target: target[name.upper()])
-    return converter
-
-
-def decode_message(converter: JsonConverter, content: bytes, message_type: Any) -> Any:
-    """Decode a JSON message of a given type.
-
-    :raises RecordError: if the content is not such a message
-    """
-    try:
-        return converter.structure(json.loads(content), message_type)
-    except (ValueError, KeyError, TypeError, cattrs.BaseValidationError) as error:
-        raise RecordError(
-            f"not a {getattr(message_type, '__name__', message_type)}: {error!r}"
-        ) from None
+    return {name: convert(source[name]) for name, convert in converters.items() if name in source}
--- /dev/null
+++ b/limpetpulley/message_decoding.py
@@ -0,0 +1,39 @@
+"""Conversion between JSON messages and classes, for programs that load ``cattrs`` anyway."""
+
+from __future__ import annotations
+
+import enum
+import json
+from typing import Any
+
+import cattrs
+from cattrs.preconf.json import JsonConverter, make_converter
+
+from .exception import RecordError
+
+__all__ = ["decode_message", "make_message_converter"]
+
+
+def make_message_converter(*enum_types: type[enum.Enum]) -> JsonConverter:
+    """Return a converter between message objects and JSON values.
+
+    :param enum_types: enumerations whose members are encoded by name, in lower case
+    """
+    converter = make_converter()
+    for enum_type in enum_types:
+        converter.register_unstructure_hook(enum_type, lambda member: member.name.lower())
+        converter.register_structure_hook(enum_type, lambda name, target: target[name.upper()])
+    return converter
+
+
+def decode_message(converter: JsonConverter, content: bytes, message_type: Any) -> Any:
+    """Decode a JSON message of a given type.
+
+    :raises RecordError: if the content is not such a message
+    """
+    try:
+        return converter.structure(json.loads(content), message_type)
+    except (ValueError, KeyError, TypeError, cattrs.BaseValidationError) as error:
+        raise RecordError(
+            f"not a {getattr(message_type, '__name__', message_type)}: {error!r}"
+        ) from None
--- a/limpetpulley/platform/tests/test_imports.py
+++ b/limpetpulley/platform/tests/test_imports.py
@@ -24,6 +24,7 @@
 
 NOT_AT_START = [
     "absl",
+    "cattrs",
     "http.server",
     "httpcore",
     "limpetpulley.api.operators",
--- a/limpetpulley/workers/wire.py
+++ b/limpetpulley/workers/wire.py
@@ -8,7 +8,7 @@
 from ..batch import TaskId
 from ..exception import NotOwnerError, RecordError, WorkerError
 from ..http_client import HttpClient, HttpResponse
-from ..json_decoding import decode_message, make_message_converter
+from ..message_decoding import decode_message, make_message_converter
 from .calls import ORDER_TIMEOUT_SECONDS, REPLY_MARGIN_SECONDS, post_order
 from .orders import PaceOrder, StartOrder, StartReply, StopOrder
 from .state import HoldReply, ListedWorker, StartOutcome
