Collect no garbage while the daemon is loaded, and freeze what was loaded

Cause: with the default threshold of 700 the collector ran 108 times during the imports, which make many objects and hardly any garbage; the threshold of main came after them. Test: test_garbage_is_not_collected_until_the_daemon_is_loaded, 216 phases of collections before, none after.

--- a/limpetpulley/platform/daemon.py
+++ b/limpetpulley/platform/daemon.py
@@ -63,7 +63,10 @@
 
 def main() -> None:
     """Run the daemon on the platform."""
+    # What was loaded stays for the whole run, so that no collection needs to look at it.
+    gc.freeze()
     gc.set_threshold(GC_THRESHOLD)
+    gc.enable()
     path = os.environ.get(SETTINGS_VARIABLE, "")
     try:
         settings = read_settings(path)
--- a/limpetpulley/platform/tests/test_imports.py
+++ b/limpetpulley/platform/tests/test_imports.py
@@ -10,11 +10,12 @@
 import anyio
 import pytest
 from testtools.assertions import assert_that
-from testtools.matchers import Contains
+from testtools.matchers import Contains, Equals
 
 from ...api.server import HttpServer
 from ...http_client import PooledHttpClient
 from ...store import Put
+from ..daemon import GC_THRESHOLD
 from .standin import PlatformStandin
 from .test_deploy import CONFIG, ROOT, START_SECONDS, free_ports, render_settings
 
@@ -42,6 +43,19 @@
 AT_START = ["grpclib.server", "limpetpulley.ownership.owner", "uvicorn.server"]
 
 
+#: runs the program without settings, so that it ends after it was loaded
+PRINT_COLLECTIONS = """
+import gc, runpy, limpetpulley.platform
+gc.collect()
+phases = []
+gc.callbacks.append(lambda phase, info: phases.append(phase))
+try:
+    runpy.run_module("limpetpulley.platform", run_name="__main__")
+except SystemExit:
+    print(len(phases), gc.get_freeze_count() > 0, gc.isenabled(), gc.get_threshold()[0])
+"""
+
+
 @pytest.fixture(scope="module")
 def loaded_modules():
     process = subprocess.run([sys.executable, "-c", PRINT_MODULES], capture_output=True, check=True)
@@ -53,6 +67,17 @@
     assert module not in loaded_modules
 
 
+def test_garbage_is_not_collected_until_the_daemon_is_loaded():
+    process = subprocess.run(
+        [sys.executable, "-c", PRINT_COLLECTIONS],
+        env={"PATH": os.environ["PATH"]},
+        cwd=ROOT,
+        capture_output=True,
+        check=True,
+    )
+    assert_that(process.stdout.decode().split(), Equals(["0", "True", "True", str(GC_THRESHOLD)]))
+
+
 async def run_until_pools_are_owned(settings_path):
     """Start the daemon with a store that has a configuration and end it once it owns its pool.
 
