--- a/limpetpulley/platform/__main__.py
+++ b/limpetpulley/platform/__main__.py
@@ -1,17 +1,7 @@
 """Start the daemon on the users' platform: ``python -m limpetpulley.platform``."""
 
-import gc
+from ..loading import load_without_collection
 
 __all__: list[str] = []
 
-
-def start() -> None:
-    """Load the daemon and run it."""
-    # Loading makes many objects and hardly any garbage; ``main`` enables the collector again.
-    gc.disable()
-    from .daemon import main
-
-    main()
-
-
-start()
+load_without_collection(".daemon", "limpetpulley.platform").main()
--- a/limpetpulley/platform/daemon.py
+++ b/limpetpulley/platform/daemon.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import gc
 import os
 import sys
 from functools import partial
@@ -25,8 +24,6 @@
 __all__ = ["main"]
 
 EXIT_USAGE = 2
-#: allocations between two runs of the cyclic garbage collector; the default uses much CPU time
-GC_THRESHOLD = 20_000
 
 
 def build_dependencies(path: str, settings: PlatformSettings) -> DaemonDependencies:
@@ -63,10 +60,6 @@
 
 def main() -> None:
     """Run the daemon on the platform."""
-    # What was loaded stays for the whole run, so that no collection needs to look at it.
-    gc.freeze()
-    gc.set_threshold(GC_THRESHOLD)
-    gc.enable()
     path = os.environ.get(SETTINGS_VARIABLE, "")
     try:
         settings = read_settings(path)
--- a/limpetpulley/platform/tests/test_imports.py
+++ b/limpetpulley/platform/tests/test_imports.py
@@ -14,8 +14,8 @@
 
 from ...api.server import HttpServer
 from ...http_client import PooledHttpClient
+from ...loading import GC_THRESHOLD
 from ...store import Put
-from ..daemon import GC_THRESHOLD
 from .standin import PlatformStandin
 from .test_deploy import CONFIG, ROOT, START_SECONDS, free_ports, render_settings
 
