Reserve the metrics port in the test of modules loaded at the start

Cause: the metrics port, the one after the peers' port, was not reserved when the ports were chosen (KNOWN-RED, test_deploy.py). A script that chose them in the same way ended with 'Address already in use' in 2 of 6 series of 10 to 25 starts, and twice more with its error not kept; which port it was about was not looked at.

--- a/limpetpulley/platform/tests/test_imports.py
+++ b/limpetpulley/platform/tests/test_imports.py
@@ -1,9 +1,11 @@
 """Modules that a daemon on the platform loads at its start, while its pools have no owner."""
 
+import contextlib
 import json
 import os
 import re
 import signal
+import socket
 import subprocess
 import sys
 
@@ -17,7 +19,7 @@
 from ...loading import GC_THRESHOLD
 from ...store import Put
 from .standin import PlatformStandin
-from .test_deploy import CONFIG, ROOT, START_SECONDS, free_ports, render_settings
+from .test_deploy import CONFIG, ROOT, START_SECONDS, render_settings
 
 PRINT_MODULES = "import sys, limpetpulley.platform.daemon; print(*sys.modules, sep='\\n')"
 #: a module in the output of Python's option ``-X importtime``
@@ -86,12 +88,33 @@
     assert_that(process.stdout.decode().split(), Equals(["0", "True", "True", str(GC_THRESHOLD)]))
 
 
+def find_free_ports():
+    """Return ports for callers, the readiness probe and peers; the one after the last is free too.
+
+    The daemon serves its metrics on that one.
+    """
+    with contextlib.ExitStack() as sockets:
+
+        def bind(port=0):
+            bound_socket = sockets.enter_context(socket.socket())
+            bound_socket.bind(("127.0.0.1", port))
+            return bound_socket.getsockname()[1]
+
+        callers, readiness, peers = bind(), bind(), bind()
+        while True:
+            try:
+                bind(peers + 1)
+                return callers, readiness, peers
+            except OSError:
+                peers = bind()
+
+
 async def run_until_pools_are_owned(settings_path):
     """Start the daemon with a store that has a configuration and end it once it owns its pool.
 
     :returns: the names of the modules that it loaded
     """
-    callers, readiness, peers = free_ports(3)
+    callers, readiness, peers = find_free_ports()
     async with anyio.create_task_group() as tasks:
         platform = PlatformStandin()
         server = HttpServer(platform, "127.0.0.1", 0)
