Look up an ASCII host without the codec of international names

Cause: socket.getaddrinfo encodes a host that is a string with the idna codec, whose first use loads encodings.idna, stringprep and their tables; the host is an IP address. The same addresses are bound for 127.0.0.1, localhost, ::1 and 0.0.0.0, and an empty host fails as before. Test: test_imports fails for encodings.idna and stringprep before, passes after.

--- a/limpetpulley/platform/tests/test_imports.py
+++ b/limpetpulley/platform/tests/test_imports.py
@@ -28,6 +28,7 @@
 NOT_AT_START = [
     "absl",
     "cattrs",
+    "encodings.idna",
     "http.server",
     "httpcore",
     "limpetpulley.api.operators",
@@ -38,6 +39,7 @@
     "limpetpulley.quota.adviser",
     "limpetpulley.routing",
     "prometheus_client",
+    "stringprep",
     "wsgiref",
     "xml.dom.minidom",
 ]
--- a/limpetpulley/sockets.py
+++ b/limpetpulley/sockets.py
@@ -19,8 +19,10 @@
     :param port: port, 0 for any free port
     :raises OSError: if the socket cannot be bound to the address
     """
+    # Python loads the codec of international domain names for any host that is a string.
+    host_name = host.encode() if host.isascii() else host
     family, kind, _, _, address = socket.getaddrinfo(
-        host, port, type=socket.SOCK_STREAM, flags=socket.AI_PASSIVE
+        host_name, port, type=socket.SOCK_STREAM, flags=socket.AI_PASSIVE
     )[0]
     listener = socket.socket(family, kind, socket.IPPROTO_TCP)
     try:
