--- a/limpetpulley/ownership/daemon.py
+++ b/limpetpulley/ownership/daemon.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import importlib
 import signal
 import time
 from collections.abc import Callable
+from typing import TYPE_CHECKING
 
 import anyio
 import anyio.abc
@@ -20,7 +22,7 @@
 from ..fleet.vms import VmPlatform
 from ..peer import BatchStub, PeerClient, PeerServer
 from ..store import Event, MeasuredStore, Mirror, Store
-from ..tasks import keep_running
+from ..tasks import keep_running, start_guarded
 from ..telemetry import BatchMetrics, EventLog
 from ..workers import ListedWorker, MeasuredOrderSender, OrderSender
 from .advice import Adviser
@@ -30,6 +32,9 @@
 from .node import BatchNode
 from .waves import WaveRegistry
 
+if TYPE_CHECKING:
+    from ..telemetry.instruments import Instruments
+
 __all__ = ["BatchDaemon", "BatchSettings", "DaemonDependencies", "run_daemon"]
 
 KEY_PREFIX = "lp/"
@@ -41,6 +46,23 @@
 SETTINGS_CHECK_SECONDS = 1.0
 #: interval between measurements of the event loop's lag, in seconds
 LAG_SAMPLE_SECONDS = 0.5
+#: time after the start at which the modules are loaded that a daemon does not need to start
+#: serving, in seconds: after the takeover of its pools, before one of them is likely to be needed
+DEFERRED_LOAD_SECONDS = 5.0
+#: these modules, loaded one by one so that each delays the event loop only a little: those that
+#: ``prometheus_client`` needs, the planner of the fleet, and the log of failed tasks
+DEFERRED_MODULES = (
+    "email.parser",
+    "http.client",
+    "urllib.request",
+    "http.server",
+    "wsgiref.simple_server",
+    "prometheus_client",
+    "limpetpulley.ownership.planner",
+    "absl.logging",
+)
+#: pause between two of them, in seconds
+DEFERRED_LOAD_PAUSE_SECONDS = 0.05
 
 
 @attrs.frozen
@@ -169,6 +191,7 @@
             self.tasks.start_soon(keep_running, loop)
         self.tasks.start_soon(keep_running, self._watch_settings)
         self.tasks.start_soon(keep_running, self._measure_loop_lag)
+        start_guarded(self.tasks, self._load_deferred_modules)
         self.node.start()
 
     async def stop(self) -> None:
@@ -206,21 +229,28 @@
         while True:
             started_at = clock.now()
             await anyio.sleep(LAG_SAMPLE_SECONDS)
-            self.metrics.loop_lag_seconds.observe(clock.now() - started_at - LAG_SAMPLE_SECONDS)
+            self.metrics.observe_loop_lag(clock.now() - started_at - LAG_SAMPLE_SECONDS)
+
+    async def _load_deferred_modules(self) -> None:
+        await anyio.sleep(DEFERRED_LOAD_SECONDS)
+        for name in DEFERRED_MODULES:
+            importlib.import_module(name)
+            await anyio.sleep(DEFERRED_LOAD_PAUSE_SECONDS)
+        self.metrics.load()
 
-    def _update_gauges(self, metrics: BatchMetrics) -> None:
-        metrics.owned_pools.set(len(self.node.owned))
+    def _update_gauges(self, instruments: Instruments) -> None:
+        instruments.owned_pools.set(len(self.node.owned))
         config = self.context.config
-        metrics.config_version.set(config.version if config else 0)
-        metrics.lines_dropped.set(self.log.dropped_lines)
+        instruments.config_version.set(config.version if config else 0)
+        instruments.lines_dropped.set(self.log.dropped_lines)
         for prefix, mirror in self.node.mirrors.items():
             age = self.context.clock.now() - mirror.last_reply_at
-            metrics.watch_age_seconds.labels(prefix).set(age)
+            instruments.watch_age_seconds.labels(prefix).set(age)
         for queue in config.queues.values() if config else ():
             owner = self.node.owned.get(queue.pool)
             if owner is not None:
                 depth = owner.count_pending(queue.name)
-                metrics.queue_depth.labels(queue.name).set(depth)
+                instruments.queue_depth.labels(queue.name).set(depth)
 
     async def serve_readiness(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Answer the readiness probe: 200 if callers can be served, otherwise 503."""
--- a/limpetpulley/ownership/node.py
+++ b/limpetpulley/ownership/node.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 import anyio
 
 from ..batch import BatchConfig
@@ -17,12 +19,14 @@
 from .handlers import BatchHandlers
 from .mirror_fallback import MirrorFallback
 from .owner import PoolOwner
-from .planner import VmPlanner
 from .reporting import ask_planner
 from .service import BatchService
 from .session import Session
 from .waves import WaveRegistry
 
+if TYPE_CHECKING:
+    from .planner import VmPlanner
+
 __all__ = ["BatchNode"]
 
 #: longest time between two checks for pools without an owner, in seconds
@@ -279,6 +283,9 @@
 
     def _start_owner(self, pool: str, token: int) -> None:
         if pool == PLANNER:
+            # One daemon at a time needs it, so it is not loaded at the start.
+            from .planner import VmPlanner
+
             self.planner = VmPlanner(
                 self.context,
                 self.vms,
--- a/limpetpulley/platform/__main__.py
+++ b/limpetpulley/platform/__main__.py
@@ -1,7 +1,7 @@
 """Start the daemon on the users' platform: ``python -m limpetpulley.platform``."""
 
-from .daemon import main
+from ..loading import load_without_collection
 
 __all__: list[str] = []
 
-main()
+load_without_collection(".daemon", "limpetpulley.platform").main()
