--- a/limpetpulley/ownership/context.py
+++ b/limpetpulley/ownership/context.py
@@ -10,11 +10,10 @@
 from ..batch import BatchConfig
 from ..batch.keys import BatchKeys
 from ..clock import Clock
-from ..store import Store
+from ..store import Store, StoreContact
 from ..telemetry import BatchMetrics, EventLog
 from ..workers import ListedWorker, OrderSender
 from .advice import Adviser
-from .store_contact import StoreContact
 
 __all__ = ["DaemonContext", "Timing"]
 
--- a/limpetpulley/ownership/daemon.py
+++ b/limpetpulley/ownership/daemon.py
@@ -169,6 +169,7 @@
             clock,
             self._apply_operator_events,
             self._on_operator_connection,
+            contact=self.context.store_contact,
         )
         self.node.mirrors[self.operator_mirror.prefix] = self.operator_mirror
         self.listing = WorkerListing(
--- a/limpetpulley/ownership/listing.py
+++ b/limpetpulley/ownership/listing.py
@@ -52,6 +52,7 @@
             self._apply_events,
             poll_interval=self._poll_interval,
             watch_timeout=SILENCE_SECONDS,
+            contact=node.context.store_contact,
         )
         node.mirrors[prefix] = self.mirror
 
--- a/limpetpulley/ownership/node.py
+++ b/limpetpulley/ownership/node.py
@@ -90,6 +90,7 @@
             context.clock,
             self._apply_directory_events,
             self._on_directory_connection,
+            contact=context.store_contact,
         )
         self.mirrors = {self.directory_mirror.prefix: self.directory_mirror}
         self.handlers.mirrors = self.mirrors
@@ -97,6 +98,7 @@
             context, member, self.directory, peers, self.mirrors, self.session.age
         )
         self.handlers.store_age = self.session.age
+        # Start of the current period in which claims are limited, by the local clock.
         self.started_at = context.clock.now()
         # Start of the current imbalance of pools between daemons, by the local clock.
         self.imbalanced_since: float | None = None
@@ -171,6 +173,8 @@
 
     def stop_owners(self) -> None:
         """Stop the planner and all owners, because the lease has ended."""
+        # The other daemons may have lost their leases too, so claims are limited as at the start.
+        self.started_at = self.context.clock.now()
         self.stop_planner()
         for owner in self.owned.values():
             owner.stop()
--- a/limpetpulley/ownership/session.py
+++ b/limpetpulley/ownership/session.py
@@ -10,10 +10,9 @@
 from ..batch.keys import BatchKeys
 from ..clock import Clock
 from ..exception import StoreError, StoreUnavailable
-from ..store import Compare, Delete, Put, Store
+from ..store import Compare, Delete, Put, Store, StoreContact
 from ..telemetry import EventLog
 from .directory import Member, encode_member
-from .store_contact import StoreContact
 
 __all__ = ["LEASE_SECONDS", "Session"]
 
--- a/limpetpulley/ownership/tests/test_recovery.py
+++ b/limpetpulley/ownership/tests/test_recovery.py
@@ -12,6 +12,9 @@
 RECOVERY_SECONDS = 0.4
 #: the same if each pool's last owner is among the daemons that return
 RETURN_SECONDS = 0.1
+#: longest time from the end of an outage of the store until each pool has an owner, in seconds:
+#: a renewal that was sent in the outage must time out first
+OUTAGE_RECOVERY_SECONDS = 1.6
 
 
 @pytest.mark.parametrize("seed", [1, 2, 3])
@@ -71,6 +74,25 @@
     assert all(owned)
 
 
+@pytest.mark.parametrize("seed", [1, 2, 3])
+@pytest.mark.parametrize("outage", [2.0, 3.0, 4.5])
+def test_pools_have_owners_soon_after_an_outage_whose_connections_stay_silent(outage, seed):
+    """The leases expire in the outage, and no watch reports it: each must be opened anew."""
+
+    async def scenario(deployment):
+        fleet = deployment.fleet
+        await anyio.sleep(1.0)
+        before = {pool: fleet.owner_of(pool) for pool in POOLS}
+        fleet.faults.dead_watches = fleet.faults.outage = True
+        await anyio.sleep(outage)
+        fleet.faults.outage = False
+        await anyio.sleep(OUTAGE_RECOVERY_SECONDS)
+        return before, {pool: fleet.owner_of(pool) for pool in POOLS}
+
+    before, after = run_scenario(scenario, seed=seed)
+    assert after == before
+
+
 def test_a_restarted_daemon_reclaims_its_pools_without_waiting_for_its_old_lease():
     async def scenario(deployment):
         fleet = deployment.fleet
--- a/limpetpulley/standin/faults.py
+++ b/limpetpulley/standin/faults.py
@@ -17,6 +17,7 @@
     :param slow_seconds: delay that is added to each store call, in seconds
     :param lose_answers: number of coming writes that take effect but are not answered
     :param silent_watch: whether watches deliver no events
+    :param dead_watches: whether watches that miss an event during an outage stay silent after it
     :param list_lag_seconds: age of the list of VMs that the platform returns, in seconds
     """
 
@@ -24,6 +25,7 @@
     slow_seconds: float = 0.0
     lose_answers: int = 0
     silent_watch: bool = False
+    dead_watches: bool = False
     list_lag_seconds: float = 0.0
 
     def change(self, values: dict) -> None:
--- a/limpetpulley/standin/store.py
+++ b/limpetpulley/standin/store.py
@@ -72,6 +72,8 @@
         """Yield the changes under a prefix after a revision, in order."""
         self.counts["watch"] += 1
         async for events in self.store.watch(prefix, after):
+            if self.faults.dead_watches and self._is_unreachable():
+                await anyio.sleep_forever()
             while self.faults.silent_watch or self._is_unreachable():
                 await anyio.sleep(0.05)
             await self.network.simulate_transit(STORE_HOST, self.host)
--- a/limpetpulley/store/__init__.py
+++ b/limpetpulley/store/__init__.py
@@ -1,5 +1,6 @@
 """The platform's key-value store: interface, mirror of its entries, and in-memory store."""
 
+from .contact import StoreContact
 from .measured import MeasuredStore
 from .memory import MemoryStore
 from .mirror import Mirror
@@ -16,5 +17,6 @@
     "Put",
     "Snapshot",
     "Store",
+    "StoreContact",
     "TxnResult",
 ]
--- a/limpetpulley/store/mirror.py
+++ b/limpetpulley/store/mirror.py
@@ -8,6 +8,7 @@
 
 from ..clock import Clock
 from ..exception import StoreError, StoreUnavailable
+from .contact import StoreContact
 from .store import Entry, Event, Snapshot, Store
 
 __all__ = ["Mirror"]
@@ -34,6 +35,8 @@
     :param watch_timeout: maximum time to wait for the watch to yield, in seconds, after which it is
         reopened; for prefixes whose entries change often. None to rely on the timeout of the store
         client's watch
+    :param contact: records the store's answers; a watch from before a silence of the store is
+        reopened at its next answer, because its connection may never report anything again
     """
 
     def __init__(
@@ -45,6 +48,7 @@
         on_connection_change: Callable[[str], None] = lambda reason: None,
         poll_interval: Callable[[], float] = lambda: 0.0,
         watch_timeout: float | None = None,
+        contact: StoreContact | None = None,
     ):
         self.store = store
         self.prefix = prefix
@@ -53,6 +57,7 @@
         self.on_connection_change = on_connection_change
         self.poll_interval = poll_interval
         self.watch_timeout = watch_timeout
+        self.contact = contact or StoreContact()
         self.entries: dict[str, Entry] = {}
         self.revision = 0
         self.last_reply_at = clock.now()
@@ -89,8 +94,14 @@
         """
         watch = aiter(self.store.watch(self.prefix, self.revision))
         while True:
+            events = None
+            opened_at = self.clock.now()
             try:
-                with anyio.fail_after(self.watch_timeout):
+                with (
+                    anyio.fail_after(self.watch_timeout),
+                    anyio.CancelScope() as scope,
+                    self.contact.cancel_if_overtaken(scope, opened_at),
+                ):
                     events = await anext(watch)
             except StopAsyncIteration:
                 return
@@ -98,6 +109,9 @@
                 raise StoreUnavailable(
                     f"the watch yielded nothing in {self.watch_timeout} s"
                 ) from None
+            if events is None:
+                # The store has answered a later call after a silence.
+                return
             yield events
 
     async def load(self) -> None:
--- a/limpetpulley/ownership/tests/test_store_contact.py
+++ b/limpetpulley/store/tests/test_contact.py
@@ -4,7 +4,7 @@
 import pytest
 
 from ...standin.virtual import VirtualClock, run_virtual
-from ..store_contact import SILENCE_SECONDS, StoreContact
+from ..contact import SILENCE_SECONDS, StoreContact
 
 CALL_SECONDS = 2.0
 
