Do not take the VM of a worker for drained whose runs its pool's owner does not know

The next owner of the pool listed the workers of the roster that had no entry yet as cordoned and without runs, so that the planner moved 16 VMs, three lasting tasks on them. Now such a worker is reported without being cordoned; a planner also ignores reports of an owner that was replaced. test_reporting and test_planner fail before.

--- a/limpetpulley/ownership/planner.py
+++ b/limpetpulley/ownership/planner.py
@@ -146,7 +146,13 @@
                     self.context.log.write("wave-not-stored", wave=name, reason=str(error))
 
     def handle_report(self, message: pb.PoolReport) -> pb.PoolPlan:
-        """Record a pool's report; return which of its workers to cordon and which have ended."""
+        """Record a pool's report; return which of its workers to cordon and which have ended.
+
+        A report of an owner that was replaced is ignored.
+        """
+        previous = self.reports.get(message.pool)
+        if previous is not None and message.token < previous.message.token:
+            return pb.PoolPlan(outcome=pb.NOT_OWNER)
         by_worker = {row.worker: row for row in message.workers}
         self.reports[message.pool] = _Report(message, self.context.clock.now(), by_worker)
         reported = by_worker.keys()
--- a/limpetpulley/ownership/reporting.py
+++ b/limpetpulley/ownership/reporting.py
@@ -149,7 +149,7 @@
                 or worker.worker_id in pool_state.unreconciled_workers
             ]
             + [
-                pb.WorkerReport(worker=name, vm=self.roster.inherited[name].vm, cordoned=True)
+                pb.WorkerReport(worker=name, vm=self.roster.inherited[name].vm)
                 for name in pool_state.unreconciled_workers
                 if name not in pool_state.workers and name in self.roster.inherited
             ],
--- a/limpetpulley/ownership/tests/test_planner.py
+++ b/limpetpulley/ownership/tests/test_planner.py
@@ -78,6 +78,27 @@
     assert_that(anyio.run(scenario), Equals(([], ended)))
 
 
+@pytest.mark.parametrize(
+    ("tokens", "outcomes"),
+    [
+        ((5, 5, 6), (pb.ACCEPTED, pb.ACCEPTED, pb.ACCEPTED)),
+        ((5, 6, 5, 6), (pb.ACCEPTED, pb.ACCEPTED, pb.NOT_OWNER, pb.ACCEPTED)),
+    ],
+)
+def test_reports_of_a_replaced_owner_are_ignored(tokens, outcomes):
+    """It may not know the runs that its successor has started on a cordoned worker."""
+    planner = make_planner(ManualClock(100.0), FakeVmList())
+    found, workers = [], []
+    for token in tokens:
+        report = make_report(f"seen-by-{token}")
+        report.token = token
+        found.append(planner.handle_report(report).outcome)
+        workers.append(list(planner.reports["desk"].by_worker))
+    assert_that(tuple(found), Equals(outcomes))
+    assert_that(workers[-1], Equals([f"seen-by-{max(tokens)}"]))
+    assert_that(workers[-2], Equals([f"seen-by-{max(tokens[:-1])}"]))
+
+
 @pytest.mark.parametrize(
     ("after", "pool", "seconds"),
     [
--- a/limpetpulley/ownership/tests/test_reporting.py
+++ b/limpetpulley/ownership/tests/test_reporting.py
@@ -60,6 +60,18 @@
     assert_that(pool_state.may_start(pool_state.jobs["a"]), Equals(may_start))
 
 
+@pytest.mark.parametrize("name", ["listed", "unlisted", "left"])
+def test_an_unreconciled_worker_is_not_reported_as_cordoned(name):
+    """Its runs are unknown: a planner that took its VM for drained would end them.
+
+    A worker is unlisted for up to two seconds after an outage in which its entry expired.
+    """
+    _, reporter = make_reporter()
+    reporter.apply_plan({"listed", "unlisted", "left"}, ())
+    row = next(row for row in reporter.build_report().workers if row.worker == name)
+    assert_that(row.cordoned, Equals(False))
+
+
 @pytest.mark.parametrize("reconciled", [True, False])
 def test_a_worker_is_not_reported_as_cordoned_before_it_is_reconciled(reconciled):
     pool_state, reporter = make_reporter()
