Keep workers whose entries expired in an outage of the store until they must be back

Cause, mix: for up to two seconds after the store's return, owners refused jobs as no-workers, though the workers answered: their entries had lapsed with the store. Entries of workers that live are back within two seconds; until then a worker stays listed as it was.

--- a/limpetpulley/ownership/listing.py
+++ b/limpetpulley/ownership/listing.py
@@ -22,6 +22,9 @@
 #: more than a heartbeat, and short enough that a worker which leaves is not used for longer than
 #: the platform allows (2 s)
 SILENCE_SECONDS = 1.6
+#: time after an outage of the store within which workers that live have their entries back, in
+#: seconds; the platform says about two seconds
+RETURN_SECONDS = 2.0
 
 
 class WorkerListing:
@@ -41,10 +44,13 @@
         node: BatchNode,
         log: EventLog,
     ):
+        self.clock = clock
         self.decode = decode
         self.node = node
         self.log = log
         self.workers: dict[str, ListedWorker] = {}
+        # Workers whose entries expired around an outage of the store.
+        self.expired: set[str] = set()
         self.mirror = Mirror(
             store,
             prefix,
@@ -64,10 +70,20 @@
     def _apply_events(self, events: list[Event]) -> None:
         for event in events:
             worker_id = event.key.removeprefix(self.mirror.prefix)
+            self.expired.discard(worker_id)
+            if event.value is None:
+                self.expired.add(worker_id)
+                continue
             self.workers.pop(worker_id, None)
-            if event.value is not None:
-                try:
-                    self.workers[worker_id] = self.decode(event.key, event.value)
-                except RecordError as error:
-                    self.log.write("worker-unreadable", worker=worker_id, reason=str(error))
+            try:
+                self.workers[worker_id] = self.decode(event.key, event.value)
+            except RecordError as error:
+                self.log.write("worker-unreadable", worker=worker_id, reason=str(error))
+        now = self.clock.now()
+        if self.node.context.store_contact.seconds_since_outage(now) > RETURN_SECONDS:
+            for worker_id in self.expired:
+                self.workers.pop(worker_id, None)
+            self.expired.clear()
+        elif self.expired:
+            self.log.write("workers-kept", workers=len(self.expired))
         self.node.update_workers(dict(self.workers))
--- /dev/null
+++ b/limpetpulley/ownership/tests/test_listing.py
@@ -0,0 +1,106 @@
+"""The workers that a daemon lists while and after the store is silent."""
+
+from types import SimpleNamespace
+
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Equals
+
+from ...batch import Amount
+from ...clock import ManualClock
+from ...store import Event, MemoryStore, StoreContact
+from ...telemetry import null_log
+from ...workers import ListedWorker
+from ..listing import RETURN_SECONDS, WorkerListing
+
+
+def decode(key, value):
+    return ListedWorker(key.removeprefix("servers/"), "desk", value.decode(), 1, Amount(1000))
+
+
+class Listing:
+    """A listing whose store answers and whose entries change when the test says so."""
+
+    def __init__(self):
+        self.clock, self.contact, self.revision = ManualClock(100.0), StoreContact(), 0
+        self.listed = {}
+        node = SimpleNamespace(
+            context=SimpleNamespace(store_contact=self.contact),
+            mirrors={},
+            owned={},
+            update_workers=lambda workers: setattr(self, "listed", workers),
+        )
+        store = MemoryStore(self.clock)
+        self.listing = WorkerListing(
+            store, "servers/", self.clock, decode, node, null_log("entry-1")
+        )
+        self.answer()
+
+    def answer(self):
+        self.contact.note_answer(self.clock.now(), self.clock.now())
+
+    def pass_time(self, seconds, silent=False):
+        for _ in range(round(seconds / 0.1)):
+            self.clock.advance(0.1)
+            if not silent:
+                self.answer()
+
+    def apply(self, **entries):
+        self.revision += 1
+        self.listing.mirror.apply(
+            [
+                Event(f"servers/{name}", value and value.encode(), self.revision)
+                for name, value in entries.items()
+            ]
+        )
+
+    @property
+    def names(self):
+        return sorted(self.listed)
+
+
+@pytest.mark.parametrize(
+    ("silence", "answered", "kept"),
+    [(0.0, True, False), (0.4, True, False), (4.0, False, True), (4.0, True, True)],
+    ids=["none", "short", "watch first", "renewal first"],
+)
+def test_entries_that_expired_in_a_silence_of_the_store_are_kept_for_a_while(
+    silence, answered, kept
+):
+    listing = Listing()
+    listing.apply(a="1:1", b="1:2")
+    listing.pass_time(silence, silent=True)
+    if answered:
+        listing.answer()
+    listing.apply(a=None)
+    assert_that(listing.names, Equals(["a", "b"] if kept else ["b"]))
+    listing.answer()
+    listing.pass_time(RETURN_SECONDS - 0.2)
+    listing.apply(b="1:2")
+    assert_that(listing.names, Equals(["a", "b"] if kept else ["b"]))
+    listing.pass_time(0.4)
+    listing.apply(b="1:2")
+    assert_that(listing.names, Equals(["b"]))
+
+
+def test_a_worker_that_returns_after_a_silence_stays():
+    listing = Listing()
+    listing.apply(a="1:1", b="1:2")
+    listing.pass_time(4.0, silent=True)
+    listing.answer()
+    listing.apply(a=None)
+    listing.apply(a="1:3")
+    listing.pass_time(RETURN_SECONDS + 0.5)
+    listing.apply(b="1:2")
+    assert_that(listing.names, Equals(["a", "b"]))
+    assert_that(listing.listed["a"].address, Equals("1:3"))
+
+
+def test_an_entry_that_is_removed_later_is_dropped_at_once():
+    listing = Listing()
+    listing.apply(a="1:1", b="1:2")
+    listing.pass_time(4.0, silent=True)
+    listing.answer()
+    listing.pass_time(RETURN_SECONDS + 0.1)
+    listing.apply(a=None)
+    assert_that(listing.names, Equals(["b"]))
--- a/limpetpulley/store/contact.py
+++ b/limpetpulley/store/contact.py
@@ -13,6 +13,8 @@
 #: time without any answer after which the next answer shows that earlier calls were lost, in
 #: seconds; a daemon renews its lease every 0.3 s
 SILENCE_SECONDS = 0.5
+#: shortest silence in which entries of other writers may have expired, in seconds
+OUTAGE_SECONDS = 1.0
 
 
 class StoreContact:
@@ -28,6 +30,8 @@
         self.answered_at = -math.inf
         self.answered = anyio.Event()
         self.waiting_calls: dict[anyio.CancelScope, float] = {}
+        # Time of the answer that ended the last silence in which entries may have expired.
+        self.returned_at = -math.inf
 
     def note_answer(self, called_at: float, now: float) -> None:
         """Record an answer.
@@ -35,7 +39,9 @@
         :param called_at: when the call was made, by the local clock
         :param now: local time
         """
-        was_silent = now - self.answered_at > SILENCE_SECONDS
+        was_silent = math.isfinite(self.answered_at) and now - self.answered_at > SILENCE_SECONDS
+        if self._is_outage(now):
+            self.returned_at = now
         self.called_at = max(self.called_at, called_at)
         self.answered_at = now
         answered, self.answered = self.answered, anyio.Event()
@@ -56,6 +62,16 @@
         finally:
             del self.waiting_calls[scope]
 
+    def seconds_since_outage(self, now: float) -> float:
+        """Return the time since the last outage, in seconds: 0 during one, infinite without any.
+
+        :param now: local time
+        """
+        return 0.0 if self._is_outage(now) else now - self.returned_at
+
+    def _is_outage(self, now: float) -> bool:
+        return math.isfinite(self.answered_at) and now - self.answered_at > OUTAGE_SECONDS
+
     async def wait_for_answer(self, since: float) -> None:
         """Wait until a call that was made after a local time is answered."""
         while self.called_at <= since:
