--- a/limpetpulley/ownership/owner.py
+++ b/limpetpulley/ownership/owner.py
@@ -81,7 +81,7 @@
         self.shares = TeamShares(pool)
         self.share_manager = ShareManager(context, self.pool_state, self.shares, self.writer)
         self.refused_work = RefusedWork()
-        self.arriving_work = ArrivalEstimator()
+        self.arriving_work = ArrivalEstimator(context.clock.now())
         self.admission = AdmissionController(
             context,
             self.pool_state,
--- a/limpetpulley/scheduling/arrivals.py
+++ b/limpetpulley/scheduling/arrivals.py
@@ -35,6 +35,8 @@
 class ArrivalEstimator:
     """Recently submitted work; a resubmitted job counts once.
 
+    :param started_at: local time since which submissions are seen
+
     >>> estimator = ArrivalEstimator()
     >>> estimator.note(10.0, "a", 5.0)
     >>> estimator.note(10.1, "a", 5.0)
@@ -42,7 +44,8 @@
     5.0
     """
 
-    def __init__(self) -> None:
+    def __init__(self, started_at: float = -math.inf) -> None:
+        self.started_at = started_at
         self.arrivals: deque[tuple[float, float]] = deque()
         self.last_submitted: dict[str, float] = {}
         self.slack = MIN_WINDOW_SECONDS
@@ -72,7 +75,12 @@
         return max(steady, sudden) + self._expected_growth(recent, now, window)
 
     def _expected_growth(self, recent: list[float], now: float, window: float) -> float:
-        """Return the expected growth of the rate until VMs requested now have joined."""
+        """Return the expected growth of the rate until VMs requested now have joined.
+
+        It is unknown until two windows have passed since the start.
+        """
+        if now - 2 * window < self.started_at:
+            return 0.0
         previous = self._work_between(now - 2 * window, now - window)
         growth = (
             sum(recent)
--- a/limpetpulley/scheduling/tests/test_arrivals.py
+++ b/limpetpulley/scheduling/tests/test_arrivals.py
@@ -46,6 +46,17 @@
     assert estimator.cores(5.0) <= most * rate_now * 100.0
 
 
+@pytest.mark.parametrize(("started_at", "least", "most"), [(0.0, 1300, 1900), (4.0, 900, 1300)])
+def test_growth_is_not_extrapolated_before_it_was_observed(started_at, least, most):
+    """A new owner has seen no submissions before its start, but that is not growth."""
+    estimator = ArrivalEstimator(started_at)
+    rows = [*steady(25, 20.0, 3.0, 4.0), *steady(50, 20.0, 4.0, 5.0)]
+    for number, (at, core_seconds) in enumerate(rows):
+        if at >= started_at:
+            estimator.note(at, f"job-{number}", core_seconds)
+    assert least <= estimator.cores(5.0) <= most
+
+
 def test_resubmitted_job_counts_once():
     estimator = ArrivalEstimator()
     for at in (0.0, 0.2, 0.4):
