--- a/limpetpulley/ownership/vmorders.py
+++ b/limpetpulley/ownership/vmorders.py
@@ -40,7 +40,7 @@
 JOIN_MARGIN_SECONDS = 3.0
 #: time from the end of a move until the owner uses the VM's new worker, in seconds: its entry is
 #: read, its name stored in the roster, and a call answered
-DISCOVERY_SECONDS = 0.6
+DISCOVERY_SECONDS = 0.25
 #: shortest expected time until a VM arrives whose worker is overdue, in seconds
 MIN_ARRIVAL_SECONDS = 0.2
 
