--- a/limpetpulley/ownership/tests/test_listing.py
+++ b/limpetpulley/ownership/tests/test_listing.py
@@ -15,7 +15,7 @@
 
 
 def decode(key, value):
-    return ListedWorker(key.removeprefix("servers/"), "desk", value.decode(), 1, Amount(1000))
+    return ListedWorker(key.removeprefix("workers/"), "desk", value.decode(), 1, Amount(1000))
 
 
 class Listing:
@@ -32,7 +32,7 @@
         )
         store = MemoryStore(self.clock)
         self.listing = WorkerListing(
-            store, "servers/", self.clock, decode, node, null_log("entry-1")
+            store, "workers/", self.clock, decode, node, null_log("entry-1")
         )
         self.answer()
 
@@ -49,7 +49,7 @@
         self.revision += 1
         self.listing.mirror.apply(
             [
-                Event(f"servers/{name}", value and value.encode(), self.revision)
+                Event(f"workers/{name}", value and value.encode(), self.revision)
                 for name, value in entries.items()
             ]
         )
