Split the fleet planner: pools' reports, wave progress, choice of VMs and orders

Moved, with behaviour unchanged:

- pool_reports.py, PoolReports: recording of reports, has_ended, is_drained, may_remove, the report about a VM's worker, loads of the pools, MAX_REPORT_AGE_SECONDS. loads gets the idle VMs from its caller, since which VMs are idle depends on the orders.
- wave_tracker.py, WaveTracker: load, store, restore and completion of waves, STORE_INTERVAL_SECONDS.
Its run is the former _store_waves.

measure/ablation.py follows: listed-down is in pool_reports.py, orders-noted-ahead replaces the start of wave_tracker.run. In test_planner.py the reports are reached as planner.reports.latest; assertions as they were.

--- /dev/null
+++ b/limpetpulley/ownership/pool_reports.py
@@ -0,0 +1,138 @@
+"""The pools' reports to the fleet planner, and what they say about workers, VMs and loads."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import attrs
+
+from ..fleet.demand import PoolLoad
+from ..fleet.vms import FleetVm, Phase
+from ..peer import batch_pb2 as pb
+from .context import DaemonContext
+from .vm_inventory import MOVE_REASON, VmInventory
+from .vmorders import LIST_LAG_SECONDS
+
+__all__ = ["PoolReports"]
+
+#: age of a pool's report above which the pool's VMs are left as they are, in seconds
+MAX_REPORT_AGE_SECONDS = 2.5
+
+
+@attrs.define
+class _Report:
+    message: pb.PoolReport
+    received_at: float
+    by_worker: dict[str, pb.WorkerReport]
+
+
+class PoolReports:
+    """The latest report of each pool, compared with the list of VMs.
+
+    :param inventory: the planner's VMs
+    """
+
+    def __init__(self, context: DaemonContext, inventory: VmInventory):
+        self.context = context
+        self.inventory = inventory
+        self.latest: dict[str, _Report] = {}
+        # When a worker was first reported, by local time.
+        self.first_reported_at: dict[str, float] = {}
+
+    def record(self, message: pb.PoolReport) -> bool:
+        """Record a pool's report; return False if it is from an owner that was replaced."""
+        previous = self.latest.get(message.pool)
+        if previous is not None and message.token < previous.message.token:
+            return False
+        by_worker = {row.worker: row for row in message.workers}
+        self.latest[message.pool] = _Report(message, self.context.clock.now(), by_worker)
+        for row in message.workers:
+            self.first_reported_at.setdefault(row.worker, self.context.clock.now())
+        return True
+
+    def has_ended(self, worker_id: str, vm_name: str) -> bool:
+        """Return whether a worker's VM is down, was moved or maintained, or runs another worker."""
+        if (
+            not vm_name
+            or self.inventory.listed_at <= self.first_reported_at[worker_id] + LIST_LAG_SECONDS
+        ):
+            # A list that is older than the worker still shows the previous worker of the VM.
+            return False
+        vm = self.inventory.vms.get(vm_name)
+        if vm is None:
+            return bool(self.inventory.vms)
+        if vm.phase in (Phase.MOVING, Phase.MAINTENANCE, Phase.DOWN):
+            return True
+        pool_config = self.context.config.pools.get(vm.pool) if self.context.config else None
+        standby = pool_config is not None and pool_config.standby
+        return (
+            vm.phase is Phase.UP and vm.worker_id != worker_id and (bool(vm.worker_id) or standby)
+        )
+
+    def loads(self, idle_vms: Iterable[FleetVm], now: float) -> dict[str, PoolLoad]:
+        """Return the load of each pool that has a recent report and is not a standby pool.
+
+        :param idle_vms: VMs that are up and have no order in progress
+        :param now: local time, in seconds
+        """
+        config = self.context.config
+        if config is None:
+            return {}
+        in_maintenance = {
+            vm for vm, reason in self.inventory.draining.items() if reason != MOVE_REASON
+        }
+        by_pool: dict[str, list[FleetVm]] = {}
+        for vm in idle_vms:
+            if vm.name not in in_maintenance:
+                by_pool.setdefault(vm.pool, []).append(vm)
+        loads = {}
+        for pool, pool_config in config.pools.items():
+            report = self.latest.get(pool)
+            if (
+                pool_config.standby
+                or report is None
+                or now - report.received_at > MAX_REPORT_AGE_SECONDS
+            ):
+                continue
+            message, vms = report.message, by_pool.get(pool, [])
+            # For a pool without VMs, the mean size of all VMs is assumed.
+            sizes = [vm.cores for vm in vms or self.inventory.vms.values()]
+            loads[pool] = PoolLoad(
+                sum(sizes) / max(1, len(sizes)),
+                message.running_cores,
+                message.waiting_core_seconds,
+                message.ready_cores,
+                message.refused_core_seconds,
+                len(vms),
+                message.least_workers,
+                message.lasting_cores,
+                message.arriving_cores,
+            )
+        return loads
+
+    def worker_report(self, vm: FleetVm) -> pb.WorkerReport | None:
+        """Return the latest report about a VM's worker, or None."""
+        report = self.latest.get(vm.pool)
+        return report.by_worker.get(vm.worker_id) if report else None
+
+    def is_drained(self, vm: FleetVm, now: float) -> bool:
+        """Return whether a recent report shows a VM's worker cordoned and without runs.
+
+        :param now: local time, in seconds
+        """
+        if not vm.worker_id:
+            return True
+        report, row = self.latest.get(vm.pool), self.worker_report(vm)
+        if report is None or row is None or now - report.received_at > MAX_REPORT_AGE_SECONDS:
+            return False
+        cordon_sent_at = self.inventory.cordon_sent_at
+        # A report from before the request to cordon may describe an earlier cordon, since lifted.
+        if vm.name not in cordon_sent_at or report.received_at <= cordon_sent_at[vm.name]:
+            return False
+        return row.cordoned and not row.timed_runs and not row.lasting_runs
+
+    def may_remove(self, vm: FleetVm) -> bool:
+        """Return whether a VM may be moved or maintained: it is drained, or its worker changed."""
+        listed = self.inventory.vms.get(vm.name)
+        unchanged = listed is not None and listed.worker_id == vm.worker_id
+        return not unchanged or self.is_drained(vm, self.context.clock.now())
--- a/limpetpulley/ownership/tests/test_planner.py
+++ b/limpetpulley/ownership/tests/test_planner.py
@@ -93,7 +93,7 @@
         report = make_report(f"seen-by-{token}")
         report.token = token
         found.append(planner.handle_report(report).outcome)
-        workers.append(list(planner.reports["desk"].by_worker))
+        workers.append(list(planner.reports.latest["desk"].by_worker))
     assert_that(tuple(found), Equals(outcomes))
     assert_that(workers[-1], Equals([f"seen-by-{max(tokens)}"]))
     assert_that(workers[-2], Equals([f"seen-by-{max(tokens[:-1])}"]))
--- /dev/null
+++ b/limpetpulley/ownership/wave_tracker.py
@@ -0,0 +1,107 @@
+"""Progress of the maintenance waves: loaded, stored and reported as completed by the planner."""
+
+from __future__ import annotations
+
+import json
+
+import anyio
+
+from ..exception import StoreError, StoreUnavailable
+from ..fleet.maintenance import WaveProgress, is_finished
+from ..fleet.vms import FleetVm, WaveOrder
+from ..store import Compare, Put
+from .context import DaemonContext
+from .intents import IntentLog
+from .vmorders import VmOrderDispatcher
+from .waves import WaveRegistry
+
+__all__ = ["WaveTracker"]
+
+#: interval between two writes of the progress of maintenance waves, in seconds
+STORE_INTERVAL_SECONDS = 0.2
+
+
+class WaveTracker:
+    """Keeps the progress of the ordered waves, in memory and in the store.
+
+    :param claim: the planner's claim, which is a condition of each write
+    :param wave_registry: the maintenance waves that the operator has ordered
+    :param waves: progress of the waves by name, to which ordered ones are added
+    :param intents: holds the orders that the previous planner may just have sent
+    :param dispatcher: updates the progress and names the waves whose progress is to be stored
+    """
+
+    def __init__(
+        self,
+        context: DaemonContext,
+        claim: Compare,
+        wave_registry: WaveRegistry,
+        waves: dict[str, WaveProgress],
+        intents: IntentLog,
+        dispatcher: VmOrderDispatcher,
+    ):
+        self.context = context
+        self.claim = claim
+        self.wave_registry = wave_registry
+        self.waves = waves
+        self.intents = intents
+        self.dispatcher = dispatcher
+
+    async def run(self) -> None:
+        """Store the progress of waves; one write covers all orders of an interval."""
+        while True:
+            await anyio.sleep(STORE_INTERVAL_SECONDS)
+            names, self.dispatcher.unsaved_waves = self.dispatcher.unsaved_waves, set()
+            for name in names:
+                try:
+                    await self._store_wave(self.waves[name])
+                except (StoreUnavailable, StoreError) as error:
+                    self.dispatcher.unsaved_waves.add(name)
+                    self.context.log.write("wave-not-stored", wave=name, reason=str(error))
+
+    async def update(self, vms: dict[str, FleetVm]) -> None:
+        """Load the waves that are newly ordered, and complete those that are finished.
+
+        :param vms: VMs of the latest list, by name
+        :raises StoreUnavailable: if the store does not answer
+        :raises StoreError: if the store refuses a call
+        """
+        for name, order in self.wave_registry.waves.items():
+            wave = self.waves.get(name)
+            if wave is None:
+                wave = self.waves[name] = await self._load_wave(order)
+                self._restore_maintenance(wave)
+                if not wave.completed:
+                    await self._store_wave(wave)
+            if not wave.completed and is_finished(wave, vms):
+                self.dispatcher.unsaved_waves.discard(name)
+                wave.completed = True
+                await self._store_wave(wave)
+                self.context.log.write("wave-completed", wave=name, vms=len(order.vms))
+
+    def _restore_maintenance(self, wave: WaveProgress) -> None:
+        """Count the VMs as down whose maintenance the previous planner may just have ordered."""
+        for intent in self.intents.inherited.values():
+            if intent.wave == wave.order.name:
+                wave.ordered_at[intent.vm] = self.intents.started_at
+
+    async def _load_wave(self, order: WaveOrder) -> WaveProgress:
+        entry = await self.context.store.get(self.context.keys.wave(order.name))
+        if entry is None:
+            return WaveProgress(order, self.context.wall_time())
+        record = json.loads(entry.value)
+        return WaveProgress(
+            order, record["begun"], set(record["done"]), completed=record["completed"]
+        )
+
+    async def _store_wave(self, wave: WaveProgress) -> None:
+        name = wave.order.name
+        value = {"begun": wave.started_at, "done": sorted(wave.done), "completed": wave.completed}
+        state = self.wave_registry.encode_state(name, wave.completed)
+        await self.context.store.commit(
+            [self.claim],
+            [
+                Put(self.context.keys.wave(name), json.dumps(value).encode()),
+                Put(self.wave_registry.state_key(name), state),
+            ],
+        )
--- a/measure/ablation.py
+++ b/measure/ablation.py
@@ -51,9 +51,9 @@
     Mechanism(
         "orders-noted-ahead",
         "ownership/planner.py",
-        "                self.tasks.start_soon(self._store_waves)\n",
+        "                self.tasks.start_soon(self.wave_tracker.run)\n",
         "                await anyio.sleep(self.context.timing.holder_lease)\n"
-        "                self.tasks.start_soon(self._store_waves)\n",
+        "                self.tasks.start_soon(self.wave_tracker.run)\n",
     ),
     Mechanism(
         "claims-at-once",
@@ -139,7 +139,7 @@
     ),
     Mechanism(
         "listed-down",
-        "ownership/planner.py",
+        "ownership/pool_reports.py",
         "(Phase.MOVING, Phase.MAINTENANCE, Phase.DOWN)",
         "(Phase.MOVING, Phase.MAINTENANCE)",
     ),
