Move workers' replies out of the pool state

What takes in workers' replies stands by itself: process_hold_reply, process_start_reply, process_stop_reply, the processing of a listed end and MAX_LISTED_ENDS are now functions of a pool state in pool/replies.py, as those of reconcile, speculation and worker_avoidance are; state.py has 323 lines, its jobs, workers and runs. state.py no longer imports reconcile and worker_avoidance. remove_run and acknowledge_ends of the pool state are public now, since replies.py calls them.

Behaviour unchanged: statements printed from the syntax trees, with pool_state for self and the new names mapped back, equal the parent's. Callers (worker_client, measure/owner.py, tests of pool and platform) call the functions, which the package exports; assertions as they were.

Tests of ownership, pool, scheduling and test_ablation: 440 passed; python -m measure.owner runs. black and mypy clean; ruff has the one finding of the parent, E501 in measure/ablation.py.

--- a/limpetpulley/ownership/worker_client.py
+++ b/limpetpulley/ownership/worker_client.py
@@ -7,7 +7,14 @@
 import anyio
 
 from ..exception import WorkerError
-from ..pool import Order, PoolState, requeue_speculative_tasks
+from ..pool import (
+    Order,
+    PoolState,
+    process_hold_reply,
+    process_start_reply,
+    process_stop_reply,
+    requeue_speculative_tasks,
+)
 from ..workers import PaceOrder, RunPhase, StartOrder, StopOrder, Worker
 from .context import DaemonContext
 
@@ -104,8 +111,8 @@
         if self.failing:
             self.failing = False
             self.context.log.write("worker-answers", worker=worker.worker_id)
-        self.pool_state.process_hold_reply(
-            worker, reply, self.context.clock.now(), self.context.wall_time()
+        process_hold_reply(
+            self.pool_state, worker, reply, self.context.clock.now(), self.context.wall_time()
         )
         self.on_change()
         if worker.stored_through < worker.processed_through:
@@ -146,7 +153,7 @@
                     await self._send_start(order)
                 elif isinstance(order, StopOrder):
                     stop_time = await self.context.orders.stop(listed, order, token)
-                    self.pool_state.process_stop_reply(order, stop_time, self.context.clock.now())
+                    process_stop_reply(self.pool_state, order, stop_time, self.context.clock.now())
                 elif isinstance(order, PaceOrder):
                     await self.context.orders.pace(listed, order, token)
         except (WorkerError, TimeoutError) as error:
@@ -173,8 +180,8 @@
         reply = await self.context.orders.start(
             self.worker.listed, order, self.pool_state.token, lease_until
         )
-        self.pool_state.process_start_reply(
-            run, reply.outcome, reply.worker_seconds, self.context.clock.now()
+        process_start_reply(
+            self.pool_state, run, reply.outcome, reply.worker_seconds, self.context.clock.now()
         )
         self.on_change()
 
--- a/limpetpulley/platform/tests/test_workers.py
+++ b/limpetpulley/platform/tests/test_workers.py
@@ -14,7 +14,7 @@
 from ...exception import NotOwnerError, PlatformError, WorkerError
 from ...fleet.vms import Holder, OrderOutcome, Phase
 from ...http_client import PooledHttpClient
-from ...pool import PoolState
+from ...pool import PoolState, process_hold_reply
 from ...scheduling.pacing import latency_pressure, pace_fillers
 from ...standin.workers import MemoryWorker, RunPlan
 from ...workers import ListedWorker, PaceOrder, Run, StartOrder, StartOutcome, StopOrder, Worker
@@ -151,8 +151,8 @@
             pool_state.add_run(Run(task, len(rows), "i-1", step.charge), worker)
         reply = {"clockMs": 20000, "running": rows}
         platform.answers = [(200, json.dumps(reply).encode())]
-        pool_state.process_hold_reply(
-            worker, await workers.hold(listed, 3, 0, None, 0.0), 20.0, 0.0
+        process_hold_reply(
+            pool_state, worker, await workers.hold(listed, 3, 0, None, 0.0), 20.0, 0.0
         )
         return latency_pressure(pool_state, worker), pace_fillers(pool_state, 21.0)
 
--- /dev/null
+++ b/limpetpulley/pool/replies.py
@@ -0,0 +1,110 @@
+"""Workers' replies to holds and orders, as the pool state takes them in. No I/O."""
+
+from __future__ import annotations
+
+import attrs
+
+from ..batch import EndKind
+from ..workers import EndedRun, HoldReply, Run, RunPhase, StartOutcome, StopOrder, Worker
+from .events import PoolEvent
+from .reconcile import SETTLE_MARGIN_SECONDS, drop_unlisted_runs, reconcile_running
+from .state import PoolState
+from .worker_avoidance import handle_rejection, track_failures
+
+__all__ = ["process_hold_reply", "process_start_reply", "process_stop_reply"]
+
+#: maximum number of ends in one reply of a worker; a longer list may be truncated
+MAX_LISTED_ENDS = 500
+
+
+def process_hold_reply(
+    pool_state: PoolState, worker: Worker, reply: HoldReply, now: float, wall_time: float
+) -> None:
+    """Apply a worker's list of running and ended runs.
+
+    :param now: local time of the reply
+    :param wall_time: wall-clock time, in seconds since 1970
+    """
+    if worker.ended or (reply.incarnation and reply.incarnation < worker.listed.incarnation):
+        return
+    if reply.incarnation > worker.listed.incarnation:
+        worker.listed = attrs.evolve(worker.listed, incarnation=reply.incarnation)
+        pool_state.handle_worker_restart(worker, "answered")
+    worker.lease.record_reply(reply.worker_seconds, now)
+    worker.last_reply_at = now
+    worker.silent = False
+    worker.reconciled = True
+    if worker.runs and not worker.lease.until_seconds:
+        worker.lease.assume_extended(pool_state.longest_hold_seconds)
+    for end in sorted(reply.ended, key=lambda end: end.position):
+        if end.position > worker.processed_through:
+            _process_end(pool_state, worker, end, now, wall_time)
+            worker.processed_through = end.position
+    for row in reply.running:
+        reconcile_running(pool_state, worker, row, reply.worker_seconds)
+    if len(reply.ended) < MAX_LISTED_ENDS:
+        drop_unlisted_runs(pool_state, worker, reply)
+    pool_state.unreconciled_workers.pop(worker.worker_id, None)
+    pool_state.acknowledge_ends(worker)
+
+
+def process_start_reply(
+    pool_state: PoolState, run: Run, outcome: StartOutcome, worker_seconds: float, now: float
+) -> None:
+    """Apply a worker's reply to a start order."""
+    if pool_state.runs.get(run.task) is not run:
+        return
+    worker = pool_state.workers[run.worker_id]
+    worker.last_reply_at = now
+    run.unanswered_starts -= 1
+    if run.phase is RunPhase.STOPPING:
+        return
+    if outcome in (StartOutcome.STARTED, StartOutcome.OLD_RUN):
+        # An OLD_RUN has ended on the worker; if it ever started, its end is listed.
+        run.settled_at = worker_seconds + SETTLE_MARGIN_SECONDS
+        return
+    if run.unanswered_starts:
+        # An earlier transmission of this start order may still be executed.
+        run.phase, run.settled_at, run.sent_at = RunPhase.STOPPING, None, 0.0
+        return
+    handle_rejection(pool_state, worker, run, outcome, now)
+    pool_state.drop_run(run, f"rejected-{outcome.name.lower()}")
+
+
+def process_stop_reply(
+    pool_state: PoolState, order: StopOrder, worker_seconds: float, now: float
+) -> None:
+    """Apply a worker's reply to a stop order."""
+    pool_state.orphan_stops.pop(order, None)
+    worker = pool_state.workers.get(order.worker_id)
+    run = worker.runs.get(order.task) if worker else None
+    if worker is not None and run is not None and run.number == order.number:
+        run.settled_at = worker_seconds + pool_state.stop_seconds + SETTLE_MARGIN_SECONDS
+        worker.last_reply_at = now
+
+
+def _process_end(
+    pool_state: PoolState, worker: Worker, end: EndedRun, now: float, wall_time: float
+) -> None:
+    run = worker.runs.get(end.task)
+    if run is not None and run.number == end.number:
+        if end.kind is EndKind.DONE and run.ordered_at is not None:
+            pool_state.run_times.observe(
+                pool_state.jobs.get(end.task.job_id), end.task, now - run.ordered_at
+            )
+        pool_state.remove_run(run)
+    job = pool_state.jobs.get(end.task.job_id)
+    pool_state.on_event(PoolEvent("run-ended", worker.worker_id, end.task, end.number, end.kind))
+    if job is None:
+        return
+    track_failures(pool_state, worker, end)
+    if end.kind is not EndKind.DONE and end.checkpoint and job.needs_run(end.task):
+        pool_state.checkpoints[job.attempt_unit(end.task)] = end.checkpoint
+    if end.task in pool_state.runs:
+        pool_state.tasks_to_check.add(end.task)
+    if job.note_end(end.task, end.number, end.kind, wall_time):
+        pool_state.progress.mark_changed(job.key.job_id)
+        pool_state.progress.note_end(worker.worker_id, end.position, job.key.job_id)
+        pool_state.update_ready_tasks(job, wall_time)
+    else:
+        pool_state.requeue_task(end.task)
--- a/limpetpulley/pool/state.py
+++ b/limpetpulley/pool/state.py
@@ -11,26 +11,13 @@
 import math
 from collections.abc import Callable, Iterable
 
-import attrs
-
-from ..batch import Amount, EndKind, Job, TaskId
-from ..workers import (
-    EndedRun,
-    HoldReply,
-    ListedWorker,
-    Run,
-    RunPhase,
-    StartOutcome,
-    StopOrder,
-    Worker,
-)
+from ..batch import Amount, Job, TaskId
+from ..workers import ListedWorker, Run, RunPhase, StopOrder, Worker
 from .events import PoolEvent
 from .progress import ProgressLedger
-from .reconcile import SETTLE_MARGIN_SECONDS, drop_unlisted_runs, reconcile_running
 from .run_times import TaskRunTimes
 from .speculation import is_superseded, stop_superseded_runs
 from .tickets import TicketCache
-from .worker_avoidance import handle_rejection, track_failures
 
 __all__ = ["PoolState"]
 
@@ -39,8 +26,6 @@
 #: longest time after which a start order without an answer may still be executed, in seconds; the
 #: platform delays orders by up to 12 s
 MAX_ORDER_DELAY_SECONDS = 15.0
-#: maximum number of ends in one reply of a worker; a longer list may be truncated
-MAX_LISTED_ENDS = 500
 
 
 class PoolState:
@@ -158,7 +143,7 @@
         """Record which versions of the jobs' progress are stored now."""
         self.progress.mark_stored(versions)
         for worker in self.workers.values():
-            self._acknowledge(worker)
+            self.acknowledge_ends(worker)
 
     # Workers
 
@@ -245,69 +230,6 @@
                 )
             )
 
-    # Replies of workers
-
-    def process_hold_reply(
-        self, worker: Worker, reply: HoldReply, now: float, wall_time: float
-    ) -> None:
-        """Apply a worker's list of running and ended runs.
-
-        :param now: local time of the reply
-        :param wall_time: wall-clock time, in seconds since 1970
-        """
-        if worker.ended or (reply.incarnation and reply.incarnation < worker.listed.incarnation):
-            return
-        if reply.incarnation > worker.listed.incarnation:
-            worker.listed = attrs.evolve(worker.listed, incarnation=reply.incarnation)
-            self.handle_worker_restart(worker, "answered")
-        worker.lease.record_reply(reply.worker_seconds, now)
-        worker.last_reply_at = now
-        worker.silent = False
-        worker.reconciled = True
-        if worker.runs and not worker.lease.until_seconds:
-            worker.lease.assume_extended(self.longest_hold_seconds)
-        for end in sorted(reply.ended, key=lambda end: end.position):
-            if end.position > worker.processed_through:
-                self._process_end(worker, end, now, wall_time)
-                worker.processed_through = end.position
-        for row in reply.running:
-            reconcile_running(self, worker, row, reply.worker_seconds)
-        if len(reply.ended) < MAX_LISTED_ENDS:
-            drop_unlisted_runs(self, worker, reply)
-        self.unreconciled_workers.pop(worker.worker_id, None)
-        self._acknowledge(worker)
-
-    def process_start_reply(
-        self, run: Run, outcome: StartOutcome, worker_seconds: float, now: float
-    ):
-        """Apply a worker's reply to a start order."""
-        if self.runs.get(run.task) is not run:
-            return
-        worker = self.workers[run.worker_id]
-        worker.last_reply_at = now
-        run.unanswered_starts -= 1
-        if run.phase is RunPhase.STOPPING:
-            return
-        if outcome in (StartOutcome.STARTED, StartOutcome.OLD_RUN):
-            # An OLD_RUN has ended on the worker; if it ever started, its end is listed.
-            run.settled_at = worker_seconds + SETTLE_MARGIN_SECONDS
-            return
-        if run.unanswered_starts:
-            # An earlier transmission of this start order may still be executed.
-            run.phase, run.settled_at, run.sent_at = RunPhase.STOPPING, None, 0.0
-            return
-        handle_rejection(self, worker, run, outcome, now)
-        self.drop_run(run, f"rejected-{outcome.name.lower()}")
-
-    def process_stop_reply(self, order: StopOrder, worker_seconds: float, now: float) -> None:
-        """Apply a worker's reply to a stop order."""
-        self.orphan_stops.pop(order, None)
-        worker = self.workers.get(order.worker_id)
-        run = worker.runs.get(order.task) if worker else None
-        if worker is not None and run is not None and run.number == order.number:
-            run.settled_at = worker_seconds + self.stop_seconds + SETTLE_MARGIN_SECONDS
-            worker.last_reply_at = now
-
     # Runs
 
     def allocate_run_number(self) -> int:
@@ -373,7 +295,8 @@
             if not waiting:
                 del self.ready[task.job_id]
 
-    def _remove_run(self, run: Run) -> None:
+    def remove_run(self, run: Run) -> None:
+        """Remove a run from its worker and its team's usage, and as the current run of its task."""
         if not is_superseded(self, run):
             self.unset_current_run(run)
         self.workers[run.worker_id].remove(run)
@@ -381,7 +304,7 @@
 
     def drop_run(self, run: Run, reason: str) -> None:
         """Remove a run that ended without a listed end, and requeue its task."""
-        self._remove_run(run)
+        self.remove_run(run)
         self.on_event(PoolEvent("run-dropped", run.worker_id, run.task, run.number, reason))
         self.requeue_task(run.task)
 
@@ -393,31 +316,8 @@
             if task not in waiting:
                 waiting.insert(0, task)
 
-    def _process_end(self, worker: Worker, end: EndedRun, now: float, wall_time: float) -> None:
-        run = worker.runs.get(end.task)
-        if run is not None and run.number == end.number:
-            if end.kind is EndKind.DONE and run.ordered_at is not None:
-                self.run_times.observe(
-                    self.jobs.get(end.task.job_id), end.task, now - run.ordered_at
-                )
-            self._remove_run(run)
-        job = self.jobs.get(end.task.job_id)
-        self.on_event(PoolEvent("run-ended", worker.worker_id, end.task, end.number, end.kind))
-        if job is None:
-            return
-        track_failures(self, worker, end)
-        if end.kind is not EndKind.DONE and end.checkpoint and job.needs_run(end.task):
-            self.checkpoints[job.attempt_unit(end.task)] = end.checkpoint
-        if end.task in self.runs:
-            self.tasks_to_check.add(end.task)
-        if job.note_end(end.task, end.number, end.kind, wall_time):
-            self.progress.mark_changed(job.key.job_id)
-            self.progress.note_end(worker.worker_id, end.position, job.key.job_id)
-            self.update_ready_tasks(job, wall_time)
-        else:
-            self.requeue_task(end.task)
-
-    def _acknowledge(self, worker: Worker) -> None:
+    def acknowledge_ends(self, worker: Worker) -> None:
+        """Update the position up to which a worker's ends may be acknowledged."""
         worker.stored_through = self.progress.stored_through(
             worker.worker_id, worker.processed_through
         )
--- a/limpetpulley/pool/tests/test_indexes.py
+++ b/limpetpulley/pool/tests/test_indexes.py
@@ -10,7 +10,7 @@
 from ...batch import Amount, EndKind, Job, JobKey, JobSpec, Step
 from ...scheduling.placement import WorkerIndex
 from ...workers import EndedRun, HoldReply, ListedRun, ListedWorker, RunPhase, StartOutcome
-from .. import PlanningLimits, PoolState, plan_orders
+from .. import PlanningLimits, PoolState, plan_orders, process_hold_reply, process_start_reply
 from ..planning import rank
 from .test_planning import Shares
 
@@ -45,7 +45,7 @@
             if run.task not in ended_tasks and run.settled_at is not None
         )
         reply = HoldReply(self.now, 1, running, tuple(ended))
-        self.pool_state.process_hold_reply(worker, reply, self.now, self.now)
+        process_hold_reply(self.pool_state, worker, reply, self.now, self.now)
 
     def submit(self):
         self.count += 1
@@ -73,7 +73,7 @@
             run = self.pool_state.runs.get(order.task)
             if run is not None and run.phase is RunPhase.STARTING and self.rng.random() < 0.9:
                 outcome = StartOutcome.STARTED if self.rng.random() < 0.9 else StartOutcome.NO_ROOM
-                self.pool_state.process_start_reply(run, outcome, self.now, self.now)
+                process_start_reply(self.pool_state, run, outcome, self.now, self.now)
 
     def end(self):
         runs = [run for run in self.pool_state.runs.values() if run.settled_at is not None]
--- a/limpetpulley/pool/tests/test_owner_stateful.py
+++ b/limpetpulley/pool/tests/test_owner_stateful.py
@@ -16,7 +16,15 @@
 from ...exception import NotOwnerError, WorkerError
 from ...standin.workers import MemoryWorker, RunPlan
 from ...workers import ListedWorker, StartOrder, StopOrder
-from .. import PlanningLimits, PoolState, plan_orders, requeue_speculative_tasks
+from .. import (
+    PlanningLimits,
+    PoolState,
+    plan_orders,
+    process_hold_reply,
+    process_start_reply,
+    process_stop_reply,
+    requeue_speculative_tasks,
+)
 
 LEASE_SECONDS = 4.0
 LONGEST_HOLD_SECONDS = 5.0
@@ -126,7 +134,7 @@
         except (WorkerError, NotOwnerError):
             return
         if answered:
-            self.pool_state.process_hold_reply(worker, reply, now, now)
+            process_hold_reply(self.pool_state, worker, reply, now, now)
 
     def deliver(self, pending_order):
         worker = self.workers[pending_order.worker_id]
@@ -181,11 +189,11 @@
             if isinstance(order, StartOrder):
                 run = self.pool_state.runs.get(order.task)
                 if run is not None and run.number == order.number:
-                    self.pool_state.process_start_reply(
-                        run, answer.outcome, answer.worker_seconds, now
+                    process_start_reply(
+                        self.pool_state, run, answer.outcome, answer.worker_seconds, now
                     )
             else:
-                self.pool_state.process_stop_reply(order, answer, now)
+                process_stop_reply(self.pool_state, order, answer, now)
 
     @rule(name=st.sampled_from(["w1", "w2"]), answered=st.booleans())
     def hold_worker(self, name, answered):
--- a/limpetpulley/pool/tests/test_planning.py
+++ b/limpetpulley/pool/tests/test_planning.py
@@ -18,7 +18,14 @@
     StartOutcome,
     StopOrder,
 )
-from .. import PlanningLimits, PoolState, plan_orders
+from .. import (
+    PlanningLimits,
+    PoolState,
+    plan_orders,
+    process_hold_reply,
+    process_start_reply,
+    process_stop_reply,
+)
 from ..tickets import StepKey
 
 JOB = "00000000000000aa"
@@ -51,7 +58,7 @@
 
 def hold(pool_state, name, running=(), ended=(), clock=10.0, now=NOW):
     reply = HoldReply(clock, 1, tuple(running), tuple(ended))
-    pool_state.process_hold_reply(pool_state.workers[name], reply, now, now)
+    process_hold_reply(pool_state, pool_state.workers[name], reply, now, now)
 
 
 def plan(pool_state, shares=None, now=NOW):
@@ -90,7 +97,7 @@
     pool_state = make_pool_state(Step(2, TASK, gang=True))
     first = plan(pool_state)
     run = pool_state.runs[first[0].task]
-    pool_state.process_start_reply(run, StartOutcome.NO_ROOM, 10.0, NOW)
+    process_start_reply(pool_state, run, StartOutcome.NO_ROOM, 10.0, NOW)
     stops = plan(pool_state)
     assert_that([type(order) for order in stops], Equals([StopOrder]))
     other = first[1]
@@ -181,7 +188,7 @@
     assert_that((resent.task, resent.number), Equals((order.task, order.number)))
     (stop,) = plan(pool_state, now=NOW + 2.2)
     assert_that(stop, Equals(StopOrder(order.worker_id, order.task, order.number)))
-    pool_state.process_stop_reply(stop, 12.0, NOW + 2.3)
+    process_stop_reply(pool_state, stop, 12.0, NOW + 2.3)
     hold(pool_state, order.worker_id, clock=13.0, now=NOW + 2.4)
     (restart,) = plan(pool_state, now=NOW + 2.5)
     assert isinstance(restart, StartOrder) and restart.number > order.number
@@ -196,7 +203,7 @@
     run = pool_state.runs[order.task]
     if not answered:
         plan(pool_state, now=NOW + 0.6)
-    pool_state.process_start_reply(run, StartOutcome.NO_ROOM, 10.0, NOW + 0.7)
+    process_start_reply(pool_state, run, StartOutcome.NO_ROOM, 10.0, NOW + 0.7)
     assert_that(len(pool_state.runs), Equals(kept))
     if kept:
         assert_that(run.phase, Equals(RunPhase.STOPPING))
@@ -205,7 +212,7 @@
 def test_task_is_restarted_if_its_acknowledged_run_is_not_listed():
     pool_state = make_pool_state(Step(1, TASK))
     (order,) = plan(pool_state)
-    pool_state.process_start_reply(pool_state.runs[order.task], StartOutcome.STARTED, 10.0, NOW)
+    process_start_reply(pool_state, pool_state.runs[order.task], StartOutcome.STARTED, 10.0, NOW)
     hold(pool_state, order.worker_id, clock=10.05)
     assert_that(plan(pool_state), Equals([]))
     hold(pool_state, order.worker_id, clock=10.5)
@@ -232,8 +239,8 @@
     (order,) = plan(pool_state)
     run = pool_state.runs[order.task]
     plan(pool_state, now=NOW + 0.6)
-    pool_state.process_start_reply(run, StartOutcome.STARTED, 10.0, NOW + 0.7)
-    pool_state.process_start_reply(run, StartOutcome.OLD_RUN, 11.0, NOW + 0.8)
+    process_start_reply(pool_state, run, StartOutcome.STARTED, 10.0, NOW + 0.7)
+    process_start_reply(pool_state, run, StartOutcome.OLD_RUN, 11.0, NOW + 0.8)
     assert_that(plan(pool_state, now=NOW + 0.9), Equals([]))
     hold(
         pool_state,
@@ -265,7 +272,9 @@
     pool_state = make_pool_state(Step(1, TASK))
     (order,) = plan(pool_state)
     if answered:
-        pool_state.process_start_reply(pool_state.runs[order.task], StartOutcome.STARTED, 10.0, NOW)
+        process_start_reply(
+            pool_state, pool_state.runs[order.task], StartOutcome.STARTED, 10.0, NOW
+        )
     end_worker(pool_state, order.worker_id)
     pool_state.workers[order.worker_id].cordoned = True
     (restart,) = plan(pool_state, now=NOW + 0.1)
@@ -281,7 +290,9 @@
     pool_state = make_pool_state(Step(1, TASK), workers=("w1",))
     (order,) = plan(pool_state)
     if answered:
-        pool_state.process_start_reply(pool_state.runs[order.task], StartOutcome.STARTED, 10.0, NOW)
+        process_start_reply(
+            pool_state, pool_state.runs[order.task], StartOutcome.STARTED, 10.0, NOW
+        )
     end_worker(pool_state, "w1")
     plan(pool_state, now=NOW + seconds)
     returned = attrs.evolve(pool_state.workers["w1"].listed, incarnation=2)
--- a/limpetpulley/pool/tests/test_queue_forecast.py
+++ b/limpetpulley/pool/tests/test_queue_forecast.py
@@ -8,7 +8,7 @@
 from ...batch import Amount, Job, JobKey, JobSpec, Step
 from ...quota.shares import TeamShares
 from ...workers import HoldReply, ListedWorker
-from .. import PoolState
+from .. import PoolState, process_hold_reply
 from ..queue_forecast import QueueForecast
 
 NOW, WALL_TIME = 50.0, 1000.0
@@ -21,7 +21,7 @@
         listed = ListedWorker(f"w-{number}", "desk", f"w-{number}:1", 1, Amount(4000, 4000))
         worker = pool_state.update_listed_worker(listed)
         worker.in_roster = True
-        pool_state.process_hold_reply(worker, HoldReply(1.0, 1), NOW, WALL_TIME)
+        process_hold_reply(pool_state, worker, HoldReply(1.0, 1), NOW, WALL_TIME)
     pool_state.expected_join_times = [NOW + seconds for seconds in join_seconds]
     return pool_state
 
--- a/limpetpulley/pool/tests/test_speculation.py
+++ b/limpetpulley/pool/tests/test_speculation.py
@@ -12,7 +12,15 @@
     StartOutcome,
     StopOrder,
 )
-from .. import PlanningLimits, PoolState, plan_orders, requeue_speculative_tasks
+from .. import (
+    PlanningLimits,
+    PoolState,
+    plan_orders,
+    process_hold_reply,
+    process_start_reply,
+    process_stop_reply,
+    requeue_speculative_tasks,
+)
 from .test_owner_stateful import UnlimitedShares
 
 JOB_ID = "00000000000000ab"
@@ -48,13 +56,13 @@
 
     def reply_started(self, order):
         run = self.pool_state.runs[order.task]
-        self.pool_state.process_start_reply(run, StartOutcome.STARTED, self.now, self.now)
+        process_start_reply(self.pool_state, run, StartOutcome.STARTED, self.now, self.now)
 
     def hold(self, name, running=(), ended=(), incarnation=1):
         self.now += 0.1
         worker = self.pool_state.workers[name]
         reply = HoldReply(self.now, incarnation, tuple(running), tuple(ended))
-        self.pool_state.process_hold_reply(worker, reply, self.now, self.now)
+        process_hold_reply(self.pool_state, worker, reply, self.now, self.now)
 
     def start_speculative_run(self):
         self.second_start = next(order for order in self.plan() if isinstance(order, StartOrder))
@@ -100,7 +108,7 @@
         scenario.silent_worker.worker_id, running=[ListedRun(TASK, scenario.first_start.number)]
     )
     assert scenario.plan() == [stop]
-    scenario.pool_state.process_stop_reply(stop, scenario.now, scenario.now)
+    process_stop_reply(scenario.pool_state, stop, scenario.now, scenario.now)
     scenario.now += 1.0
     scenario.hold(scenario.silent_worker.worker_id)
     assert scenario.run_count_and_usage() == (1, 1)
@@ -124,7 +132,7 @@
     scenario.now += 1.0
     stop = StopOrder(scenario.silent_worker.worker_id, TASK, scenario.first_start.number)
     assert stop in scenario.plan()
-    scenario.pool_state.process_stop_reply(stop, scenario.now, scenario.now)
+    process_stop_reply(scenario.pool_state, stop, scenario.now, scenario.now)
     scenario.now += 1.0
     scenario.hold(scenario.silent_worker.worker_id)
     assert scenario.run_count_and_usage() == (1, 1)
@@ -138,7 +146,7 @@
     for _ in range(3):
         scenario.now += 1.0
         for order in scenario.plan():
-            scenario.pool_state.process_stop_reply(order, scenario.now, scenario.now)
+            process_stop_reply(scenario.pool_state, order, scenario.now, scenario.now)
         scenario.hold(scenario.silent_worker.worker_id, incarnation=2)
     assert scenario.run_count_and_usage() == (1, 1)
     assert scenario.pool_state.runs[TASK].number == scenario.second_start.number
--- a/measure/owner.py
+++ b/measure/owner.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 
 from limpetpulley.batch import Amount, EndKind, Job, JobKey, JobSpec, Step
-from limpetpulley.pool import PlanningLimits, PoolState, plan_orders
+from limpetpulley.pool import PlanningLimits, PoolState, plan_orders, process_hold_reply
 from limpetpulley.pool.queue_forecast import QueueForecast, demand_by_team, ready_cores
 from limpetpulley.quota.shares import TeamShares
 from limpetpulley.workers import EndedRun, HoldReply, ListedRun, ListedWorker
@@ -40,7 +40,7 @@
         listed = ListedWorker(f"w-{number}", "desk", f"w-{number}:1", 1, Amount(16000, 32000))
         worker = pool_state.update_listed_worker(listed)
         worker.in_roster = True
-        pool_state.process_hold_reply(worker, HoldReply(1.0, 1), NOW, WALL_TIME)
+        process_hold_reply(pool_state, worker, HoldReply(1.0, 1), NOW, WALL_TIME)
     for number in range(length):
         pool_state.add_job(make_job(number, rng), WALL_TIME)
     plan_orders(pool_state, TeamShares("desk"), NOW, WALL_TIME, PlanningLimits())
@@ -64,8 +64,8 @@
     run = next(iter(worker.runs.values()))
     ended = EndedRun(position, run.task, run.number, EndKind.DONE)
     running = tuple(ListedRun(other.task, other.number) for other in worker.runs.values())
-    pool_state.process_hold_reply(
-        worker, HoldReply(2.0, 1, running[1:], (ended,)), NOW + 0.1, WALL_TIME
+    process_hold_reply(
+        pool_state, worker, HoldReply(2.0, 1, running[1:], (ended,)), NOW + 0.1, WALL_TIME
     )
 
 
