--- a/measure/ablation.py
+++ b/measure/ablation.py
@@ -146,7 +146,8 @@
     Mechanism(
         "last-owners",
         "ownership/node.py",
-        "        if not self._is_startup_over() and self.context.config is not None:\n            claims",
+        "        if not self._is_startup_over() and self.context.config is not None:\n"
+        "            claims",
         "        if False and self.context.config is not None:\n            claims",
     ),
     Mechanism(
