--- a/limpetpulley/platform/tests/test_imports.py
+++ b/limpetpulley/platform/tests/test_imports.py
@@ -46,7 +46,11 @@
     "limpetpulley.fleet.demand",
     "limpetpulley.fleet.planner_record",
     "limpetpulley.ownership.planner",
+    "limpetpulley.ownership.pool_reports",
+    "limpetpulley.ownership.vm_inventory",
+    "limpetpulley.ownership.vm_selector",
     "limpetpulley.ownership.vmorders",
+    "limpetpulley.ownership.wave_tracker",
     "statistics",
 ]
 #: what the daemon needs later, which shows that the table of loaded modules is complete
