Log and export the age of the configuration that an answer is given by

A mirror knows its age now, counted from the start of the latest answered call, since an answer may be read long after it was sent (after a pause of the process). The age is one figure: the gauge config_age_seconds, the field config_age of request-answered (the daemon that was asked) and of job-accepted and job-refused (the pool's owner, with its version, which was in no line before), and age in config-in-force, config-away and config-back. Nothing decides by it yet.

Ruled out: last_reply_at, which counts from the receipt of an answer.

--- a/limpetpulley/api/batches.py
+++ b/limpetpulley/api/batches.py
@@ -132,7 +132,7 @@
             detail=record.detail,
             seconds=round(seconds, 4),
             time_left=record.time_left,
-            config=context.config.version if context.config else 0,
+            **context.config_fields(),
         )
 
     async def _handle(
--- a/limpetpulley/daemon/batch_jobs.py
+++ b/limpetpulley/daemon/batch_jobs.py
@@ -44,6 +44,7 @@
     :param settings: the daemon's settings
     :param replica: the daemon's replica of the configuration
     :param is_configured: returns whether the configuration has been loaded
+    :param config_age: returns the time since the configuration was known to be current, in seconds
     :param store: the platform's store
     :param peer_client: client for calls to other daemons
     :param http: client for calls to workers and to the VM platform
@@ -59,6 +60,7 @@
         settings: Settings,
         replica: ConfigReplica,
         is_configured: Callable[[], bool],
+        config_age: Callable[[], float],
         store: Store,
         peer_client: PeerCaller,
         http: HttpClient,
@@ -82,6 +84,7 @@
             tasks,
             time.time,
             metrics=metrics,
+            config_age=config_age,
         )
         incarnation = time.time_ns() // 1_000_000
         member = Member(settings.name, incarnation, peer_address, settings.data_centre)
--- a/limpetpulley/daemon/node.py
+++ b/limpetpulley/daemon/node.py
@@ -244,8 +244,8 @@
         """Return whether the configuration is recent enough to include withdrawn access keys."""
         if not self.store_sync.config_loaded:
             return False
-        age = self.clock.now() - self.store_sync.config_confirmed_at
-        return age <= self.settings.freshness_seconds or self.peers.has_live_majority()
+        is_recent = self.store_sync.config_age() <= self.settings.freshness_seconds
+        return is_recent or self.peers.has_live_majority()
 
     def configured_limits(self) -> dict[str, int]:
         """Return the configured limits, by resource."""
--- a/limpetpulley/daemon/server.py
+++ b/limpetpulley/daemon/server.py
@@ -109,6 +109,7 @@
             self.settings,
             self.node.replica,
             lambda: self.node.store_sync.config_loaded,
+            self.node.store_sync.config_age,
             store,
             self.batch_client,
             self.http,
--- a/limpetpulley/daemon/store_sync.py
+++ b/limpetpulley/daemon/store_sync.py
@@ -89,6 +89,10 @@
         """Return whether the store answered recently."""
         return self.clock.now() - self.last_contact_at < 2 * RENEW_INTERVAL_SECONDS + 1.0
 
+    def config_age(self) -> float:
+        """Return the time since the configuration was known to be current, in seconds."""
+        return self.clock.now() - self.config_confirmed_at
+
     async def run(self) -> None:
         """Synchronize until cancelled."""
         async with anyio.create_task_group() as tasks:
--- a/limpetpulley/ownership/admission.py
+++ b/limpetpulley/ownership/admission.py
@@ -324,4 +324,5 @@
             harmed=round(verdict.harmed_work, 2),
             elapsed=round(submission.elapsed_seconds, 3),
             retry=verdict.retry_seconds,
+            **self.context.config_fields(),
         )
--- a/limpetpulley/ownership/context.py
+++ b/limpetpulley/ownership/context.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
+from typing import Any
 
 import anyio.abc
 import attrs
@@ -53,6 +55,7 @@
     :param config: current configuration, None before the first one has arrived
     :param wall_time: returns the wall-clock time, in seconds since 1970
     :param store_contact: when the store answered this daemon
+    :param config_age: returns the time since the configuration was known to be current, in seconds
     """
 
     store: Store
@@ -68,3 +71,12 @@
     workers: dict[str, ListedWorker] = attrs.field(factory=dict)
     config: BatchConfig | None = None
     store_contact: StoreContact = attrs.field(factory=StoreContact)
+    config_age: Callable[[], float] = lambda: 0.0
+
+    def config_fields(self) -> dict[str, Any]:
+        """Return the log fields that tell by which configuration a decision was made."""
+        age = self.config_age()
+        return {
+            "config": self.config.version if self.config else 0,
+            "config_age": round(age, 2) if math.isfinite(age) else None,
+        }
--- a/limpetpulley/ownership/daemon.py
+++ b/limpetpulley/ownership/daemon.py
@@ -172,6 +172,7 @@
             contact=self.context.store_contact,
         )
         self.node.mirrors[self.operator_mirror.prefix] = self.operator_mirror
+        self.context.config_age = self.operator_mirror.age
         self.listing = WorkerListing(
             dependencies.store,
             dependencies.workers_prefix,
@@ -243,6 +244,7 @@
         instruments.owned_pools.set(len(self.node.owned))
         config = self.context.config
         instruments.config_version.set(config.version if config else 0)
+        instruments.config_age_seconds.set(self.context.config_age())
         instruments.lines_dropped.set(self.log.dropped_lines)
         for prefix, mirror in self.node.mirrors.items():
             age = self.context.clock.now() - mirror.last_reply_at
@@ -273,7 +275,11 @@
                 )
 
     def _on_operator_connection(self, reason: str) -> None:
-        self.log.write("config-away" if reason else "config-back", reason=reason)
+        self.log.write(
+            "config-away" if reason else "config-back",
+            reason=reason,
+            age=round(self.operator_mirror.age(), 2),
+        )
 
 
 async def run_daemon(settings: BatchSettings, dependencies: DaemonDependencies) -> None:
--- a/limpetpulley/ownership/node.py
+++ b/limpetpulley/ownership/node.py
@@ -159,7 +159,12 @@
         if self.context.config is not None and config.version <= self.context.config.version:
             return
         self.context.config = config
-        self.context.log.write("config-in-force", version=config.version, queues=len(config.queues))
+        self.context.log.write(
+            "config-in-force",
+            version=config.version,
+            queues=len(config.queues),
+            age=round(self.context.config_age(), 2),
+        )
         self.claim_check_requested.set()
         for owner in self.owned.values():
             owner.request_planning()
--- a/limpetpulley/store/mirror.py
+++ b/limpetpulley/store/mirror.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import AsyncIterator, Callable
 
 import anyio
@@ -61,9 +62,16 @@
         self.entries: dict[str, Entry] = {}
         self.revision = 0
         self.last_reply_at = clock.now()
+        # Time at which the copy is known to have been complete: the start of the latest answered
+        # call, because an answer may be read long after the store has sent it.
+        self.confirmed_at = -math.inf
         self.loaded = anyio.Event()
         self.failing = False
 
+    def age(self) -> float:
+        """Return the time since the copy was known to be complete, in seconds."""
+        return self.clock.now() - self.confirmed_at
+
     async def run(self) -> None:
         """Keep the copy up to date until cancelled."""
         backoff = INITIAL_BACKOFF_SECONDS
@@ -73,7 +81,6 @@
                     await self.load()
                 async for events in self._watch():
                     backoff = INITIAL_BACKOFF_SECONDS
-                    self._record_reply()
                     self.apply(events)
                     if events:
                         await anyio.sleep(self.poll_interval())
@@ -112,12 +119,14 @@
             if events is None:
                 # The store has answered a later call after a silence.
                 return
+            self._record_reply(opened_at)
             yield events
 
     async def load(self) -> None:
         """Read all entries and apply the differences to the copy."""
+        requested_at = self.clock.now()
         snapshot = await self.store.read(self.prefix)
-        self._record_reply()
+        self._record_reply(requested_at)
         self.apply_snapshot(snapshot)
 
     def apply_snapshot(self, snapshot: Snapshot) -> None:
@@ -151,8 +160,9 @@
         if new_events:
             self.on_change(new_events)
 
-    def _record_reply(self) -> None:
+    def _record_reply(self, requested_at: float) -> None:
         self.last_reply_at = self.clock.now()
+        self.confirmed_at = max(self.confirmed_at, requested_at)
         if self.failing:
             self.failing = False
             self.on_connection_change("")
--- a/limpetpulley/store/tests/test_mirror.py
+++ b/limpetpulley/store/tests/test_mirror.py
@@ -46,3 +46,24 @@
         return mirrored
 
     assert run_virtual(run) is seen
+
+
+def test_age_counts_from_the_call_that_showed_the_copy_to_be_current():
+    """The answer may be read long after it was sent, as after a pause of the process."""
+
+    async def run():
+        clock = VirtualClock()
+        store = MemoryStore(clock)
+        read = store.read
+
+        async def read_slowly(prefix):
+            snapshot = await read(prefix)
+            await anyio.sleep(3.0)
+            return snapshot
+
+        store.read = read_slowly
+        mirror = Mirror(store, "op/", clock, lambda events: None)
+        await mirror.load()
+        return mirror.age()
+
+    assert run_virtual(run) >= 3.0
--- a/limpetpulley/telemetry/instruments.py
+++ b/limpetpulley/telemetry/instruments.py
@@ -56,6 +56,9 @@
         self.owned_pools = gauge("owned_pools", "Pools that this daemon owns")
         self.queue_depth = gauge("queue_depth", "Accepted jobs that have not begun", "queue")
         self.config_version = gauge("config_version", "Version of the configuration in force")
+        self.config_age_seconds = gauge(
+            "config_age_seconds", "Time since the configuration was known to be current"
+        )
         self.watch_age_seconds = gauge(
             "watch_age_seconds", "Time since the store last answered a watch", "prefix"
         )
