--- a/limpetpulley/ownership/daemon.py
+++ b/limpetpulley/ownership/daemon.py
@@ -21,7 +21,7 @@
 from ..exception import RecordError
 from ..fleet.vms import VmPlatform
 from ..peer import BatchStub, PeerClient, PeerServer
-from ..store import Event, MeasuredStore, Mirror, Store
+from ..store import MeasuredStore, Store
 from ..tasks import keep_running, start_guarded
 from ..telemetry import BatchMetrics, EventLog
 from ..workers import ListedWorker, MeasuredOrderSender, OrderSender
@@ -30,6 +30,7 @@
 from .directory import MIN_STRENGTH, Member
 from .listing import WorkerListing
 from .node import BatchNode
+from .operator_entries import OperatorEntries
 from .waves import WaveRegistry
 
 if TYPE_CHECKING:
@@ -163,16 +164,12 @@
         )
         self.readiness_server = HttpServer(self.serve_readiness, host, settings.readiness_port)
         self.metrics_server = HttpServer(MetricsApp(self.metrics), host, settings.metrics_port)
-        self.operator_mirror = Mirror(
+        self.operator_entries = OperatorEntries(
             dependencies.store,
             dependencies.operator_prefix,
-            clock,
-            self._apply_operator_events,
-            self._on_operator_connection,
-            contact=self.context.store_contact,
+            dependencies.apply_operator_entry,
+            self.node,
         )
-        self.node.mirrors[self.operator_mirror.prefix] = self.operator_mirror
-        self.context.config_age = self.operator_mirror.age
         self.listing = WorkerListing(
             dependencies.store,
             dependencies.workers_prefix,
@@ -189,7 +186,7 @@
         await self.peer_server.start()
         for server in (self.readiness_server, self.callers_server, self.metrics_server):
             await self.tasks.start(server.serve)
-        for loop in (self.operator_mirror.run, self.listing.mirror.run):
+        for loop in (self.operator_entries.mirror.run, self.listing.mirror.run):
             self.tasks.start_soon(keep_running, loop)
         self.tasks.start_soon(keep_running, self._watch_settings)
         self.tasks.start_soon(keep_running, self._measure_loop_lag)
@@ -260,27 +257,6 @@
         ready = self.node.is_ready
         await send_json(send, {"ready": ready}, 200 if ready else 503)
 
-    def _apply_operator_events(self, events: list[Event]) -> None:
-        for event in events:
-            if event.value is None:
-                continue
-            try:
-                self.dependencies.apply_operator_entry(self.node, event.key, event.value)
-            except RecordError as error:
-                self.log.write(
-                    "operator-unreadable",
-                    key=event.key,
-                    revision=event.revision,
-                    reason=str(error),
-                )
-
-    def _on_operator_connection(self, reason: str) -> None:
-        self.log.write(
-            "config-away" if reason else "config-back",
-            reason=reason,
-            age=round(self.operator_mirror.age(), 2),
-        )
-
 
 async def run_daemon(settings: BatchSettings, dependencies: DaemonDependencies) -> None:
     """Run a daemon until SIGTERM or SIGINT, then shut it down gracefully; reload on SIGHUP."""
--- /dev/null
+++ b/limpetpulley/ownership/operator_entries.py
@@ -0,0 +1,62 @@
+"""A daemon's mirror of the entries that the operator writes to the store."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from ..exception import RecordError
+from ..store import Event, Mirror, Store
+from .node import BatchNode
+
+__all__ = ["OperatorEntries"]
+
+
+class OperatorEntries:
+    """Mirrors the operator's entries, the configuration among them, and applies them to a node.
+
+    :param prefix: key prefix of the entries
+    :param apply_entry: applies the key and value of an entry to the node; raises
+        :class:`~limpetpulley.exception.RecordError` if the entry is invalid
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        prefix: str,
+        apply_entry: Callable[[BatchNode, str, bytes], None],
+        node: BatchNode,
+    ):
+        self.node = node
+        self.apply_entry = apply_entry
+        self.log = node.context.log
+        self.mirror = Mirror(
+            store,
+            prefix,
+            node.context.clock,
+            self._apply_events,
+            self._on_connection_change,
+            contact=node.context.store_contact,
+        )
+        node.mirrors[prefix] = self.mirror
+        node.context.config_age = self.mirror.age
+
+    def _apply_events(self, events: list[Event]) -> None:
+        for event in events:
+            if event.value is None:
+                continue
+            try:
+                self.apply_entry(self.node, event.key, event.value)
+            except RecordError as error:
+                self.log.write(
+                    "operator-unreadable",
+                    key=event.key,
+                    revision=event.revision,
+                    reason=str(error),
+                )
+
+    def _on_connection_change(self, reason: str) -> None:
+        self.log.write(
+            "config-away" if reason else "config-back",
+            reason=reason,
+            age=round(self.mirror.age(), 2),
+        )
--- a/limpetpulley/standin/batchfleet.py
+++ b/limpetpulley/standin/batchfleet.py
@@ -16,7 +16,7 @@
 from ..clock import Clock
 from ..fleet.vms import WaveOrder
 from ..ownership import BatchNode, DaemonContext, Member, Timing, WaveRegistry
-from ..store import MemoryStore
+from ..store import MemoryStore, Store
 from ..telemetry import EventLog, null_log
 from ..workers import ListedWorker, StartOrder
 from .faults import Faults
@@ -109,11 +109,10 @@
 
     def start_daemon(self, name: str) -> BatchNode:
         """Start a daemon and return its node."""
-        store = FaultyStore(self.store, self.faults, self.network, name, self.counts)
         log = null_log(name) if self.log_descriptor is None else EventLog(name, self.log_descriptor)
         daemon_tasks: Any = _DaemonTasks(self.tasks)
         context = DaemonContext(
-            store,
+            self.make_store(name),
             BatchKeys("lp/"),
             self.workers,
             self.clock,
@@ -133,6 +132,10 @@
         node.start()
         return node
 
+    def make_store(self, name: str) -> Store:
+        """Return a daemon's client of the store."""
+        return FaultyStore(self.store, self.faults, self.network, name, self.counts)
+
     def kill(self, name: str) -> None:
         """Stop a daemon at once without any cleanup, as a power failure does."""
         daemon = self.daemons.pop(name)
