Notice a lost watch of the store within the time for a change to be in force

What callers saw: 404 for a queue added up to 4 s before, 200 for a removed one and a withdrawn key accepted, on a daemon in contact with the store. Class: a time-out that is longer than the promise which depends on it.

Change: a watch waits 0.6 s at the store and 1.0 s more for its answer, 1.6 s together. Ruled out: a margin that grows with slow stores (a decision, which platform/ does not make, and not needed once reads confirm the copy).

--- a/limpetpulley/platform/store.py
+++ b/limpetpulley/platform/store.py
@@ -19,10 +19,11 @@
 
 #: timeout of a call, in seconds
 CALL_TIMEOUT_SECONDS = 1.5
-#: time that a watch request waits for a change, in seconds; a dead connection is noticed after it
-WATCH_WAIT_SECONDS = 2.0
+#: time that a watch request waits for a change, in seconds; a lost one is noticed after it and the
+#: margin, which together are less than the time in which a change must be in force
+WATCH_WAIT_SECONDS = 0.6
 #: time allowed for the response to a watch request in addition to its wait, in seconds
-MARGIN_SECONDS = 2.0
+MARGIN_SECONDS = 1.0
 JSON_HEADERS = {"Content-Type": "application/json"}
 OK, NOT_FOUND, GONE, CONDITION_FAILED = 200, 404, 410, 412
 TOO_MANY, UNAVAILABLE = 429, 503
