--- a/limpetpulley/ownership/handlers.py
+++ b/limpetpulley/ownership/handlers.py
@@ -82,7 +82,7 @@
         if mirror is None or self.store_age() > MAX_STORE_AGE_SECONDS or not mirror.loaded.is_set():
             await stream.send_message(pb.EntriesReply())
             return
-        reply = pb.EntriesReply(fresh=True, revision=mirror.revision)
+        reply = pb.EntriesReply(fresh=True, revision=mirror.revision, age_seconds=mirror.age())
         if mirror.revision > message.after:
             reply.entries.extend(
                 pb.EntryRow(key=entry.key, value=entry.value, revision=entry.revision)
--- a/limpetpulley/store/mirror.py
+++ b/limpetpulley/store/mirror.py
@@ -72,6 +72,10 @@
         """Return the time since the copy was known to be complete, in seconds."""
         return self.clock.now() - self.confirmed_at
 
+    def confirm(self, at: float) -> None:
+        """Record that the copy includes all changes up to a local time."""
+        self.confirmed_at = max(self.confirmed_at, at)
+
     async def run(self) -> None:
         """Keep the copy up to date until cancelled."""
         backoff = INITIAL_BACKOFF_SECONDS
@@ -162,7 +166,7 @@
 
     def _record_reply(self, requested_at: float) -> None:
         self.last_reply_at = self.clock.now()
-        self.confirmed_at = max(self.confirmed_at, requested_at)
+        self.confirm(requested_at)
         if self.failing:
             self.failing = False
             self.on_connection_change("")
