Deny nothing by a configuration that may be outdated

What callers saw: 404 for a queue added up to 7.4 s before, and within 0.1 s of a pause 404 by a version replaced 8.7 s before; 200 for a removed queue. Cause: answers that follow from a replica were given whatever its age. Class: a negative answer from a replica of unknown age; 401 and 404 are definite, so that a caller does not ask again.

Change: MirrorFreshness keeps one age, from the start of the last call that showed the copy complete. Past 0.85 of the time in which a change must be in force (a setting of the platform, 2 to 4 s) the daemon reads the operator's entries, and asks other daemons if the store takes more than 0.1 s; one attempt at a time serves all requests. A request that meets a copy older than 0.9 of it waits for the attempt, 0.5 s at most, and only if the one before did not fail.

--- a/limpetpulley/api/batches.py
+++ b/limpetpulley/api/batches.py
@@ -12,10 +12,11 @@
 from ..batch.records import decode_spec
 from ..exception import ChangeUnknown, JobRefused, RecordError, StoreError, StoreUnavailable
 from ..ownership import BatchNode, Outcome, Submission
+from ..ownership.freshness import ConfigFreshness
 from ..secret import digest_secret
 from .http import Receive, Scope, Send, get_header, read_body, send_json, send_problem, send_refusal
 
-__all__ = ["BatchesApp", "Dialect", "Target", "native_dialect"]
+__all__ = ["BatchesApp", "Dialect", "Target", "denial", "native_dialect"]
 
 BATCH_PATH = re.compile(r"/queues/([A-Za-z0-9._-]+)/batches(?:/([0-9a-f]{16}))?")
 MAX_BODY_BYTES = 1 << 20
@@ -138,14 +139,17 @@
     async def _handle(
         self, record: _RequestRecord, scope: Scope, receive: Receive, send: Send
     ) -> None:
-        config = self.node.context.config
+        context = self.node.context
+        await context.freshness.confirm()
+        config = context.config
         if config is None:
             raise JobRefused(
                 503, "no-config", "no configuration received yet", retry_after=RETRY_SECONDS
             )
         target = self.dialect.find_target(config, scope)
         if target is None:
-            raise JobRefused(404, "not-found", "the queue does not exist")
+            refusal = JobRefused(404, "not-found", "the queue does not exist")
+            raise denial(refusal, context.freshness)
         record.queue, record.job_id = target.queue.name, target.job_id
         team = record.team = self._authenticate(config, scope, target.queue)
         service, seconds = self.node.service, self._parse_time_left(scope)
@@ -208,7 +212,8 @@
             access_key = value.removeprefix(BEARER_PREFIX)
             team = config.find_team(self.dialect.stored_key(access_key))
         if team is None and not queue.public:
-            raise JobRefused(401, "bad-key", "the access key is missing or unknown")
+            refusal = JobRefused(401, "bad-key", "the access key is missing or unknown")
+            raise denial(refusal, self.node.context.freshness)
         return team or queue.open_to
 
     def _parse_time_left(self, scope: Scope) -> float:
@@ -233,6 +238,21 @@
         return spec
 
 
+def denial(refusal: JobRefused, freshness: ConfigFreshness) -> JobRefused:
+    """Return a refusal that follows from the configuration, if that is known to be current.
+
+    Otherwise the queue or the key may have been added, so that the caller should ask again.
+    """
+    if freshness.is_fresh():
+        return refusal
+    return JobRefused(
+        503,
+        "configuration-not-confirmed",
+        "this daemon cannot confirm that its configuration is up to date",
+        retry_after=RETRY_SECONDS,
+    )
+
+
 def validate_spec(spec: JobSpec) -> None:
     """Check that a job specification is consistent and not too large.
 
--- a/limpetpulley/api/tests/test_outcomes.py
+++ b/limpetpulley/api/tests/test_outcomes.py
@@ -11,6 +11,7 @@
 from ...batch import Amount
 from ...exception import ChangeUnknown, StoreUnavailable
 from ...ownership import Outcome, SubmitResult
+from ...ownership.freshness import AlwaysFresh
 from ...standin.batchfleet import BatchFleet, sample_config
 from ...standin.network import call_app
 from ...standin.virtual import VirtualClock, run_virtual
@@ -56,6 +57,7 @@
 }
 #: reasons that need a slow or disconnected caller, or a daemon that has just started
 OTHER_REASONS = {
+    "configuration-not-confirmed",
     "body-too-slow",
     "caller-gone",
     "no-config",
@@ -80,7 +82,7 @@
         raise ChangeUnknown("no reply to Cancel")
 
 
-def run_request(request, service=None, public=True):
+def run_request(request, service=None, public=True, freshness=None):
     """Return the status of a request, and the log lines on answered requests."""
     reader, writer = os.pipe()
 
@@ -97,6 +99,8 @@
                 await anyio.sleep(0.1)
             if service is not None:
                 node.service = service
+            if freshness is not None:
+                node.context.freshness = freshness
             app = BatchesApp(node, native_dialect())
             method, path, document, headers = request
             content = b"" if document is None else json.dumps(document).encode()
@@ -143,6 +147,28 @@
     assert [(line["reason"], line["detail"]) for line in lines] == [(reason, detail)]
 
 
+class OutdatedConfig(AlwaysFresh):
+    """A configuration that is too old and cannot be confirmed."""
+
+    def is_fresh(self):
+        return False
+
+
+@pytest.mark.parametrize(
+    ("denied", "status", "reason"),
+    [
+        ("not-found", 503, "configuration-not-confirmed"),
+        ("bad-key", 503, "configuration-not-confirmed"),
+        ("method", 405, "method"),
+    ],
+)
+def test_daemon_with_an_outdated_configuration_denies_nothing_by_it(denied, status, reason):
+    *request, _ = REFUSED_REQUESTS[denied]
+    answered, lines = run_request(request, public=denied != "bad-key", freshness=OutdatedConfig())
+    assert answered == status
+    assert [line["reason"] for line in lines] == [reason]
+
+
 def test_accepted_job_is_logged_with_its_inputs():
     status, lines = run_request(("PUT", PATH, JOB, [(b"time-left", b"4")]))
     assert status == 202
--- a/limpetpulley/daemon/batch_jobs.py
+++ b/limpetpulley/daemon/batch_jobs.py
@@ -9,7 +9,7 @@
 import anyio.abc
 import attrs
 
-from ..api.batches import BatchesApp, native_dialect
+from ..api.batches import BatchesApp, denial, native_dialect
 from ..api.http import Receive, Scope, Send, send_refusal
 from ..batch.keys import BatchKeys
 from ..clock import Clock
@@ -19,6 +19,7 @@
 from ..fleet.wire import HttpVmPlatform, UnsupportedVmPlatform
 from ..http_client import HttpClient
 from ..ownership import BatchNode, DaemonContext, Member, Timing, WaveRegistry
+from ..ownership.freshness import ConfigFreshness
 from ..ownership.handlers import BatchHandlers
 from ..ownership.listing import WorkerListing
 from ..peer import PeerCaller
@@ -44,7 +45,7 @@
     :param settings: the daemon's settings
     :param replica: the daemon's replica of the configuration
     :param is_configured: returns whether the configuration has been loaded
-    :param config_age: returns the time since the configuration was known to be current, in seconds
+    :param freshness: how old the configuration is
     :param store: the platform's store
     :param peer_client: client for calls to other daemons
     :param http: client for calls to workers and to the VM platform
@@ -60,7 +61,7 @@
         settings: Settings,
         replica: ConfigReplica,
         is_configured: Callable[[], bool],
-        config_age: Callable[[], float],
+        freshness: ConfigFreshness,
         store: Store,
         peer_client: PeerCaller,
         http: HttpClient,
@@ -84,7 +85,7 @@
             tasks,
             time.time,
             metrics=metrics,
-            config_age=config_age,
+            freshness=freshness,
         )
         incarnation = time.time_ns() // 1_000_000
         member = Member(settings.name, incarnation, peer_address, settings.data_centre)
@@ -137,7 +138,7 @@
             return
         if not self.joined:
             refusal = JobRefused(404, "no-such-queue", "no queue for batch jobs is configured")
-            await send_refusal(send, refusal)
+            await send_refusal(send, denial(refusal, self.context.freshness))
             return
         await self.app(scope, receive, send)
 
--- a/limpetpulley/daemon/server.py
+++ b/limpetpulley/daemon/server.py
@@ -17,6 +17,7 @@
 from ..exception import LimpetpulleyError
 from ..http_client import PooledHttpClient
 from ..metrics import make_metrics
+from ..ownership.freshness import ReplicaFreshness
 from ..peer import BatchStub, PeerClient, PeerServer
 from ..peer.peer_grpc import PeerStub
 from ..routing import EndpointConnections
@@ -109,7 +110,7 @@
             self.settings,
             self.node.replica,
             lambda: self.node.store_sync.config_loaded,
-            self.node.store_sync.config_age,
+            ReplicaFreshness(self.node.store_sync.config_age, self.node.is_config_fresh),
             store,
             self.batch_client,
             self.http,
--- a/limpetpulley/ownership/context.py
+++ b/limpetpulley/ownership/context.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Callable
 from typing import Any
 
@@ -16,6 +15,7 @@
 from ..telemetry import BatchMetrics, EventLog
 from ..workers import ListedWorker, OrderSender
 from .advice import Adviser
+from .freshness import AlwaysFresh, ConfigFreshness, round_age
 
 __all__ = ["DaemonContext", "Timing"]
 
@@ -32,6 +32,7 @@
     :param holder_lease: period within which orders for VMs from two different holders are not
         allowed
     :param grace: time between the stop signal and the forced end of a process
+    :param config_limit: time within which a changed configuration must be in force
     :param vm_orders_per_second: VM orders per second that the platform accepts from all daemons
         together
     """
@@ -43,6 +44,7 @@
     maintenance: float = 2.0
     holder_lease: float = 3.0
     grace: float = 6.0
+    config_limit: float = 2.0
     vm_orders_per_second: float = 64.0
 
 
@@ -55,7 +57,7 @@
     :param config: current configuration, None before the first one has arrived
     :param wall_time: returns the wall-clock time, in seconds since 1970
     :param store_contact: when the store answered this daemon
-    :param config_age: returns the time since the configuration was known to be current, in seconds
+    :param freshness: how old the configuration is
     """
 
     store: Store
@@ -71,12 +73,11 @@
     workers: dict[str, ListedWorker] = attrs.field(factory=dict)
     config: BatchConfig | None = None
     store_contact: StoreContact = attrs.field(factory=StoreContact)
-    config_age: Callable[[], float] = lambda: 0.0
+    freshness: ConfigFreshness = attrs.field(factory=AlwaysFresh)
 
     def config_fields(self) -> dict[str, Any]:
         """Return the log fields that tell by which configuration a decision was made."""
-        age = self.config_age()
         return {
             "config": self.config.version if self.config else 0,
-            "config_age": round(age, 2) if math.isfinite(age) else None,
+            "config_age": round_age(self.freshness.age()),
         }
--- a/limpetpulley/ownership/daemon.py
+++ b/limpetpulley/ownership/daemon.py
@@ -186,8 +186,8 @@
         await self.peer_server.start()
         for server in (self.readiness_server, self.callers_server, self.metrics_server):
             await self.tasks.start(server.serve)
-        for loop in (self.operator_entries.mirror.run, self.listing.mirror.run):
-            self.tasks.start_soon(keep_running, loop)
+        self.operator_entries.start()
+        self.tasks.start_soon(keep_running, self.listing.mirror.run)
         self.tasks.start_soon(keep_running, self._watch_settings)
         self.tasks.start_soon(keep_running, self._measure_loop_lag)
         start_guarded(self.tasks, self._load_deferred_modules)
@@ -241,7 +241,7 @@
         instruments.owned_pools.set(len(self.node.owned))
         config = self.context.config
         instruments.config_version.set(config.version if config else 0)
-        instruments.config_age_seconds.set(self.context.config_age())
+        instruments.config_age_seconds.set(self.context.freshness.age())
         instruments.lines_dropped.set(self.log.dropped_lines)
         for prefix, mirror in self.node.mirrors.items():
             age = self.context.clock.now() - mirror.last_reply_at
--- /dev/null
+++ b/limpetpulley/ownership/freshness.py
@@ -0,0 +1,176 @@
+"""How old a daemon's copy of the configuration is, and how that age is kept low."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Awaitable, Callable
+from typing import Protocol
+
+import anyio
+import attrs
+
+from ..exception import StoreError, StoreUnavailable
+from ..store import Mirror
+from ..telemetry import EventLog
+
+__all__ = ["AlwaysFresh", "ConfigFreshness", "MirrorFreshness", "ReplicaFreshness", "round_age"]
+
+#: fraction of the time in which a change must be in force up to which the copy may be old when a
+#: request is denied by it; the rest covers the clocks' drift and the answer's way
+MAX_AGE_FRACTION = 0.9
+#: the same fraction from which on the copy is confirmed without a request
+REFRESH_AGE_FRACTION = 0.85
+#: interval between two checks of the age, in seconds
+CHECK_INTERVAL_SECONDS = 0.1
+#: timeout of an attempt to confirm the copy, in seconds
+CONFIRM_TIMEOUT_SECONDS = 0.5
+#: time that the store has for its answer before other daemons are asked too, in seconds
+STORE_HEAD_START_SECONDS = 0.1
+#: pause after a failed attempt, in seconds
+RETRY_SECONDS = 0.3
+
+
+def round_age(age: float) -> float | None:
+    """Return an age for the log, in seconds; None if there never was a configuration."""
+    return round(age, 2) if math.isfinite(age) else None
+
+
+class ConfigFreshness(Protocol):
+    """Knows how old a daemon's configuration is."""
+
+    def age(self) -> float:
+        """Return the time since the configuration was known to be current, in seconds."""
+
+    def is_fresh(self) -> bool:
+        """Return whether every change that must be in force is known."""
+
+    async def confirm(self) -> bool:
+        """Try to make the configuration fresh, if it is not; return whether it is."""
+
+
+class AlwaysFresh:
+    """A configuration that the daemon was given directly."""
+
+    def age(self) -> float:
+        """Return 0."""
+        return 0.0
+
+    def is_fresh(self) -> bool:
+        """Return True."""
+        return True
+
+    async def confirm(self) -> bool:
+        """Return True."""
+        return True
+
+
+@attrs.frozen
+class ReplicaFreshness:
+    """A configuration that another part of the daemon keeps and confirms."""
+
+    replica_age: Callable[[], float]
+    is_replica_fresh: Callable[[], bool]
+
+    def age(self) -> float:
+        """Return the time since the replica was known to be current, in seconds."""
+        return self.replica_age()
+
+    def is_fresh(self) -> bool:
+        """Return whether the replica is recent enough."""
+        return self.is_replica_fresh()
+
+    async def confirm(self) -> bool:
+        """Return whether the replica is recent enough."""
+        return self.is_replica_fresh()
+
+
+class MirrorFreshness:
+    """A configuration in a mirror of the store.
+
+    A mirror whose watch is alive is always fresh. Otherwise the entries are read from the store,
+    and from other daemons if the store does not answer at once.
+
+    :param limit: returns the time within which a change must be in force, in seconds
+    :param ask_peers: updates the mirror from other daemons until it is at most as old as its second
+        argument says, in seconds
+    """
+
+    def __init__(
+        self,
+        mirror: Mirror,
+        limit: Callable[[], float],
+        ask_peers: Callable[[Mirror, float], Awaitable[object]],
+        log: EventLog,
+    ):
+        self.mirror = mirror
+        self.limit = limit
+        self.ask_peers = ask_peers
+        self.log = log
+        self.failed = False
+        # Set at the end of the attempt that is under way, None if there is none.
+        self.attempt_ended: anyio.Event | None = None
+
+    def age(self) -> float:
+        """Return the time since the mirror was known to be complete, in seconds."""
+        return self.mirror.age()
+
+    def is_fresh(self) -> bool:
+        """Return whether the mirror has every change that must be in force."""
+        return self.age() <= MAX_AGE_FRACTION * self.limit()
+
+    async def run(self) -> None:
+        """Confirm the mirror before it is too old, until cancelled."""
+        while True:
+            await anyio.sleep(CHECK_INTERVAL_SECONDS)
+            if self._is_recent() or self.attempt_ended is not None:
+                continue
+            await self._attempt()
+            if self.failed:
+                await anyio.sleep(RETRY_SECONDS)
+
+    async def confirm(self) -> bool:
+        """Confirm the mirror if it is too old, unless the last attempt failed.
+
+        While attempts fail, they are repeated without a request waiting for them.
+        """
+        while not self.is_fresh() and not self.failed:
+            if self.attempt_ended is not None:
+                await self.attempt_ended.wait()
+            else:
+                await self._attempt()
+        return self.is_fresh()
+
+    def _is_recent(self) -> bool:
+        return self.age() <= REFRESH_AGE_FRACTION * self.limit()
+
+    async def _attempt(self) -> None:
+        """Read the entries from the store and other daemons until the mirror is recent."""
+        ended = self.attempt_ended = anyio.Event()
+        age = self.age()
+        try:
+            with anyio.move_on_after(CONFIRM_TIMEOUT_SECONDS):
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(self._ask_peers, tasks.cancel_scope)
+                    await self._read()
+                    if self._is_recent():
+                        tasks.cancel_scope.cancel()
+        finally:
+            self.attempt_ended = None
+            ended.set()
+        confirmed = self.is_fresh()
+        if confirmed == self.failed:
+            event = "config-confirmed" if confirmed else "config-not-confirmed"
+            self.log.write(event, age=round_age(self.age()), was=round_age(age))
+        self.failed = not confirmed
+
+    async def _read(self) -> None:
+        try:
+            await self.mirror.load()
+        except (StoreUnavailable, StoreError) as error:
+            self.log.write("config-not-read", reason=str(error), age=round_age(self.age()))
+
+    async def _ask_peers(self, scope: anyio.CancelScope) -> None:
+        await anyio.sleep(STORE_HEAD_START_SECONDS)
+        await self.ask_peers(self.mirror, REFRESH_AGE_FRACTION * self.limit())
+        if self._is_recent():
+            scope.cancel()
--- a/limpetpulley/ownership/node.py
+++ b/limpetpulley/ownership/node.py
@@ -17,6 +17,7 @@
 from ..workers import ListedWorker
 from .context import DaemonContext
 from .directory import PLANNER, Directory, Member, choose_claims, choose_release
+from .freshness import round_age
 from .handlers import BatchHandlers
 from .mirror_fallback import MirrorFallback
 from .owner import PoolOwner
@@ -163,7 +164,7 @@
             "config-in-force",
             version=config.version,
             queues=len(config.queues),
-            age=round(self.context.config_age(), 2),
+            age=round_age(self.context.freshness.age()),
         )
         self.claim_check_requested.set()
         for owner in self.owned.values():
--- a/limpetpulley/ownership/operator_entries.py
+++ b/limpetpulley/ownership/operator_entries.py
@@ -6,6 +6,8 @@
 
 from ..exception import RecordError
 from ..store import Event, Mirror, Store
+from ..tasks import keep_running
+from .freshness import MirrorFreshness, round_age
 from .node import BatchNode
 
 __all__ = ["OperatorEntries"]
@@ -38,7 +40,18 @@
             contact=node.context.store_contact,
         )
         node.mirrors[prefix] = self.mirror
-        node.context.config_age = self.mirror.age
+        self.freshness = MirrorFreshness(
+            self.mirror,
+            lambda: node.context.timing.config_limit,
+            node.mirror_fallback.update,
+            self.log,
+        )
+        node.context.freshness = self.freshness
+
+    def start(self) -> None:
+        """Start to mirror the entries and to keep the mirror fresh."""
+        for loop in (self.mirror.run, self.freshness.run):
+            self.node.context.tasks.start_soon(keep_running, loop)
 
     def _apply_events(self, events: list[Event]) -> None:
         for event in events:
@@ -58,5 +71,5 @@
         self.log.write(
             "config-away" if reason else "config-back",
             reason=reason,
-            age=round(self.mirror.age(), 2),
+            age=round_age(self.mirror.age()),
         )
--- a/limpetpulley/platform/settings.py
+++ b/limpetpulley/platform/settings.py
@@ -91,6 +91,7 @@
         maintenance=get_number(bounds, "maintenanceS", 0),
         holder_lease=get_number(bounds, "leaseMs", 0) / MILLISECONDS,
         grace=get_number(bounds, "graceS"),
+        config_limit=get_number(bounds, "configApplyMs", 2_000) / MILLISECONDS,
         vm_orders_per_second=get_number(cloud, "dutyPerS", Timing().vm_orders_per_second),
     )
 
--- a/limpetpulley/platform/tests/config_fleet.py
+++ b/limpetpulley/platform/tests/config_fleet.py
@@ -102,7 +102,7 @@
             lambda node, key, value: apply_operator_entry(self.wave_registry, node, key, value),
             node,
         )
-        node.context.tasks.start_soon(entries.mirror.run)
+        entries.start()
         return node
 
     async def configure(self, queues, keys=(KEY,)):
