Repeat refused renewals of a lease with a growing delay

Class: a retry whose rate does not fall while the callee refuses.

Now the delay doubles from 0.05 s to 0.2 s. Not longer: several renewals must fit into what is left of the lease (1.4 s) when a refusal ends. In 5 s of refusals 96 renewals before, at most 28 now (test_refused_renewals_are_repeated_ever_more_rarely, fails before). Ruled out: a longer delay once the lease has ended, which would lengthen each outage for callers by as much.

--- a/limpetpulley/ownership/session.py
+++ b/limpetpulley/ownership/session.py
@@ -9,7 +9,7 @@
 
 from ..batch.keys import BatchKeys
 from ..clock import Clock
-from ..exception import StoreError, StoreUnavailable
+from ..exception import StoreError, StoreRefused, StoreUnavailable
 from ..store import Compare, Delete, Put, Store, StoreContact
 from ..telemetry import EventLog
 from .directory import Member, encode_member
@@ -31,6 +31,9 @@
 MAX_CLAIMS_PER_TRANSACTION = 15
 #: delay after a renewal without an answer, in seconds
 RETRY_DELAY_SECONDS = 0.05
+#: longest delay after renewals that the store refused, in seconds; the delay doubles up to it,
+#: since the store may refuse because of the rate of calls, and several fit into the lease
+MAX_REFUSED_DELAY_SECONDS = 0.2
 
 
 class Session:
@@ -64,7 +67,7 @@
 
     async def run(self) -> None:
         """Obtain and renew leases until the session is closed."""
-        timeout = RENEW_TIMEOUT_SECONDS
+        timeout, refused_delay = RENEW_TIMEOUT_SECONDS, RETRY_DELAY_SECONDS
         while not self.closed:
             try:
                 if not self.lease:
@@ -72,14 +75,23 @@
                 else:
                     slow = await self._renew(timeout) > RENEW_TIMEOUT_SECONDS / 2
                     timeout = SLOW_RENEW_TIMEOUT_SECONDS if slow else RENEW_TIMEOUT_SECONDS
+                refused_delay = RETRY_DELAY_SECONDS
+            except StoreRefused as error:
+                self._log_failure(error)
+                await anyio.sleep(refused_delay)
+                refused_delay = min(2 * refused_delay, MAX_REFUSED_DELAY_SECONDS)
+                continue
             except (StoreUnavailable, StoreError) as error:
-                self.log.write("lease-not-renewed", reason=str(error), age=round(self.age(), 2))
+                self._log_failure(error)
                 timeout = SLOW_RENEW_TIMEOUT_SECONDS
                 await anyio.sleep(RETRY_DELAY_SECONDS)
                 continue
             if self.lease:
                 await anyio.sleep(RENEW_INTERVAL_SECONDS)
 
+    def _log_failure(self, error: Exception) -> None:
+        self.log.write("lease-not-renewed", reason=str(error), age=round(self.age(), 2))
+
     async def _renew(self, timeout: float) -> float:
         """Renew the lease, or abandon it if the store reports that it has expired.
 
--- a/limpetpulley/ownership/tests/test_session.py
+++ b/limpetpulley/ownership/tests/test_session.py
@@ -6,12 +6,18 @@
 import pytest
 
 from ...batch.keys import BatchKeys
-from ...exception import StoreUnavailable
+from ...exception import StoreRefused, StoreUnavailable
 from ...standin.virtual import VirtualClock, run_virtual
 from ...store import MemoryStore, Put
 from ...telemetry import null_log
 from ..directory import Member
-from ..session import LEASE_SECONDS, MAX_CLAIMS_PER_TRANSACTION, Session
+from ..session import (
+    LEASE_SECONDS,
+    MAX_CLAIMS_PER_TRANSACTION,
+    MAX_REFUSED_DELAY_SECONDS,
+    RENEW_INTERVAL_SECONDS,
+    Session,
+)
 
 RUN_SECONDS = 10.0
 
@@ -138,3 +144,32 @@
 
     expected = [BatchKeys("lp/").owner(names[0])] if replaced else []
     assert run_virtual(run) == expected
+
+
+def test_refused_renewals_are_repeated_ever_more_rarely():
+    """The store may refuse them because of the rate of calls."""
+
+    async def run():
+        clock = VirtualClock()
+        store = SlowStore(clock, lambda number: 0.002)
+        renew, refused_at = store.renew_lease, []
+
+        async def refuse(lease):
+            refused_at.append(clock.now())
+            raise StoreRefused("the store returned status 429")
+
+        member = Member("entry-1", 1, "192.0.2.1:7000")
+        session = Session(store, BatchKeys("lp/"), member, clock, null_log("entry-1"), lambda: None)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(session.run)
+            await anyio.sleep(1.0)
+            store.renew_lease = refuse
+            await anyio.sleep(5.0)
+            store.renew_lease = renew
+            await anyio.sleep(0.5)
+            tasks.cancel_scope.cancel()
+        return len(refused_at), session.age()
+
+    refused_count, age = run_virtual(run)
+    assert refused_count <= 5.0 / MAX_REFUSED_DELAY_SECONDS + 3
+    assert age <= RENEW_INTERVAL_SECONDS + 0.1
