Wait for the configuration again after failures that its watch has ended

What callers would have seen: a daemon whose attempts to confirm its configuration had failed in an outage, and whose watch then succeeded first, kept the mark of the failure; at its next pause it answered at once by the outdated version, known queues and keys, or 503. Cause: the mark was cleared only by an attempt that succeeds. Class: state that is set by one way of recovery and not by the other.

Before, the cases after outages of 4.6 and 5.0 s of test_first_request_after_a_pause_is_answered_by_the_newest_version failed, at both lengths of the pause; they pass now.

--- a/limpetpulley/ownership/freshness.py
+++ b/limpetpulley/ownership/freshness.py
@@ -122,11 +122,13 @@
         """Confirm the mirror before it is too old, until cancelled."""
         while True:
             await anyio.sleep(CHECK_INTERVAL_SECONDS)
-            if self._is_recent() or self.attempt_ended is not None:
-                continue
-            await self._attempt()
-            if self.failed:
-                await anyio.sleep(RETRY_SECONDS)
+            if self._is_recent():
+                # The watch may have succeeded where the attempts failed.
+                self._record_outcome(self.age())
+            elif self.attempt_ended is None:
+                await self._attempt()
+                if self.failed:
+                    await anyio.sleep(RETRY_SECONDS)
 
     async def confirm(self) -> bool:
         """Confirm the mirror if it is too old, unless the last attempt failed.
@@ -157,10 +159,14 @@
         finally:
             self.attempt_ended = None
             ended.set()
+        self._record_outcome(age)
+
+    def _record_outcome(self, previous_age: float) -> None:
+        """Record whether the mirror is fresh; log if that has changed."""
         confirmed = self.is_fresh()
         if confirmed == self.failed:
             event = "config-confirmed" if confirmed else "config-not-confirmed"
-            self.log.write(event, age=round_age(self.age()), was=round_age(age))
+            self.log.write(event, age=round_age(self.age()), was=round_age(previous_age))
         self.failed = not confirmed
 
     async def _read(self) -> None:
--- a/limpetpulley/platform/tests/test_config_in_force.py
+++ b/limpetpulley/platform/tests/test_config_in_force.py
@@ -1,5 +1,7 @@
 """A changed configuration is in force within the platform's limit, whatever call was lost."""
 
+import asyncio
+
 import anyio
 import pytest
 
@@ -116,7 +118,7 @@
 
 
 @pytest.mark.parametrize("pause", [2.5, 8.0])
-def test_added_queue_is_not_denied_right_after_a_pause(pause):
+def test_added_queue_is_not_denied_right_after_a_time_without_contact(pause):
     async def scenario(fleet):
         await silence_the_store(fleet, [DAEMON])
         await anyio.sleep(0.3)
@@ -129,6 +131,29 @@
     assert 404 not in run_config_scenario(scenario)
 
 
+@pytest.mark.parametrize("outage", [0.0, 2.5, 4.0, 4.6, 5.0])
+@pytest.mark.parametrize("pause", [2.5, 8.0])
+def test_first_request_after_a_pause_is_answered_by_the_newest_version(pause, outage):
+    async def scenario(fleet):
+        await silence_the_store(fleet, [DAEMON])
+        await anyio.sleep(outage)
+        fleet.links[DAEMON].silent = False
+        fleet.network.cut.clear()
+        await anyio.sleep(3.0)
+        fleet.links[DAEMON].silent = True
+        await fleet.configure(["old", "new"])
+        await anyio.sleep(0.01)
+        # Nothing runs during the pause, and all timers that fell into it expire after it.
+        asyncio.get_running_loop().now_seconds += pause
+        fleet.links[DAEMON].silent = False
+        status = (await fleet.ask(DAEMON, "new")).status
+        return status, fleet.daemons[DAEMON].node.context.config.version == fleet.version
+
+    status, is_newest = run_config_scenario(scenario)
+    assert status != 404
+    assert is_newest
+
+
 @pytest.mark.parametrize("outage", [1.0, 2.0, 3.0, 3.7, 4.0, 4.5])
 def test_change_after_an_outage_of_the_store_is_in_force_within_the_limit(outage):
     async def scenario(fleet):
