--- a/limpetpulley/ownership/freshness.py
+++ b/limpetpulley/ownership/freshness.py
@@ -66,7 +66,11 @@
 
 @attrs.frozen
 class ReplicaFreshness:
-    """A configuration that another part of the daemon keeps and confirms."""
+    """A configuration that another part of the daemon keeps and confirms.
+
+    :param replica_age: returns the time since it was known to be current, in seconds
+    :param is_replica_fresh: returns whether it is recent enough
+    """
 
     replica_age: Callable[[], float]
     is_replica_fresh: Callable[[], bool]
@@ -87,8 +91,8 @@
 class MirrorFreshness:
     """A configuration in a mirror of the store.
 
-    A mirror whose watch is alive is always fresh. Otherwise the entries are read from the store,
-    and from other daemons if the store does not answer at once.
+    Each answer to the mirror's watch confirms it. Before it is too old without one, the entries are
+    read from the store, and from other daemons if the store does not answer at once.
 
     :param limit: returns the time within which a change must be in force, in seconds
     :param ask_peers: updates the mirror from other daemons until it is at most as old as its second
--- a/limpetpulley/store/mirror.py
+++ b/limpetpulley/store/mirror.py
@@ -69,7 +69,10 @@
         self.failing = False
 
     def age(self) -> float:
-        """Return the time since the copy was known to be complete, in seconds."""
+        """Return the time since the copy was known to be complete, in seconds.
+
+        It is too low for a store that sends changes without being asked for each batch.
+        """
         return self.clock.now() - self.confirmed_at
 
     def confirm(self, at: float) -> None:
