Log each failed watch, failed attempts to confirm, outdated queries, slow loops

New lines: watch-ended with reason and delay until the next attempt, config-attempt-failed, request-answered for successful queries while the configuration may be outdated, loop-delayed above 0.3 s.

Tests: every failure of a watch is reported; a query is logged only by an outdated configuration. No change of what is decided.

--- a/limpetpulley/api/batches.py
+++ b/limpetpulley/api/batches.py
@@ -113,13 +113,18 @@
             self._record_request(record)
 
     def _record_request(self, record: _RequestRecord) -> None:
-        """Update the metrics, and log the request unless it is a successful query."""
+        """Update the metrics, and log the request.
+
+        A successful query is logged only if it was answered by a configuration that may be
+        outdated.
+        """
         context = self.node.context
         seconds = context.clock.now() - record.started_at
         metrics = context.metrics
         metrics.count_request(record.method, record.status, record.reason)
         metrics.observe_request(record.queue, record.method, seconds)
-        if record.method == "GET" and record.status < MIN_ERROR_STATUS:
+        is_query_answered = record.method == "GET" and record.status < MIN_ERROR_STATUS
+        if is_query_answered and context.freshness.is_fresh():
             return
         context.log.write(
             "request-answered",
--- a/limpetpulley/api/tests/test_outcomes.py
+++ b/limpetpulley/api/tests/test_outcomes.py
@@ -81,6 +81,9 @@
     async def cancel(self, queue, job_id, time_left):
         raise ChangeUnknown("no reply to Cancel")
 
+    async def count_pending(self, queue, time_left):
+        return 0
+
 
 def run_request(request, service=None, public=True, freshness=None):
     """Return the status of a request, and the log lines on answered requests."""
@@ -169,6 +172,13 @@
     assert [line["reason"] for line in lines] == [reason]
 
 
+@pytest.mark.parametrize(("freshness", "count"), [(None, 0), (OutdatedConfig(), 1)])
+def test_query_is_logged_if_it_is_answered_by_an_outdated_configuration(freshness, count):
+    request = ("GET", "/queues/sheets/batches", None, ())
+    status, lines = run_request(request, FixedService(None), freshness=freshness)
+    assert (status, len(lines)) == (200, count)
+
+
 def test_accepted_job_is_logged_with_its_inputs():
     status, lines = run_request(("PUT", PATH, JOB, [(b"time-left", b"4")]))
     assert status == 202
--- a/limpetpulley/ownership/context.py
+++ b/limpetpulley/ownership/context.py
@@ -81,3 +81,10 @@
             "config": self.config.version if self.config else 0,
             "config_age": round_age(self.freshness.age()),
         }
+
+    def log_watch_ended(self, prefix: str, reason: str, delay: float) -> None:
+        """Log that the watch of a prefix of the store has failed.
+
+        :param delay: time until the next attempt, in seconds
+        """
+        self.log.write("watch-ended", prefix=prefix, reason=reason, delay=round(delay, 2))
--- a/limpetpulley/ownership/daemon.py
+++ b/limpetpulley/ownership/daemon.py
@@ -47,6 +47,8 @@
 SETTINGS_CHECK_SECONDS = 1.0
 #: interval between measurements of the event loop's lag, in seconds
 LAG_SAMPLE_SECONDS = 0.5
+#: lag of the event loop from which on it is logged, in seconds
+LOGGED_LAG_SECONDS = 0.3
 #: time after the start at which the modules are loaded that a daemon does not need to start
 #: serving, in seconds: after the takeover of its pools, before one of them is likely to be needed
 DEFERRED_LOAD_SECONDS = 5.0
@@ -228,7 +230,10 @@
         while True:
             started_at = clock.now()
             await anyio.sleep(LAG_SAMPLE_SECONDS)
-            self.metrics.observe_loop_lag(clock.now() - started_at - LAG_SAMPLE_SECONDS)
+            lag = clock.now() - started_at - LAG_SAMPLE_SECONDS
+            self.metrics.observe_loop_lag(lag)
+            if lag > LOGGED_LAG_SECONDS:
+                self.log.write("loop-delayed", seconds=round(lag, 2))
 
     async def _load_deferred_modules(self) -> None:
         await anyio.sleep(DEFERRED_LOAD_SECONDS)
--- a/limpetpulley/ownership/freshness.py
+++ b/limpetpulley/ownership/freshness.py
@@ -152,7 +152,7 @@
     async def _attempt(self) -> None:
         """Read the entries from the store and other daemons until the mirror is recent."""
         ended = self.attempt_ended = anyio.Event()
-        age = self.age()
+        age, started_at = self.age(), self.mirror.clock.now()
         try:
             with anyio.move_on_after(CONFIRM_TIMEOUT_SECONDS):
                 async with anyio.create_task_group() as tasks:
@@ -163,6 +163,9 @@
         finally:
             self.attempt_ended = None
             ended.set()
+        if not self._is_recent():
+            seconds = round(self.mirror.clock.now() - started_at, 2)
+            self.log.write("config-attempt-failed", age=round_age(self.age()), seconds=seconds)
         self._record_outcome(age)
 
     def _record_outcome(self, previous_age: float) -> None:
--- a/limpetpulley/ownership/node.py
+++ b/limpetpulley/ownership/node.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable
+from functools import partial
 from typing import TYPE_CHECKING
 
 import anyio
@@ -93,6 +94,7 @@
             self._apply_directory_events,
             self._on_directory_connection,
             contact=context.store_contact,
+            on_watch_ended=partial(context.log_watch_ended, context.keys.directory),
         )
         self.mirrors = {self.directory_mirror.prefix: self.directory_mirror}
         self.handlers.mirrors = self.mirrors
--- a/limpetpulley/ownership/operator_entries.py
+++ b/limpetpulley/ownership/operator_entries.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from functools import partial
 
 from ..exception import RecordError
 from ..store import Event, Mirror, Store
@@ -38,6 +39,7 @@
             self._apply_events,
             self._on_connection_change,
             contact=node.context.store_contact,
+            on_watch_ended=partial(node.context.log_watch_ended, prefix),
         )
         node.mirrors[prefix] = self.mirror
         self.freshness = MirrorFreshness(
--- a/limpetpulley/store/mirror.py
+++ b/limpetpulley/store/mirror.py
@@ -38,6 +38,8 @@
         client's watch
     :param contact: records the store's answers; a watch from before a silence of the store is
         reopened at its next answer, because its connection may never report anything again
+    :param on_watch_ended: called with the reason whenever the watch or a read has failed, and with
+        the delay until the next attempt, in seconds
     """
 
     def __init__(
@@ -50,6 +52,7 @@
         poll_interval: Callable[[], float] = lambda: 0.0,
         watch_timeout: float | None = None,
         contact: StoreContact | None = None,
+        on_watch_ended: Callable[[str, float], None] = lambda reason, delay: None,
     ):
         self.store = store
         self.prefix = prefix
@@ -59,6 +62,7 @@
         self.poll_interval = poll_interval
         self.watch_timeout = watch_timeout
         self.contact = contact or StoreContact()
+        self.on_watch_ended = on_watch_ended
         self.entries: dict[str, Entry] = {}
         self.revision = 0
         self.last_reply_at = clock.now()
@@ -93,9 +97,9 @@
                         await anyio.sleep(self.poll_interval())
                 continue
             except StoreUnavailable as error:
-                self._record_failure(str(error))
+                self._record_failure(str(error), backoff)
             except StoreError as error:
-                self._record_failure(str(error))
+                self._record_failure(str(error), backoff)
                 self.loaded = anyio.Event()
             await anyio.sleep(backoff)
             backoff = min(2 * backoff, MAX_BACKOFF_SECONDS)
@@ -174,7 +178,8 @@
             self.failing = False
             self.on_connection_change("")
 
-    def _record_failure(self, reason: str) -> None:
+    def _record_failure(self, reason: str, delay: float) -> None:
+        self.on_watch_ended(reason, delay)
         if not self.failing:
             self.failing = True
             self.on_connection_change(reason)
--- a/limpetpulley/store/tests/test_mirror.py
+++ b/limpetpulley/store/tests/test_mirror.py
@@ -67,3 +67,23 @@
         return mirror.age()
 
     assert run_virtual(run) >= 3.0
+
+
+def test_every_failure_of_a_watch_is_reported_with_the_delay_until_the_next_attempt():
+    async def run():
+        failures = []
+        mirror = Mirror(
+            StalledWatchStore(MemoryStore(VirtualClock())),
+            "w/",
+            VirtualClock(),
+            lambda events: None,
+            watch_timeout=0.5,
+            on_watch_ended=lambda reason, delay: failures.append(delay),
+        )
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(mirror.run)
+            await anyio.sleep(2.0)
+            tasks.cancel_scope.cancel()
+        return failures
+
+    assert len(run_virtual(run)) >= 2
