Reproduce outdated configurations after an outage of the store, failing

Callers saw a queue denied and another one served 2.7 s after the change was acknowledged, right after an outage.

--- a/limpetpulley/store/memory.py
+++ b/limpetpulley/store/memory.py
@@ -131,6 +131,11 @@
         changed, self.changed = self.changed, anyio.Event()
         changed.set()
 
+    def drop_history(self) -> None:
+        """Forget all changes so far, so that watches from earlier revisions fail."""
+        self.history.clear()
+        self.first_history_revision = self.revision + 1
+
     def expire_leases(self) -> None:
         """Delete the expired leases and the keys attached to them."""
         now = self.clock.now()
