Confirm the configuration while a second attempt still fits

Cause: an unconfirmed copy was read from 0.85 of the limit on (1.7 s of 2 s), and an attempt may take 0.5 s, so that one lost read made the copy too old: unknown queues got 503, and known ones were served by a version that might have been replaced.

The copy is now read from half of the limit on, which an answered watch (every 0.6 s) stays below, and the pause after a failed attempt ends at the store's first answer after a silence.

test_single_lost_reads_do_not_make_the_configuration_outdated, which takes the watch away and loses single reads, with limits of 2, 3 and 4 s: 9 of 9 cases fail before, 0 after.

--- a/limpetpulley/ownership/freshness.py
+++ b/limpetpulley/ownership/freshness.py
@@ -18,15 +18,16 @@
 #: fraction of the time in which a change must be in force up to which the copy may be old when a
 #: request is denied by it; the rest covers the clocks' drift and the answer's way
 MAX_AGE_FRACTION = 0.9
-#: the same fraction from which on the copy is confirmed without a request
-REFRESH_AGE_FRACTION = 0.85
+#: the same fraction from which on the copy is confirmed without a request, so that a second attempt
+#: fits before it is too old
+REFRESH_AGE_FRACTION = 0.5
 #: interval between two checks of the age, in seconds
 CHECK_INTERVAL_SECONDS = 0.1
 #: timeout of an attempt to confirm the copy, in seconds
 CONFIRM_TIMEOUT_SECONDS = 0.5
 #: time that the store has for its answer before other daemons are asked too, in seconds
 STORE_HEAD_START_SECONDS = 0.1
-#: pause after a failed attempt, in seconds
+#: pause after an attempt that left the copy too old, in seconds
 RETRY_SECONDS = 0.3
 
 
@@ -132,7 +133,7 @@
             elif self.attempt_ended is None:
                 await self._attempt()
                 if self.failed:
-                    await anyio.sleep(RETRY_SECONDS)
+                    await self.mirror.contact.sleep(RETRY_SECONDS)
 
     async def confirm(self) -> bool:
         """Confirm the mirror if it is too old, unless the last attempt failed.
--- /dev/null
+++ b/limpetpulley/ownership/tests/test_freshness.py
@@ -0,0 +1,50 @@
+"""A daemon confirms its configuration before it is too old to be used."""
+
+import anyio
+import pytest
+
+from ...standin.virtual import VirtualClock, run_virtual
+from ...store import MemoryStore, Mirror
+from ...telemetry import null_log
+from ..freshness import MirrorFreshness
+
+PLAYED_SECONDS = 12.0
+
+
+class LossyStore:
+    """A store that answers no watch, and loses the reads with certain numbers."""
+
+    def __init__(self, store, lost_reads):
+        self.store = store
+        self.lost_reads = lost_reads
+        self.reads = 0
+
+    async def read(self, prefix):
+        self.reads += 1
+        if self.reads in self.lost_reads:
+            await anyio.sleep_forever()
+        return await self.store.read(prefix)
+
+
+async def ask_nobody(mirror, max_age):
+    """Ask no other daemon."""
+
+
+@pytest.mark.parametrize("limit", [2.0, 3.0, 4.0])
+@pytest.mark.parametrize("lost_reads", [{2}, {3}, {2, 4, 6}])
+def test_single_lost_reads_do_not_make_the_configuration_outdated(limit, lost_reads):
+    async def run():
+        store = LossyStore(MemoryStore(VirtualClock()), lost_reads)
+        mirror = Mirror(store, "op/", VirtualClock(), lambda events: None)
+        freshness = MirrorFreshness(mirror, lambda: limit, ask_nobody, null_log("entry-1"))
+        await mirror.load()
+        ages = []
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(freshness.run)
+            while len(ages) < PLAYED_SECONDS / 0.05:
+                await anyio.sleep(0.05)
+                ages.append(freshness.is_fresh())
+            tasks.cancel_scope.cancel()
+        return set(ages)
+
+    assert run_virtual(run) == {True}
