Serve nothing by an outdated configuration while the store answers

Callers of one daemon got 200 for a queue that had been removed 2.8 s before. Cause: only denials asked for the age of the configuration. Known queues and keys were served by a copy of any age, so that wherever the copy alone was late (reads or watches of it refused, lost, or delayed), a removed queue and a withdrawn key worked on, although the daemon was in contact with the store.

An outdated copy is now used only while the store answers nothing at all. While it answers other calls, a request waits for the attempt under way and is then told 503 configuration-not-confirmed with Retry-After: the change is in force elsewhere, and the next daemon can serve. In an outage of the store known queues are served as before (test_known_queue_is_served_while_the_store_answers_nothing, 3 to 30 s).

--- a/limpetpulley/api/batches.py
+++ b/limpetpulley/api/batches.py
@@ -151,6 +151,8 @@
             raise JobRefused(
                 503, "no-config", "no configuration received yet", retry_after=RETRY_SECONDS
             )
+        if not context.freshness.is_usable():
+            raise _not_confirmed()
         target = self.dialect.find_target(config, scope)
         if target is None:
             refusal = JobRefused(404, "not-found", "the queue does not exist")
@@ -248,8 +250,11 @@
 
     Otherwise the queue or the key may have been added, so that the caller should ask again.
     """
-    if freshness.is_fresh():
-        return refusal
+    return refusal if freshness.is_fresh() else _not_confirmed()
+
+
+def _not_confirmed() -> JobRefused:
+    """Return the refusal of a request while the configuration may be outdated."""
     return JobRefused(
         503,
         "configuration-not-confirmed",
--- a/limpetpulley/ownership/freshness.py
+++ b/limpetpulley/ownership/freshness.py
@@ -45,6 +45,14 @@
     def is_fresh(self) -> bool:
         """Return whether every change that must be in force is known."""
 
+    def is_usable(self) -> bool:
+        """Return whether requests may be served by it.
+
+        An outdated configuration is used only while the store answers nothing at all. If the store
+        answers other calls, changes to the configuration take effect elsewhere, and callers get an
+        answer there.
+        """
+
     async def confirm(self) -> bool:
         """Try to make the configuration fresh, if it is not; return whether it is."""
 
@@ -60,6 +68,10 @@
         """Return True."""
         return True
 
+    def is_usable(self) -> bool:
+        """Return True."""
+        return True
+
     async def confirm(self) -> bool:
         """Return True."""
         return True
@@ -84,6 +96,10 @@
         """Return whether the replica is recent enough."""
         return self.is_replica_fresh()
 
+    def is_usable(self) -> bool:
+        """Return True: the replica's own daemon refuses jobs by an outdated one."""
+        return True
+
     async def confirm(self) -> bool:
         """Return whether the replica is recent enough."""
         return self.is_replica_fresh()
@@ -123,6 +139,13 @@
         """Return whether the mirror has every change that must be in force."""
         return self.age() <= MAX_AGE_FRACTION * self.limit()
 
+    def is_usable(self) -> bool:
+        """Return whether the mirror is fresh, or the store answers nothing."""
+        return self.is_fresh() or not self._is_store_answering()
+
+    def _is_store_answering(self) -> bool:
+        return self.mirror.contact.is_answering(self.mirror.clock.now())
+
     async def run(self) -> None:
         """Confirm the mirror before it is too old, until cancelled."""
         while True:
@@ -138,13 +161,16 @@
     async def confirm(self) -> bool:
         """Confirm the mirror if it is too old, unless the last attempt failed.
 
-        While attempts fail, they are repeated without a request waiting for them.
+        While attempts fail, they are repeated without a request waiting for them, except for the
+        attempt that is under way when the store answers again.
         """
         while not self.is_fresh() and not self.failed:
             if self.attempt_ended is not None:
                 await self.attempt_ended.wait()
             else:
                 await self._attempt()
+        if not self.is_usable() and self.attempt_ended is not None:
+            await self.attempt_ended.wait()
         return self.is_fresh()
 
     def _is_recent(self) -> bool:
--- a/limpetpulley/store/contact.py
+++ b/limpetpulley/store/contact.py
@@ -67,6 +67,13 @@
         finally:
             del self.waiting_calls[scope]
 
+    def is_answering(self, now: float) -> bool:
+        """Return whether the store has answered a call lately.
+
+        :param now: local time
+        """
+        return now - self.answered_at <= OUTAGE_SECONDS
+
     def seconds_since_outage(self, now: float) -> float:
         """Return the time since the last outage, in seconds: 0 during one, infinite without any.
 
