Log crashes of workers with the runs that had just started

The end of a worker was logged as worker-restarted for a planned move and for a crash alike, and nothing told which runs it had only just started, so that a task that crashes its workers could not be told from those beside it.

worker-crashed is written when a worker ends that was not being drained; it counts the runs that are lost and names those that the worker had not outlived by 0.2 s (the start's answer or the first listing, against the worker's last reply). A run keeps the time at which its start was known. Nothing is decided by it yet.

--- a/limpetpulley/pool/reconcile.py
+++ b/limpetpulley/pool/reconcile.py
@@ -35,6 +35,8 @@
         return
     if run.phase is RunPhase.STARTING:
         run.phase = RunPhase.RUNNING
+    if run.started_at is None:
+        run.started_at = worker.last_reply_at
     run.checkpoint = listed_run.checkpoint or run.checkpoint
     run.percent = listed_run.percent
     run.at_full_speed = (
--- a/limpetpulley/pool/replies.py
+++ b/limpetpulley/pool/replies.py
@@ -62,6 +62,8 @@
     if outcome in (StartOutcome.STARTED, StartOutcome.OLD_RUN):
         # An OLD_RUN has ended on the worker; if it ever started, its end is listed.
         run.settled_at = worker_seconds + SETTLE_MARGIN_SECONDS
+        if run.started_at is None:
+            run.started_at = now
         return
     if run.unanswered_starts:
         # An earlier transmission of this start order may still be executed.
--- a/limpetpulley/pool/state.py
+++ b/limpetpulley/pool/state.py
@@ -13,6 +13,7 @@
 
 from ..batch import Amount, Job, TaskId
 from ..workers import ListedWorker, Run, RunPhase, StopOrder, Worker
+from .crashes import record_crash
 from .events import PoolEvent
 from .progress import ProgressLedger
 from .run_times import TaskRunTimes
@@ -158,8 +159,8 @@
             del self.expected_join_times[:1]
             self._queue_late_start_stops(listed.worker_id)
         elif listed.incarnation > worker.listed.incarnation:
-            worker.listed = listed
             self.handle_worker_restart(worker, "listed")
+            worker.listed = listed
         elif listed.incarnation == worker.listed.incarnation:
             worker.listed = listed
         worker.present = True
@@ -188,6 +189,7 @@
         there first. On an ended worker nothing is executed unless it returns; its tasks may
         start elsewhere at once.
         """
+        record_crash(self, worker)
         for run in list(worker.runs.values()):
             if run.unanswered_starts and not worker.ended:
                 run.phase, run.settled_at, run.sent_at = RunPhase.STOPPING, None, 0.0
--- a/limpetpulley/workers/state.py
+++ b/limpetpulley/workers/state.py
@@ -142,6 +142,8 @@
         worker does not contain the run, it no longer exists; None while this is not known
     :param unanswered_starts: start orders that were sent and have no reply; each may still be
         executed
+    :param started_at: local time of the first reply that told that it had started, None until then
+        and for a run adopted from an earlier owner
     :param ticket: ticket of the advice service that its start order contains
     :param percent: speed that its worker reported last, in percent
     :param may_be_stopped_until: worker time until which a stop order of an earlier owner may still
@@ -162,6 +164,7 @@
     sent_at: float = 0.0
     settled_at: float | None = None
     unanswered_starts: int = 0
+    started_at: float | None = None
     ticket: str = ""
     percent: int = 0
     may_be_stopped_until: float = 0.0
