Reproduce a task that crashes worker after worker, failing

The stand-ins learn to crash: a VM that is down for a time, and a hold that loses its connection with its worker.

--- a/limpetpulley/standin/vms.py
+++ b/limpetpulley/standin/vms.py
@@ -108,19 +108,35 @@
         self.most_down = max(self.most_down, down)
         return OrderOutcome.DONE
 
-    def _take_down(self, vm: _Vm, phase: Phase) -> None:
+    def crash(self, worker_id: str, down_seconds: float) -> None:
+        """Crash a worker; its VM comes up again later, with another worker.
+
+        :param down_seconds: time until the VM is up again, in seconds
+        """
+        for vm in self.vms.values():
+            if vm.worker_id == worker_id:
+                self.workers.workers[worker_id].alive = False
+                self._take_down(vm, Phase.DOWN, down_seconds)
+
+    def _take_down(self, vm: _Vm, phase: Phase, seconds: float | None = None) -> None:
+        """Take a VM down.
+
+        :param seconds: time until it is up again, None for the usual duration of a transition
+        """
         vm.phase = phase
         worker = self.workers.workers.pop(vm.worker_id, None)
         if worker is not None:
             worker.advance()
-            self.interrupted_runs += len(worker.runs)
+            if phase is not Phase.DOWN:
+                self.interrupted_runs += len(worker.runs)
         if self.listed_workers.pop(vm.worker_id, None) is not None:
             self.on_workers_changed(dict(self.listed_workers))
         vm.worker_id = ""
-        self.tasks.start_soon(self._bring_up_later, vm)
+        delay = self.transition_seconds if seconds is None else seconds
+        self.tasks.start_soon(self._bring_up_later, vm, delay)
 
-    async def _bring_up_later(self, vm: _Vm) -> None:
-        await anyio.sleep(self.transition_seconds)
+    async def _bring_up_later(self, vm: _Vm, seconds: float) -> None:
+        await anyio.sleep(seconds)
         self._bring_up(vm)
 
     def _bring_up(self, vm: _Vm) -> None:
--- a/limpetpulley/standin/workers.py
+++ b/limpetpulley/standin/workers.py
@@ -241,6 +241,8 @@
         reply = found.hold(token, acknowledged, until_seconds)
         wait_started_at = found.time()
         while not reply.ended and found.time() - wait_started_at < wait_seconds:
+            if not found.alive:
+                raise WorkerError(f"{worker.worker_id}: connection lost")
             left_seconds = wait_seconds - (found.time() - wait_started_at)
             with anyio.move_on_after(max(0.0005, min(left_seconds, found.seconds_to_next_end()))):
                 await found.run_ended.wait()
