Give up a task that crashes the workers that start it

Cause: a run that is lost with its worker was nobody's failure. It was queued first and packed onto the next worker, beside the tasks that had been lost with it, and copied before it was known that the worker had crashed.

Now the runs that a crashed worker did not outlive by 0.2 s are suspects and share the suspicion of the crash. A suspect is started by itself: on a worker that has outlived all its starts, never crashed ones first, with no other start beside it until it has outlived this one. So the next crash has one suspect, and the others are cleared. A task is given up at two crashes without another suspect, or four at most, and its job has failed. Crashes are part of the stored progress, repeated ones before the next start, so that the next owner counts on. A suspect has one copy, started by itself too. A worker that was being drained has not crashed.

Ruled out: a pause after a crash, which only slows the same loop; blaming all runs on the worker, which would give up what ran beside it.

test_no_task_that_fits_is_left_waiting said that every task that fits is started. It now holds that for suspects on workers that have outlived their starts, and for the others on workers without a trial; both are checked for each job, in place of the first task only.

--- a/limpetpulley/batch/job.py
+++ b/limpetpulley/batch/job.py
@@ -57,8 +57,10 @@
         other jobs leave free
     :param done: completed tasks
     :param failures: numbers of the failed runs by task, those of a gang by its first task
+    :param crashes: crashes of workers that a task may have caused, those of a gang by its first
+        task: by run number, the reciprocal of the number of tasks that may have caused it
     :param cancelled: whether it was cancelled
-    :param failed: whether a task reached the maximum number of failed runs
+    :param failed: whether a task reached the maximum number of failed runs, or crashed its workers
     :param started: whether any task has ever started
     :param ended_at: time when it ended, in seconds since 1970, 0 until then
     """
@@ -74,6 +76,7 @@
     behind: bool = False
     done: set[TaskId] = attrs.field(factory=set)
     failures: dict[TaskId, set[int]] = attrs.field(factory=dict)
+    crashes: dict[TaskId, dict[int, float]] = attrs.field(factory=dict)
     cancelled: bool = False
     failed: bool = False
     started: bool = False
@@ -167,6 +170,31 @@
             self.ended_at = now
         return True
 
+    def note_crash(self, task: TaskId, number: int, share: float) -> bool:
+        """Record a crash of the worker of a task's run; return whether it was not recorded yet.
+
+        :param number: number of the run
+        :param share: reciprocal of the number of tasks that may have caused the crash
+        """
+        shares = self.crashes.setdefault(self.attempt_unit(task), {})
+        if number in shares:
+            return False
+        shares[number] = share
+        return True
+
+    def suspicion(self, task: TaskId) -> float:
+        """Return how many crashes of workers are attributed to a task."""
+        return sum(self.crashes.get(self.attempt_unit(task), {}).values())
+
+    def fail(self, now: float) -> None:
+        """Fail the job, unless it has ended.
+
+        :param now: wall-clock time, in seconds since 1970
+        """
+        if not self.state.is_final:
+            self.failed = True
+            self.ended_at = now
+
     def cancel(self, now: float) -> bool:
         """Cancel the job; return whether its state changed."""
         if self.state.is_final:
--- a/limpetpulley/batch/records.py
+++ b/limpetpulley/batch/records.py
@@ -49,6 +49,9 @@
         {
             "done": sorted(task[1:] for task in job.done),
             "failures": sorted([*task[1:], sorted(runs)] for task, runs in job.failures.items()),
+            "crashes": sorted(
+                [*task[1:], sorted(shares.items())] for task, shares in job.crashes.items()
+            ),
             "cancelled": job.cancelled,
             "failed": job.failed,
             "started": job.started,
@@ -89,6 +92,12 @@
                 TaskId(key.job_id, *row[:3]): set(row[3])
                 for row in progress_fields.get("failures", ())
             },
+            crashes={
+                TaskId(key.job_id, *row[:3]): {
+                    int(number): float(share) for number, share in row[3]
+                }
+                for row in progress_fields.get("crashes", ())
+            },
             cancelled=bool(progress_fields.get("cancelled")),
             failed=bool(progress_fields.get("failed")),
             started=bool(progress_fields.get("started")),
--- a/limpetpulley/ownership/tests/test_crashing_tasks.py
+++ b/limpetpulley/ownership/tests/test_crashing_tasks.py
@@ -53,7 +53,7 @@
 
 
 async def submit_load(deployment, crashing, rng, step):
-    """Submit jobs, each eighth with a crashing task; return the ids of those."""
+    """Submit jobs, each eighth with a task, or a gang, that crashes; return the ids of those."""
     culprit_ids = set()
     until = deployment.clock.now() + LOAD_SECONDS
     number = 0
@@ -63,7 +63,8 @@
         spec = JobSpec(str(seconds), (attrs.evolve(step, estimate_seconds=seconds),))
         if number % 8 == 3:
             job_id = f"{number:015x}f"
-            crashing.culprits.add(TaskId(job_id, 0, 0, rng.randrange(step.count)))
+            positions = range(step.count) if step.gang else [rng.randrange(step.count)]
+            crashing.culprits.update(TaskId(job_id, 0, 0, position) for position in positions)
             culprit_ids.add(job_id)
             await deployment.submit("desk", spec, job_id=job_id)
         else:
@@ -99,15 +100,14 @@
 async def play(deployment, seed, step, disturbances=()):
     """Play a load with crashing tasks; return the states of both kinds of jobs, and the crashes."""
     rng = random.Random(seed)
-    async with anyio.create_task_group() as tasks:
-        crashing = CrashingTasks(deployment, tasks)
+    async with anyio.create_task_group() as crashes:
+        crashing = CrashingTasks(deployment, crashes)
         crashing.watch()
-        for disturb in disturbances:
-            tasks.start_soon(disturb, deployment, random.Random(seed + 1))
-        culprit_ids = await submit_load(deployment, crashing, rng, step)
-        tasks.cancel_scope.cancel()
-    async with anyio.create_task_group() as tasks:
-        crashing.tasks = tasks
+        async with anyio.create_task_group() as tasks:
+            for disturb in disturbances:
+                tasks.start_soon(disturb, deployment, random.Random(seed + 1))
+            culprit_ids = await submit_load(deployment, crashing, rng, step)
+            tasks.cancel_scope.cancel()
         await anyio.sleep(SETTLE_SECONDS)
         states = await deployment.states()
     guilty = {job_id: states.pop(job_id) for job_id in culprit_ids}
--- a/limpetpulley/ownership/worker_client.py
+++ b/limpetpulley/ownership/worker_client.py
@@ -29,8 +29,12 @@
 HOLD_WAIT_SECONDS = 1.0
 #: the same where latency-sensitive tasks share a worker with filler tasks, in seconds
 SHORT_HOLD_WAIT_SECONDS = 0.5
+#: the same on a worker that is being tried with a task that may have crashed another, in seconds
+TRIAL_HOLD_WAIT_SECONDS = 0.25
 #: timeout of a call, in addition to the time that a hold waits, in seconds
 ANSWER_TIMEOUT_SECONDS = 1.0
+#: time beyond a hold's wait from which on its failure may be a timeout, in seconds
+MIN_TIMEOUT_MARGIN_SECONDS = 0.4
 #: longest time that the next hold is delayed until run ends are stored, in seconds
 STORE_WAIT_SECONDS = 0.1
 #: longest time after the claim's last renewal that an owner's leases may run, in seconds. A new
@@ -104,10 +108,16 @@
         if lease_known and not self.failing and lease_seconds >= MIN_LEASE_SECONDS:
             lease_until = worker.lease.extend(now, lease_seconds)
         wait = self.hold_wait_seconds() if worker.reconciled and not self.failing else 0.0
-        with anyio.fail_after(wait + ANSWER_TIMEOUT_SECONDS):
-            reply = await self.context.orders.hold(
-                worker.listed, self.pool_state.token, worker.stored_through, lease_until, wait
-            )
+        try:
+            with anyio.fail_after(wait + ANSWER_TIMEOUT_SECONDS):
+                reply = await self.context.orders.hold(
+                    worker.listed, self.pool_state.token, worker.stored_through, lease_until, wait
+                )
+        except WorkerError:
+            failed_at = self.context.clock.now()
+            if not self.failing and failed_at - now < wait + MIN_TIMEOUT_MARGIN_SECONDS:
+                worker.lost_at = failed_at
+            raise
         if self.failing:
             self.failing = False
             self.context.log.write("worker-answers", worker=worker.worker_id)
@@ -127,9 +137,11 @@
     def hold_wait_seconds(self) -> float:
         """Return how long a hold may wait, in seconds.
 
-        The wait is shorter while a run is starting, and where filler tasks may slow down
-        latency-sensitive ones.
+        The wait is shorter while a run is starting, where filler tasks may slow down
+        latency-sensitive ones, and where a task that may crash its worker is started.
         """
+        if self.worker.worker_id in self.pool_state.trials:
+            return TRIAL_HOLD_WAIT_SECONDS
         serving_present = filler_present = False
         for run in self.worker.runs.values():
             job = self.pool_state.jobs.get(run.task.job_id)
--- a/limpetpulley/ownership/writer.py
+++ b/limpetpulley/ownership/writer.py
@@ -208,6 +208,7 @@
 
     def _log_end(self, job: Job) -> None:
         failed = {".".join(map(str, task)): len(runs) for task, runs in job.failures.items()}
+        crashes = {".".join(map(str, task)): len(runs) for task, runs in job.crashes.items()}
         self.context.log.write(
             "job-ended",
             job=job.key.job_id,
@@ -218,6 +219,7 @@
             past_due=round(max(0.0, job.ended_at - job.due_by), 3) if job.due_by else 0.0,
             failed_runs=failed,
             most_attempts=job.max_attempts,
+            crashed_workers=crashes,
         )
 
     async def remove(self, jobs: Sequence[Job]) -> None:
--- a/limpetpulley/pool/crashes.py
+++ b/limpetpulley/pool/crashes.py
@@ -1,31 +1,70 @@
-"""Crashes of workers, and the runs that may have caused them. No I/O.
+"""Tasks that crash each worker that starts them: how they are found and given up. No I/O.
 
-A task may crash each worker that starts it. Such a crash follows the start at once, so only runs
-that the worker did not outlive for a moment are suspects. A worker that was being drained has ended
-as planned and has not crashed.
+Such a crash follows the start at once, so only the runs that a worker did not outlive for a moment
+are suspects when it crashes. Each crash adds to the suspicion of its suspects, which is divided
+among them. A suspect is started again only by itself: on a worker that has outlived the start of
+all its other runs, and where nothing else starts until it has outlived this one as well. The next
+crash therefore has one suspect, and a task that was only beside the cause is cleared.
+
+A worker that was being drained has ended as planned and has not crashed.
 """
 
 from __future__ import annotations
 
+import math
+from collections.abc import Iterable
 from typing import TYPE_CHECKING
 
+from ..batch import Job, Step, TaskId
 from ..workers import Run, Worker
 from .events import PoolEvent
 
 if TYPE_CHECKING:
     from .state import PoolState
 
-__all__ = ["has_outlived_start", "record_crash", "suspect_runs"]
+__all__ = [
+    "clear_suspect",
+    "clear_survivors",
+    "fail_crashing_jobs",
+    "has_outlived_start",
+    "is_suspect",
+    "may_start_suspect",
+    "record_crash",
+    "reserve_trial_worker",
+    "suspect_runs",
+    "suspend_judgement",
+    "trial_workers",
+    "update_trials",
+]
 
 #: time after a run's start within which a crash of its worker may be due to it, in seconds
 STARTUP_SECONDS = 0.2
+#: time after a run's start within which the loss of the connection to its worker may be due to it,
+#: in seconds; longer than the start-up, because the owner's own delays are added
+LOSS_SECONDS = 0.5
+#: suspicion at which a task is given up: two crashes for which there was no other suspect
+MAX_SUSPICION = 2.0
+#: number of crashes at which a task is given up, however many other suspects there were
+MAX_CRASHES = 4
+#: fraction of the workers on which suspects may be started at a time
+TRIAL_FRACTION = 0.25
+#: longest time for which a worker takes no other starts before a suspect is started, in seconds
+TRIAL_WAIT_SECONDS = 3.0
 
 
 def has_outlived_start(worker: Worker, run: Run) -> bool:
-    """Return whether a worker has replied some time after the start of a run on it."""
+    """Return whether a worker was alive some time after the start of a run on it.
+
+    It was if it has replied since. A crash also closes its connections, so that one which is lost
+    later was not caused by the start.
+    """
     if run.ordered_at is None:
         return True
-    return run.started_at is not None and worker.last_reply_at >= run.started_at + STARTUP_SECONDS
+    if run.started_at is None:
+        return False
+    if worker.lost_at is not None and worker.lost_at >= run.started_at + LOSS_SECONDS:
+        return True
+    return worker.last_reply_at >= run.started_at + STARTUP_SECONDS
 
 
 def suspect_runs(worker: Worker) -> list[Run]:
@@ -33,10 +72,160 @@
     return [run for run in worker.runs.values() if not has_outlived_start(worker, run)]
 
 
+def is_suspect(pool_state: PoolState, job: Job, task: TaskId) -> bool:
+    """Return whether a task must be started by itself."""
+    return bool(pool_state.suspects) and job.attempt_unit(task) in pool_state.suspects
+
+
+def suspend_judgement(pool_state: PoolState, worker: Worker) -> None:
+    """Remember the suspects on a silent worker whose runs are dropped before its end is known."""
+    for run in suspect_runs(worker):
+        worker.lost_starts.append((run.task, run.number))
+        job = pool_state.jobs.get(run.task.job_id)
+        if job is not None and job.needs_run(run.task):
+            pool_state.suspects.add(job.attempt_unit(run.task))
+
+
 def record_crash(pool_state: PoolState, worker: Worker) -> None:
     """Record that a worker has ended, before its runs are dropped, unless that was planned."""
+    lost = [*((run.task, run.number) for run in suspect_runs(worker)), *worker.lost_starts]
+    worker.lost_starts = []
+    pool_state.trials.pop(worker.worker_id, None)
     if worker.cordoned or worker.listed.draining:
         return
-    suspects = [".".join(map(str, run.task)) for run in suspect_runs(worker)]
-    detail = f"{len(worker.runs)} runs lost, of which just started: {', '.join(suspects) or 'none'}"
+    pool_state.crashed_vms[worker.listed.vm] = worker.last_reply_at
+    units = {}
+    for task, number in lost:
+        job = pool_state.jobs.get(task.job_id)
+        if job is not None and job.needs_run(task):
+            units[job.attempt_unit(task)] = (job, task, number)
+    share = 1 / max(1, len(units))
+    for unit, (job, task, number) in units.items():
+        pool_state.suspects.add(unit)
+        if job.note_crash(task, number, share):
+            pool_state.progress.mark_changed(job.key.job_id)
+        pool_state.on_event(
+            PoolEvent(
+                "task-suspected",
+                worker.worker_id,
+                task,
+                number,
+                f"crashes {len(job.crashes[unit])}, suspicion {job.suspicion(task):.2f}",
+            )
+        )
+    names = ", ".join(".".join(map(str, task)) for task, _ in lost) or "none"
+    detail = f"{len(worker.runs)} runs lost, of which just started: {names}"
     pool_state.on_event(PoolEvent("worker-crashed", worker.worker_id, detail=detail))
+
+
+def clear_survivors(pool_state: PoolState, worker: Worker) -> None:
+    """Clear the suspects whose start a worker has outlived."""
+    worker.lost_starts = []
+    if pool_state.suspects:
+        for run in worker.runs.values():
+            if has_outlived_start(worker, run):
+                clear_suspect(pool_state, worker, run.task, run.number)
+
+
+def clear_suspect(pool_state: PoolState, worker: Worker, task: TaskId, number: int) -> None:
+    """Clear a task, if it is a suspect, because a worker has outlived the start of its run.
+
+    :param number: number of the run; those of before the last crash prove nothing
+    """
+    job = pool_state.jobs.get(task.job_id)
+    if job is None or not is_suspect(pool_state, job, task):
+        return
+    unit = job.attempt_unit(task)
+    if number <= max(job.crashes.get(unit, ()), default=0):
+        return
+    pool_state.suspects.discard(unit)
+    pool_state.trials.pop(worker.worker_id, None)
+    job.crashes.pop(unit, None)
+    pool_state.on_event(PoolEvent("task-cleared", worker.worker_id, task, number))
+
+
+def fail_crashing_jobs(pool_state: PoolState, wall_time: float) -> None:
+    """Fail the jobs with a task that has crashed too many workers.
+
+    :param wall_time: wall-clock time, in seconds since 1970
+    """
+    for unit in list(pool_state.suspects):
+        job = pool_state.jobs.get(unit.job_id)
+        if job is None or job.state.is_final:
+            pool_state.suspects.discard(unit)
+            continue
+        crashes = len(job.crashes.get(unit, ()))
+        if job.suspicion(unit) < MAX_SUSPICION and crashes < MAX_CRASHES:
+            continue
+        job.fail(wall_time)
+        detail = f"crashed {crashes} workers, suspicion {job.suspicion(unit):.2f}"
+        pool_state.on_event(PoolEvent("task-given-up", "", unit, detail=detail))
+        pool_state.progress.mark_changed(job.key.job_id)
+        pool_state.update_ready_tasks(job, wall_time)
+
+
+def may_start_suspect(pool_state: PoolState, job: Job) -> bool:
+    """Return whether a suspect of a job may be started now.
+
+    Repeated crashes must be stored, so that a later owner counts them too. If tasks of the job have
+    crashed a worker, one of them is started at a time, because the tasks of a job are alike.
+    """
+    if not job.crashes:
+        return True
+    is_repeated = any(len(shares) > 1 for shares in job.crashes.values())
+    if is_repeated and not pool_state.progress.is_stored(job.key.job_id):
+        return False
+    return not any(
+        job.attempt_unit(run.task) in job.crashes
+        and not has_outlived_start(pool_state.workers[run.worker_id], run)
+        for run in pool_state.runs_of(job.key.job_id)
+    )
+
+
+def update_trials(pool_state: PoolState, now: float) -> None:
+    """End the trials on workers that are gone, and those that no suspect has made use of.
+
+    :param now: local time
+    """
+    for worker_id, since in list(pool_state.trials.items()):
+        worker = pool_state.workers.get(worker_id)
+        is_used = worker is not None and any(
+            run.task.job_id in pool_state.jobs
+            and is_suspect(pool_state, pool_state.jobs[run.task.job_id], run.task)
+            for run in suspect_runs(worker)
+        )
+        is_due = not pool_state.suspects or now - since > TRIAL_WAIT_SECONDS
+        if worker is None or (is_due and not is_used):
+            del pool_state.trials[worker_id]
+
+
+def trial_workers(pool_state: PoolState, workers: Iterable[Worker]) -> list[Worker]:
+    """Return the workers on which a suspect may be started now, in order of preference.
+
+    Those whose VMs have not crashed and least used ones come first, because a crash for another
+    reason would be held against the suspect, and because a crash ends the other runs.
+
+    :param workers: available workers
+    """
+
+    def preference(worker: Worker) -> tuple[float, int, str]:
+        crashed_at = pool_state.crashed_vms.get(worker.listed.vm, -math.inf)
+        return crashed_at, worker.used.cpu_millicores, worker.worker_id
+
+    return sorted((worker for worker in workers if not suspect_runs(worker)), key=preference)
+
+
+def reserve_trial_worker(
+    pool_state: PoolState, step: Step, workers: Iterable[Worker], now: float
+) -> None:
+    """Let one more worker take no other starts, so that a suspect can be started there soon.
+
+    :param workers: available workers
+    :param now: local time
+    """
+    suitable = [worker for worker in workers if step.charge.fits(worker.listed.capacity)]
+    others = [worker for worker in suitable if worker.worker_id not in pool_state.trials]
+    most = max(step.count if step.gang else 1, int(len(suitable) * TRIAL_FRACTION))
+    if others and len(pool_state.trials) < most:
+        chosen = max(others, key=lambda worker: worker.room.cpu_millicores)
+        pool_state.trials[chosen.worker_id] = now
--- a/limpetpulley/pool/planning.py
+++ b/limpetpulley/pool/planning.py
@@ -22,6 +22,14 @@
     max_free_capacity,
 )
 from ..workers import PaceOrder, Run, RunPhase, StartOrder, StopOrder, Worker
+from .crashes import (
+    fail_crashing_jobs,
+    is_suspect,
+    may_start_suspect,
+    reserve_trial_worker,
+    trial_workers,
+    update_trials,
+)
 from .gangs import find_broken_gang_runs, gang_tasks, place_gang
 from .state import PoolState
 
@@ -81,6 +89,7 @@
         pool_state.tasks_to_check.update(pool_state.runs)
         orders += _stop_gangs_and_evacuate(pool_state, now, limits)
         orders += _resend_orders(pool_state, now)
+    fail_crashing_jobs(pool_state, wall_time)
     orders = _stop_unneeded_runs(pool_state, now) + orders
     orders += _start_ready_jobs(pool_state, shares, now, limits)
     return orders
@@ -211,6 +220,8 @@
         for worker in pool_state.workers.values()
         if is_available(worker, now, limits.max_reply_age_seconds)
     ]
+    orders += _start_suspects(pool_state, shares, workers, now)
+    workers = [worker for worker in workers if worker.worker_id not in pool_state.trials]
     max_free = max_free_capacity(workers)
     waiting = [
         job for job in map(pool_state.jobs.__getitem__, pool_state.ready) if _may_fit(job, max_free)
@@ -304,7 +315,7 @@
     for task in list(pool_state.ready.get(job.key.job_id, ())):
         step_key = (task.occurrence, task.step)
         step = job.step_of(task)
-        if step_key in blocked_steps:
+        if step_key in blocked_steps or is_suspect(pool_state, job, task):
             continue
         running = pool_state.usage.get(job.team, Amount())
         if (
@@ -344,6 +355,48 @@
     return orders
 
 
+def _start_suspects(
+    pool_state: PoolState, shares: Shares, workers: list[Worker], now: float
+) -> list[Order]:
+    """Start tasks that may have crashed a worker, each by itself."""
+    orders: list[Order] = []
+    update_trials(pool_state, now)
+    job_ids = {unit.job_id for unit in pool_state.suspects} & pool_state.ready.keys()
+    for job in sorted((pool_state.jobs[job_id] for job_id in job_ids), key=rank):
+        if not pool_state.may_start(job) or not may_start_suspect(pool_state, job):
+            continue
+        for task in list(pool_state.ready[job.key.job_id]):
+            if not is_suspect(pool_state, job, task):
+                continue
+            starts = _start_suspect(pool_state, job, task, workers, shares, now)
+            if starts:
+                orders += starts
+                break
+    return orders
+
+
+def _start_suspect(
+    pool_state: PoolState, job: Job, task: TaskId, workers: list[Worker], shares: Shares, now: float
+) -> list[StartOrder]:
+    step = job.step_of(task)
+    if not shares.allows(job.team, pool_state.usage.get(job.team, Amount()), step.charge):
+        return []
+    allowed_workers = pool_state.tickets.allowed_workers(job, task, workers, now)
+    candidates = trial_workers(pool_state, allowed_workers)
+    if step.gang:
+        starts = _start_gang(pool_state, job, task, candidates, shares, now)
+    else:
+        counts = count_tasks_per_worker(pool_state, task)
+        fitting = (worker for worker in candidates if choose_worker(step, [worker], counts))
+        worker = next(fitting, None)
+        starts = [] if worker is None else [_start_run(pool_state, job, task, worker, now)]
+    if not starts:
+        reserve_trial_worker(pool_state, step, allowed_workers, now)
+    for start in starts:
+        pool_state.trials[start.worker_id] = now
+    return starts
+
+
 def _start_gang(
     pool_state: PoolState, job: Job, task: TaskId, workers: list[Worker], shares: Shares, now: float
 ) -> list[StartOrder]:
--- a/limpetpulley/pool/replies.py
+++ b/limpetpulley/pool/replies.py
@@ -6,6 +6,7 @@
 
 from ..batch import EndKind
 from ..workers import EndedRun, HoldReply, Run, RunPhase, StartOutcome, StopOrder, Worker
+from .crashes import clear_survivors, clear_suspect
 from .events import PoolEvent
 from .reconcile import SETTLE_MARGIN_SECONDS, drop_unlisted_runs, reconcile_running
 from .state import PoolState
@@ -32,6 +33,7 @@
         pool_state.handle_worker_restart(worker, "answered")
     worker.lease.record_reply(reply.worker_seconds, now)
     worker.last_reply_at = now
+    worker.lost_at = None
     worker.silent = False
     worker.reconciled = True
     if worker.runs and not worker.lease.until_seconds:
@@ -44,6 +46,7 @@
         reconcile_running(pool_state, worker, row, reply.worker_seconds)
     if len(reply.ended) < MAX_LISTED_ENDS:
         drop_unlisted_runs(pool_state, worker, reply)
+    clear_survivors(pool_state, worker)
     pool_state.unreconciled_workers.pop(worker.worker_id, None)
     pool_state.acknowledge_ends(worker)
 
@@ -99,6 +102,7 @@
     pool_state.on_event(PoolEvent("run-ended", worker.worker_id, end.task, end.number, end.kind))
     if job is None:
         return
+    clear_suspect(pool_state, worker, end.task, end.number)
     track_failures(pool_state, worker, end)
     if end.kind is not EndKind.DONE and end.checkpoint and job.needs_run(end.task):
         pool_state.checkpoints[job.attempt_unit(end.task)] = end.checkpoint
--- a/limpetpulley/pool/speculation.py
+++ b/limpetpulley/pool/speculation.py
@@ -11,6 +11,7 @@
 from typing import TYPE_CHECKING
 
 from ..workers import Run, RunPhase, StopOrder, Worker
+from .crashes import has_outlived_start
 from .events import PoolEvent
 
 if TYPE_CHECKING:
@@ -20,7 +21,11 @@
 
 
 def requeue_speculative_tasks(pool_state: PoolState, worker: Worker) -> None:
-    """Requeue the tasks of a silent worker that allow speculative execution."""
+    """Requeue the tasks of a silent worker that allow speculative execution.
+
+    A task whose start the worker is not known to have outlived may have crashed it. Its only copy
+    is started by itself; see :mod:`.crashes`.
+    """
     for run in worker.runs.values():
         if pool_state.runs.get(run.task) is not run or run.phase is RunPhase.STOPPING:
             continue
@@ -29,6 +34,10 @@
             continue
         step = job.step_of(run.task)
         if step.speculative and not step.lasting and not step.gang:
+            if not has_outlived_start(worker, run):
+                if run.task in pool_state.suspects:
+                    continue
+                pool_state.suspects.add(run.task)
             pool_state.unset_current_run(run)
             pool_state.on_event(
                 PoolEvent("run-copied", worker.worker_id, run.task, run.number, "silent")
--- a/limpetpulley/pool/state.py
+++ b/limpetpulley/pool/state.py
@@ -13,7 +13,7 @@
 
 from ..batch import Amount, Job, TaskId
 from ..workers import ListedWorker, Run, RunPhase, StopOrder, Worker
-from .crashes import record_crash
+from .crashes import record_crash, suspend_judgement
 from .events import PoolEvent
 from .progress import ProgressLedger
 from .run_times import TaskRunTimes
@@ -76,6 +76,12 @@
         self.next_run_number = token * RUN_NUMBERS_PER_OWNER + 1
         self.run_times = TaskRunTimes()
         self.tickets = TicketCache()
+        # Tasks, or first tasks of gangs, that may have crashed a worker; see :mod:`.crashes`.
+        self.suspects: set[TaskId] = set()
+        # Workers on which only suspects are started, with the local time since when.
+        self.trials: dict[str, float] = {}
+        # VMs whose worker has crashed, with the local time of its last reply.
+        self.crashed_vms: dict[str, float] = {}
         # Local times at which VMs that are being moved to this pool should take tasks.
         self.expected_join_times: list[float] = []
 
@@ -91,6 +97,7 @@
         self.progress.add(job.key.job_id)
         if inherited and not job.state.is_final:
             self.inherited.add(job.key.job_id)
+            self.suspects.update(job.crashes)
         self.update_ready_tasks(job, now)
 
     def remove_job(self, job_id: str) -> None:
@@ -213,10 +220,13 @@
         """Drop the runs whose leases must have expired, and the workers that no longer exist."""
         for worker in list(self.workers.values()):
             if worker.runs and worker.lease.has_lapsed(now):
+                suspend_judgement(self, worker)
                 for run in list(worker.runs.values()):
                     self.drop_run(run, "lease-lapsed")
             expired = worker.ended or worker.lease.has_lapsed(now)
             if not worker.present and expired and not worker.runs:
+                if worker.lost_starts:
+                    record_crash(self, worker)
                 self._remove_worker(worker)
                 self.on_event(PoolEvent("worker-gone", worker.worker_id))
         for stop, since in list(self.late_start_stops.items()):
--- a/limpetpulley/pool/tests/test_indexes.py
+++ b/limpetpulley/pool/tests/test_indexes.py
@@ -11,6 +11,7 @@
 from ...scheduling.placement import WorkerIndex
 from ...workers import EndedRun, HoldReply, ListedRun, ListedWorker, RunPhase, StartOutcome
 from .. import PlanningLimits, PoolState, plan_orders, process_hold_reply, process_start_reply
+from ..crashes import is_suspect, may_start_suspect, suspect_runs
 from ..planning import rank
 from .test_planning import Shares
 
@@ -149,6 +150,22 @@
             assert needed or run.phase is RunPhase.STOPPING
 
 
+def first_ready_tasks(pool_state):
+    """Return the first ready task of each job that is a suspect of a crash, and the first other."""
+    found = []
+    for job in sorted((pool_state.jobs[job_id] for job_id in pool_state.ready), key=rank):
+        tasks = reversed(pool_state.ready[job.key.job_id])
+        found += {is_suspect(pool_state, job, task): task for task in tasks}.values()
+    return found
+
+
+def may_take(pool_state, worker, job, task):
+    """Return whether a worker may take a task, as far as crashes of workers are concerned."""
+    if is_suspect(pool_state, job, task):
+        return may_start_suspect(pool_state, job) and not suspect_runs(worker)
+    return worker.worker_id not in pool_state.trials
+
+
 @pytest.mark.parametrize("seed", range(12))
 def test_no_task_that_fits_is_left_waiting(seed):
     """Compares the plan with an exhaustive search over all workers for each waiting job."""
@@ -167,15 +184,16 @@
             for run in pool_state.runs.values()
             if run.phase is RunPhase.STARTING and run.settled_at is None
         )
-        for job in sorted((pool_state.jobs[job_id] for job_id in pool_state.ready), key=rank):
-            task = pool_state.ready[job.key.job_id][0]
+        for task in first_ready_tasks(pool_state):
+            job = pool_state.jobs[task.job_id]
             step = job.step_of(task)
             if step.max_per_worker:
                 continue
             fits = [
                 worker.worker_id
                 for worker in available
-                if step.charge.fits(worker.room)
+                if may_take(pool_state, worker, job, task)
+                and step.charge.fits(worker.room)
                 and starting[worker.worker_id] < PlanningLimits().max_unanswered_starts
                 and events.now - worker.last_reply_at <= PlanningLimits().max_reply_age_seconds
             ]
--- a/limpetpulley/standin/vms.py
+++ b/limpetpulley/standin/vms.py
@@ -115,7 +115,7 @@
         """
         for vm in self.vms.values():
             if vm.worker_id == worker_id:
-                self.workers.workers[worker_id].alive = False
+                self.workers.workers[worker_id].crash()
                 self._take_down(vm, Phase.DOWN, down_seconds)
 
     def _take_down(self, vm: _Vm, phase: Phase, seconds: float | None = None) -> None:
--- a/limpetpulley/standin/workers.py
+++ b/limpetpulley/standin/workers.py
@@ -95,6 +95,11 @@
         self.listed = attrs.evolve(self.listed, incarnation=self.listed.incarnation + 1)
         self._reset()
 
+    def crash(self) -> None:
+        """Crash for good; pending holds lose their connections."""
+        self.alive = False
+        self.run_ended.set()
+
     def time(self) -> float:
         """Return the worker's time: the seconds since its start."""
         return self.clock.now() - self.started_at
--- a/limpetpulley/workers/state.py
+++ b/limpetpulley/workers/state.py
@@ -186,6 +186,7 @@
         have ended
     :param silent: whether its last call got no reply
     :param last_reply_at: local time of its last reply
+    :param lost_at: local time at which a call failed without a timeout, None after a reply
     :param processed_through: position of the last ended run that was processed
     :param stored_through: position up to which ended runs are stored and may be acknowledged
     :param avoid_until: local time until which no run is started on it
@@ -194,6 +195,8 @@
     :param used: capacity that its runs reserve
     :param lease: lease on its runs
     :param runs: runs on it, by task
+    :param lost_starts: tasks and numbers of the runs that were dropped while it was silent, and
+        whose start it is not known to have outlived
     """
 
     listed: ListedWorker
@@ -204,6 +207,7 @@
     ended: bool = False
     silent: bool = False
     last_reply_at: float = 0.0
+    lost_at: float | None = None
     processed_through: int = 0
     stored_through: int = 0
     avoid_until: float = 0.0
@@ -212,6 +216,7 @@
     used: Amount = Amount()
     lease: WorkerLease = attrs.field(factory=WorkerLease)
     runs: dict[TaskId, Run] = attrs.field(factory=dict)
+    lost_starts: list[tuple[TaskId, int]] = attrs.field(factory=list)
     # Cached free capacity, preceded by the capacity and the usage that it was computed from.
     _room: tuple[Amount, Amount, Amount] | None = None
 
