Reject odd entries and replies in the decoders that read them

Cause: RecursionError, OverflowError, ValueError and KeyError left decoders that promise RecordError. The loop that follows the list failed and took the batch for applied, so that workers beside the odd entry stayed unknown until they changed; a port out of range ended an owner's loop when it was called, a number of 400 digits or a name that cannot be encoded would end its planning or its reports.

The JSON readers now reject what is nested too deeply, numbers that are not finite or beyond 64 bits, and strings that cannot be encoded. Workers' entries need an address that can exist and an identifier that fits a header; the HTTP client checks addresses as well. Replies of workers, the list of VMs, advice, callers' bodies and stored records use the same readers, and their callers catch all that remains.

--- a/limpetpulley/api/operators.py
+++ b/limpetpulley/api/operators.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import hmac
-import json
 import re
 from collections.abc import Callable
 from typing import Any, Protocol
@@ -21,6 +20,7 @@
     StoreError,
 )
 from ..jobs import JobService
+from ..json_decoding import parse_json
 from .callers import Readiness
 from .http import Receive, Scope, Send, get_header, read_body, send_json, send_problem
 
@@ -190,7 +190,7 @@
 
 def _parse_object(body: bytes) -> dict[str, Any]:
     try:
-        document = json.loads(body or b"{}")
+        document = parse_json(body or b"{}")
     except ValueError as error:
         raise ConfigError(f"the request body is not JSON: {error}") from None
     if not isinstance(document, dict):
--- a/limpetpulley/batch/records.py
+++ b/limpetpulley/batch/records.py
@@ -8,6 +8,7 @@
 import attrs
 
 from ..exception import RecordError
+from ..json_decoding import parse_json
 from .job import Job
 from .model import JobKey, JobSpec, TaskId
 from .spec_encoding import decode_spec_fields, encode_spec_fields
@@ -75,8 +76,8 @@
     :raises RecordError: if a record cannot be decoded
     """
     try:
-        description_fields = json.loads(description)
-        progress_fields = json.loads(progress) if progress is not None else {}
+        description_fields = parse_json(description)
+        progress_fields = parse_json(progress) if progress is not None else {}
         return Job(
             key,
             decode_spec_fields(description_fields["spec"]),
@@ -103,7 +104,7 @@
             started=bool(progress_fields.get("started")),
             ended_at=float(progress_fields.get("ended", 0.0)),
         )
-    except (ValueError, KeyError, TypeError, OverflowError) as error:
+    except (ValueError, LookupError, TypeError, AttributeError, OverflowError) as error:
         raise RecordError(f"job {key.queue}/{key.job_id}: invalid record: {error!r}") from None
 
 
@@ -118,8 +119,8 @@
     :raises RecordError: if it cannot be decoded
     """
     try:
-        return decode_spec_fields(json.loads(value))
-    except (ValueError, KeyError, TypeError, OverflowError) as error:
+        return decode_spec_fields(parse_json(value))
+    except (ValueError, LookupError, TypeError, AttributeError, OverflowError) as error:
         raise RecordError(f"invalid job specification: {error!r}") from None
 
 
@@ -146,7 +147,7 @@
             str(name): RosterEntry(str(row[0]), str(row[1]))
             for name, row in _load(value, "roster").items()
         }
-    except (TypeError, IndexError) as error:
+    except (TypeError, LookupError) as error:
         raise RecordError(f"invalid roster record: {error}") from None
 
 
@@ -169,13 +170,13 @@
             str(pool): (int(row[0]), int(row[1]), int(row[2]))
             for pool, row in _load(value, "shares").items()
         }
-    except (ValueError, TypeError, IndexError) as error:
+    except (ValueError, TypeError, LookupError, OverflowError) as error:
         raise RecordError(f"invalid shares record: {error!r}") from None
 
 
 def _load(value: bytes, kind: str) -> dict[str, Any]:
     try:
-        loaded = json.loads(value)
+        loaded = parse_json(value)
     except ValueError as error:
         raise RecordError(f"invalid {kind} record: {error}") from None
     if not isinstance(loaded, dict):
--- a/limpetpulley/cli/batch.py
+++ b/limpetpulley/cli/batch.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 import pathlib
 import secrets
 import sys
@@ -12,6 +11,7 @@
 import attrs
 import cappa
 
+from ..json_decoding import parse_json
 from .client import CommandError, ExitStatus, OperatorClient
 from .session import Session
 
@@ -157,6 +157,6 @@
 def _read_job(path: str) -> object:
     try:
         text = sys.stdin.read() if path == "-" else pathlib.Path(path).read_text()
-        return json.loads(text)
+        return parse_json(text)
     except (OSError, ValueError) as error:
         raise CommandError(f"{path}: {error}", ExitStatus.INVALID) from None
--- a/limpetpulley/cli/client.py
+++ b/limpetpulley/cli/client.py
@@ -12,6 +12,7 @@
 
 from ..config import Change, unstructure_object
 from ..exception import LimpetpulleyError
+from ..json_decoding import parse_json
 
 __all__ = ["CommandError", "ExitStatus", "OperatorClient"]
 
@@ -149,7 +150,7 @@
                 content=b"" if document is None else json.dumps(document).encode(),
                 extensions={"timeout": timeout},
             )
-            body = json.loads(response.content)
+            body = parse_json(response.content)
         except (httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError) as error:
             raise CommandError(
                 f"{self.address}: no response: {error}", ExitStatus.UNAVAILABLE
--- a/limpetpulley/config/document.py
+++ b/limpetpulley/config/document.py
@@ -9,6 +9,7 @@
 import attrs
 
 from ..exception import ConfigError, InvalidConfig
+from ..json_decoding import parse_json
 from .objects import KINDS, ConfigObject, structure_object, unstructure_object
 
 __all__ = ["Change", "diff_documents", "dump_document", "load_document"]
@@ -42,7 +43,7 @@
     :raises InvalidConfig: an exception group of all problems found
     """
     try:
-        raw = json.loads(text)
+        raw = parse_json(text)
     except ValueError as error:
         raise InvalidConfig("invalid document", [ConfigError(f"not JSON: {error}")]) from None
     if not isinstance(raw, dict):
--- a/limpetpulley/config/questionnaire.py
+++ b/limpetpulley/config/questionnaire.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-import json
 from collections.abc import Callable, Iterable
 from typing import Any
 
 import attrs
 
 from ..exception import ConfigError, InvalidConfig
+from ..json_decoding import parse_json
 from .check import find_problems
 from .objects import ConfigObject, Pool, Queue, Team, Vm, structure_object
 
@@ -82,7 +82,7 @@
     :raises InvalidConfig: an exception group of all problems found
     """
     try:
-        raw = json.loads(text)
+        raw = parse_json(text)
     except ValueError as error:
         raise InvalidConfig("invalid answers", [ConfigError(f"not JSON: {error}")]) from None
     if not isinstance(raw, dict):
--- a/limpetpulley/config/replica.py
+++ b/limpetpulley/config/replica.py
@@ -10,6 +10,7 @@
 import attrs
 
 from ..exception import ConfigError
+from ..json_decoding import parse_json
 from .objects import AccessKey, ConfigObject, structure_object, unstructure_object
 
 __all__ = ["ConfigReplica", "Record", "decode_record", "encode_record"]
@@ -62,7 +63,7 @@
     if data is None:
         return Record(kind, name, revision, None)
     try:
-        fields = json.loads(data)
+        fields = parse_json(data)
         raw = fields["object"]
         value = None if raw is None else structure_object(kind, raw)
         return Record(
--- a/limpetpulley/config/writer.py
+++ b/limpetpulley/config/writer.py
@@ -11,6 +11,7 @@
 from absl import logging
 
 from ..exception import ChangeUnknown, ConfigError, ConflictError, StoreUnavailable
+from ..json_decoding import parse_json
 from ..keyspace import Keyspace
 from ..store import Compare, Delete, Put, Store
 from .check import check_objects
@@ -164,7 +165,7 @@
         snapshot = await self.store.read(self.keyspace.head)
         for entry in snapshot.entries:
             if entry.key == self.keyspace.head:
-                changes = dict.fromkeys(json.loads(entry.value), 0)
+                changes = dict.fromkeys(parse_json(entry.value), 0)
                 return _Head(entry.revision, changes)
         return _Head(0, {})
 
--- a/limpetpulley/fleet/planner_record.py
+++ b/limpetpulley/fleet/planner_record.py
@@ -79,7 +79,7 @@
     source = parse_object(value)
     try:
         return PlannerRecord(**decode_fields(source, RECORD_FIELDS))
-    except (ValueError, TypeError, OverflowError) as error:
+    except (ValueError, TypeError, LookupError, AttributeError, OverflowError) as error:
         raise RecordError(f"not a {PlannerRecord.__name__}: {error!r}") from None
 
 
--- a/limpetpulley/http_client.py
+++ b/limpetpulley/http_client.py
@@ -15,6 +15,7 @@
 import attrs
 import httptools
 
+from .address import split_address
 from .exception import HttpError
 
 __all__ = ["HttpClient", "HttpResponse", "PooledHttpClient"]
@@ -166,7 +167,10 @@
     ) -> HttpResponse:
         """Send a request and return its response."""
         self.calls += 1
-        connections = self.connections.setdefault(address, _AddressConnections())
+        connections = self.connections.get(address)
+        if connections is None:
+            _check_address(address)
+            connections = self.connections[address] = _AddressConnections()
         deadline = asyncio.get_running_loop().time() + timeout
         await _acquire_slot(connections, address, timeout)
         try:
@@ -247,13 +251,20 @@
             raise HttpError(f"{address}: no free connection within {timeout:.1f} s") from None
 
 
+def _check_address(address: str) -> None:
+    try:
+        split_address(address)
+    except ValueError as error:
+        raise HttpError(str(error)) from None
+
+
 async def _connect(address: str, timeout: float) -> _Connection:
-    host, _, port = address.rpartition(":")
+    host, port = split_address(address)
     loop = asyncio.get_running_loop()
     connection = _Connection(address)
     try:
         with anyio.fail_after(timeout):
-            await loop.create_connection(lambda: connection, host, int(port))
+            await loop.create_connection(lambda: connection, host, port)
     except (OSError, TimeoutError) as error:
         connection.abort()
         raise HttpError(f"{address}: connection failed: {error!r}") from None
--- a/limpetpulley/json_decoding.py
+++ b/limpetpulley/json_decoding.py
@@ -3,33 +3,59 @@
 from __future__ import annotations
 
 import json
+import re
 from collections.abc import Callable, Mapping
 from typing import Any
 
+from .address import split_address
 from .exception import RecordError
 
 __all__ = [
     "FieldConverters",
+    "check_int",
+    "check_str",
+    "check_token",
     "decode_fields",
+    "get_address",
     "get_bool",
+    "get_count",
     "get_int",
     "get_list",
     "get_number",
+    "get_object",
+    "get_objects",
     "get_str",
+    "get_strings",
+    "parse_json",
     "parse_object",
 ]
 
+#: largest absolute value of a number; those of protocol messages and of the stores fit
+MAX_NUMBER = 2**63 - 1
+VISIBLE_ASCII = re.compile(r"[!-~]+")
+
 #: functions that convert the values of an object's fields, by field
 FieldConverters = Mapping[str, Callable[[Any], Any]]
 
 
+def parse_json(content: bytes | str) -> Any:
+    """Parse a JSON value.
+
+    :raises ValueError: if the content is not JSON, or is nested too deeply
+    """
+    try:
+        return json.loads(content)
+    except RecursionError:
+        raise ValueError("nested too deeply") from None
+
+
 def parse_object(content: bytes | str) -> dict[str, Any]:
     """Parse a JSON object.
 
     :raises RecordError: if the content is not a JSON object
     """
     try:
-        value = json.loads(content)
+        value = parse_json(content)
     except ValueError as error:
         raise RecordError(f"not JSON: {error}") from None
     if not isinstance(value, dict):
@@ -42,12 +68,47 @@
 
     :raises RecordError: if it has another type, or is missing and there is no default
     """
-    value = source.get(name, default)
+    return check_str(source.get(name, default), name)
+
+
+def check_str(value: Any, name: str) -> str:
+    """Return a value that must be a string which can be encoded.
+
+    :raises RecordError: if it is not
+    """
     if not isinstance(value, str):
         raise RecordError(f"{name} is not a string")
+    if not value.isascii():
+        try:
+            value.encode()
+        except UnicodeEncodeError:
+            raise RecordError(f"{name} has a character that cannot be encoded") from None
     return value
 
 
+def check_token(value: str, name: str) -> str:
+    """Return a value that must be of visible ASCII characters, as in a header.
+
+    :raises RecordError: if it is not
+    """
+    if not VISIBLE_ASCII.fullmatch(value):
+        raise RecordError(f"{name} {value[:100]!r} is not of visible ASCII characters")
+    return value
+
+
+def get_address(source: dict[str, Any], name: str) -> str:
+    """Return a field of the form ``host:port``.
+
+    :raises RecordError: if it has another form, or is missing
+    """
+    address = get_str(source, name)
+    try:
+        split_address(address)
+    except ValueError as error:
+        raise RecordError(str(error)) from None
+    return address
+
+
 def get_number(source: dict[str, Any], name: str, default: float | None = None) -> float:
     """Return a numeric field.
 
@@ -56,6 +117,9 @@
     value = source.get(name, default)
     if isinstance(value, bool) or not isinstance(value, int | float):
         raise RecordError(f"{name} is not a number")
+    # This is false for NaN as well.
+    if not abs(value) <= MAX_NUMBER:
+        raise RecordError(f"{name} is out of range")
     return value
 
 
@@ -64,10 +128,29 @@
 
     :raises RecordError: if it is not an integer, or is missing and there is no default
     """
-    value = get_number(source, name, default)
-    if value != int(value):
+    return check_int(source.get(name, default), name)
+
+
+def check_int(value: Any, name: str) -> int:
+    """Return a value that must be an integer.
+
+    :raises RecordError: if it is not
+    """
+    number = get_number({name: value}, name)
+    if number != int(number):
         raise RecordError(f"{name} is not an integer")
-    return int(value)
+    return int(number)
+
+
+def get_count(source: dict[str, Any], name: str) -> int:
+    """Return an integer field that is not negative, 0 if it is missing.
+
+    :raises RecordError: if it has another value
+    """
+    count = get_int(source, name, 0)
+    if count < 0:
+        raise RecordError(f"{name} is negative")
+    return count
 
 
 def get_bool(source: dict[str, Any], name: str) -> bool:
@@ -92,6 +175,36 @@
     return value
 
 
+def get_strings(source: dict[str, Any], name: str) -> list[str]:
+    """Return the strings in an array field, empty if it is missing.
+
+    :raises RecordError: if it has another type, or a string cannot be encoded
+    """
+    return [get_str({name: item}, name) for item in get_list(source, name) if isinstance(item, str)]
+
+
+def get_object(source: dict[str, Any], name: str) -> dict[str, Any]:
+    """Return an object field, empty if it is missing.
+
+    :raises RecordError: if it has another type
+    """
+    value = source.get(name) or {}
+    if not isinstance(value, dict):
+        raise RecordError(f"{name} is not a JSON object")
+    return value
+
+
+def get_objects(source: dict[str, Any], name: str) -> list[dict[str, Any]]:
+    """Return an array field whose items are objects, empty if it is missing.
+
+    :raises RecordError: if it has another type
+    """
+    items = get_list(source, name)
+    if not all(isinstance(item, dict) for item in items):
+        raise RecordError(f"an item of {name} is not a JSON object")
+    return items
+
+
 def decode_fields(source: dict[str, Any], converters: FieldConverters) -> dict[str, Any]:
     """Return the converted fields that an object has; fields without a converter are ignored.
 
--- a/limpetpulley/membership/view.py
+++ b/limpetpulley/membership/view.py
@@ -10,6 +10,7 @@
 import cattrs
 
 from ..exception import ConfigError
+from ..json_decoding import parse_json
 
 __all__ = [
     "Grant",
@@ -155,6 +156,6 @@
     :raises ConfigError: if the value is not a valid view
     """
     try:
-        return _converter.structure(json.loads(data), View)
+        return _converter.structure(parse_json(data), View)
     except (ValueError, cattrs.BaseValidationError) as error:
         raise ConfigError(f"invalid view: {error}") from None
--- a/limpetpulley/message_decoding.py
+++ b/limpetpulley/message_decoding.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import enum
-import json
 from typing import Any
 
 import cattrs
 from cattrs.preconf.json import JsonConverter, make_converter
 
 from .exception import RecordError
+from .json_decoding import parse_json
 
 __all__ = ["decode_message", "make_message_converter"]
 
@@ -32,7 +32,7 @@
     :raises RecordError: if the content is not such a message
     """
     try:
-        return converter.structure(json.loads(content), message_type)
+        return converter.structure(parse_json(content), message_type)
     except (ValueError, KeyError, TypeError, cattrs.BaseValidationError) as error:
         raise RecordError(
             f"not a {getattr(message_type, '__name__', message_type)}: {error!r}"
--- a/limpetpulley/ownership/directory.py
+++ b/limpetpulley/ownership/directory.py
@@ -12,6 +12,7 @@
 
 from ..batch.keys import BatchKeys
 from ..exception import RecordError
+from ..json_decoding import parse_json
 from ..store import Event
 
 __all__ = [
@@ -86,7 +87,7 @@
     :raises RecordError: if it cannot be read
     """
     try:
-        record = json.loads(value)
+        record = parse_json(value)
         strength = float(record.get("strength", MIN_STRENGTH))
         return Member(
             str(record["name"]),
@@ -96,7 +97,7 @@
             strength if strength > 0 and math.isfinite(strength) else MIN_STRENGTH,
             record.get("leaving") is True,
         )
-    except (ValueError, TypeError, KeyError, AttributeError) as error:
+    except (ValueError, TypeError, LookupError, AttributeError, OverflowError) as error:
         raise RecordError(f"cannot decode member record: {error!r}") from None
 
 
--- a/limpetpulley/ownership/planner.py
+++ b/limpetpulley/ownership/planner.py
@@ -12,6 +12,7 @@
 from ..fleet.demand import DemandHistory, FleetPlan, PoolLoad, plan_pools
 from ..fleet.maintenance import WaveProgress
 from ..fleet.vms import Holder, VmPlatform
+from ..json_decoding import parse_json
 from ..peer import batch_pb2 as pb
 from ..store import Compare, Put
 from .context import DaemonContext
@@ -196,9 +197,12 @@
             await self.context.store.commit([Compare(key, 0), self.claim], [Put(key, value)])
         entry = await self.context.store.get(key)
         if entry is not None:
-            self.demand_history.homes = {
-                str(pool): int(n) for pool, n in json.loads(entry.value).items()
-            }
+            try:
+                self.demand_history.homes = {
+                    str(pool): int(n) for pool, n in parse_json(entry.value).items()
+                }
+            except (ValueError, TypeError, AttributeError, OverflowError) as error:
+                self.context.log.write("record-unreadable", key=key, reason=repr(error))
 
     def _log_loads(self, loads: dict[str, PoolLoad], plan: FleetPlan, now: float) -> None:
         if now - self.logged_at < LOG_INTERVAL_SECONDS:
--- a/limpetpulley/ownership/wave_tracker.py
+++ b/limpetpulley/ownership/wave_tracker.py
@@ -9,6 +9,7 @@
 from ..exception import StoreError, StoreUnavailable
 from ..fleet.maintenance import WaveProgress, is_finished
 from ..fleet.vms import FleetVm, WaveOrder
+from ..json_decoding import parse_json
 from ..store import Compare, Put
 from .context import DaemonContext
 from .intents import IntentLog
@@ -89,10 +90,14 @@
         entry = await self.context.store.get(self.context.keys.wave(order.name))
         if entry is None:
             return WaveProgress(order, self.context.wall_time())
-        record = json.loads(entry.value)
-        return WaveProgress(
-            order, record["begun"], set(record["done"]), completed=record["completed"]
-        )
+        try:
+            record = parse_json(entry.value)
+            return WaveProgress(
+                order, float(record["begun"]), set(record["done"]), completed=record["completed"]
+            )
+        except (ValueError, LookupError, TypeError, OverflowError) as error:
+            self.context.log.write("record-unreadable", key=entry.key, reason=repr(error))
+            return WaveProgress(order, self.context.wall_time())
 
     async def _store_wave(self, wave: WaveProgress) -> None:
         name = wave.order.name
--- a/limpetpulley/platform/advice.py
+++ b/limpetpulley/platform/advice.py
@@ -43,5 +43,5 @@
             # "healthy" contains a row of worker and ticket for each worker that may run the step.
             tickets = {str(row[0]): str(row[1]) for row in get_list(reply, "healthy")}
             return Advice(tickets, get_number(reply, "validMs") / MILLISECONDS)
-        except (HttpError, RecordError, IndexError, TypeError) as error:
+        except (HttpError, RecordError, LookupError, TypeError) as error:
             raise AdviceError(str(error)) from None
--- a/limpetpulley/platform/callers.py
+++ b/limpetpulley/platform/callers.py
@@ -5,11 +5,10 @@
 import re
 from typing import Any
 
+from .. import json_decoding as fields
 from ..api.batches import Dialect, Target
 from ..api.http import Scope, get_header
 from ..batch import BatchConfig, JobSpec, Step
-from ..exception import RecordError
-from ..json_decoding import get_bool, get_int, get_list, get_number, get_str, parse_object
 from .config import MILLISECONDS, decode_amount
 
 __all__ = ["decode_job_spec", "platform_dialect"]
@@ -27,14 +26,14 @@
 
     :raises RecordError: if it cannot be read
     """
-    source = parse_object(content)
+    source = fields.parse_object(content)
     return JobSpec(
-        get_str(source, "spec", ""),
+        fields.get_str(source, "spec", ""),
         # The platform calls the steps phases and the number of occurrences repeatCount.
-        tuple(_decode_step(row) for row in get_list(source, "phases")),
-        get_int(source, "repeatCount", 0),
-        get_number(source, "firstMs", 0) / MILLISECONDS,
-        get_number(source, "intervalMs", 0) / MILLISECONDS,
+        tuple(_decode_step(row) for row in fields.get_objects(source, "phases")),
+        fields.get_int(source, "repeatCount", 0),
+        fields.get_number(source, "firstMs", 0) / MILLISECONDS,
+        fields.get_number(source, "intervalMs", 0) / MILLISECONDS,
     )
 
 
@@ -47,25 +46,24 @@
     return Target(queue, job_id) if not job_id or JOB_ID.fullmatch(job_id) else None
 
 
-def _decode_step(row: Any) -> Step:
-    if not isinstance(row, dict):
-        raise RecordError("a step is not a JSON object")
+def _decode_step(row: dict[str, Any]) -> Step:
+    lasting = fields.get_bool(row, "longRunning")
     return Step(
-        count=get_int(row, "count", 0),
+        count=fields.get_int(row, "count", 0),
         need=decode_amount(row),
-        estimate_seconds=get_number(row, "estimateMs", 0) / MILLISECONDS,
-        after=tuple(int(step_index) for step_index in get_list(row, "after")),
-        checkpoints=get_bool(row, "checkpointing"),
-        gang=get_bool(row, "gang"),
-        same_rack=get_bool(row, "sameRack"),
-        label=get_str(row, "constraints", ""),
-        near_rack=get_str(row, "affinity", ""),
-        max_per_worker=get_int(row, "antiAffinity", 0),
-        speculative=get_bool(row, "speculative"),
-        lasting=get_bool(row, "longRunning"),
-        image=get_str(row, "image", ""),
-        latency_target_seconds=get_number(row, "targetMs", 0) / MILLISECONDS,
-        filler=get_bool(row, "fills"),
+        estimate_seconds=fields.get_number(row, "estimateMs", 0) / MILLISECONDS,
+        after=tuple(fields.check_int(number, "after") for number in fields.get_list(row, "after")),
+        checkpoints=fields.get_bool(row, "checkpointing"),
+        gang=fields.get_bool(row, "gang"),
+        same_rack=fields.get_bool(row, "sameRack"),
+        label=fields.get_str(row, "constraints", ""),
+        near_rack=fields.get_str(row, "affinity", ""),
+        max_per_worker=fields.get_int(row, "antiAffinity", 0),
+        speculative=fields.get_bool(row, "speculative"),
+        lasting=lasting,
+        image=fields.get_str(row, "image", ""),
+        latency_target_seconds=fields.get_number(row, "targetMs", 0) / MILLISECONDS,
+        filler=fields.get_bool(row, "fills"),
         # Clients omit fields that are 0, so a lasting step without this field may miss no task.
-        may_miss=get_int(row, "mayMiss", 0) if get_bool(row, "longRunning") else None,
+        may_miss=fields.get_int(row, "mayMiss", 0) if lasting else None,
     )
--- a/limpetpulley/platform/vms.py
+++ b/limpetpulley/platform/vms.py
@@ -6,10 +6,10 @@
 from typing import Any
 from urllib.parse import quote
 
+from .. import json_decoding as fields
 from ..exception import HttpError, PlatformError, RecordError
 from ..fleet.vms import FleetVm, Holder, OrderOutcome, Phase, WaveOrder
 from ..http_client import HttpClient, HttpResponse
-from ..json_decoding import get_int, get_list, get_number, get_str, parse_object
 from .config import decode_amount
 
 __all__ = ["WAVE_PREFIX", "PlatformVms", "decode_wave", "encode_wave_state", "wave_state_key"]
@@ -36,13 +36,13 @@
 
     :raises RecordError: if it cannot be read
     """
-    source = parse_object(value)
+    source = fields.parse_object(value)
     return WaveOrder(
         key.removeprefix(WAVE_PREFIX),
-        tuple(name for name in get_list(source, "machines") if isinstance(name, str)),
-        get_number(source, "durationS"),
+        tuple(fields.get_strings(source, "machines")),
+        fields.get_number(source, "durationS"),
         # Here "upperBound" is a number of machines; for a tenant it is an amount.
-        get_int(source, "upperBound"),
+        fields.get_int(source, "upperBound"),
     )
 
 
@@ -76,13 +76,14 @@
             if answer.status != OK:
                 raise PlatformError(f"cannot list machines: status {answer.status}")
             try:
-                page = parse_object(answer.content)
-                vms += [_decode_vm(row) for row in get_list(page, "machines")]
+                page = fields.parse_object(answer.content)
+                vms += [_decode_vm(row) for row in fields.get_objects(page, "machines")]
+                token = fields.check_str(page.get("nextToken") or "", "nextToken")
             except RecordError as error:
                 raise PlatformError(f"cannot read the list of machines: {error}") from None
-            if not page.get("nextToken"):
+            if not token:
                 return vms
-            target = f"/api/machines?pageToken={quote(str(page['nextToken']), safe='')}"
+            target = f"/api/machines?pageToken={quote(token, safe='')}"
 
     async def move(self, vm: str, pool: str, holder: Holder) -> OrderOutcome:
         """Move a machine to a pool."""
@@ -109,9 +110,8 @@
             return OrderOutcome.TOO_MANY
         if answer.status == CONFLICT:
             try:
-                return OUTCOMES.get(
-                    get_str(parse_object(answer.content), "reason"), OrderOutcome.REFUSED
-                )
+                reason = fields.get_str(fields.parse_object(answer.content), "reason")
+                return OUTCOMES.get(reason, OrderOutcome.REFUSED)
             except RecordError as error:
                 raise PlatformError(f"{path}: status {answer.status}: {error}") from None
         raise PlatformError(f"{path}: unexpected status {answer.status}")
@@ -127,20 +127,18 @@
             raise PlatformError(str(error)) from None
 
 
-def _decode_vm(row: Any) -> FleetVm:
-    if not isinstance(row, dict):
-        raise RecordError("a machine is not a JSON object")
-    labels = [label for label in get_list(row, "labels") if isinstance(label, str)]
-    phase = PHASES.get(get_str(row, "state"))
+def _decode_vm(row: dict[str, Any]) -> FleetVm:
+    labels = fields.get_strings(row, "labels")
+    phase = PHASES.get(fields.get_str(row, "state"))
     if phase is None:
         raise RecordError(f"unknown machine state {row['state']!r}")
     return FleetVm(
-        get_str(row, "machine"),
-        get_str(row, "pool"),
+        fields.get_str(row, "machine"),
+        fields.get_str(row, "pool"),
         phase,
         # "id" identifies the worker that runs on the machine; it is empty if there is none.
-        row.get("id") or "",
+        fields.check_str(row.get("id") or "", "id"),
         labels[-1] if len(labels) > 1 else "",
-        get_str(row, "zone", ""),
+        fields.get_str(row, "zone", ""),
         decode_amount(row.get("capacity") or {}).cpu_millicores / 1000,
     )
--- a/limpetpulley/platform/workers.py
+++ b/limpetpulley/platform/workers.py
@@ -4,10 +4,10 @@
 
 from typing import Any
 
+from .. import json_decoding as fields
 from ..batch import EndKind, TaskId
 from ..exception import NotOwnerError, RecordError, WorkerError
 from ..http_client import HttpClient, HttpResponse
-from ..json_decoding import get_int, get_list, get_str, parse_object
 from ..workers import (
     EndedRun,
     HoldReply,
@@ -47,23 +47,23 @@
 
     :raises RecordError: if the entry cannot be read
     """
-    source = parse_object(value)
-    state = get_str(source, "state")
+    source = fields.parse_object(value)
+    state = fields.get_str(source, "state")
     if state not in DRAINING_BY_STATE:
         raise RecordError(f"unknown worker state {state!r}")
-    labels = [label for label in get_list(source, "labels") if isinstance(label, str)]
+    labels = fields.get_strings(source, "labels")
     return ListedWorker(
-        worker_id=key.removeprefix(SERVERS_PREFIX),
-        pool=get_str(source, "service"),
-        address=get_str(source, "address"),
+        worker_id=fields.check_token(key.removeprefix(SERVERS_PREFIX), "the identifier"),
+        pool=fields.get_str(source, "service"),
+        address=fields.get_address(source, "address"),
         # "born" is the start time of the worker's process, in milliseconds since 1970.
-        incarnation=get_int(source, "born", 0),
+        incarnation=fields.get_int(source, "born", 0),
         capacity=decode_amount(source.get("capacity")),
-        vm=get_str(source, "machine", ""),
+        vm=fields.get_str(source, "machine", ""),
         # The first label is the worker's kind, the last one its rack.
         rack=labels[-1] if len(labels) > 1 else "",
         labels=frozenset(labels),
-        data_centre=get_str(source, "zone", ""),
+        data_centre=fields.get_str(source, "zone", ""),
         draining=DRAINING_BY_STATE[state],
     )
 
@@ -153,11 +153,11 @@
         try:
             return HoldReply(
                 _worker_seconds(reply),
-                get_int(reply, "born", 0),
-                tuple(_decode_running(row) for row in get_list(reply, "running")),
-                tuple(_decode_ended(row) for row in get_list(reply, "finished")),
+                fields.get_int(reply, "born", 0),
+                tuple(_decode_running(row) for row in fields.get_list(reply, "running")),
+                tuple(_decode_ended(row) for row in fields.get_list(reply, "finished")),
             )
-        except (RecordError, ValueError, TypeError, IndexError) as error:
+        except (RecordError, ValueError, TypeError, LookupError) as error:
             raise WorkerError(f"{worker.worker_id}: cannot read the reply: {error!r}") from None
 
     async def _send_order(
@@ -179,7 +179,7 @@
 
 def _read_json(worker: ListedWorker, answer: HttpResponse) -> dict[str, Any]:
     try:
-        return parse_object(answer.content)
+        return fields.parse_object(answer.content)
     except RecordError as error:
         raise WorkerError(f"{worker.worker_id}: status {answer.status}: {error}") from None
 
@@ -194,7 +194,7 @@
 
 def _worker_seconds(reply: dict[str, Any]) -> float:
     try:
-        return get_int(reply, "clockMs") / MILLISECONDS
+        return fields.get_int(reply, "clockMs") / MILLISECONDS
     except RecordError as error:
         raise WorkerError(str(error)) from None
 
@@ -202,9 +202,13 @@
 def _decode_running(row: list[Any]) -> ListedRun:
     # A row consists of task, run, checkpoint, percent and a gauge: for a task that serves requests
     # its tail latency in milliseconds, for another its processor usage in thousandths of a core.
-    gauge = float(row[4]) / MILLISECONDS if len(row) > 4 else 0.0
-    return ListedRun(decode_task(row[0]), int(row[1]), row[2] or "", int(row[3]), gauge)
+    gauge = fields.get_number({"gauge": row[4]}, "gauge") / MILLISECONDS if len(row) > 4 else 0.0
+    number, percent = fields.check_int(row[1], "run"), fields.check_int(row[3], "percent")
+    checkpoint = fields.check_str(row[2] or "", "saved")
+    return ListedRun(decode_task(row[0]), number, checkpoint, percent, gauge)
 
 
 def _decode_ended(row: list[Any]) -> EndedRun:
-    return EndedRun(int(row[0]), decode_task(row[1]), int(row[2]), EndKind(row[3]), row[4] or "")
+    position, number = fields.check_int(row[0], "N"), fields.check_int(row[2], "run")
+    checkpoint = fields.check_str(row[4] or "", "saved")
+    return EndedRun(position, decode_task(row[1]), number, EndKind(row[3]), checkpoint)
--- a/limpetpulley/store/etcd.py
+++ b/limpetpulley/store/etcd.py
@@ -10,6 +10,7 @@
 import httpcore
 
 from ..exception import StoreError, StoreUnavailable
+from ..json_decoding import parse_json
 from .store import Compare, Delete, Entry, Event, Put, Snapshot, TxnResult
 
 __all__ = ["EtcdStore"]
@@ -157,7 +158,7 @@
         if response.status >= 500:
             raise StoreUnavailable(f"the store responded with status {response.status}")
         try:
-            answer = json.loads(response.content.splitlines()[0] if response.content else b"{}")
+            answer = parse_json(response.content.splitlines()[0] if response.content else b"{}")
         except ValueError:
             raise StoreUnavailable("the store's response is not JSON") from None
         if not isinstance(answer, dict):
@@ -177,7 +178,7 @@
         for line in lines:
             if line.strip():
                 try:
-                    yield json.loads(line)
+                    yield parse_json(line)
                 except ValueError:
                     raise StoreUnavailable("the watch received a line that is not JSON") from None
 
--- a/limpetpulley/vms.py
+++ b/limpetpulley/vms.py
@@ -10,6 +10,7 @@
 import httpcore
 
 from .exception import PlatformError
+from .json_decoding import parse_json
 
 __all__ = ["HttpPlatform", "ListedVm", "VmControl", "VmList", "VmState"]
 
@@ -122,7 +123,7 @@
                 content=b"" if body is None else json.dumps(body).encode(),
                 extensions={"timeout": timeout},
             )
-            result = json.loads(response.content or b"{}")
+            result = parse_json(response.content or b"{}")
         except (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException) as error:
             raise PlatformError(f"no response from the platform: {error!r}") from None
         except ValueError:
