Excuse a task once if several workers crash at once

When a rack is lost, all that had just started there became a suspect and was started one by one, although the cause is the rack. If the list of VMs shows several workers down at once, what had just started on them is now excused, each task once: a task that crashes its workers is not excused again, and is started once more at the most.

test_task_is_excused_once_if_several_workers_crash_at_once fails without the change: both tasks are suspects after the first crash.

--- a/limpetpulley/ownership/reporting.py
+++ b/limpetpulley/ownership/reporting.py
@@ -101,13 +101,11 @@
 
     def apply_plan(self, cordoned_ids: set[str], ended_ids: Iterable[str]) -> None:
         """Apply a plan: cordon the workers that are to be drained, drop the runs of ended ones."""
+        ended_ids = list(ended_ids)
         for worker_id in ended_ids:
             self.pool_state.unreconciled_workers.pop(worker_id, None)
-            worker = self.pool_state.workers.get(worker_id)
-            if worker is not None and not worker.ended:
-                worker.ended = True
-                self.pool_state.handle_worker_restart(worker, "vm-ordered")
-                self.on_change()
+        if self.pool_state.end_workers(ended_ids, "vm-ordered"):
+            self.on_change()
         for worker in self.pool_state.workers.values():
             cordoned = worker.worker_id in cordoned_ids or worker.ended
             if cordoned != worker.cordoned:
--- a/limpetpulley/pool/crashes.py
+++ b/limpetpulley/pool/crashes.py
@@ -6,7 +6,8 @@
 all its other runs, and where nothing else starts until it has outlived this one as well. The next
 crash therefore has one suspect, and a task that was only beside the cause is cleared.
 
-A worker that was being drained has ended as planned and has not crashed.
+A worker that was being drained has ended as planned and has not crashed. If several workers crash
+at once, as a rack does, a common cause is likelier than a task; each task is excused for that once.
 """
 
 from __future__ import annotations
@@ -26,6 +27,7 @@
     "clear_suspect",
     "clear_survivors",
     "fail_crashing_jobs",
+    "has_crashed",
     "has_outlived_start",
     "is_suspect",
     "may_start_suspect",
@@ -86,12 +88,20 @@
             pool_state.suspects.add(job.attempt_unit(run.task))
 
 
-def record_crash(pool_state: PoolState, worker: Worker) -> None:
-    """Record that a worker has ended, before its runs are dropped, unless that was planned."""
+def has_crashed(worker: Worker) -> bool:
+    """Return whether a worker that has ended was not being drained."""
+    return not worker.cordoned and not worker.listed.draining
+
+
+def record_crash(pool_state: PoolState, worker: Worker, beside_others: bool = False) -> None:
+    """Record that a worker has ended, before its runs are dropped, unless that was planned.
+
+    :param beside_others: whether other workers have crashed at the same time
+    """
     lost = [*((run.task, run.number) for run in suspect_runs(worker)), *worker.lost_starts]
     worker.lost_starts = []
     pool_state.trials.pop(worker.worker_id, None)
-    if worker.cordoned or worker.listed.draining:
+    if not has_crashed(worker):
         return
     pool_state.crashed_vms[worker.listed.vm] = worker.last_reply_at
     units = {}
@@ -99,6 +109,10 @@
         job = pool_state.jobs.get(task.job_id)
         if job is not None and job.needs_run(task):
             units[job.attempt_unit(task)] = (job, task, number)
+    if beside_others:
+        for unit in units.keys() - pool_state.suspects - pool_state.excused:
+            pool_state.excused.add(unit)
+            del units[unit]
     share = 1 / max(1, len(units))
     for unit, (job, task, number) in units.items():
         pool_state.suspects.add(unit)
--- a/limpetpulley/pool/state.py
+++ b/limpetpulley/pool/state.py
@@ -13,7 +13,7 @@
 
 from ..batch import Amount, Job, TaskId
 from ..workers import ListedWorker, Run, RunPhase, StopOrder, Worker
-from .crashes import record_crash, suspend_judgement
+from .crashes import has_crashed, record_crash, suspend_judgement
 from .events import PoolEvent
 from .progress import ProgressLedger
 from .run_times import TaskRunTimes
@@ -78,6 +78,8 @@
         self.tickets = TicketCache()
         # Tasks, or first tasks of gangs, that may have crashed a worker; see :mod:`.crashes`.
         self.suspects: set[TaskId] = set()
+        # Those that were excused, because several workers crashed at once.
+        self.excused: set[TaskId] = set()
         # Workers on which only suspects are started, with the local time since when.
         self.trials: dict[str, float] = {}
         # VMs whose worker has crashed, with the local time of its last reply.
@@ -129,6 +131,8 @@
         if job.state.is_final:
             self.tasks_to_check.update(self.runs_by_job.get(job.key.job_id, ()))
             self.inherited.discard(job.key.job_id)
+            if self.excused:
+                self.excused = {unit for unit in self.excused if unit.job_id != job.key.job_id}
             for by_task in (self.checkpoints, self.failed_on):
                 for task in [task for task in by_task if task.job_id == job.key.job_id]:
                     del by_task[task]
@@ -189,14 +193,31 @@
         if worker_id in self.workers:
             self.workers[worker_id].present = False
 
-    def handle_worker_restart(self, worker: Worker, reason: str) -> None:
+    def end_workers(self, worker_ids: Iterable[str], reason: str) -> bool:
+        """Drop the runs of workers whose VMs are down, were moved or taken for maintenance.
+
+        :returns: whether any of them was not known to have ended
+        """
+        known = [self.workers[name] for name in worker_ids if name in self.workers]
+        ended = [worker for worker in known if not worker.ended]
+        crashes = sum(map(has_crashed, ended))
+        for worker in ended:
+            worker.ended = True
+            self.handle_worker_restart(worker, reason, beside_others=crashes > 1)
+        return bool(ended)
+
+    def handle_worker_restart(
+        self, worker: Worker, reason: str, beside_others: bool = False
+    ) -> None:
         """Drop the runs of the previous incarnation of a worker.
 
         A start that was not answered may still reach the new incarnation, so its run is stopped
         there first. On an ended worker nothing is executed unless it returns; its tasks may
         start elsewhere at once.
+
+        :param beside_others: whether other workers have crashed at the same time
         """
-        record_crash(self, worker)
+        record_crash(self, worker, beside_others)
         for run in list(worker.runs.values()):
             if run.unanswered_starts and not worker.ended:
                 run.phase, run.settled_at, run.sent_at = RunPhase.STOPPING, None, 0.0
--- a/limpetpulley/pool/tests/test_crashes.py
+++ b/limpetpulley/pool/tests/test_crashes.py
@@ -96,6 +96,17 @@
     assert pool_state.jobs[JOB].crashes == {}
 
 
+@pytest.mark.parametrize("times", [1, 2])
+def test_task_is_excused_once_if_several_workers_crash_at_once(times):
+    pool_state = make_busy_pool_state(Step(2, TASK, max_per_worker=1))
+    for number in range(times):
+        orders = start(pool_state, NOW + number)
+        assert len({order.worker_id for order in orders}) == 2
+        pool_state.end_workers([order.worker_id for order in orders], "test")
+        keep_alive(pool_state, NOW + number + 0.5)
+    assert pool_state.suspects == ({task(0), task(1)} if times > 1 else set())
+
+
 def test_task_is_given_up_after_two_crashes_without_another_suspect():
     pool_state = make_busy_pool_state(PLAIN)
     for number in range(2):
