Start the suspects of one crash side by side

Suspects that share a crash are now started side by side, each on a worker of its own. One at a time remains the rule once a task of the job was the only suspect of a crash, since the tasks of a job are alike and may all be the cause.

--- a/limpetpulley/pool/crashes.py
+++ b/limpetpulley/pool/crashes.py
@@ -46,6 +46,8 @@
 LOSS_SECONDS = 0.5
 #: suspicion at which a task is given up: two crashes for which there was no other suspect
 MAX_SUSPICION = 2.0
+#: suspicion from which on the tasks of a job are started one at a time
+LIKELY_SUSPICION = 1.0
 #: number of crashes at which a task is given up, however many other suspects there were
 MAX_CRASHES = 4
 #: fraction of the workers on which suspects may be started at a time
@@ -181,10 +183,12 @@
 def may_start_suspect(pool_state: PoolState, job: Job) -> bool:
     """Return whether a suspect of a job may be started now.
 
-    Repeated crashes must be stored, so that a later owner counts them too. If tasks of the job have
-    crashed a worker, one of them is started at a time, because the tasks of a job are alike.
+    Repeated crashes must be stored, so that a later owner counts them too. If one of them
+    was the only suspect of a crash, they are started one at a time, because the tasks of a job are
+    alike and may all be the cause.
     """
-    if not job.crashes:
+    is_likely = any(job.suspicion(unit) >= LIKELY_SUSPICION for unit in job.crashes)
+    if not is_likely:
         return True
     is_repeated = any(len(shares) > 1 for shares in job.crashes.values())
     if is_repeated and not pool_state.progress.is_stored(job.key.job_id):
--- a/limpetpulley/pool/planning.py
+++ b/limpetpulley/pool/planning.py
@@ -363,15 +363,11 @@
     update_trials(pool_state, now)
     job_ids = {unit.job_id for unit in pool_state.suspects} & pool_state.ready.keys()
     for job in sorted((pool_state.jobs[job_id] for job_id in job_ids), key=rank):
-        if not pool_state.may_start(job) or not may_start_suspect(pool_state, job):
+        if not pool_state.may_start(job):
             continue
         for task in list(pool_state.ready[job.key.job_id]):
-            if not is_suspect(pool_state, job, task):
-                continue
-            starts = _start_suspect(pool_state, job, task, workers, shares, now)
-            if starts:
-                orders += starts
-                break
+            if is_suspect(pool_state, job, task) and may_start_suspect(pool_state, job):
+                orders += _start_suspect(pool_state, job, task, workers, shares, now)
     return orders
 
 
