Limit the log by bytes of each event, so that runs are complete

Cause: at most 60 lines of each event a second, while one daemon starts up to about 500 tasks a second. The limit is now one in bytes: 150 kB a second for each event of a run (run-...), about 700 lines, and 20 kB for each other event, about 60 of the longest lines, so that overload does not cost a busy daemon more than before. `lines-left-out` is unchanged.

Ruled out: one limit for all events, which would let refusals under overload cost eight times as much; a compact form, which tools would have to learn.

--- a/limpetpulley/telemetry/log.py
+++ b/limpetpulley/telemetry/log.py
@@ -13,11 +13,17 @@
 
 #: most lines buffered while standard output accepts no data; further lines are dropped and counted
 MAX_PENDING_LINES = 5000
-#: rate limit of each event, in lines per second; further lines are suppressed and counted
-MAX_EVENT_LINES_PER_SECOND = 60
+#: rate limit of each event, in bytes per second; further lines are suppressed and counted
+MAX_EVENT_BYTES_PER_SECOND = 20_000
+#: the same for each event of a run, so that no run is missing from the logs
+MAX_RUN_EVENT_BYTES_PER_SECOND = 150_000
+#: prefix of the events of runs
+RUN_EVENT_PREFIX = "run-"
 #: largest chunk that is passed to one ``os.write`` call, in bytes
 MAX_WRITE_BYTES = 60_000
 
+encode_line = json.JSONEncoder(default=str, separators=(",", ":")).encode
+
 
 class EventLog:
     """Writes events as lines of JSON to a file descriptor.
@@ -41,7 +47,7 @@
         self.partial = b""
         self.unreported_drops = 0
         self.suppressed: dict[str, int] = {}
-        self.event_counts: dict[str, int] = {}
+        self.event_bytes: dict[str, int] = {}
         self.current_second = 0
         os.set_blocking(descriptor, False)
 
@@ -55,16 +61,17 @@
         now = time.time()
         if int(now) != self.current_second:
             self._start_second(int(now))
-        count = self.event_counts[event] = self.event_counts.get(event, 0) + 1
-        if count > MAX_EVENT_LINES_PER_SECOND:
+        written = self.event_bytes.get(event, 0)
+        if written >= MAX_EVENT_BYTES_PER_SECOND and written >= _rate_limit(event):
             self.suppressed[event] = self.suppressed.get(event, 0) + 1
             return
-        self._append({"time": round(now, 3), "event": event, "at": self.source, **fields})
+        line = {"time": round(now, 3), "event": event, "at": self.source, **fields}
+        self.event_bytes[event] = written + self._append(line)
 
     def flush(self) -> None:
         """Write as many pending lines as the descriptor accepts without blocking."""
         while self.pending or self.partial:
-            chunk = self.partial
+            chunk = bytearray(self.partial)
             while self.pending and len(chunk) < MAX_WRITE_BYTES:
                 chunk += self.pending.popleft()
             try:
@@ -75,22 +82,25 @@
                 self.partial = b""
                 self.pending.clear()
                 return
-            self.partial = chunk[written:]
+            self.partial = bytes(chunk[written:])
             if self.partial:
                 return
 
-    def _append(self, line: dict[str, Any]) -> None:
+    def _append(self, line: dict[str, Any]) -> int:
+        """Buffer one line; return its size in bytes, 0 if it is dropped."""
         if len(self.pending) >= MAX_PENDING_LINES:
             self.unreported_drops += 1
             self.dropped_lines += 1
-            return
+            return 0
         if self.unreported_drops:
             line["lines_dropped"], self.unreported_drops = self.unreported_drops, 0
-        self.pending.append(json.dumps(line, default=str, separators=(",", ":")).encode() + b"\n")
+        encoded = encode_line(line).encode() + b"\n"
+        self.pending.append(encoded)
+        return len(encoded)
 
     def _start_second(self, second: int) -> None:
         self.current_second = second
-        self.event_counts.clear()
+        self.event_bytes.clear()
         if self.suppressed:
             suppressed, self.suppressed = self.suppressed, {}
             self._append(
@@ -98,6 +108,13 @@
             )
 
 
+def _rate_limit(event: str) -> int:
+    """Return the rate limit of an event, in bytes per second."""
+    if event.startswith(RUN_EVENT_PREFIX):
+        return MAX_RUN_EVENT_BYTES_PER_SECOND
+    return MAX_EVENT_BYTES_PER_SECOND
+
+
 def null_log(source: str) -> EventLog:
     """Return a log that discards its lines."""
     return EventLog(source, os.open(os.devnull, os.O_WRONLY))
