Name a worker's life and its unstored ends in the log

A worker may start again under its identifier, and the life (`born`) stood in no line, so that a run of the earlier life could not be told from one of the later.

All lines of an owner about a run or a worker have `life` now. `run-ended` has the `position` of the end. `run-dropped`, `worker-restarted`, `worker-gone` and the cordons have `processed_through`, `stored_through` and `unstored`: of before a restart resets them. A worker that is found to have restarted by its answer gets its new incarnation after its runs are dropped instead of before, as with a list, so that these lines name the life that is gone; handle_worker_restart uses nothing of the incarnation, nothing else changes.

--- a/limpetpulley/ownership/owner.py
+++ b/limpetpulley/ownership/owner.py
@@ -6,6 +6,7 @@
 from collections.abc import Awaitable, Callable
 
 import anyio
+import attrs
 
 from ..batch import Job, JobKey, JobState
 from ..batch.keys import SHARDS
@@ -379,6 +380,7 @@
                     task=format_task(order),
                     run=order.number,
                     worker=order.worker_id,
+                    life=client.worker.listed.incarnation,
                     pool=self.pool,
                 )
             self.tasks.start_soon(client.send, order)
@@ -407,6 +409,12 @@
     def log_change(self, change: PoolEvent) -> None:
         """Log a change of a run or a worker."""
         fields: dict[str, object] = {"pool": self.pool, "worker": change.worker_id}
+        if change.life:
+            fields["life"] = change.life
         if change.task is not None:
             fields |= {"task": ".".join(map(str, change.task)), "run": change.number}
+        if change.position:
+            fields["position"] = change.position
+        if change.ends is not None:
+            fields |= attrs.asdict(change.ends)
         self.context.log.write(change.event, **fields, detail=change.detail)
--- a/limpetpulley/ownership/reporting.py
+++ b/limpetpulley/ownership/reporting.py
@@ -6,6 +6,7 @@
 from collections.abc import Awaitable, Callable, Iterable
 
 import anyio
+import attrs
 
 from ..exception import PeerError
 from ..peer import PeerCaller
@@ -114,8 +115,10 @@
                     "worker-cordoned" if cordoned else "worker-uncordoned",
                     pool=self.pool_state.pool,
                     worker=worker.worker_id,
+                    life=worker.listed.incarnation,
                     vm=worker.listed.vm,
                     runs=len(worker.runs),
+                    **attrs.asdict(self.pool_state.end_positions(worker)),
                 )
 
     def build_report(self) -> pb.PoolReport:
--- a/limpetpulley/ownership/worker_client.py
+++ b/limpetpulley/ownership/worker_client.py
@@ -120,7 +120,9 @@
             raise
         if self.failing:
             self.failing = False
-            self.context.log.write("worker-answers", worker=worker.worker_id)
+            self.context.log.write(
+                "worker-answers", worker=worker.worker_id, life=worker.listed.incarnation
+            )
         process_hold_reply(
             self.pool_state, worker, reply, self.context.clock.now(), self.context.wall_time()
         )
@@ -172,6 +174,7 @@
             self.context.log.write(
                 "order-unanswered",
                 worker=self.worker.worker_id,
+                life=self.worker.listed.incarnation,
                 order=type(order).__name__,
                 task=format_task(order),
                 run=order.number,
@@ -204,6 +207,7 @@
             self.context.log.write(
                 "worker-silent",
                 worker=self.worker.worker_id,
+                life=self.worker.listed.incarnation,
                 reason=reason,
                 age=round(silent_seconds, 2),
             )
--- a/limpetpulley/pool/crashes.py
+++ b/limpetpulley/pool/crashes.py
@@ -127,11 +127,13 @@
                 task,
                 number,
                 f"crashes {len(job.crashes[unit])}, suspicion {job.suspicion(task):.2f}",
+                worker.listed.incarnation,
             )
         )
     names = ", ".join(".".join(map(str, task)) for task, _ in lost) or "none"
     detail = f"{len(worker.runs)} runs lost, of which just started: {names}"
-    pool_state.on_event(PoolEvent("worker-crashed", worker.worker_id, detail=detail))
+    life = worker.listed.incarnation
+    pool_state.on_event(PoolEvent("worker-crashed", worker.worker_id, detail=detail, life=life))
 
 
 def clear_survivors(pool_state: PoolState, worker: Worker) -> None:
@@ -157,7 +159,8 @@
     pool_state.suspects.discard(unit)
     pool_state.trials.pop(worker.worker_id, None)
     job.crashes.pop(unit, None)
-    pool_state.on_event(PoolEvent("task-cleared", worker.worker_id, task, number))
+    life = worker.listed.incarnation
+    pool_state.on_event(PoolEvent("task-cleared", worker.worker_id, task, number, life=life))
 
 
 def fail_crashing_jobs(pool_state: PoolState, wall_time: float) -> None:
--- a/limpetpulley/pool/events.py
+++ b/limpetpulley/pool/events.py
@@ -6,7 +6,21 @@
 
 from ..batch import TaskId
 
-__all__ = ["PoolEvent"]
+__all__ = ["EndPositions", "PoolEvent"]
+
+
+@attrs.frozen
+class EndPositions:
+    """How far the ends that a worker has listed were processed and stored.
+
+    :param processed_through: position of the last end that was processed
+    :param stored_through: position up to which the ends were stored and acknowledged
+    :param unstored: number of processed ends whose progress is not stored
+    """
+
+    processed_through: int
+    stored_through: int
+    unstored: int
 
 
 @attrs.frozen
@@ -15,6 +29,9 @@
 
     :param event: name of the event in the log
     :param number: run number, 0 for an event of the worker itself
+    :param life: incarnation of the worker that the event is about, 0 if it is not known
+    :param position: position of an end in the worker's list, 0 for other events
+    :param ends: the worker's ends before it was removed or a run on it was dropped
     """
 
     event: str
@@ -22,3 +39,6 @@
     task: TaskId | None = None
     number: int = 0
     detail: str = ""
+    life: int = 0
+    position: int = 0
+    ends: EndPositions | None = None
--- a/limpetpulley/pool/progress.py
+++ b/limpetpulley/pool/progress.py
@@ -71,17 +71,24 @@
 
         :param processed_through: position of the last end that was processed
         """
-        pending = [
-            end
-            for end in self.unstored_ends.get(worker_id, ())
-            if end.job_id in self.stored and self.stored[end.job_id] < end.version
-        ]
+        pending = self._pending_ends(worker_id)
         if not pending:
             self.unstored_ends.pop(worker_id, None)
             return processed_through
         self.unstored_ends[worker_id] = pending
         return min(end.position for end in pending) - 1
 
+    def count_unstored_ends(self, worker_id: str) -> int:
+        """Return how many of a worker's processed ends wait until their progress is stored."""
+        return len(self._pending_ends(worker_id))
+
+    def _pending_ends(self, worker_id: str) -> list[_UnstoredEnd]:
+        return [
+            end
+            for end in self.unstored_ends.get(worker_id, ())
+            if end.job_id in self.stored and self.stored[end.job_id] < end.version
+        ]
+
     def remove_worker(self, worker_id: str) -> None:
         """Remove the ends of a worker that no longer exists or has restarted."""
         self.unstored_ends.pop(worker_id, None)
--- a/limpetpulley/pool/reconcile.py
+++ b/limpetpulley/pool/reconcile.py
@@ -76,7 +76,13 @@
     job.started = True
     worker.lease.assume_extended(pool_state.longest_hold_seconds)
     pool_state.on_event(
-        PoolEvent("run-adopted", worker.worker_id, listed_run.task, listed_run.number)
+        PoolEvent(
+            "run-adopted",
+            worker.worker_id,
+            listed_run.task,
+            listed_run.number,
+            life=worker.listed.incarnation,
+        )
     )
     return run
 
--- a/limpetpulley/pool/replies.py
+++ b/limpetpulley/pool/replies.py
@@ -29,8 +29,8 @@
     if worker.ended or (reply.incarnation and reply.incarnation < worker.listed.incarnation):
         return
     if reply.incarnation > worker.listed.incarnation:
-        worker.listed = attrs.evolve(worker.listed, incarnation=reply.incarnation)
         pool_state.handle_worker_restart(worker, "answered")
+        worker.listed = attrs.evolve(worker.listed, incarnation=reply.incarnation)
     worker.lease.record_reply(reply.worker_seconds, now)
     worker.last_reply_at = now
     worker.lost_at = None
@@ -99,7 +99,17 @@
             )
         pool_state.remove_run(run)
     job = pool_state.jobs.get(end.task.job_id)
-    pool_state.on_event(PoolEvent("run-ended", worker.worker_id, end.task, end.number, end.kind))
+    pool_state.on_event(
+        PoolEvent(
+            "run-ended",
+            worker.worker_id,
+            end.task,
+            end.number,
+            end.kind,
+            worker.listed.incarnation,
+            end.position,
+        )
+    )
     if job is None:
         return
     clear_suspect(pool_state, worker, end.task, end.number)
--- a/limpetpulley/pool/speculation.py
+++ b/limpetpulley/pool/speculation.py
@@ -40,7 +40,14 @@
                 pool_state.suspects.add(run.task)
             pool_state.unset_current_run(run)
             pool_state.on_event(
-                PoolEvent("run-copied", worker.worker_id, run.task, run.number, "silent")
+                PoolEvent(
+                    "run-copied",
+                    worker.worker_id,
+                    run.task,
+                    run.number,
+                    "silent",
+                    worker.listed.incarnation,
+                )
             )
             pool_state.requeue_task(run.task)
             if run.unanswered_starts:
--- a/limpetpulley/pool/state.py
+++ b/limpetpulley/pool/state.py
@@ -14,7 +14,7 @@
 from ..batch import Amount, Job, TaskId
 from ..workers import ListedWorker, Run, RunPhase, StopOrder, Worker
 from .crashes import has_crashed, record_crash, suspend_judgement
-from .events import PoolEvent
+from .events import EndPositions, PoolEvent
 from .progress import ProgressLedger
 from .run_times import TaskRunTimes
 from .speculation import is_superseded, stop_superseded_runs
@@ -217,6 +217,7 @@
 
         :param beside_others: whether other workers have crashed at the same time
         """
+        ends = self.end_positions(worker)
         record_crash(self, worker, beside_others)
         for run in list(worker.runs.values()):
             if run.unanswered_starts and not worker.ended:
@@ -235,7 +236,15 @@
         worker.reconciled = False
         self.progress.remove_worker(worker.worker_id)
         self.unreconciled_workers.pop(worker.worker_id, None)
-        self.on_event(PoolEvent("worker-restarted", worker.worker_id, detail=reason))
+        self.on_event(
+            PoolEvent(
+                "worker-restarted",
+                worker.worker_id,
+                detail=reason,
+                life=worker.listed.incarnation,
+                ends=ends,
+            )
+        )
 
     def expire_leases(self, now: float) -> None:
         """Drop the runs whose leases must have expired, and the workers that no longer exist."""
@@ -248,8 +257,9 @@
             if not worker.present and expired and not worker.runs:
                 if worker.lost_starts:
                     record_crash(self, worker)
+                life, ends = worker.listed.incarnation, self.end_positions(worker)
                 self._remove_worker(worker)
-                self.on_event(PoolEvent("worker-gone", worker.worker_id))
+                self.on_event(PoolEvent("worker-gone", worker.worker_id, life=life, ends=ends))
         for stop, since in list(self.late_start_stops.items()):
             if now - since > MAX_ORDER_DELAY_SECONDS:
                 del self.late_start_stops[stop]
@@ -337,8 +347,19 @@
 
     def drop_run(self, run: Run, reason: str) -> None:
         """Remove a run that ended without a listed end, and requeue its task."""
+        worker = self.workers[run.worker_id]
         self.remove_run(run)
-        self.on_event(PoolEvent("run-dropped", run.worker_id, run.task, run.number, reason))
+        self.on_event(
+            PoolEvent(
+                "run-dropped",
+                run.worker_id,
+                run.task,
+                run.number,
+                reason,
+                worker.listed.incarnation,
+                ends=self.end_positions(worker),
+            )
+        )
         self.requeue_task(run.task)
 
     def requeue_task(self, task: TaskId) -> None:
@@ -349,6 +370,14 @@
             if task not in waiting:
                 waiting.insert(0, task)
 
+    def end_positions(self, worker: Worker) -> EndPositions:
+        """Return how far a worker's ends are processed and stored."""
+        return EndPositions(
+            worker.processed_through,
+            worker.stored_through,
+            self.progress.count_unstored_ends(worker.worker_id),
+        )
+
     def acknowledge_ends(self, worker: Worker) -> None:
         """Update the position up to which a worker's ends may be acknowledged."""
         worker.stored_through = self.progress.stored_through(
--- a/limpetpulley/pool/worker_avoidance.py
+++ b/limpetpulley/pool/worker_avoidance.py
@@ -45,4 +45,7 @@
 def avoid(pool_state: PoolState, worker: Worker, now: float) -> None:
     """Start nothing on a worker for a while, longer after each further rejection."""
     pause = worker.avoid(now)
-    pool_state.on_event(PoolEvent("worker-avoided", worker.worker_id, detail=f"{pause:.1f} s"))
+    life = worker.listed.incarnation
+    pool_state.on_event(
+        PoolEvent("worker-avoided", worker.worker_id, detail=f"{pause:.1f} s", life=life)
+    )
