Log by which list of VMs the planner judges that a worker has ended

The planner writes one `worker-ended` line when a report's worker is judged to have ended and was not by the pool's report before: the reason, the worker listed on the VM, the age of the list's request, how long the worker has been reported, and the tokens of planner and pool. The planner does not know lives: reports have none. `vm-moved` and `vm-maintained` name the `worker` of the VM. The judgement is unchanged: has_ended is now the truth of end_reason, and test_a_worker_has_ended_once_a_newer_list_shows_its_vm_without_it holds.

Red first: the six cases of test_a_worker_that_has_ended_is_logged_once_...: MismatchError, [{'list_age': 0.25, ...}] against no line; test_the_line_of_an_order_names_the_worker_that_was_taken: KeyError 'worker'.

--- a/limpetpulley/ownership/planner.py
+++ b/limpetpulley/ownership/planner.py
@@ -122,9 +122,7 @@
         if not self.reports.record(message):
             return pb.PoolPlan(outcome=pb.NOT_OWNER)
         reported = {row.worker for row in message.workers}
-        ended = {
-            row.worker for row in message.workers if self.reports.has_ended(row.worker, row.vm)
-        }
+        ended = self.reports.judge_ended(message, self.token)
         vms, draining = self.inventory.vms, self.inventory.draining
         for name in draining:
             vm = vms.get(name)
--- a/limpetpulley/ownership/pool_reports.py
+++ b/limpetpulley/ownership/pool_reports.py
@@ -38,6 +38,8 @@
         self.latest: dict[str, _Report] = {}
         # When a worker was first reported, by local time.
         self.first_reported_at: dict[str, float] = {}
+        # Workers of each pool's latest report that had ended by the list of VMs.
+        self.ended: dict[str, set[str]] = {}
 
     def record(self, message: pb.PoolReport) -> bool:
         """Record a pool's report; return False if it is from an owner that was replaced."""
@@ -50,24 +52,61 @@
             self.first_reported_at.setdefault(row.worker, self.context.clock.now())
         return True
 
+    def judge_ended(self, message: pb.PoolReport, token: int) -> set[str]:
+        """Return which workers of a report have ended; log those that had not before.
+
+        :param token: the planner's fencing token
+        """
+        reasons = {row.worker: self.end_reason(row.worker, row.vm) for row in message.workers}
+        ended = {worker for worker, reason in reasons.items() if reason}
+        before = self.ended.get(message.pool, set())
+        now = self.context.clock.now()
+        for row in message.workers:
+            if row.worker not in ended - before:
+                continue
+            vm = self.inventory.vms.get(row.vm)
+            self.context.log.write(
+                "worker-ended",
+                worker=row.worker,
+                vm=row.vm,
+                reason=reasons[row.worker],
+                listed_worker=vm.worker_id if vm is not None else "",
+                list_age=round(now - self.inventory.listed_at, 3),
+                reported_for=round(now - self.first_reported_at[row.worker], 3),
+                token=token,
+                pool=message.pool,
+                pool_token=message.token,
+            )
+        self.ended[message.pool] = ended
+        return ended
+
     def has_ended(self, worker_id: str, vm_name: str) -> bool:
         """Return whether a worker's VM is down, was moved or maintained, or runs another worker."""
+        return bool(self.end_reason(worker_id, vm_name))
+
+    def end_reason(self, worker_id: str, vm_name: str) -> str:
+        """Return by what a worker is known to have ended, empty if it is not.
+
+        That is the phase of its VM, ``not-listed``, ``other-worker`` or ``standby``.
+        """
         if (
             not vm_name
             or self.inventory.listed_at <= self.first_reported_at[worker_id] + LIST_LAG_SECONDS
         ):
             # A list that is older than the worker still shows the previous worker of the VM.
-            return False
+            return ""
         vm = self.inventory.vms.get(vm_name)
         if vm is None:
-            return bool(self.inventory.vms)
+            return "not-listed" if self.inventory.vms else ""
         if vm.phase in (Phase.MOVING, Phase.MAINTENANCE, Phase.DOWN):
-            return True
+            return vm.phase.value
         pool_config = self.context.config.pools.get(vm.pool) if self.context.config else None
         standby = pool_config is not None and pool_config.standby
-        return (
-            vm.phase is Phase.UP and vm.worker_id != worker_id and (bool(vm.worker_id) or standby)
-        )
+        if vm.phase is not Phase.UP or vm.worker_id == worker_id:
+            return ""
+        if vm.worker_id:
+            return "other-worker"
+        return "standby" if standby else ""
 
     def loads(self, idle_vms: Iterable[FleetVm], now: float) -> dict[str, PoolLoad]:
         """Return the load of each pool that has a recent report and is not a standby pool.
--- a/limpetpulley/ownership/tests/test_planner.py
+++ b/limpetpulley/ownership/tests/test_planner.py
@@ -78,6 +78,58 @@
     assert_that(anyio.run(scenario), Equals(([], ended)))
 
 
+@pytest.mark.parametrize(
+    ("after", "reason", "other"),
+    [
+        (listed(worker="new"), "other-worker", "new"),
+        (listed(Phase.MOVING, ""), "moving", ""),
+        (listed(Phase.MAINTENANCE, ""), "maintenance", ""),
+        (listed(Phase.DOWN, "old"), "down", "old"),
+        (listed(worker="", pool="off"), "standby", ""),
+        ([FleetVm("m-2", "desk", Phase.UP, "w")], "not-listed", ""),
+    ],
+)
+def test_a_worker_that_has_ended_is_logged_once_with_the_list_that_shows_it(
+    after, reason, other, monkeypatch
+):
+    lines = []
+    monkeypatch.setattr(EventLog, "write", lambda log, *event, **fields: lines.append(fields))
+
+    async def scenario():
+        clock, vms = ManualClock(100.0), FakeVmList()
+        planner = make_planner(clock, vms)
+        vms.vms = listed(worker="old")
+        await planner._plan_once()
+        planner.handle_report(make_report("old"))
+        clock.advance(2.0)
+        vms.vms = after
+        await planner._plan_once()
+        clock.advance(0.25)
+        lines.clear()
+        for _ in range(3):
+            planner.handle_report(make_report("old"))
+        told = list(lines)
+        vms.vms = listed(worker="old")
+        await planner._plan_once()
+        planner.handle_report(make_report("old"))
+        return told, lines[len(told) :]
+
+    told, later = anyio.run(scenario)
+    expected = {
+        "worker": "old",
+        "vm": "m-1",
+        "reason": reason,
+        "listed_worker": other,
+        "list_age": 0.25,
+        "reported_for": 2.25,
+        "token": 1,
+        "pool": "desk",
+        "pool_token": 5,
+    }
+    assert_that(told, Equals([expected]))
+    assert "worker" not in {name for fields in later for name in fields}
+
+
 @pytest.mark.parametrize(
     ("tokens", "outcomes"),
     [
--- a/limpetpulley/ownership/tests/test_vmorders.py
+++ b/limpetpulley/ownership/tests/test_vmorders.py
@@ -163,3 +163,16 @@
     assert_that(
         run_scenario(platform, scenario, waves=waves), Equals((3, ["m-0", "m-1", "m-2"], {"1"}))
     )
+
+
+def test_the_line_of_an_order_names_the_worker_that_was_taken(monkeypatch):
+    async def scenario(dispatcher, tasks, clock):
+        await dispatch(dispatcher, tasks, clock, [make_move(1)])
+
+    lines = []
+    monkeypatch.setattr(
+        EventLog, "write", lambda log, event, **fields: lines.append((event, fields))
+    )
+    run_scenario(FakePlatform([DONE]), scenario)
+    workers = [fields["worker"] for event, fields in lines if event == "vm-moved"]
+    assert_that(workers, Equals(["w-1"]))
--- a/limpetpulley/ownership/vmorders.py
+++ b/limpetpulley/ownership/vmorders.py
@@ -214,6 +214,7 @@
         self.context.log.write(
             "vm-maintained" if order.wave else "vm-moved",
             vm=vm.name,
+            worker=vm.worker_id,
             pool=vm.pool,
             target=order.wave or order.target,
             token=self.holder.token,
--- a/limpetpulley/telemetry/trace.py
+++ b/limpetpulley/telemetry/trace.py
@@ -36,6 +36,7 @@
     {
         "worker-avoided",
         "worker-cordoned",
+        "worker-ended",
         "worker-given-up",
         "worker-gone",
         "worker-restarted",
