Write the log in whole lines of at most 4 KiB

A flush passed up to 60 kB to one write; the reader keeps the first 8192 bytes of a write, ends in the middle of a line and puts the next daemon's line behind it.

A write now holds whole lines and at most PIPE_BUF, 4096 bytes, unless one line is longer. On a pipe such writes are not mixed with those of other processes either. 2000 lines of 170 bytes take about 85 writes.

Red first: test_each_write_holds_whole_lines_of_bounded_size, its four cases.

--- a/limpetpulley/telemetry/log.py
+++ b/limpetpulley/telemetry/log.py
@@ -19,8 +19,9 @@
 MAX_RUN_EVENT_BYTES_PER_SECOND = 150_000
 #: prefix of the events of runs
 RUN_EVENT_PREFIX = "run-"
-#: largest chunk that is passed to one ``os.write`` call, in bytes
-MAX_WRITE_BYTES = 60_000
+#: largest chunk of several lines that is passed to one ``os.write`` call, in bytes: up to
+#: ``PIPE_BUF``, it is not mixed with the writes of other processes to the same pipe
+MAX_WRITE_BYTES = 4096
 
 encode_line = json.JSONEncoder(default=str, separators=(",", ":")).encode
 
@@ -72,7 +73,9 @@
         """Write as many pending lines as the descriptor accepts without blocking."""
         while self.pending or self.partial:
             chunk = bytearray(self.partial)
-            while self.pending and len(chunk) < MAX_WRITE_BYTES:
+            while self.pending and (
+                not chunk or len(chunk) + len(self.pending[0]) <= MAX_WRITE_BYTES
+            ):
                 chunk += self.pending.popleft()
             try:
                 written = os.write(self.descriptor, chunk)
--- a/limpetpulley/telemetry/tests/test_log.py
+++ b/limpetpulley/telemetry/tests/test_log.py
@@ -10,6 +10,7 @@
     MAX_EVENT_BYTES_PER_SECOND,
     MAX_PENDING_LINES,
     MAX_RUN_EVENT_BYTES_PER_SECOND,
+    MAX_WRITE_BYTES,
     EventLog,
 )
 
@@ -108,6 +109,26 @@
     assert "lines-left-out" not in events
 
 
+@pytest.mark.parametrize(
+    ("line_bytes", "count"), [(100, 500), (1500, 50), (3000, 40), (10_000, 3)]
+)
+def test_each_write_holds_whole_lines_of_bounded_size(pipe, monkeypatch, line_bytes, count):
+    """A reader may cut a longer write, and mix it with the writes of other processes."""
+    chunks = []
+    monkeypatch.setattr(
+        "limpetpulley.telemetry.log.os.write",
+        lambda descriptor, chunk: chunks.append(bytes(chunk)) or len(chunk),
+    )
+    log = EventLog("entry-1", pipe[1])
+    for _ in range(count):
+        log.write("run-ordered", detail="x" * line_bytes)
+    log.flush()
+    assert sum(chunk.count(b"\n") for chunk in chunks) == count
+    assert all(chunk.endswith(b"\n") for chunk in chunks)
+    assert all(len(chunk) <= MAX_WRITE_BYTES or chunk.count(b"\n") == 1 for chunk in chunks)
+    assert MAX_WRITE_BYTES <= 4096
+
+
 def test_stalled_reader_does_not_block_the_writer(pipe, monkeypatch):
     now = [1000.0]
     monkeypatch.setattr("limpetpulley.telemetry.log.time.time", lambda: now[0])
