Log signs of life of workers that were said to have ended

If the planner judges by an outdated list that a worker has ended, its owner starts the tasks elsewhere while they run on; no line showed that the worker was still there.

An owner now writes `ended-worker-answers`, with the life, when a worker that it was told had ended answers a hold in that life, answers a start, or has its entry renewed; once for each of the three, with the time since the end and what was listed. No call is added: a hold or start that was under way when the plan came is answered within its time, and entries come with the watch. A reply that was on its way is told too, so the time has to be read with it, and the answer to a start does not tell a life.

The test also compares all fields of the worker, so that only the log changes.

--- a/limpetpulley/ownership/owner.py
+++ b/limpetpulley/ownership/owner.py
@@ -411,6 +411,8 @@
         fields: dict[str, object] = {"pool": self.pool, "worker": change.worker_id}
         if change.life:
             fields["life"] = change.life
+        if change.next_life:
+            fields["next_life"] = change.next_life
         if change.task is not None:
             fields |= {"task": ".".join(map(str, change.task)), "run": change.number}
         if change.position:
--- /dev/null
+++ b/limpetpulley/pool/ended_workers.py
@@ -0,0 +1,38 @@
+"""Signs of life of workers that were said to have ended: whoever said so was wrong or early."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ..workers import Worker
+from .events import PoolEvent
+
+if TYPE_CHECKING:
+    from .state import PoolState
+
+__all__ = ["report_sign_of_life"]
+
+
+def report_sign_of_life(
+    pool_state: PoolState, worker: Worker, kind: str, now: float, detail: str = ""
+) -> None:
+    """Report that an ended worker has shown itself in the same life; once for each kind of sign.
+
+    A reply that was on its way when the worker ended is reported too, so the time since then is
+    told.
+
+    :param kind: what came from the worker: ``hold``, ``start`` or ``entry``
+    :param now: local time, in seconds
+    """
+    if not worker.ended or kind in worker.signs_after_end:
+        return
+    worker.signs_after_end.add(kind)
+    text = f"{kind} {now - worker.ended_at:.2f} s after its end"
+    pool_state.on_event(
+        PoolEvent(
+            "ended-worker-answers",
+            worker.worker_id,
+            detail=f"{text}: {detail}" if detail else text,
+            life=worker.listed.incarnation,
+        )
+    )
--- a/limpetpulley/pool/events.py
+++ b/limpetpulley/pool/events.py
@@ -30,6 +30,7 @@
     :param event: name of the event in the log
     :param number: run number, 0 for an event of the worker itself
     :param life: incarnation of the worker that the event is about, 0 if it is not known
+    :param next_life: incarnation that has replaced it, 0 if none has or it is not known
     :param position: position of an end in the worker's list, 0 for other events
     :param ends: the worker's ends before it was removed or a run on it was dropped
     """
@@ -40,5 +41,6 @@
     number: int = 0
     detail: str = ""
     life: int = 0
+    next_life: int = attrs.field(default=0, kw_only=True)
     position: int = 0
     ends: EndPositions | None = None
--- a/limpetpulley/pool/replies.py
+++ b/limpetpulley/pool/replies.py
@@ -7,6 +7,7 @@
 from ..batch import EndKind
 from ..workers import EndedRun, HoldReply, Run, RunPhase, StartOutcome, StopOrder, Worker
 from .crashes import clear_survivors, clear_suspect
+from .ended_workers import report_sign_of_life
 from .events import PoolEvent
 from .reconcile import SETTLE_MARGIN_SECONDS, drop_unlisted_runs, reconcile_running
 from .state import PoolState
@@ -26,10 +27,14 @@
     :param now: local time of the reply
     :param wall_time: wall-clock time, in seconds since 1970
     """
+    if worker.ended and reply.incarnation in (0, worker.listed.incarnation):
+        last = max((end.position for end in reply.ended), default=0)
+        listed = f"{len(reply.running)} runs, ends up to position {last}"
+        report_sign_of_life(pool_state, worker, "hold", now, listed)
     if worker.ended or (reply.incarnation and reply.incarnation < worker.listed.incarnation):
         return
     if reply.incarnation > worker.listed.incarnation:
-        pool_state.handle_worker_restart(worker, "answered")
+        pool_state.handle_worker_restart(worker, "answered", next_life=reply.incarnation)
         worker.listed = attrs.evolve(worker.listed, incarnation=reply.incarnation)
     worker.lease.record_reply(reply.worker_seconds, now)
     worker.last_reply_at = now
@@ -55,9 +60,11 @@
     pool_state: PoolState, run: Run, outcome: StartOutcome, worker_seconds: float, now: float
 ) -> None:
     """Apply a worker's reply to a start order."""
-    if pool_state.runs.get(run.task) is not run:
+    worker = pool_state.workers.get(run.worker_id)
+    if worker is not None and outcome is not StartOutcome.OTHER_WORKER:
+        report_sign_of_life(pool_state, worker, "start", now, outcome.name.lower())
+    if worker is None or pool_state.runs.get(run.task) is not run:
         return
-    worker = pool_state.workers[run.worker_id]
     worker.last_reply_at = now
     run.unanswered_starts -= 1
     if run.phase is RunPhase.STOPPING:
--- a/limpetpulley/pool/state.py
+++ b/limpetpulley/pool/state.py
@@ -14,6 +14,7 @@
 from ..batch import Amount, Job, TaskId
 from ..workers import ListedWorker, Run, RunPhase, StopOrder, Worker
 from .crashes import has_crashed, record_crash, suspend_judgement
+from .ended_workers import report_sign_of_life
 from .events import EndPositions, PoolEvent
 from .progress import ProgressLedger
 from .run_times import TaskRunTimes
@@ -170,9 +171,11 @@
             del self.expected_join_times[:1]
             self._queue_late_start_stops(listed.worker_id)
         elif listed.incarnation > worker.listed.incarnation:
-            self.handle_worker_restart(worker, "listed")
+            self.handle_worker_restart(worker, "listed", next_life=listed.incarnation)
             worker.listed = listed
         elif listed.incarnation == worker.listed.incarnation:
+            if listed is not worker.listed:
+                report_sign_of_life(self, worker, "entry", self.scanned_at)
             worker.listed = listed
         worker.present = True
         return worker
@@ -202,12 +205,12 @@
         ended = [worker for worker in known if not worker.ended]
         crashes = sum(map(has_crashed, ended))
         for worker in ended:
-            worker.ended = True
+            worker.ended, worker.ended_at = True, self.scanned_at
             self.handle_worker_restart(worker, reason, beside_others=crashes > 1)
         return bool(ended)
 
     def handle_worker_restart(
-        self, worker: Worker, reason: str, beside_others: bool = False
+        self, worker: Worker, reason: str, beside_others: bool = False, next_life: int = 0
     ) -> None:
         """Drop the runs of the previous incarnation of a worker.
 
@@ -216,6 +219,7 @@
         start elsewhere at once.
 
         :param beside_others: whether other workers have crashed at the same time
+        :param next_life: the new incarnation, 0 if it is not known, for the log
         """
         ends = self.end_positions(worker)
         record_crash(self, worker, beside_others)
@@ -242,6 +246,7 @@
                 worker.worker_id,
                 detail=reason,
                 life=worker.listed.incarnation,
+                next_life=next_life,
                 ends=ends,
             )
         )
--- a/limpetpulley/pool/tests/test_events.py
+++ b/limpetpulley/pool/tests/test_events.py
@@ -1,12 +1,19 @@
 """Events of runs and workers name the worker's life and the ends that may be lost with it."""
 
+import attrs
 import pytest
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
 
 from ...batch import Amount, EndKind, Job, JobKey, JobSpec, Step, TaskId
-from ...workers import EndedRun, HoldReply, ListedWorker
-from .. import PlanningLimits, PoolState, plan_orders, process_hold_reply
+from ...workers import EndedRun, HoldReply, ListedWorker, StartOutcome
+from .. import (
+    PlanningLimits,
+    PoolState,
+    plan_orders,
+    process_hold_reply,
+    process_start_reply,
+)
 
 JOB = "00000000000000aa"
 FIRST_LIFE, SECOND_LIFE = 1700, 1800
@@ -73,22 +80,23 @@
 
 @pytest.mark.parametrize(("stored", "positions"), [(False, (8, 6, 2)), (True, (8, 8, 0))])
 @pytest.mark.parametrize(
-    ("take_away", "last"),
+    ("take_away", "last", "next_life"),
     [
-        (end_by_plan, "worker-restarted"),
-        (restart_by_entry, "worker-restarted"),
-        (restart_by_answer, "worker-restarted"),
-        (lapse, "worker-gone"),
+        (end_by_plan, "worker-restarted", 0),
+        (restart_by_entry, "worker-restarted", SECOND_LIFE),
+        (restart_by_answer, "worker-restarted", SECOND_LIFE),
+        (lapse, "worker-gone", 0),
     ],
 )
 def test_unstored_ends_and_life_of_a_worker_that_is_gone_are_told(
-    take_away, last, stored, positions
+    take_away, last, next_life, stored, positions
 ):
     pool_state, worker, events = make_pool_state(stored)
     events.clear()
     take_away(pool_state, worker)
     told = [event for event in events if event.event in ("run-dropped", last)]
     assert_that([event.event for event in told], Equals(["run-dropped", "run-dropped", last]))
+    assert_that(told[-1].next_life, Equals(next_life))
     for event in told:
         ends = event.ends
         assert_that(event.life, Equals(FIRST_LIFE))
@@ -99,3 +107,56 @@
     _, _, events = make_pool_state(stored=False)
     ends = [(event.life, event.position) for event in events if event.event == "run-ended"]
     assert_that(ends, Equals([(FIRST_LIFE, 7), (FIRST_LIFE, 8)]))
+
+
+def answer_hold(life):
+    return lambda pool_state, worker, run: process_hold_reply(
+        pool_state, worker, HoldReply(11.0, life), NOW + 0.5, NOW
+    )
+
+
+def answer_start(outcome):
+    return lambda pool_state, worker, run: process_start_reply(
+        pool_state, run, outcome, 11.0, NOW + 0.5
+    )
+
+
+def renew_entry(life):
+    return lambda pool_state, worker, run: list_worker(pool_state, life)
+
+
+def keep_entry(pool_state, worker, run):
+    pool_state.update_listed_worker(worker.listed)
+
+
+@pytest.mark.parametrize(
+    ("sign", "details"),
+    [
+        (answer_hold(FIRST_LIFE), ["hold 0.50 s after its end: 0 runs, ends up to position 0"]),
+        (answer_hold(0), ["hold 0.50 s after its end: 0 runs, ends up to position 0"]),
+        (answer_hold(FIRST_LIFE - 1), []),
+        (answer_hold(SECOND_LIFE), []),
+        (answer_start(StartOutcome.STARTED), ["start 0.50 s after its end: started"]),
+        (answer_start(StartOutcome.OTHER_WORKER), []),
+        (renew_entry(FIRST_LIFE), ["entry 0.00 s after its end"]),
+        (renew_entry(SECOND_LIFE), []),
+        (keep_entry, []),
+    ],
+)
+def test_a_worker_that_answers_in_the_life_that_was_said_to_have_ended_is_told_once(sign, details):
+    pool_state, worker, events = make_pool_state(stored=True)
+    run = next(iter(worker.runs.values()))
+    sign(pool_state, worker, run)
+    assert "ended-worker-answers" not in {event.event for event in events}
+
+    pool_state, worker, events = make_pool_state(stored=True)
+    run = next(iter(worker.runs.values()))
+    end_by_plan(pool_state, worker)
+    before = attrs.asdict(worker, recurse=False) | {"signs_after_end": None, "listed": None}
+    for _ in range(3):
+        sign(pool_state, worker, run)
+    after = attrs.asdict(worker, recurse=False) | {"signs_after_end": None, "listed": None}
+    assert_that(after, Equals(before))
+    told = [event for event in events if event.event == "ended-worker-answers"]
+    assert_that([event.detail for event in told], Equals(details))
+    assert {event.life for event in told} <= {FIRST_LIFE}
--- a/limpetpulley/telemetry/trace.py
+++ b/limpetpulley/telemetry/trace.py
@@ -34,6 +34,7 @@
 #: events of a worker that end or delay the tasks that run on it
 WORKER_EVENTS = frozenset(
     {
+        "ended-worker-answers",
         "worker-avoided",
         "worker-cordoned",
         "worker-ended",
--- a/limpetpulley/workers/state.py
+++ b/limpetpulley/workers/state.py
@@ -184,6 +184,8 @@
     :param cordoned: whether no more runs may be started on it
     :param ended: whether its VM is down or was moved or taken for maintenance, so that all its runs
         have ended
+    :param ended_at: local time of the last scan of all runs before it was found to have ended
+    :param signs_after_end: kinds of signs of life that it has shown since, for the log
     :param silent: whether its last call got no reply
     :param last_reply_at: local time of its last reply
     :param lost_at: local time at which a call failed without a timeout, None after a reply
@@ -205,6 +207,8 @@
     in_roster: bool = False
     cordoned: bool = False
     ended: bool = False
+    ended_at: float = 0.0
+    signs_after_end: set[str] = attrs.field(factory=set)
     silent: bool = False
     last_reply_at: float = 0.0
     lost_at: float | None = None
