--- a/measure/run_overlaps.py
+++ b/measure/run_overlaps.py
@@ -27,14 +27,17 @@
 BEGIN_EVENTS = frozenset({"run-adopted", "run-ordered"})
 #: prefix of the details of ``run-dropped`` for runs that never began
 REJECTED = "rejected-"
-#: details of ``run-dropped`` for runs that must have ended
-SOUND_DROPS = frozenset({"lease-lapsed", "not-listed", "worker-restarted"})
+#: details of ``run-dropped`` for runs that must have ended: by themselves, and if their worker has
+SOUND_DROPS = frozenset({"lease-lapsed", "not-listed"})
+WORKER_DROP = "worker-restarted"
 #: events after which no run of a worker's life is alive; ``worker-gone`` and ``worker-given-up``
 #: tell only that the leases have expired, so that the worker may be used again
 END_EVENTS = frozenset({"worker-ended", "worker-restarted"})
 LAPSE_EVENTS = frozenset({"worker-given-up", "worker-gone"})
 #: event of a worker that was said to have ended and has shown itself since
 ANSWER_EVENT = "ended-worker-answers"
+#: events that show a life of a worker alive
+LIFE_EVENTS = frozenset({ANSWER_EVENT, "run-adopted", "worker-answers"})
 #: events of workers that are shown beside a task's lines
 WORKER_EVENTS = END_EVENTS | LAPSE_EVENTS | {ANSWER_EVENT, "worker-cordoned"}
 #: orders that end whatever runs on a worker
@@ -58,6 +61,7 @@
     :param begun: line of its order, or of its first adoption if the order is not in the logs
     :param ordered: whether its order is in the logs
     :param closings: lines after which it is known not to be alive
+    :param drops: lines after which it is not, if its worker has ended
     :param adopted: place of its last adoption, which shows it alive; -1 for none
     """
 
@@ -69,6 +73,7 @@
     ordered: bool
     rejected: bool = False
     closings: list[Place] = attrs.field(factory=list)
+    drops: list[Place] = attrs.field(factory=list)
     adopted: int = -1
 
     def format(self) -> str:
@@ -112,6 +117,8 @@
     latest_life: dict[str, int] = attrs.field(factory=dict)
     # Lives of workers that answered after they were said to have ended.
     answered: set[tuple[str, int]] = attrs.field(factory=set)
+    # The last place that shows a life of a worker alive.
+    alive_at: dict[tuple[str, int], int] = attrs.field(factory=dict)
     left_out: Counter[str] = attrs.field(factory=Counter)
 
     def add(self, place: Place) -> None:
@@ -122,6 +129,8 @@
         if worker and latest > self.latest_life.get(worker, 0):
             self._end_earlier_life(worker, place)
             self.latest_life[worker] = latest
+        if line.event in LIFE_EVENTS:
+            self.alive_at[worker, life] = place.index
         if line.event == "lines-left-out":
             self.left_out.update(
                 {name: int(count) for name, count in line.fields.get("counts", {}).items()}
@@ -166,17 +175,23 @@
             run.rejected |= detail.startswith(REJECTED)
             if run.rejected or detail in SOUND_DROPS:
                 run.closings.append(place)
+            elif detail == WORKER_DROP:
+                run.drops.append(place)
 
     def closed_at(self, run: TaskRun) -> int | None:
-        """Return the place from which on a run is known not to be alive, None if it never is."""
+        """Return the place from which on a run is known not to be alive, None if it never is.
+
+        An end of its worker that the worker has outlived does not count.
+        """
         since = max(run.begun.index, run.adopted)
         lives = {run.life, 0} if run.life else {0, self.latest_life.get(run.worker, 0)}
-        closings = run.closings + [
-            place
-            for life in lives
-            for by_life in (self.ended_lives, self.lapsed_lives)
-            for place in by_life.get((run.worker, life), ())
+        ends = run.drops + [
+            place for life in lives for place in self.ended_lives.get((run.worker, life), ())
         ]
+        alive_at = self.alive_at.get((run.worker, run.life), -1)
+        closings = [*run.closings, *(place for place in ends if place.index > alive_at)]
+        for life in lives:
+            closings += self.lapsed_lives.get((run.worker, life), ())
         return min((place.index for place in closings if place.index >= since), default=None)
 
 
--- a/tests/test_run_overlaps.py
+++ b/tests/test_run_overlaps.py
@@ -67,6 +67,20 @@
             [ordered(0.0), dropped(1.0, "worker-restarted"), AGAIN, run(2.5, "adopted")],
             ["overlap"],
         ),
+        # So was one whose worker answered after it had been said to have ended.
+        *(
+            (
+                [
+                    ordered(0.0),
+                    dropped(1.0, "worker-restarted"),
+                    worker_line(1.0, "restarted", life=LIFE, detail="vm-ordered"),
+                    AGAIN,
+                    line(2.5, "ended-worker-answers", worker="w1", life=life, detail="hold"),
+                ],
+                kinds,
+            )
+            for life, kinds in ((LIFE, ["overlap"]), (NEXT_LIFE, []))
+        ),
         ([run(0.0, "adopted"), AGAIN], ["overlap"]),
         ([run(0.0, "adopted"), run(1.0, "adopted", 2, "w2")], []),
         ([ordered(0.0), ended(1.0), AGAIN], ["start-after-done"]),
