--- a/limpetpulley/ownership/pool_reports.py
+++ b/limpetpulley/ownership/pool_reports.py
@@ -59,10 +59,10 @@
         """
         reasons = {row.worker: self.end_reason(row.worker, row.vm) for row in message.workers}
         ended = {worker for worker, reason in reasons.items() if reason}
-        before = self.ended.get(message.pool, set())
+        found = ended - self.ended.get(message.pool, set())
         now = self.context.clock.now()
         for row in message.workers:
-            if row.worker not in ended - before:
+            if row.worker not in found:
                 continue
             vm = self.inventory.vms.get(row.vm)
             self.context.log.write(
