--- a/limpetpulley/telemetry/tests/test_log.py
+++ b/limpetpulley/telemetry/tests/test_log.py
@@ -109,9 +109,7 @@
     assert "lines-left-out" not in events
 
 
-@pytest.mark.parametrize(
-    ("line_bytes", "count"), [(100, 500), (1500, 50), (3000, 40), (10_000, 3)]
-)
+@pytest.mark.parametrize(("line_bytes", "count"), [(100, 500), (1500, 50), (3000, 40), (10_000, 3)])
 def test_each_write_holds_whole_lines_of_bounded_size(pipe, monkeypatch, line_bytes, count):
     """A reader may cut a longer write, and mix it with the writes of other processes."""
     chunks = []
