--- a/limpetpulley/standin/batchfleet.py
+++ b/limpetpulley/standin/batchfleet.py
@@ -22,6 +22,7 @@
 from .faults import Faults
 from .network import MemoryNetwork, MemoryPeerCaller
 from .store import FaultyStore
+from .virtual import HOST, pause_host, resume_host
 from .vms import MemoryVms
 from .workers import MemoryWorkers, RunPlan
 
@@ -93,6 +94,7 @@
         self.workers = MemoryWorkers()
         self.wave_registry = WaveRegistry(lambda name: f"state/{name}", self._encode_wave_state)
         self.daemons: dict[str, _Daemon] = {}
+        self.paused: set[str] = set()
         self.runs: list[StartedRun] = []
         self.log_descriptor = log_descriptor
         standby_pools = frozenset(pool.name for pool in config.pools.values() if pool.standby)
@@ -110,7 +112,7 @@
     def start_daemon(self, name: str) -> BatchNode:
         """Start a daemon and return its node."""
         log = null_log(name) if self.log_descriptor is None else EventLog(name, self.log_descriptor)
-        daemon_tasks: Any = _DaemonTasks(self.tasks)
+        daemon_tasks: Any = _DaemonTasks(self.tasks, name)
         context = DaemonContext(
             self.make_store(name),
             BatchKeys("lp/"),
@@ -125,16 +127,18 @@
         member = Member(name, incarnation, f"{name}:1", "dc-1")
         peers = MemoryPeerCaller(self.network, name, self.tasks)
         node = BatchNode(context, member, peers, self.vms, self.wave_registry)
-        self.network.services[f"{name}:1"] = node.handlers
+        self.network.services[f"{name}:1"] = _HostHandlers(node.handlers, name)
         self.daemons[name] = _Daemon(node, daemon_tasks)
         node.apply_config(self.config)
-        node.update_workers(dict(self.vms.listed_workers))
+        node.update_workers(self.vms.visible_workers())
         node.start()
         return node
 
     def make_store(self, name: str) -> Store:
         """Return a daemon's client of the store."""
-        return FaultyStore(self.store, self.faults, self.network, name, self.counts)
+        return FaultyStore(
+            self.store, self.faults, self.network, name, self.counts, self.tasks, self.rng
+        )
 
     def kill(self, name: str) -> None:
         """Stop a daemon at once without any cleanup, as a power failure does."""
@@ -147,6 +151,17 @@
         await self.daemons[name].node.leave()
         self.kill(name)
 
+    def pause(self, name: str) -> None:
+        """Pause a daemon's process, which keeps its connections."""
+        self.paused.add(name)
+        pause_host(name)
+
+    def resume(self, name: str) -> None:
+        """Let a paused daemon go on."""
+        self.paused.discard(name)
+        resume_host(name)
+        self._update_workers(self.vms.visible_workers())
+
     def order_wave(self, wave: WaveOrder) -> None:
         """Order a maintenance wave."""
         self.wave_registry.waves[wave.name] = wave
@@ -160,8 +175,9 @@
         return None
 
     def _update_workers(self, listed: dict[str, ListedWorker]) -> None:
-        for daemon in self.daemons.values():
-            daemon.node.update_workers(listed)
+        for name, daemon in self.daemons.items():
+            if name not in self.paused:
+                daemon.node.update_workers(listed)
 
     def _record_start(self, worker_id: str, order: StartOrder) -> None:
         self.runs.append(StartedRun(self.clock.now(), worker_id, order))
@@ -173,8 +189,9 @@
 class _DaemonTasks:
     """Starts the tasks of one daemon, so that all of them can be cancelled at once."""
 
-    def __init__(self, tasks: anyio.abc.TaskGroup):
+    def __init__(self, tasks: anyio.abc.TaskGroup, host: str):
         self.tasks = tasks
+        self.host = host
         self.scopes: set[anyio.CancelScope] = set()
         self.cancelled = False
 
@@ -189,6 +206,7 @@
             scope.cancel()
 
     async def _run(self, function: Callable[..., Awaitable[Any]], args: tuple) -> None:
+        HOST.set(self.host)
         if self.cancelled:
             return
         with anyio.CancelScope() as scope:
@@ -197,6 +215,25 @@
         self.scopes.discard(scope)
 
 
+class _HostHandlers:
+    """A daemon's handlers, which run as code of that daemon's host."""
+
+    def __init__(self, handlers: Any, host: str):
+        self.handlers = handlers
+        self.host = host
+
+    def __getattr__(self, name: str) -> Callable[..., Awaitable[Any]]:
+        handler = getattr(self.handlers, name)
+
+        async def handle(stream: Any) -> Any:
+            HOST.set(self.host)
+            # The next step waits while the host is paused.
+            await anyio.sleep(0.0)
+            return await handler(stream)
+
+        return handle
+
+
 def sample_config() -> BatchConfig:
     """Return a configuration with one queue, its pool, a standby pool and a team."""
     queue = QueueConfig(
--- a/limpetpulley/standin/faults.py
+++ b/limpetpulley/standin/faults.py
@@ -16,6 +16,8 @@
     :param outage: whether the store answers no call
     :param slow_seconds: delay that is added to each store call, in seconds
     :param lose_answers: number of coming writes that take effect but are not answered
+    :param late_write_share: share of the writes that are carried out late and not answered
+    :param late_write_seconds: longest delay of such a write, in seconds; the shortest is 1 s
     :param silent_watch: whether watches deliver no events
     :param dead_watches: whether watches that miss an event during an outage stay silent after it
     :param list_lag_seconds: age of the list of VMs that the platform returns, in seconds
@@ -24,6 +26,8 @@
     outage: bool = False
     slow_seconds: float = 0.0
     lose_answers: int = 0
+    late_write_share: float = 0.0
+    late_write_seconds: float = 6.0
     silent_watch: bool = False
     dead_watches: bool = False
     list_lag_seconds: float = 0.0
--- a/limpetpulley/standin/virtual.py
+++ b/limpetpulley/standin/virtual.py
@@ -9,11 +9,15 @@
 import asyncio
 import selectors
 from collections.abc import Awaitable, Callable
+from contextvars import Context, ContextVar
 from typing import Any
 
 import anyio
 
-__all__ = ["VirtualClock", "run_virtual"]
+__all__ = ["HOST", "VirtualClock", "pause_host", "resume_host", "run_virtual"]
+
+#: host whose code runs in a task, empty for none
+HOST: ContextVar[str] = ContextVar("host", default="")
 
 #: least advance of the virtual time per iteration of the loop, in seconds
 TICK_SECONDS = 1e-6
@@ -44,12 +48,82 @@
         selector = _AdvancingSelector()
         selector.loop = self
         self.now_seconds = 1000.0
+        self.paused: dict[str, list[_HostCallback]] = {}
         super().__init__(selector)
 
     def time(self) -> float:
         """Return the virtual time in seconds."""
         return self.now_seconds
 
+    def call_soon(
+        self, callback: Callable, *args: Any, context: Context | None = None
+    ) -> asyncio.Handle:
+        """Schedule a callback, which waits while its host is paused."""
+        host = HOST.get() if context is None else context.get(HOST, "")
+        if not host:
+            return super().call_soon(callback, *args, context=context)
+        guarded = _HostCallback(self, host, callback, args, context)
+        guarded.handle = super().call_soon(guarded, context=context)
+        return guarded.handle
+
+    def call_at(
+        self, when: float, callback: Callable, *args: Any, context: Context | None = None
+    ) -> asyncio.TimerHandle:
+        """Schedule a callback at a time; it waits while its host is paused."""
+        host = HOST.get() if context is None else context.get(HOST, "")
+        if not host:
+            return super().call_at(when, callback, *args, context=context)
+        guarded = _HostCallback(self, host, callback, args, context)
+        handle = guarded.handle = super().call_at(when, guarded, context=context)
+        return handle
+
+
+class _HostCallback:
+    """A callback of a host, which is kept back while the host is paused."""
+
+    handle: asyncio.Handle
+
+    def __init__(
+        self,
+        loop: _VirtualLoop,
+        host: str,
+        callback: Callable,
+        args: tuple,
+        context: Context | None,
+    ):
+        self.loop = loop
+        self.host = host
+        self.callback = callback
+        self.args = args
+        self.context = context
+
+    def __call__(self) -> None:
+        waiting = self.loop.paused.get(self.host)
+        if waiting is None:
+            self.callback(*self.args)
+        else:
+            waiting.append(self)
+
+    def run_late(self) -> None:
+        """Run the callback unless it was cancelled since its host went on."""
+        if not self.handle.cancelled():
+            self()
+
+
+def pause_host(host: str) -> None:
+    """Pause all code of a host, as a stopped process; time goes on."""
+    loop = asyncio.get_running_loop()
+    assert isinstance(loop, _VirtualLoop)
+    loop.paused.setdefault(host, [])
+
+
+def resume_host(host: str) -> None:
+    """Let a paused host go on with what has become due meanwhile."""
+    loop = asyncio.get_running_loop()
+    assert isinstance(loop, _VirtualLoop)
+    for waiting in loop.paused.pop(host, []):
+        asyncio.SelectorEventLoop.call_soon(loop, waiting.run_late, context=waiting.context)
+
 
 class VirtualClock:
     """A clock on the running loop's virtual time, with a drift and an offset of its own.
--- a/limpetpulley/standin/vms.py
+++ b/limpetpulley/standin/vms.py
@@ -15,6 +15,9 @@
 
 __all__ = ["MemoryVms"]
 
+#: time for which earlier lists are kept, in seconds
+LIST_HISTORY_SECONDS = 5.0
+
 
 @attrs.define(eq=False)
 class _Vm:
@@ -67,6 +70,11 @@
         self.interrupted_runs = 0
         self.moves = 0
         self.on_run_started: Callable[[str, StartOrder], None] = lambda worker_id, order: None
+        self.make_worker_clock: Callable[[], Clock] = lambda: clock
+        self.hidden_workers: set[str] = set()
+        # Returns the age of the next list, in seconds.
+        self.choose_list_age: Callable[[], float] = lambda: 0.0
+        self.past_lists: list[tuple[float, list[FleetVm]]] = []
 
     def add(self, name: str, pool: str, rack: str) -> None:
         """Add a VM and bring it up."""
@@ -74,7 +82,31 @@
         self._bring_up(vm)
 
     async def list_vms(self) -> list[FleetVm]:
-        """Return all VMs."""
+        """Return all VMs, as they were a moment ago if lists lag."""
+        shown_at = self.clock.now() - self.choose_list_age()
+        if self.past_lists and self.past_lists[0][0] <= shown_at < self.past_lists[-1][0]:
+            return [vms for at, vms in self.past_lists if at <= shown_at][-1]
+        return self._current_list()
+
+    def visible_workers(self) -> dict[str, ListedWorker]:
+        """Return the workers whose entries have not expired."""
+        return {
+            name: worker
+            for name, worker in self.listed_workers.items()
+            if name not in self.hidden_workers
+        }
+
+    def hide(self, worker_id: str) -> None:
+        """Let a worker's entry expire although the worker lives."""
+        self.hidden_workers.add(worker_id)
+        self.on_workers_changed(self.visible_workers())
+
+    def show(self, worker_id: str) -> None:
+        """List a hidden worker again."""
+        self.hidden_workers.discard(worker_id)
+        self.on_workers_changed(self.visible_workers())
+
+    def _current_list(self) -> list[FleetVm]:
         cores = self.capacity.cpu_millicores / 1000
         return [
             FleetVm(vm.name, vm.pool, vm.phase, vm.worker_id, vm.rack, "", cores)
@@ -108,20 +140,49 @@
         self.most_down = max(self.most_down, down)
         return OrderOutcome.DONE
 
-    def crash(self, worker_id: str, down_seconds: float) -> None:
+    def crash(
+        self,
+        worker_id: str,
+        down_seconds: float,
+        entry_seconds: float = 0.0,
+        same_identifier: bool = False,
+    ) -> None:
         """Crash a worker; its VM comes up again later, with another worker.
 
         :param down_seconds: time until the VM is up again, in seconds
+        :param entry_seconds: time until the worker's entry expires, in seconds
+        :param same_identifier: whether the next worker has the same identifier, as a new
+            incarnation
         """
         for vm in self.vms.values():
             if vm.worker_id == worker_id:
-                self.workers.workers[worker_id].crash()
-                self._take_down(vm, Phase.DOWN, down_seconds)
+                old = self.workers.workers[worker_id].listed if same_identifier else None
+                self._take_down(vm, Phase.DOWN, down_seconds, entry_seconds, old)
+
+    def drain(self, worker_id: str, seconds: float, down_seconds: float) -> None:
+        """Drain a worker, which leaves after a time in seconds; its VM comes up again later."""
+        listed = attrs.evolve(self.listed_workers[worker_id], draining=True)
+        self.listed_workers[worker_id] = self.workers.workers[worker_id].listed = listed
+        self.on_workers_changed(self.visible_workers())
+        self.tasks.start_soon(self._crash_later, worker_id, seconds, down_seconds)
 
-    def _take_down(self, vm: _Vm, phase: Phase, seconds: float | None = None) -> None:
+    async def _crash_later(self, worker_id: str, seconds: float, down_seconds: float) -> None:
+        await anyio.sleep(seconds)
+        self.crash(worker_id, down_seconds)
+
+    def _take_down(
+        self,
+        vm: _Vm,
+        phase: Phase,
+        seconds: float | None = None,
+        entry_seconds: float = 0.0,
+        successor_of: ListedWorker | None = None,
+    ) -> None:
         """Take a VM down.
 
         :param seconds: time until it is up again, None for the usual duration of a transition
+        :param entry_seconds: time until the worker's entry expires, in seconds
+        :param successor_of: worker whose identifier the next one has, None for a new identifier
         """
         vm.phase = phase
         worker = self.workers.workers.pop(vm.worker_id, None)
@@ -129,25 +190,58 @@
             worker.advance()
             if phase is not Phase.DOWN:
                 self.interrupted_runs += len(worker.runs)
-        if self.listed_workers.pop(vm.worker_id, None) is not None:
-            self.on_workers_changed(dict(self.listed_workers))
+            worker.crash()
+        entry = self.listed_workers.get(vm.worker_id)
+        if entry is not None and entry_seconds:
+            self.tasks.start_soon(self._expire_later, entry, entry_seconds)
+        elif entry is not None:
+            self._expire(entry)
         vm.worker_id = ""
+        self._record_list()
         delay = self.transition_seconds if seconds is None else seconds
-        self.tasks.start_soon(self._bring_up_later, vm, delay)
+        self.tasks.start_soon(self._bring_up_later, vm, delay, successor_of)
 
-    async def _bring_up_later(self, vm: _Vm, seconds: float) -> None:
+    async def _expire_later(self, entry: ListedWorker, seconds: float) -> None:
         await anyio.sleep(seconds)
-        self._bring_up(vm)
+        self._expire(entry)
+
+    def _expire(self, entry: ListedWorker) -> None:
+        """Remove a worker's entry unless a newer incarnation has replaced it."""
+        if self.listed_workers.get(entry.worker_id) is entry:
+            del self.listed_workers[entry.worker_id]
+            self.on_workers_changed(self.visible_workers())
 
-    def _bring_up(self, vm: _Vm) -> None:
+    async def _bring_up_later(
+        self, vm: _Vm, seconds: float, successor_of: ListedWorker | None
+    ) -> None:
+        await anyio.sleep(seconds)
+        self._bring_up(vm, successor_of)
+
+    def _bring_up(self, vm: _Vm, successor_of: ListedWorker | None = None) -> None:
         vm.phase = Phase.UP
         if vm.pool in self.standby_pools:
+            self._record_list()
             return
-        vm.incarnations += 1
-        vm.worker_id = f"{vm.name}-{vm.incarnations}"
-        listed = ListedWorker(
-            vm.worker_id, vm.pool, f"{vm.worker_id}:1", 1, self.capacity, vm.name, vm.rack
-        )
-        self.workers.add(MemoryWorker(listed, self.clock, self.plan_run, self.on_run_started))
+        if successor_of is not None:
+            listed = attrs.evolve(
+                successor_of, incarnation=successor_of.incarnation + 1, draining=False
+            )
+        else:
+            vm.incarnations += 1
+            worker_id = f"{vm.name}-{vm.incarnations}"
+            listed = ListedWorker(
+                worker_id, vm.pool, f"{worker_id}:1", 1, self.capacity, vm.name, vm.rack
+            )
+        vm.worker_id = listed.worker_id
+        worker = MemoryWorker(listed, self.make_worker_clock(), self.plan_run, self.on_run_started)
+        self.workers.add(worker)
         self.listed_workers[vm.worker_id] = listed
-        self.on_workers_changed(dict(self.listed_workers))
+        self._record_list()
+        self.on_workers_changed(self.visible_workers())
+
+    def _record_list(self) -> None:
+        now = self.clock.now()
+        self.past_lists = [
+            *(each for each in self.past_lists if each[0] >= now - LIST_HISTORY_SECONDS),
+            (now, self._current_list()),
+        ]
--- a/limpetpulley/standin/workers.py
+++ b/limpetpulley/standin/workers.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 import itertools
-from collections.abc import Callable
+import random
+from collections.abc import Awaitable, Callable
+from typing import Any
 
 import anyio
+import anyio.abc
 import attrs
 
 from ..batch import Amount, EndKind, TaskId
@@ -22,10 +25,13 @@
     StartReply,
     StopOrder,
 )
+from .virtual import HOST
 
-__all__ = ["MemoryWorker", "MemoryWorkers", "RunPlan"]
+__all__ = ["MemoryWorker", "MemoryWorkers", "OrderFaults", "RunObserver", "RunPlan"]
 
 FULL_SPEED = 100
+#: shortest and longest delay of an order that is carried out late, in seconds
+LATE_SECONDS = (2.0, 12.0)
 
 
 @attrs.frozen
@@ -42,6 +48,31 @@
     need: Amount = Amount()
 
 
+class RunObserver:
+    """Is told what workers do; does nothing by default. Times are by the worker's clock."""
+
+    def started(self, worker: MemoryWorker, order: StartOrder) -> None:
+        """Note that a worker has started a run."""
+
+    def ended(self, worker: MemoryWorker, end: EndedRun, worker_seconds: float) -> None:
+        """Note that a run has ended."""
+
+    def lease_lapsed(self, worker: MemoryWorker, worker_seconds: float) -> None:
+        """Note that a worker's lease has lapsed."""
+
+    def acknowledged(self, worker: MemoryWorker, position: int) -> None:
+        """Note that ends up to a position are acknowledged."""
+
+    def answered(self, worker: MemoryWorker, reply: HoldReply) -> None:
+        """Note that a hold's reply has arrived."""
+
+    def crashed(self, worker: MemoryWorker) -> None:
+        """Note that a worker is down for good, with all its runs."""
+
+    def delayed(self, order: StartOrder) -> None:
+        """Note that a start order will be carried out late."""
+
+
 @attrs.define(eq=False)
 class _Run:
     task: TaskId
@@ -77,6 +108,7 @@
         self.plan_run = plan_run
         self.on_run_started = on_run_started
         self.max_lease_seconds = max_lease_seconds
+        self.observer = RunObserver()
         self.alive = True
         self._reset()
 
@@ -84,6 +116,7 @@
         self.started_at = self.clock.now()
         self.highest_token = 0
         self.lease_until = 0.0
+        self.lease_held = False
         self.runs: dict[TaskId, _Run] = {}
         self.highest_ended: dict[TaskId, int] = {}
         self.ended: list[EndedRun] = []
@@ -98,6 +131,7 @@
     def crash(self) -> None:
         """Crash for good; pending holds lose their connections."""
         self.alive = False
+        self.observer.crashed(self)
         self.run_ended.set()
 
     def time(self) -> float:
@@ -110,9 +144,12 @@
         lease_lapsed = self.runs and now >= self.lease_until
         for run in sorted(self.runs.values(), key=lambda run: run.ends_at):
             if run.ends_at <= min(now, self.lease_until):
-                self._end_run(run, run.plan.kind)
+                self._end_run(run, run.plan.kind, run.ends_at)
             elif lease_lapsed:
-                self._end_run(run, EndKind.LAPSED)
+                self._end_run(run, EndKind.LAPSED, self.lease_until)
+        if self.lease_held and now >= self.lease_until:
+            self.lease_held = False
+            self.observer.lease_lapsed(self, self.lease_until)
 
     def seconds_to_next_end(self) -> float:
         """Return the seconds until the next run ends by itself or by the lapse of the lease."""
@@ -144,6 +181,7 @@
         self.runs[order.task] = _Run(
             order.task, order.number, plan, now + plan.seconds, order.checkpoint
         )
+        self.observer.started(self, order)
         self.on_run_started(self.listed.worker_id, order)
         return StartReply(StartOutcome.STARTED, now)
 
@@ -152,7 +190,7 @@
         self._admit_order(token)
         run = self.runs.get(order.task)
         if run is not None and run.number <= order.number:
-            self._end_run(run, EndKind.STOPPED)
+            self._end_run(run, EndKind.STOPPED, self.time())
         self.highest_ended[order.task] = max(order.number, self.highest_ended.get(order.task, 0))
         return self.time()
 
@@ -173,6 +211,7 @@
         self._admit_order(token)
         if until is not None:
             self._extend_lease(until)
+        self.observer.acknowledged(self, acknowledged)
         self.ended = [end for end in self.ended if end.position > acknowledged]
         running = tuple(
             ListedRun(run.task, run.number, run.checkpoint, run.percent)
@@ -190,17 +229,46 @@
 
     def _extend_lease(self, until: float) -> None:
         self.lease_until = max(self.lease_until, min(until, self.time() + self.max_lease_seconds))
+        self.lease_held = self.lease_until > self.time()
 
-    def _end_run(self, run: _Run, kind: EndKind) -> None:
+    def _end_run(self, run: _Run, kind: EndKind, at: float) -> None:
         del self.runs[run.task]
         self.highest_ended[run.task] = max(run.number, self.highest_ended.get(run.task, 0))
-        self.ended.append(
-            EndedRun(next(self.positions), run.task, run.number, kind, run.checkpoint)
-        )
+        end = EndedRun(next(self.positions), run.task, run.number, kind, run.checkpoint)
+        self.ended.append(end)
+        self.observer.ended(self, end, at)
         run_ended, self.run_ended = self.run_ended, anyio.Event()
         run_ended.set()
 
 
+@attrs.define
+class OrderFaults:
+    """Faults of the orders to workers.
+
+    :param tasks: task group in which orders are carried out, whatever becomes of their senders
+    :param late_share: share of the orders that are carried out late and not answered
+    :param lost_reply_share: share of the orders that are carried out and not answered
+    :param unreachable: workers that no order reaches
+    :param mute: workers whose replies are lost
+    """
+
+    tasks: anyio.abc.TaskGroup
+    rng: random.Random
+    late_share: float = 0.0
+    lost_reply_share: float = 0.0
+    unreachable: set[str] = attrs.field(factory=set)
+    mute: set[str] = attrs.field(factory=set)
+
+
+@attrs.define(eq=False)
+class _Delivery:
+    """An order on its way, and its outcome."""
+
+    settled: anyio.Event = attrs.field(factory=anyio.Event)
+    reply: Any = None
+    error: WorkerError | NotOwnerError | None = None
+
+
 class MemoryWorkers:
     """A :class:`~limpetpulley.workers.WorkerOrders` that carries orders to workers in memory.
 
@@ -210,27 +278,39 @@
     def __init__(self, latency_seconds: float = 0.001):
         self.latency_seconds = latency_seconds
         self.workers: dict[str, MemoryWorker] = {}
+        self.faults: OrderFaults | None = None
+        self.observer = RunObserver()
 
     def add(self, worker: MemoryWorker) -> None:
         """Add a worker."""
+        worker.observer = self.observer
         self.workers[worker.listed.worker_id] = worker
 
     async def start(
         self, worker: ListedWorker, order: StartOrder, token: int, until_seconds: float
     ) -> StartReply:
         """Start a run under a lease until a worker time."""
-        await anyio.sleep(self.latency_seconds)
-        return self._find(worker).start(order, token, until_seconds)
+
+        async def start(found: MemoryWorker) -> StartReply:
+            return found.start(order, token, until_seconds)
+
+        return await self._call(worker, start, order)
 
     async def stop(self, worker: ListedWorker, order: StopOrder, token: int) -> float:
         """Stop a run; return the worker's time."""
-        await anyio.sleep(self.latency_seconds)
-        return self._find(worker).stop(order, token)
+
+        async def stop(found: MemoryWorker) -> float:
+            return found.stop(order, token)
+
+        return await self._call(worker, stop)
 
     async def pace(self, worker: ListedWorker, order: PaceOrder, token: int) -> float:
         """Set a run's speed; return the worker's time."""
-        await anyio.sleep(self.latency_seconds)
-        return self._find(worker).pace(order, token)
+
+        async def pace(found: MemoryWorker) -> float:
+            return found.pace(order, token)
+
+        return await self._call(worker, pace)
 
     async def hold(
         self,
@@ -241,18 +321,70 @@
         wait_seconds: float,
     ) -> HoldReply:
         """Extend the lease, acknowledge ends, and return the runs and the ends."""
-        await anyio.sleep(self.latency_seconds)
-        found = self._find(worker)
-        reply = found.hold(token, acknowledged, until_seconds)
-        wait_started_at = found.time()
-        while not reply.ended and found.time() - wait_started_at < wait_seconds:
-            if not found.alive:
-                raise WorkerError(f"{worker.worker_id}: connection lost")
-            left_seconds = wait_seconds - (found.time() - wait_started_at)
-            with anyio.move_on_after(max(0.0005, min(left_seconds, found.seconds_to_next_end()))):
-                await found.run_ended.wait()
-            reply = found.hold(token, acknowledged, None)
-        return reply
+
+        async def hold(found: MemoryWorker) -> HoldReply:
+            reply = found.hold(token, acknowledged, until_seconds)
+            wait_started_at = found.time()
+            while not reply.ended and found.time() - wait_started_at < wait_seconds:
+                if not found.alive:
+                    raise WorkerError(f"{worker.worker_id}: connection lost")
+                left_seconds = wait_seconds - (found.time() - wait_started_at)
+                next_end = max(0.0005, min(left_seconds, found.seconds_to_next_end()))
+                with anyio.move_on_after(next_end):
+                    await found.run_ended.wait()
+                reply = found.hold(token, acknowledged, None)
+            return reply
+
+        return await self._call(worker, hold)
+
+    async def _call(
+        self,
+        worker: ListedWorker,
+        call: Callable[[MemoryWorker], Awaitable[Any]],
+        order: StartOrder | None = None,
+    ) -> Any:
+        """Carry an order out and return the reply; wait for ever if it is lost.
+
+        :param order: the order if it starts a run
+        """
+        if self.faults is None:
+            await anyio.sleep(self.latency_seconds)
+            return await call(self._find(worker))
+        faults, delivery = self.faults, _Delivery()
+        late = faults.rng.random() < faults.late_share
+        if late and order is not None:
+            self.observer.delayed(order)
+        delay_seconds = faults.rng.uniform(*LATE_SECONDS) if late else self.latency_seconds
+        faults.tasks.start_soon(self._deliver, faults, worker, call, delay_seconds, delivery)
+        await delivery.settled.wait()
+        if delivery.error is not None:
+            raise delivery.error
+        return delivery.reply
+
+    async def _deliver(
+        self,
+        faults: OrderFaults,
+        worker: ListedWorker,
+        call: Callable[[MemoryWorker], Awaitable[Any]],
+        delay_seconds: float,
+        delivery: _Delivery,
+    ) -> None:
+        HOST.set("")
+        await anyio.sleep(0.0)
+        lost = faults.rng.random() < faults.lost_reply_share or delay_seconds >= LATE_SECONDS[0]
+        await anyio.sleep(delay_seconds)
+        if worker.worker_id in faults.unreachable and delay_seconds < LATE_SECONDS[0]:
+            return
+        try:
+            found = self._find(worker)
+            delivery.reply = await call(found)
+        except (WorkerError, NotOwnerError) as error:
+            delivery.error = error
+        if lost or faults.unreachable & {worker.worker_id} or faults.mute & {worker.worker_id}:
+            return
+        if isinstance(delivery.reply, HoldReply):
+            self.observer.answered(found, delivery.reply)
+        delivery.settled.set()
 
     def _find(self, worker: ListedWorker) -> MemoryWorker:
         found = self.workers.get(worker.worker_id)
