--- a/limpetpulley/ownership/tests/runs_once_simulation.py
+++ b/limpetpulley/ownership/tests/runs_once_simulation.py
@@ -11,6 +11,7 @@
 import sys
 from collections import Counter
 from collections.abc import Awaitable, Callable
+from typing import Any
 
 import anyio
 import anyio.abc
@@ -35,6 +36,7 @@
 from ...standin.store import STORE_HOST
 from ...standin.virtual import VirtualClock, run_virtual
 from ...standin.workers import OrderFaults, RunPlan
+from ...telemetry import EventLog
 from .. import Outcome, Submission
 
 __all__ = ["FAULTS", "Result", "RunsOnceSimulation", "simulate"]
@@ -59,6 +61,7 @@
 SETTLE_SECONDS = 14.0
 LIST_LAG_SECONDS = 0.8
 MIN_CLOCK_RATE = 0.98
+NULL_DESCRIPTOR = os.open(os.devnull, os.O_WRONLY)
 
 
 def make_config() -> BatchConfig:
@@ -99,6 +102,19 @@
     return JobSpec(",".join(map(str, seconds)), steps)
 
 
+class _VirtualLog(EventLog):
+    """A log of all lines, with the virtual time."""
+
+    def __init__(self, source: str, descriptor: int, clock: VirtualClock):
+        super().__init__(source, descriptor)
+        self.clock = clock
+
+    def write(self, event: str, **fields: Any) -> None:
+        """Buffer one line."""
+        time = round(self.clock.now(), 3)
+        self._append({"time": time, "event": event, "at": self.source, **fields})
+
+
 @attrs.frozen
 class Result:
     """Result of one simulation.
@@ -135,6 +151,7 @@
         self.clock = VirtualClock()
         self.rng = random.Random(seed)
         self.fleet = BatchFleet(tasks, self.clock, make_config(), CAPACITY, seed, log_descriptor)
+        self.fleet.make_log = self._make_log
         self.specs: dict[str, JobSpec] = {}
         self.accepted: dict[str, QueueConfig] = {}
         self.states: dict[str, JobState | None] = {}
@@ -261,6 +278,9 @@
             seconds * rng.uniform(0.7, 1.6), EndKind.FAILED if failing else EndKind.DONE, TASK
         )
 
+    def _make_log(self, name: str) -> EventLog:
+        return _VirtualLog(name, self.fleet.log_descriptor or NULL_DESCRIPTOR, self.clock)
+
     def _make_worker_clock(self) -> VirtualClock:
         return VirtualClock(self.rng.choice((1.0, 1.0, MIN_CLOCK_RATE)))
 
@@ -467,6 +487,7 @@
     parser.add_argument("--first", type=int, default=1, help="first seed")
     parser.add_argument("--seconds", type=float, default=30.0, help="time with load and faults")
     parser.add_argument("--faults", help=f"kinds of faults: {','.join(FAULTS)}, or none")
+    parser.add_argument("--without", default="", help="kinds of faults to leave out")
     parser.add_argument("--log", help="file for the daemons' log, for one seed")
     parser.add_argument("--verbose", action="store_true", help="print a line for each seed")
     args = parser.parse_args()
@@ -478,8 +499,10 @@
     descriptor = os.open(args.log, os.O_WRONLY | os.O_CREAT | os.O_TRUNC) if args.log else None
     failed: Counter[str] = Counter()
     for seed in range(args.first, args.first + args.seeds):
-        result = simulate(seed, args.seconds, faults, descriptor)
-        kinds = ",".join(choose_faults(seed) if faults is None else faults)
+        chosen = choose_faults(seed) if faults is None else faults
+        chosen = tuple(kind for kind in chosen if kind not in args.without.split(","))
+        result = simulate(seed, args.seconds, chosen, descriptor)
+        kinds = ",".join(chosen)
         for finding in result.findings:
             print(f"seed {seed} [{kinds}] {finding}", flush=True)
         failed.update({finding.verdict.value for finding in result.findings})
--- a/limpetpulley/standin/batchfleet.py
+++ b/limpetpulley/standin/batchfleet.py
@@ -111,7 +111,7 @@
 
     def start_daemon(self, name: str) -> BatchNode:
         """Start a daemon and return its node."""
-        log = null_log(name) if self.log_descriptor is None else EventLog(name, self.log_descriptor)
+        log = self.make_log(name)
         daemon_tasks: Any = _DaemonTasks(self.tasks, name)
         context = DaemonContext(
             self.make_store(name),
@@ -134,6 +134,12 @@
         node.start()
         return node
 
+    def make_log(self, name: str) -> EventLog:
+        """Return a daemon's log."""
+        if self.log_descriptor is None:
+            return null_log(name)
+        return EventLog(name, self.log_descriptor)
+
     def make_store(self, name: str) -> Store:
         """Return a daemon's client of the store."""
         return FaultyStore(
--- a/limpetpulley/standin/store.py
+++ b/limpetpulley/standin/store.py
@@ -91,14 +91,14 @@
             yield events
 
     async def _call(self, method, *args, writes: bool = False, changes: bool = False):
-        late = changes and self.late_tasks is not None and self.faults.late_write_share > 0
+        late_tasks = self.late_tasks if changes and self.faults.late_write_share else None
         with anyio.move_on_after(CALL_TIMEOUT_SECONDS):
             await self.network.simulate_transit(self.host, STORE_HOST)
             await anyio.sleep(self.faults.slow_seconds)
             if self.faults.outage:
                 await anyio.sleep_forever()
-            if late and self.rng.random() < self.faults.late_write_share:
-                self.late_tasks.start_soon(self._carry_out_late, method, args)
+            if late_tasks and self.rng.random() < self.faults.late_write_share:
+                late_tasks.start_soon(self._carry_out_late, method, args)
                 await anyio.sleep_forever()
             result = await method(*args)
             if writes and result.ok and self.faults.lose_answers > 0:
--- a/limpetpulley/standin/virtual.py
+++ b/limpetpulley/standin/virtual.py
@@ -55,8 +55,8 @@
         """Return the virtual time in seconds."""
         return self.now_seconds
 
-    def call_soon(
-        self, callback: Callable, *args: Any, context: Context | None = None
+    def call_soon(  # type: ignore[override]
+        self, callback: Callable[..., object], *args: Any, context: Context | None = None
     ) -> asyncio.Handle:
         """Schedule a callback, which waits while its host is paused."""
         host = HOST.get() if context is None else context.get(HOST, "")
@@ -66,7 +66,7 @@
         guarded.handle = super().call_soon(guarded, context=context)
         return guarded.handle
 
-    def call_at(
+    def call_at(  # type: ignore[override]
         self, when: float, callback: Callable, *args: Any, context: Context | None = None
     ) -> asyncio.TimerHandle:
         """Schedule a callback at a time; it waits while its host is paused."""
