--- a/limpetpulley/ownership/tests/runs_once_simulation.py
+++ b/limpetpulley/ownership/tests/runs_once_simulation.py
@@ -61,6 +61,8 @@
 SETTLE_SECONDS = 14.0
 LIST_LAG_SECONDS = 0.8
 MIN_CLOCK_RATE = 0.98
+#: time around a disturbance within which anything is near it, in seconds
+NEAR_SECONDS = 2.0
 NULL_DESCRIPTOR = os.open(os.devnull, os.O_WRONLY)
 
 
@@ -156,7 +158,9 @@
         self.accepted: dict[str, QueueConfig] = {}
         self.states: dict[str, JobState | None] = {}
         self.fault_counts: Counter[str] = Counter()
-        self.monitor = RunMonitor(self.clock, self._is_judged, self._may_have_copies)
+        # Start and end of each disturbance, without an end while it lasts.
+        self.disturbances: list[list[float]] = []
+        self.monitor = RunMonitor(self.clock, self._is_judged, self._may_have_copies, self._is_calm)
         self.order_faults = OrderFaults(tasks, random.Random(seed + 1))
         vms = self.fleet.vms
         self.fleet.workers.observer = self.monitor
@@ -248,7 +252,17 @@
             if self.clock.now() >= until:
                 return
             self.fault_counts[kind] += 1
+            span = [self.clock.now(), float("inf")]
+            if kind not in PLANNED_FAULTS:
+                self.disturbances.append(span)
             await fault(self, rng)
+            span[1] = self.clock.now()
+
+    def _is_calm(self, at: float) -> bool:
+        return not any(
+            started_at - NEAR_SECONDS <= at <= ended_at + NEAR_SECONDS
+            for started_at, ended_at in self.disturbances
+        )
 
     def _choose_daemon(self, rng: random.Random) -> str | None:
         """Return a daemon that runs, or None."""
@@ -451,6 +465,10 @@
 }
 
 
+#: faults that are no disturbance: an end that is listed beside them must not be lost
+PLANNED_FAULTS = ("list-lag", "waves", "drains")
+
+
 def choose_faults(seed: int) -> tuple[str, ...]:
     """Return the kinds of faults of a seed: a few, many, or now and then none."""
     rng = random.Random(f"faults {seed}")
--- a/limpetpulley/standin/run_monitor.py
+++ b/limpetpulley/standin/run_monitor.py
@@ -21,12 +21,17 @@
 
 
 class Verdict(enum.StrEnum):
-    """How a task ran twice; the strict one is not a fault in every case."""
+    """How a task ran twice.
+
+    A start after an end that was only listed, not acknowledged, is a fault if nothing disturbed
+    the deployment; beside a disturbance the end may be lost for good.
+    """
 
     OVERLAP = "overlap"
     AFTER_DONE = "after-done"
     AFTER_COMPLETED = "after-completed"
     AFTER_LISTED = "after-listed"
+    AFTER_LISTED_DISTURBED = "after-listed-disturbed"
 
 
 @attrs.frozen
@@ -79,11 +84,13 @@
 
     :param is_judged: returns whether a task must run once: neither a gang's nor a lasting one
     :param may_have_copies: returns whether copies of a task may run in parallel
+    :param is_calm: returns whether there was no disturbance near a time
     """
 
     clock: Clock
     is_judged: Callable[[TaskId], bool]
     may_have_copies: Callable[[TaskId], bool]
+    is_calm: Callable[[float], bool] = lambda at: True
     findings: list[Finding] = attrs.field(factory=list)
     starts: int = 0
     running: dict[TaskId, list[_Running]] = attrs.field(factory=dict)
@@ -188,8 +195,10 @@
             and known_at <= now
             and (done.lapsed_at is None or done.lapsed_at > known_at)
         ):
-            name = f"done, listed at {done.listed_at:.3f}, {_name(done)}"
-            self._add(Verdict.AFTER_LISTED, worker, order, now, done.at, name)
+            calm = self.is_calm(done.at) and self.is_calm(known_at)
+            verdict = Verdict.AFTER_LISTED if calm else Verdict.AFTER_LISTED_DISTURBED
+            name = f"done, listed at {done.listed_at:.3f}, {_name(done)} ({done.worker.state})"
+            self._add(verdict, worker, order, now, done.at, name)
         done.later_starts.append((now, worker.listed.worker_id, order.number))
 
     def _add(
--- a/limpetpulley/standin/vms.py
+++ b/limpetpulley/standin/vms.py
@@ -190,7 +190,7 @@
             worker.advance()
             if phase is not Phase.DOWN:
                 self.interrupted_runs += len(worker.runs)
-            worker.crash()
+            worker.crash(phase.value)
         entry = self.listed_workers.get(vm.worker_id)
         if entry is not None and entry_seconds:
             self.tasks.start_soon(self._expire_later, entry, entry_seconds)
--- a/limpetpulley/standin/workers.py
+++ b/limpetpulley/standin/workers.py
@@ -110,6 +110,7 @@
         self.max_lease_seconds = max_lease_seconds
         self.observer = RunObserver()
         self.alive = True
+        self.state = "up"
         self._reset()
 
     def _reset(self) -> None:
@@ -128,9 +129,9 @@
         self.listed = attrs.evolve(self.listed, incarnation=self.listed.incarnation + 1)
         self._reset()
 
-    def crash(self) -> None:
+    def crash(self, reason: str = "crashed") -> None:
         """Crash for good; pending holds lose their connections."""
-        self.alive = False
+        self.alive, self.state = False, reason
         self.observer.crashed(self)
         self.run_ended.set()
 
