--- a/limpetpulley/standin/run_monitor.py
+++ b/limpetpulley/standin/run_monitor.py
@@ -9,6 +9,7 @@
 
 from ..batch import EndKind, TaskId
 from ..clock import Clock
+from ..fleet.vms import Phase
 from ..workers import EndedRun, HoldReply, StartOrder
 from .workers import MemoryWorker, RunObserver
 
@@ -24,13 +25,15 @@
     """How a task ran twice.
 
     A start after an end that was only listed, not acknowledged, is a fault if nothing disturbed
-    the deployment; beside a disturbance the end may be lost for good.
+    the deployment, or if the worker's VM was ordered away; beside a disturbance the end may be
+    lost for good otherwise.
     """
 
     OVERLAP = "overlap"
     AFTER_DONE = "after-done"
     AFTER_COMPLETED = "after-completed"
     AFTER_LISTED = "after-listed"
+    AFTER_LISTED_ORDERED_AWAY = "after-listed-ordered-away"
     AFTER_LISTED_DISTURBED = "after-listed-disturbed"
 
 
@@ -197,6 +200,8 @@
         ):
             calm = self.is_calm(done.at) and self.is_calm(known_at)
             verdict = Verdict.AFTER_LISTED if calm else Verdict.AFTER_LISTED_DISTURBED
+            if done.worker.state in (Phase.MOVING.value, Phase.MAINTENANCE.value):
+                verdict = Verdict.AFTER_LISTED_ORDERED_AWAY
             name = f"done, listed at {done.listed_at:.3f}, {_name(done)} ({done.worker.state})"
             self._add(verdict, worker, order, now, done.at, name)
         done.later_starts.append((now, worker.listed.worker_id, order.number))
--- a/limpetpulley/standin/tests/test_faulty_workers.py
+++ b/limpetpulley/standin/tests/test_faulty_workers.py
@@ -194,6 +194,7 @@
     starts_at: float
     lease: float = 9.0
     crashes: bool = False
+    moves: bool = False
     copies: bool = False
     calm: bool = True
     listed: bool = False
@@ -213,6 +214,9 @@
     "listed": Course(Verdict.AFTER_LISTED, 1.5, listed=True),
     "listed just now": Course(None, 1.1, listed=True),
     "listed beside a fault": Course(Verdict.AFTER_LISTED_DISTURBED, 1.5, listed=True, calm=False),
+    "listed and moved": Course(
+        Verdict.AFTER_LISTED_ORDERED_AWAY, 1.5, listed=True, moves=True, calm=False
+    ),
     "completed": Course(Verdict.AFTER_COMPLETED, 1.5, completed=True),
     "copy of completed": Course(None, 1.5, completed=True, copies=True),
     "late copy of completed": Course(Verdict.AFTER_COMPLETED, 2.5, completed=True, copies=True),
@@ -239,6 +243,8 @@
             await wait_until(RUN_SECONDS + 0.05)
         if course.listed:
             monitor.answered(first, first.hold(TOKEN, 0, None))
+        if course.moves:
+            first.crash(Phase.MOVING.value)
         if course.completed:
             monitor.show_completed(TASK.job_id)
         later = course.acknowledged is not None and course.acknowledged > course.starts_at
