--- a/limpetpulley/ownership/tests/runs_once_simulation.py
+++ b/limpetpulley/ownership/tests/runs_once_simulation.py
@@ -60,6 +60,8 @@
 #: time for which late orders and acknowledgements are still watched at the end, in seconds
 SETTLE_SECONDS = 14.0
 LIST_LAG_SECONDS = 0.8
+#: time after which the entry of a worker that the store does not hear of expires, in seconds
+ENTRY_SECONDS = 1.2
 MIN_CLOCK_RATE = 0.98
 #: time around a disturbance within which anything is near it, in seconds
 NEAR_SECONDS = 2.0
@@ -378,13 +380,21 @@
 
 
 async def _silence_workers(play: RunsOnceSimulation, rng: random.Random) -> None:
-    """Cut some workers off, both ways or only their replies."""
+    """Cut some workers off, both ways or only their replies; their entries may expire."""
     names = play.choose_workers(rng, rng.choice((0.1, 0.3, 1.0)))
     faults = play.order_faults
     silenced = faults.mute if rng.random() < 0.5 else faults.unreachable
     silenced.update(names)
-    await anyio.sleep(rng.choice((0.5, 1.5, 3.0, 6.0)))
+    seconds, expire = rng.choice((0.5, 1.5, 3.0, 6.0)), rng.random() < 0.5
+    if expire and seconds > ENTRY_SECONDS:
+        await anyio.sleep(ENTRY_SECONDS)
+        for name in names:
+            play.fleet.vms.hide(name)
+        seconds -= ENTRY_SECONDS
+    await anyio.sleep(seconds)
     silenced.difference_update(names)
+    for name in names:
+        play.fleet.vms.show(name)
 
 
 async def _crash_workers(play: RunsOnceSimulation, rng: random.Random) -> None:
