--- a/limpetpulley/standin/workers.py
+++ b/limpetpulley/standin/workers.py
@@ -333,7 +333,8 @@
                 next_end = max(0.0005, min(left_seconds, found.seconds_to_next_end()))
                 with anyio.move_on_after(next_end):
                     await found.run_ended.wait()
-                reply = found.hold(token, acknowledged, None)
+                # Acknowledgements take effect when the call arrives, for the ends of then.
+                reply = found.hold(token, 0, None)
             return reply
 
         return await self._call(worker, hold)
