--- a/limpetpulley/ownership/tests/runs_once_simulation.py
+++ b/limpetpulley/ownership/tests/runs_once_simulation.py
@@ -138,6 +138,7 @@
 
     :param seconds: time for which jobs are submitted and faults injected, in seconds
     :param faults: names of the kinds of faults, see :data:`FAULTS`
+    :param pause_factor: factor of the times between two faults of a kind
     """
 
     def __init__(
@@ -147,8 +148,10 @@
         seconds: float,
         faults: tuple[str, ...],
         log_descriptor: int | None = None,
+        pause_factor: float = 1.0,
     ):
         self.tasks = tasks
+        self.pause_factor = pause_factor
         self.seed = seed
         self.seconds = seconds
         self.kinds = faults
@@ -250,7 +253,8 @@
         until = self.clock.now() + self.seconds - CALM_SECONDS
         await anyio.sleep(CALM_SECONDS)
         while True:
-            await anyio.sleep(rng.choice((0.3, 1.0, 2.0, 4.0, 8.0)) * rng.uniform(0.5, 1.5))
+            pause_seconds = rng.choice((0.3, 1.0, 2.0, 4.0, 8.0)) * rng.uniform(0.5, 1.5)
+            await anyio.sleep(pause_seconds * self.pause_factor)
             if self.clock.now() >= until:
                 return
             self.fault_counts[kind] += 1
@@ -491,17 +495,22 @@
     seconds: float = 30.0,
     faults: tuple[str, ...] | None = None,
     log_descriptor: int | None = None,
+    pause_factor: float = 1.0,
 ) -> Result:
     """Run one simulation on virtual time; the same arguments give the same result.
 
     :param seconds: time for which jobs are submitted and faults injected, in seconds
     :param faults: kinds of faults, None for those of the seed
+    :param pause_factor: factor of the times between two faults of a kind
     """
     kinds = choose_faults(seed) if faults is None else faults
 
     async def run() -> Result:
         async with anyio.create_task_group() as tasks:
-            result = await RunsOnceSimulation(tasks, seed, seconds, kinds, log_descriptor).run()
+            simulation = RunsOnceSimulation(
+                tasks, seed, seconds, kinds, log_descriptor, pause_factor
+            )
+            result = await simulation.run()
             tasks.cancel_scope.cancel()
         return result
 
@@ -516,6 +525,7 @@
     parser.add_argument("--seconds", type=float, default=30.0, help="time with load and faults")
     parser.add_argument("--faults", help=f"kinds of faults: {','.join(FAULTS)}, or none")
     parser.add_argument("--without", default="", help="kinds of faults to leave out")
+    parser.add_argument("--pause-factor", type=float, default=1.0, help="of times between faults")
     parser.add_argument("--log", help="file for the daemons' log, for one seed")
     parser.add_argument("--verbose", action="store_true", help="print a line for each seed")
     args = parser.parse_args()
@@ -529,7 +539,7 @@
     for seed in range(args.first, args.first + args.seeds):
         chosen = choose_faults(seed) if faults is None else faults
         chosen = tuple(kind for kind in chosen if kind not in args.without.split(","))
-        result = simulate(seed, args.seconds, chosen, descriptor)
+        result = simulate(seed, args.seconds, chosen, descriptor, args.pause_factor)
         kinds = ",".join(chosen)
         for finding in result.findings:
             print(f"seed {seed} [{kinds}] {finding}", flush=True)
