--- a/limpetpulley/ownership/tests/runs_once_simulation.py
+++ b/limpetpulley/ownership/tests/runs_once_simulation.py
@@ -188,8 +188,8 @@
         async with anyio.create_task_group() as tasks:
             for number, pool in enumerate(POOLS):
                 tasks.start_soon(self._submit_jobs, pool, number)
-            for number, kind in enumerate(self.kinds):
-                rng = random.Random(self.seed * 1000 + number)
+            for kind in self.kinds:
+                rng = random.Random(f"{self.seed} {kind}")
                 tasks.start_soon(self._inject, kind, FAULTS[kind], rng)
         await anyio.sleep(SETTLE_SECONDS)
         # Ends that have not been asked for since are taken in for the last judgement.
--- a/limpetpulley/ownership/tests/test_runs_once.py
+++ b/limpetpulley/ownership/tests/test_runs_once.py
@@ -15,26 +15,35 @@
 #: seeds of a row in a long run; a short one has the row's own
 LONG_SEEDS = range(1, 21)
 
-#: faults beside each other, with the seeds of a short run
+#: faults beside each other, the factor of the times between them, and the seeds of a short run
 CASES = {
-    "none": ("", [1]),
-    "planned": ("list-lag,waves,drains", [1]),
-    "workers": ("crashes,entries,replies-lost,workers-silent", [1]),
-    "orders": ("crashes,daemons,late-orders,replies-lost", [1]),
-    "store": ("answers-lost,store-silent,store-slow", [1]),
-    "daemons": ("daemons,pauses,store-silent", [1]),
+    "none": ("", 1.0, [1]),
+    "planned": ("list-lag,waves,drains", 1.0, [1]),
+    "workers": ("crashes,entries,replies-lost,workers-silent", 0.5, [1]),
+    "orders": ("crashes,daemons,late-orders,replies-lost", 1.0, [1]),
+    "store": ("answers-lost,late-writes,store-silent,store-slow", 1.0, [1]),
+    "daemons": ("daemons,pauses,store-silent", 1.0, [1]),
+    "all": (",".join(FAULTS.keys() - {"restarts"}), 1.0, [1]),
+    "same-identifier": ("restarts", 1.0, [200]),
+    "same-identifier-late-orders": ("late-orders,restarts", 1.0, [7]),
+    "unstored-ends": ("answers-lost,late-writes,daemons,waves,list-lag", 0.3, [605]),
 }
 
 
 def rows():
-    for name, (faults, seeds) in CASES.items():
-        for seed in LONG_SEEDS if LONG else seeds:
-            yield pytest.param(tuple(filter(None, faults.split(","))), seed, id=f"{name}-{seed}")
-
-
-@pytest.mark.parametrize(("faults", "seed"), rows())
-def test_no_task_that_must_run_once_runs_twice(faults, seed):
-    result = simulate(seed, SECONDS, faults)
+    """Return the rows of the table, one for each seed."""
+    return [
+        pytest.param(
+            tuple(sorted(filter(None, faults.split(",")))), factor, seed, id=f"{name}-{seed}"
+        )
+        for name, (faults, factor, seeds) in CASES.items()
+        for seed in (sorted({*seeds, *LONG_SEEDS}) if LONG else seeds)
+    ]
+
+
+@pytest.mark.parametrize(("faults", "factor", "seed"), rows())
+def test_no_task_that_must_run_once_runs_twice(faults, factor, seed):
+    result = simulate(seed, SECONDS, faults, pause_factor=factor)
     faulty = [each for each in result.findings if each.verdict != Verdict.AFTER_LISTED_DISTURBED]
     assert result.starts
     assert not faulty, "\n".join(map(str, faulty))
