--- a/limpetpulley/standin/workers.py
+++ b/limpetpulley/standin/workers.py
@@ -109,6 +109,8 @@
         self.on_run_started = on_run_started
         self.max_lease_seconds = max_lease_seconds
         self.observer = RunObserver()
+        # Whether holds that wait answer at the end of a run that was started since.
+        self.starts_wake_holds = False
         self.alive = True
         self.state = "up"
         self._reset()
@@ -122,7 +124,7 @@
         self.highest_ended: dict[TaskId, int] = {}
         self.ended: list[EndedRun] = []
         self.positions = itertools.count(1)
-        self.run_ended = anyio.Event()
+        self.changed = anyio.Event()
 
     def restart(self) -> None:
         """Crash and restart as a new incarnation, without the runs and the state of the old one."""
@@ -133,7 +135,7 @@
         """Crash for good; pending holds lose their connections."""
         self.alive, self.state = False, reason
         self.observer.crashed(self)
-        self.run_ended.set()
+        self.changed.set()
 
     def time(self) -> float:
         """Return the worker's time: the seconds since its start."""
@@ -182,6 +184,8 @@
         self.runs[order.task] = _Run(
             order.task, order.number, plan, now + plan.seconds, order.checkpoint
         )
+        if self.starts_wake_holds:
+            self._wake_holds()
         self.observer.started(self, order)
         self.on_run_started(self.listed.worker_id, order)
         return StartReply(StartOutcome.STARTED, now)
@@ -238,8 +242,11 @@
         end = EndedRun(next(self.positions), run.task, run.number, kind, run.checkpoint)
         self.ended.append(end)
         self.observer.ended(self, end, at)
-        run_ended, self.run_ended = self.run_ended, anyio.Event()
-        run_ended.set()
+        self._wake_holds()
+
+    def _wake_holds(self) -> None:
+        changed, self.changed = self.changed, anyio.Event()
+        changed.set()
 
 
 @attrs.define
@@ -285,6 +292,7 @@
     def add(self, worker: MemoryWorker) -> None:
         """Add a worker."""
         worker.observer = self.observer
+        worker.starts_wake_holds = self.faults is not None
         self.workers[worker.listed.worker_id] = worker
 
     async def start(
@@ -332,7 +340,7 @@
                 left_seconds = wait_seconds - (found.time() - wait_started_at)
                 next_end = max(0.0005, min(left_seconds, found.seconds_to_next_end()))
                 with anyio.move_on_after(next_end):
-                    await found.run_ended.wait()
+                    await found.changed.wait()
                 # Acknowledgements take effect when the call arrives, for the ends of then.
                 reply = found.hold(token, 0, None)
             return reply
