--- a/limpetpulley/standin/batchfleet.py
+++ b/limpetpulley/standin/batchfleet.py
@@ -198,7 +198,7 @@
     def __init__(self, tasks: anyio.abc.TaskGroup, host: str):
         self.tasks = tasks
         self.host = host
-        self.scopes: set[anyio.CancelScope] = set()
+        self.scopes: dict[anyio.CancelScope, None] = {}
         self.cancelled = False
 
     def start_soon(self, function: Callable[..., Awaitable[Any]], *args: Any) -> None:
@@ -216,9 +216,9 @@
         if self.cancelled:
             return
         with anyio.CancelScope() as scope:
-            self.scopes.add(scope)
+            self.scopes[scope] = None
             await function(*args)
-        self.scopes.discard(scope)
+        self.scopes.pop(scope, None)
 
 
 class _HostHandlers:
