Compare the roster's revision in each write of it

Callers would see a task that must run once run twice, the second time beside the first.

The roster was written with a comparison of the owner's claim only. The store may carry out a write whose answer was lost seconds later, while the claim is still valid: it then replaced a newer roster, and the owner, which takes its last answered write for what is stored, never wrote the roster again until a worker came or went. If this owner was lost, the next one did not wait for the workers that the stored roster lacked, and started their tasks elsewhere while they ran.

Writes now compare the revision of the takeover's read or of the last answered write, as writes of progress do; after a conflict the roster is read again.

Ruled out: a late write of an earlier owner, since its claim's revision is compared; a write that is carried out before the next one is sent.

--- a/limpetpulley/ownership/owner.py
+++ b/limpetpulley/ownership/owner.py
@@ -208,11 +208,11 @@
     async def _read_roster(self) -> None:
         entry = await self.context.store.get(self.context.keys.roster(self.pool))
         if entry is not None:
-            self._restore_roster(entry.value)
+            self._restore_roster(entry)
 
-    def _restore_roster(self, value: bytes) -> None:
+    def _restore_roster(self, entry: Entry) -> None:
         try:
-            self.roster.adopt(decode_roster(value))
+            self.roster.adopt(decode_roster(entry.value), entry.revision)
         except RecordError as error:
             # Without the roster, wait at least for answers of the currently listed workers before
             # tasks start.
@@ -223,7 +223,8 @@
                     worker.worker_id: RosterEntry(worker.address, worker.vm)
                     for worker in listed
                     if worker.pool == self.pool
-                }
+                },
+                entry.revision,
             )
 
     async def _read_jobs(self) -> None:
--- a/limpetpulley/ownership/roster.py
+++ b/limpetpulley/ownership/roster.py
@@ -9,10 +9,10 @@
 
 import anyio
 
-from ..batch.records import RosterEntry, encode_roster
-from ..exception import StoreError, StoreUnavailable
+from ..batch.records import RosterEntry, decode_roster, encode_roster
+from ..exception import RecordError, StoreError, StoreUnavailable
 from ..pool import PoolState
-from ..store import Put
+from ..store import Compare, Put
 from .context import DaemonContext
 from .writer import OwnerWriter
 
@@ -43,12 +43,18 @@
         self.on_stored = on_stored
         self.inherited: dict[str, RosterEntry] = {}
         self.stored: set[str] = set()
+        # Revision of the stored roster. Writes compare it, so that a write that the store applies
+        # late, after a newer one, has no effect.
+        self.revision = 0
         self.write_needed = anyio.Event()
 
-    def adopt(self, roster: dict[str, RosterEntry]) -> None:
-        """Take over the roster that the previous owner stored."""
+    def adopt(self, roster: dict[str, RosterEntry], revision: int = 0) -> None:
+        """Take over the roster that the previous owner stored.
+
+        :param revision: its revision, 0 if there is none
+        """
         self.inherited = roster
-        self.stored = set(roster)
+        self.stored, self.revision = set(roster), revision
 
     def update_rostered(self) -> None:
         """Update which workers are on the stored roster; request a write if one is missing."""
@@ -72,15 +78,33 @@
         for name, worker in self.pool_state.workers.items():
             entries[name] = RosterEntry(worker.listed.address, worker.listed.vm)
         key = self.context.keys.roster(self.pool_state.pool)
+        put = Put(key, encode_roster(entries))
         try:
-            await self.writer.commit([], [Put(key, encode_roster(entries))])
+            revision = await self.writer.commit([Compare(key, self.revision)], [put])
+            if not revision:
+                await self._reload()
+                return
         except (StoreUnavailable, StoreError) as error:
             self.context.log.write(
                 "roster-not-stored", pool=self.pool_state.pool, reason=str(error)
             )
             await anyio.sleep(RETRY_DELAY_SECONDS)
             return
-        self.stored = set(entries)
-        for name, worker in self.pool_state.workers.items():
-            worker.in_roster = name in self.stored
+        self._set_stored(set(entries), revision)
+
+    async def _reload(self) -> None:
+        """Read the stored roster again after a conflict.
+
+        An earlier write has been applied although its answer was lost.
+        """
+        entry = await self.context.store.get(self.context.keys.roster(self.pool_state.pool))
+        try:
+            names = set(decode_roster(entry.value)) if entry else set()
+        except RecordError:
+            names = set()
+        self._set_stored(names, entry.revision if entry else 0)
+
+    def _set_stored(self, names: set[str], revision: int) -> None:
+        self.stored, self.revision = names, revision
+        self.update_rostered()
         self.on_stored()
