Start no run on a worker that a roster write in doubt removes

Callers would see a task that must run once run twice, the second time beside the first.

Which workers may take runs was answered from the names of the last answered write. While a write that removes a worker was in flight, and after one whose answer was lost, the stored roster could lack a worker that these names had. If it came back, it took runs; since the names equalled those in memory, the roster was not even written again. The next owner then did not wait for this worker. An idle worker is removed as soon as it is not listed, as after an outage in which its entry expired, and comes back within two seconds: just when the store's answers get lost.

A worker now takes runs only if the last known roster and all writes sent since name it; after a write without an answer the roster is written again, also if its names are unchanged.

Ruled out: a worker that stays listed, since every write names it; a worker that a refused write removes waits for one more write, no more. Writes are repeated no sooner than before.

--- a/limpetpulley/ownership/roster.py
+++ b/limpetpulley/ownership/roster.py
@@ -42,7 +42,12 @@
         self.writer = writer
         self.on_stored = on_stored
         self.inherited: dict[str, RosterEntry] = {}
+        # Workers that the stored roster named when it was last known, and those of them that every
+        # later write names too: one without an answer may have been applied, or may still be.
         self.stored: set[str] = set()
+        self.surely_stored: set[str] = set()
+        # Whether the last write has no answer yet, or got none.
+        self.in_doubt = False
         # Revision of the stored roster. Writes compare it, so that a write that the store applies
         # late, after a newer one, has no effect.
         self.revision = 0
@@ -55,11 +60,15 @@
         """
         self.inherited = roster
         self.stored, self.revision = set(roster), revision
+        self.surely_stored = self.stored
 
     def update_rostered(self) -> None:
-        """Update which workers are on the stored roster; request a write if one is missing."""
+        """Update which workers are on the stored roster; request a write if one is missing.
+
+        While a write is in flight or in doubt, a worker that it removes does not count.
+        """
         for name, worker in self.pool_state.workers.items():
-            worker.in_roster = name in self.stored
+            worker.in_roster = name in self.surely_stored
             if not worker.in_roster and worker.present:
                 self.write_needed.set()
 
@@ -70,7 +79,7 @@
                 await self.write_needed.wait()
             self.write_needed = anyio.Event()
             current = set(self.pool_state.workers) | self.pool_state.unreconciled_workers.keys()
-            if current != self.stored:
+            if self.in_doubt or current != self.stored:
                 await self._store(current)
 
     async def _store(self, current: set[str]) -> None:
@@ -79,6 +88,7 @@
             entries[name] = RosterEntry(worker.listed.address, worker.listed.vm)
         key = self.context.keys.roster(self.pool_state.pool)
         put = Put(key, encode_roster(entries))
+        self.surely_stored, self.in_doubt = self.surely_stored & entries.keys(), True
         try:
             revision = await self.writer.commit([Compare(key, self.revision)], [put])
             if not revision:
@@ -105,6 +115,8 @@
         self._set_stored(names, entry.revision if entry else 0)
 
     def _set_stored(self, names: set[str], revision: int) -> None:
+        """Record the stored roster; writes that compared an earlier revision have no effect."""
         self.stored, self.revision = names, revision
+        self.surely_stored, self.in_doubt = names, False
         self.update_rostered()
         self.on_stored()
--- a/limpetpulley/ownership/tests/test_roster.py
+++ b/limpetpulley/ownership/tests/test_roster.py
@@ -6,9 +6,18 @@
 from testtools.matchers import Equals, HasLength
 
 from ...batch import JobSpec, Step
+from ...batch.keys import BatchKeys
 from ...batch.records import decode_roster
+from ...pool import PoolState
+from ...standin.virtual import VirtualClock, run_virtual
+from ...store import Compare, Put
+from ...telemetry import null_log
 from ...workers import ListedWorker
+from .. import DaemonContext, Timing
+from ..roster import WorkerRoster
+from ..writer import OwnerWriter
 from .test_daemons import TASK, run_scenario
+from .test_writer import DelayedCommitStore
 
 RUN_SECONDS = 9.0
 
@@ -85,3 +94,75 @@
         return used - names, deployment.overlapping_tasks()
 
     assert_that(run_scenario(scenario, vms=1, moves=False), Equals((set(), [])))
+
+
+def run_roster(scenario):
+    """Run a scenario with the roster of a pool; return its result."""
+
+    async def run():
+        async with anyio.create_task_group() as tasks:
+            clock = VirtualClock()
+            store = DelayedCommitStore(clock, tasks)
+            keys = BatchKeys("lp/")
+            claim_result = await store.commit([], [Put(keys.owner("desk"), b"{}")])
+            context = DaemonContext(
+                store, keys, None, clock, null_log("entry-1"), Timing(), tasks, clock.now
+            )
+            pool_state = PoolState("desk", 1, 0.2, 10.0, 4.0)
+            claim = Compare(keys.owner("desk"), claim_result.revision)
+            writer = OwnerWriter(context, pool_state, claim, lambda: None)
+            roster = WorkerRoster(context, pool_state, writer, lambda: None)
+            tasks.start_soon(roster.run)
+            result = await scenario(store, pool_state, roster)
+            tasks.cancel_scope.cancel()
+        return result
+
+    return run_virtual(run)
+
+
+def list_worker(pool_state, name):
+    pool_state.update_listed_worker(ListedWorker(name, "desk", f"{name}:1", 1, TASK))
+
+
+def remove_worker(pool_state, name):
+    """Remove a worker as after its entry has expired."""
+    pool_state.mark_unlisted(name)
+    pool_state.workers[name].ended = True
+    pool_state.expire_leases(0.0)
+
+
+async def watch_roster(store, pool_state, roster, seconds):
+    """Return the workers that were available while the stored roster did not name them."""
+    unnamed = set()
+    for _ in range(round(seconds / 0.05)):
+        roster.update_rostered()
+        names = decode_roster(store.entries[roster.context.keys.roster("desk")].value)
+        unnamed |= {
+            name
+            for name, worker in pool_state.workers.items()
+            if worker.in_roster and name not in names
+        }
+        await anyio.sleep(0.05)
+    return unnamed
+
+
+@pytest.mark.parametrize("returns_after", [0.05, 0.3, 1.0])
+@pytest.mark.parametrize("commit_delays", [[0.0], [0.4], [3.0], [0.0, 0.0], [3.0, 0.2]])
+def test_a_worker_that_returns_takes_no_run_before_the_stored_roster_names_it(
+    commit_delays, returns_after
+):
+    async def scenario(store, pool_state, roster):
+        for name in ("first", "second"):
+            list_worker(pool_state, name)
+        roster.update_rostered()
+        await anyio.sleep(0.1)
+        store.commit_delays = list(commit_delays)
+        remove_worker(pool_state, "second")
+        roster.write_needed.set()
+        await anyio.sleep(returns_after)
+        list_worker(pool_state, "second")
+        unnamed = await watch_roster(store, pool_state, roster, 8.0)
+        names = decode_roster(store.entries[roster.context.keys.roster("desk")].value)
+        return unnamed, set(names), pool_state.workers["second"].in_roster
+
+    assert_that(run_roster(scenario), Equals((set(), {"first", "second"}, True)))
