Wait for all ends of an unreconciled worker before inherited tasks start

Callers would see a task that must run once started again after it had ended `done`.

A new owner starts the tasks of earlier owners once every worker of the roster has told what runs and has ended there. It took a worker's first reply for that, also if the reply held as many ends as one may hold (500): a task whose end came after those was started again, until the next reply told of it.

Such a worker is now waited for until a reply holds fewer ends. As it has answered, the bound for workers that never do is not enough: the wait lasts for the longest lease from each such reply on.

Ruled out: runs in progress, which a reply lists all of; ends of the owner's own runs, whose absence is asked for after a full list only (`drop_unlisted_runs`).

--- a/limpetpulley/pool/replies.py
+++ b/limpetpulley/pool/replies.py
@@ -6,6 +6,7 @@
 
 from ..batch import EndKind
 from ..workers import EndedRun, HoldReply, Run, RunPhase, StartOutcome, StopOrder, Worker
+from ..workers.lease import MIN_CLOCK_RATE
 from .crashes import clear_survivors, clear_suspect
 from .ended_workers import report_sign_of_life
 from .events import PoolEvent
@@ -52,7 +53,8 @@
     if len(reply.ended) < MAX_LISTED_ENDS:
         drop_unlisted_runs(pool_state, worker, reply)
     clear_survivors(pool_state, worker)
-    pool_state.unreconciled_workers.pop(worker.worker_id, None)
+    if worker.worker_id in pool_state.unreconciled_workers:
+        _reconcile_ends(pool_state, worker, reply, now)
     pool_state.acknowledge_ends(worker)
 
 
@@ -95,6 +97,19 @@
         worker.last_reply_at = now
 
 
+def _reconcile_ends(pool_state: PoolState, worker: Worker, reply: HoldReply, now: float) -> None:
+    """Note that an unreconciled worker has listed its runs; wait further if it may hold more ends.
+
+    Without another reply, the leases on its runs have expired after the longest lease.
+    """
+    if len(reply.ended) < MAX_LISTED_ENDS:
+        del pool_state.unreconciled_workers[worker.worker_id]
+    else:
+        until = now + pool_state.longest_hold_seconds / MIN_CLOCK_RATE
+        known_until = pool_state.unreconciled_workers[worker.worker_id]
+        pool_state.unreconciled_workers[worker.worker_id] = max(known_until, until)
+
+
 def _process_end(
     pool_state: PoolState, worker: Worker, end: EndedRun, now: float, wall_time: float
 ) -> None:
