Wait for the reply of an unreconciled worker that is listed in a new incarnation

Callers would see a task that must run once run twice, the second time beside the first.

A new owner stopped waiting for a worker as soon as a newer incarnation of it was listed, since nothing of the former one runs any more. But its list may be old when it takes over (2 s for a daemon that owned no pool): the earlier owner may have seen that incarnation before and started runs on it. These tasks were started elsewhere before the worker's first reply was there.

It is now released by its reply, by the bound for silent workers, or if its VM has ended. A worker that answers for a newer incarnation is released by the same reply, as before.

Evidence: on the parent commit the new test fails in all three cases; the live run's task starts on the other worker, and the live run is then stopped:

reference = [] actual = [StartOrder(worker_id='idle', task=TaskId(..., position=0), number=3145729, ...), StopOrder(worker_id='restarted', task=TaskId(..., position=0), number=7)]

Not covered here: a plan that says by identifier that a worker has ended while its next incarnation holds runs.

--- a/limpetpulley/pool/state.py
+++ b/limpetpulley/pool/state.py
@@ -216,7 +216,8 @@
 
         A start that was not answered may still reach the new incarnation, so its run is stopped
         there first. On an ended worker nothing is executed unless it returns; its tasks may
-        start elsewhere at once.
+        start elsewhere at once. An earlier owner may have started runs on the new incarnation, so
+        a worker that is unreconciled remains so until it replies.
 
         :param beside_others: whether other workers have crashed at the same time
         :param next_life: the new incarnation, 0 if it is not known, for the log
@@ -239,7 +240,8 @@
         worker.processed_through = worker.stored_through = 0
         worker.reconciled = False
         self.progress.remove_worker(worker.worker_id)
-        self.unreconciled_workers.pop(worker.worker_id, None)
+        if worker.ended:
+            self.unreconciled_workers.pop(worker.worker_id, None)
         self.on_event(
             PoolEvent(
                 "worker-restarted",
--- a/limpetpulley/pool/tests/test_takeover.py
+++ b/limpetpulley/pool/tests/test_takeover.py
@@ -5,8 +5,8 @@
 from testtools.matchers import Equals
 
 from ...batch import Amount, EndKind, Job, JobKey, JobSpec, Step
-from ...workers import EndedRun, ListedWorker
-from .. import PoolState
+from ...workers import EndedRun, HoldReply, ListedRun, ListedWorker
+from .. import PoolState, process_hold_reply
 from ..replies import MAX_LISTED_ENDS
 from .test_planning import JOB, NOW, TASK, hold, plan, task
 
@@ -53,3 +53,27 @@
     orders += plan(pool_state, now=NOW + seconds)
     assert_that(len(orders), Equals(0))
     assert_that(pool_state.unreconciled_workers, Equals({}))
+
+
+@pytest.mark.parametrize("lists", [[1, 2], [1, 2, 3], [2, 3]])
+def test_a_worker_listed_in_a_new_incarnation_is_waited_for(lists):
+    """The earlier owner may have seen that incarnation before, and started runs on it."""
+    pool_state = PoolState("desk", 3, 0.2, 10.0, 5.0)
+    job = Job(JobKey("quotes", JOB), JobSpec("text", (Step(1, TASK),)), "desk")
+    pool_state.add_job(job, 0.0, inherited=True)
+    for name in ("restarted", "idle"):
+        listed = ListedWorker(name, "desk", f"{name}:1", 1, Amount(4000, 8000))
+        pool_state.update_listed_worker(listed).in_roster = True
+    pool_state.unreconciled_workers = {"restarted": NOW + 11.0, "idle": NOW + 11.0}
+    hold(pool_state, "idle")
+    for incarnation in lists:
+        listed = ListedWorker("restarted", "desk", "restarted:1", incarnation, Amount(4000, 8000))
+        pool_state.update_listed_worker(listed)
+    orders = plan(pool_state)
+    run = ListedRun(task(), FIRST_RUN_NUMBER)
+    reply = HoldReply(10.0, lists[-1], (run,))
+    process_hold_reply(pool_state, pool_state.workers["restarted"], reply, NOW + 0.2, NOW + 0.2)
+    orders += plan(pool_state, now=NOW + 0.3)
+    assert_that(orders, Equals([]))
+    assert_that(pool_state.runs[task()].number, Equals(FIRST_RUN_NUMBER))
+    assert_that(pool_state.unreconciled_workers, Equals({}))
