Read the progress of a job that is found in the store

Callers would see tasks that ended `done` started again.

A job whose record is found when it is submitted is taken as it is stored, but without its progress. All records are read at a takeover, so that this needs a job that the takeover left out: one whose record of progress could not be read. Submitted again, it was accepted without the tasks that were done, and these were started again. Such a job now stays in doubt (504), as one whose description cannot be read; one whose progress can be read is taken with it.

Ruled out as ways in which an owner adds a job later whose tasks an earlier owner may have started: a late write of an earlier owner's description (compares its claim, and the records are read after the next claim); a queue that changes its pool (the stored job names the former pool, and is not added to the new one); a job in doubt of the owner itself.

--- a/limpetpulley/ownership/tests/test_writer.py
+++ b/limpetpulley/ownership/tests/test_writer.py
@@ -1,11 +1,12 @@
 """Store writes whose answers are lost, or that the store applies late, after newer ones."""
 
 import anyio
+import attrs
 import pytest
 
 from ...batch import Amount, EndKind, Job, JobKey, JobSpec, Step, TaskId
 from ...batch.keys import BatchKeys
-from ...batch.records import decode_job, encode_description
+from ...batch.records import decode_job, encode_description, encode_progress
 from ...pool import PoolState
 from ...standin.virtual import VirtualClock, run_virtual
 from ...store import Compare, MemoryStore, Put
@@ -139,3 +140,19 @@
     is_stored, elapsed = run_scenario(scenario)
     assert is_stored is None
     assert elapsed < ANSWER_TIMEOUT_SECONDS + SLOW_ANSWER_TIMEOUT_SECONDS + 0.1
+
+
+@pytest.mark.parametrize("readable", [True, False])
+def test_a_job_that_is_found_in_the_store_keeps_its_progress(readable):
+    async def scenario(clock, store, pool_state, writer):
+        keys, stored = BatchKeys("lp/"), make_job()
+        stored.note_end(TaskId(JOB_ID, 0, 0, 1), 7, EndKind.DONE, 1001.0)
+        progress = encode_progress(stored) if readable else b"{"
+        puts = [Put(keys.description(KEY), encode_description(stored))]
+        await store.commit([], [*puts, Put(keys.progress(KEY), progress)])
+        outcome = StoreOutcome(attrs.evolve(make_job(), accepted_at=1002.0))
+        writer.create(outcome)
+        await outcome.settled.wait()
+        return outcome.stored, len(outcome.job.done)
+
+    assert run_scenario(scenario) == ((True, 1) if readable else (None, 0))
--- a/limpetpulley/ownership/writer.py
+++ b/limpetpulley/ownership/writer.py
@@ -340,7 +340,7 @@
         return bool(await self.commit([Compare(key, 0) for key in keys], writes))
 
     async def read_stored(self, outcome: StoreOutcome) -> bool:
-        """Return whether the job is stored, and replace it by the stored one.
+        """Return whether the job is stored, and replace it by the stored one with its progress.
 
         :raises StoreError: if the store does not answer or the record cannot be read
         """
@@ -350,8 +350,10 @@
         if entry is None:
             return False
         if entry.value != encode_description(outcome.job):
+            progress = await self.context.store.get(self.context.keys.progress(key))
+            progress_value = progress.value if progress else None
             try:
-                outcome.job = decode_job(key, entry.value, None)
+                outcome.job = decode_job(key, entry.value, progress_value)
             except RecordError as error:
                 raise StoreError(f"{entry.key}: {error}") from None
         return True
