Write an unreadable roster again before runs start

Callers would see a task that must run once run twice, after two takeovers.

An owner that cannot read the roster waits for the listed workers, and took their names for stored. The unreadable record was thus not replaced while workers neither came nor went; runs started all the same, and the next owner, whose list of workers may be two seconds old, found it unreadable again.

These names now count as not stored, so that the roster is written before any run starts.

Not mended: workers with runs that the first such owner doesn't have on its list are not waited for. A wait for all leases (11.2 s) would have to outlive another takeover. Only owners write the record, under their claim, and no unreadable one was ever seen. A roster that is missing is in order: the first run starts after it is stored.

--- a/limpetpulley/ownership/owner.py
+++ b/limpetpulley/ownership/owner.py
@@ -225,6 +225,7 @@
                     if worker.pool == self.pool
                 },
                 entry.revision,
+                is_stored=False,
             )
 
     async def _read_jobs(self) -> None:
--- a/limpetpulley/ownership/roster.py
+++ b/limpetpulley/ownership/roster.py
@@ -53,14 +53,16 @@
         self.revision = 0
         self.write_needed = anyio.Event()
 
-    def adopt(self, roster: dict[str, RosterEntry], revision: int = 0) -> None:
-        """Take over the roster that the previous owner stored.
+    def adopt(
+        self, roster: dict[str, RosterEntry], revision: int = 0, is_stored: bool = True
+    ) -> None:
+        """Take over the workers that may hold runs of earlier owners.
 
-        :param revision: its revision, 0 if there is none
+        :param revision: revision of the stored roster, 0 if there is none
+        :param is_stored: whether the stored roster names these workers
         """
-        self.inherited = roster
-        self.stored, self.revision = set(roster), revision
-        self.surely_stored = self.stored
+        self.inherited, self.revision = roster, revision
+        self.stored = self.surely_stored = set(roster) if is_stored else set()
 
     def update_rostered(self) -> None:
         """Update which workers are on the stored roster; request a write if one is missing.
--- a/limpetpulley/ownership/tests/test_roster.py
+++ b/limpetpulley/ownership/tests/test_roster.py
@@ -166,3 +166,19 @@
         return unnamed, set(names), pool_state.workers["second"].in_roster
 
     assert_that(run_roster(scenario), Equals((set(), {"first", "second"}, True)))
+
+
+def test_an_unreadable_roster_is_written_again_before_runs_start():
+    async def scenario(deployment):
+        fleet = deployment.fleet
+        owner = fleet.owner_of("desk")
+        key = fleet.daemons[owner].node.context.keys.roster("desk")
+        fleet.kill(owner)
+        await fleet.store.commit([], [Put(key, b"{")])
+        await deployment.submit("desk", JobSpec("1.0", (Step(8, TASK, 1.0),)))
+        while not fleet.runs:
+            await anyio.sleep(0.01)
+        used = {run.worker_id for run in fleet.runs}
+        return used - await stored_names(deployment, "desk")
+
+    assert_that(run_scenario(scenario, moves=False), Equals(set()))
