Play writes of the roster that are lost or late beside workers that come and go

The test holds the invariant that the next owner relies on: the stored roster names each worker that may take runs.

--- a/limpetpulley/ownership/tests/test_roster.py
+++ b/limpetpulley/ownership/tests/test_roster.py
@@ -1,5 +1,7 @@
 """The stored list of workers that may hold runs, while the store loses answers and writes late."""
 
+import random
+
 import anyio
 import pytest
 from testtools.assertions import assert_that
@@ -168,6 +170,33 @@
     assert_that(run_roster(scenario), Equals((set(), {"first", "second"}, True)))
 
 
+@pytest.mark.parametrize("seed", range(8))
+def test_stored_roster_always_names_the_available_workers(seed):
+    """Workers come and go while any write is answered, lost, or applied seconds later."""
+    rng, names = random.Random(seed), [f"worker-{number}" for number in range(5)]
+
+    async def scenario(store, pool_state, roster):
+        list_worker(pool_state, names[0])
+        roster.update_rostered()
+        await anyio.sleep(0.1)
+        unnamed, available = set(), 0
+        for _ in range(100):
+            name = rng.choice(names)
+            if name not in pool_state.workers:
+                list_worker(pool_state, name)
+            elif len(pool_state.workers) > 1:
+                remove_worker(pool_state, name)
+            store.commit_delays = rng.choices([None, 0.0, 0.5, rng.uniform(0.7, 6.0)], k=2)
+            unnamed |= await watch_roster(store, pool_state, roster, rng.uniform(0.05, 3.0))
+            available += sum(worker.in_roster for worker in pool_state.workers.values())
+        store.commit_delays = []
+        unnamed |= await watch_roster(store, pool_state, roster, 8.0)
+        stored = decode_roster(store.entries[roster.context.keys.roster("desk")].value)
+        return unnamed, available > 100, set(stored) == set(pool_state.workers)
+
+    assert_that(run_roster(scenario), Equals((set(), True, True)))
+
+
 def test_an_unreadable_roster_is_written_again_before_runs_start():
     async def scenario(deployment):
         fleet = deployment.fleet
