Take no VM whose worker has ends that are not stored

A task that had ended done was started again: its owner stopped while the store gave no answer, so that the end was recorded only by the owner's memory and in the worker's list; the planner took the worker's VM, because a report showed it cordoned and without runs, and the next owner could learn of the end from nobody.

Cause: "drained" meant a worker without runs, whether or not the progress of its last ends was stored, and also after a list of ends that was cut off at 500. A worker is now reported as cordoned only while all its ends are stored and its last list was whole. The field keeps its meaning for planners of earlier builds: they wait as well, and there is no new field.

Ruled out: a silent worker needs no younger reply. Its runs leave the owner's state by a listed end, by a rejection or when its lease has lapsed, and after the lapse the start elsewhere is allowed anyway.

--- a/limpetpulley/ownership/pool_reports.py
+++ b/limpetpulley/ownership/pool_reports.py
@@ -157,6 +157,8 @@
     def is_drained(self, vm: FleetVm, now: float) -> bool:
         """Return whether a recent report shows a VM's worker cordoned and without runs.
 
+        Owners report a worker as cordoned only while the ends of its runs are stored.
+
         :param now: local time, in seconds
         """
         if not vm.worker_id:
--- a/limpetpulley/ownership/reporting.py
+++ b/limpetpulley/ownership/reporting.py
@@ -95,7 +95,7 @@
                 self.apply_plan(set(), ())
             demand = max(report.running_cores, report.lasting_cores + report.arriving_cores)
             changing = self.pool_state.expected_join_times or any(
-                row.cordoned for row in report.workers
+                worker.cordoned for worker in self.pool_state.workers.values()
             )
             busy = plan is None or changing or demand > BUSY_FRACTION * report.room_cores
             await anyio.sleep(BUSY_INTERVAL_SECONDS if busy else IDLE_INTERVAL_SECONDS)
@@ -140,8 +140,10 @@
                     worker=worker.worker_id,
                     timed_runs=sum(1 for run in worker.runs.values() if not self._is_lasting(run)),
                     lasting_runs=sum(1 for run in worker.runs.values() if self._is_lasting(run)),
-                    # Until its first hold is answered, the owner does not know the worker's runs.
-                    cordoned=worker.cordoned and worker.reconciled,
+                    # A VM may be taken from a cordoned worker without runs. Until its first hold
+                    # is answered, the owner does not know the worker's runs; until their ends are
+                    # stored, the next owner can learn them only from the worker.
+                    cordoned=worker.cordoned and worker.reconciled and worker.ends_stored,
                     rack=worker.listed.rack,
                 )
                 for worker in pool_state.workers.values()
--- a/limpetpulley/ownership/tests/test_reporting.py
+++ b/limpetpulley/ownership/tests/test_reporting.py
@@ -6,15 +6,15 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
 
-from ...batch import Amount, Job, JobKey, JobSpec, Step
+from ...batch import Amount, EndKind, Job, JobKey, JobSpec, Step, TaskId
 from ...batch.keys import BatchKeys
 from ...batch.records import RosterEntry
 from ...clock import ManualClock
-from ...pool import PoolState
+from ...pool import PoolState, process_hold_reply
 from ...scheduling.arrivals import ArrivalEstimator
 from ...store import MemoryStore
 from ...telemetry import EventLog
-from ...workers import ListedWorker
+from ...workers import EndedRun, HoldReply, ListedWorker
 from .. import DaemonContext, Timing
 from ..reporting import PoolReporter, RefusedWork
 from ..roster import WorkerRoster
@@ -79,3 +79,46 @@
     reporter.apply_plan({"listed"}, ())
     row = next(row for row in reporter.build_report().workers if row.worker == "listed")
     assert_that(row.cordoned, Equals(reconciled))
+
+
+def reply_with_ends(count, kind=EndKind.DONE, job_id="a"):
+    ends = [
+        EndedRun(number, TaskId(job_id, 0, 0, 0), number, kind) for number in range(1, 1 + count)
+    ]
+    return HoldReply(10.0, 1, (), tuple(ends))
+
+
+@pytest.mark.parametrize(
+    ("reply", "stored", "cordoned"),
+    [
+        (reply_with_ends(0), False, True),
+        (reply_with_ends(1), False, False),
+        (reply_with_ends(1), True, True),
+        (reply_with_ends(1, EndKind.FAILED), False, False),
+        (reply_with_ends(1, EndKind.STOPPED), False, True),
+        (reply_with_ends(1, job_id="unknown"), False, True),
+        (reply_with_ends(499, EndKind.STOPPED), False, True),
+        (reply_with_ends(500, EndKind.STOPPED), False, False),
+    ],
+)
+def test_a_worker_is_not_reported_as_cordoned_while_it_alone_has_ends(reply, stored, cordoned):
+    """A planner that took its VM for drained would end it, and with it the only other record."""
+    pool_state, reporter = make_reporter()
+    process_hold_reply(pool_state, pool_state.workers["listed"], reply, 100.0, 100.0)
+    reporter.apply_plan({"listed"}, ())
+    if stored:
+        pool_state.mark_stored({"a": pool_state.progress.newest["a"]})
+    row = next(row for row in reporter.build_report().workers if row.worker == "listed")
+    assert_that((row.cordoned, row.timed_runs), Equals((cordoned, 0)))
+
+
+def test_an_end_behind_a_full_list_is_awaited_before_the_worker_is_reported_as_cordoned():
+    pool_state, reporter = make_reporter()
+    worker, found = pool_state.workers["listed"], []
+    reporter.apply_plan({"listed"}, ())
+    for count in (500, 1):
+        reply = reply_with_ends(count, EndKind.STOPPED)
+        process_hold_reply(pool_state, worker, reply, 100.0, 100.0)
+        row = next(row for row in reporter.build_report().workers if row.worker == "listed")
+        found.append(row.cordoned)
+    assert_that(found, Equals([False, True]))
--- /dev/null
+++ b/limpetpulley/ownership/tests/test_unstored_ends.py
@@ -0,0 +1,54 @@
+"""Ends of runs that are not stored yet, when their worker or their owner goes away."""
+
+from collections import Counter
+
+import anyio
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Equals
+
+from ...batch import JobSpec, Step
+from ...exception import StoreUnavailable
+from ...fleet.vms import WaveOrder
+from .test_daemons import TASK, run_scenario
+
+RUN_SECONDS = 0.5
+#: time after which the runs have ended, a wave has emptied and maintained its VMs, in seconds
+WAVE_SECONDS = 2.0
+
+
+def lose_writes_of_progress(deployment, pool):
+    """Let the store answer no write of progress of the pool's owner; return the owner's daemon."""
+    name = deployment.fleet.owner_of(pool)
+    writer = deployment.fleet.daemons[name].node.owned[pool].writer
+
+    async def fail(jobs):
+        await anyio.sleep(0.3)
+        raise StoreUnavailable("no answer")
+
+    writer._store_progress = fail
+    return name
+
+
+@pytest.mark.parametrize("leaves", [False, True])
+def test_task_is_not_started_again_after_a_wave_beside_lost_writes_of_its_end(leaves):
+    async def scenario(deployment):
+        fleet = deployment.fleet
+        spec = JobSpec(str(RUN_SECONDS), (Step(6, TASK, RUN_SECONDS),))
+        await deployment.submit("desk", spec)
+        await anyio.sleep(RUN_SECONDS / 2)
+        owner = lose_writes_of_progress(deployment, "desk")
+        fleet.order_wave(WaveOrder("7", ("desk-0", "desk-1", "desk-2", "desk-3"), 40.0, 4))
+        await anyio.sleep(WAVE_SECONDS)
+        if leaves:
+            await fleet.leave(owner)
+        else:
+            fleet.kill(owner)
+        await anyio.sleep(6.0)
+        starts = Counter(run.order.task for run in fleet.runs)
+        return sorted(starts.values()), fleet.vms.interrupted_runs, await deployment.states()
+
+    starts, interrupted, states = run_scenario(scenario)
+    assert_that(interrupted, Equals(0))
+    assert_that([str(state) for state in states.values()], Equals(["completed"]))
+    assert_that(starts, Equals([1] * 6))
--- a/limpetpulley/pool/replies.py
+++ b/limpetpulley/pool/replies.py
@@ -50,7 +50,8 @@
             worker.processed_through = end.position
     for row in reply.running:
         reconcile_running(pool_state, worker, row, reply.worker_seconds)
-    if len(reply.ended) < MAX_LISTED_ENDS:
+    worker.list_truncated = len(reply.ended) >= MAX_LISTED_ENDS
+    if not worker.list_truncated:
         drop_unlisted_runs(pool_state, worker, reply)
     clear_survivors(pool_state, worker)
     if worker.worker_id in pool_state.unreconciled_workers:
--- a/limpetpulley/workers/state.py
+++ b/limpetpulley/workers/state.py
@@ -191,6 +191,7 @@
     :param lost_at: local time at which a call failed without a timeout, None after a reply
     :param processed_through: position of the last ended run that was processed
     :param stored_through: position up to which ended runs are stored and may be acknowledged
+    :param list_truncated: whether its last reply may have left out ended runs
     :param avoid_until: local time until which no run is started on it
     :param consecutive_failures: number of consecutive rejected starts and failed runs
     :param speed_changed_at: local time when the speed of its filler runs was last changed
@@ -214,6 +215,7 @@
     lost_at: float | None = None
     processed_through: int = 0
     stored_through: int = 0
+    list_truncated: bool = False
     avoid_until: float = 0.0
     consecutive_failures: int = 0
     speed_changed_at: float = 0.0
@@ -237,6 +239,11 @@
             cached = self._room = (capacity, self.used, capacity - self.used)
         return cached[2]
 
+    @property
+    def ends_stored(self) -> bool:
+        """Return whether no ended run is recorded only by the worker and in the owner's memory."""
+        return not self.list_truncated and self.stored_through >= self.processed_through
+
     def add(self, run: Run) -> None:
         """Add a run and reserve its capacity."""
         self.runs[run.task] = run
