Acknowledge no end whose progress is only in the owner's memory

An end that changed nothing in the owner's memory was acknowledged at once, although the progress with that end might not be stored yet. If the owner was lost before it was, nobody knew the end, and the task was started again after an end that had been taken note of.

Cause: only an end that changed a job's progress waited for the store. The same end listed again by a worker that was unlisted, removed and listed anew, the ends of the other members of a gang, an end of a second run on another worker, a repeated failure, and an end after a cancel didn't. Each end now waits for the newest progress of its job; if that is stored, it is acknowledged as before, at once.

Red before: all six rows of test_an_end_that_changes_nothing_waits_for_the_ progress_that_contains_it (stored_through at 4, none stored). After: the tests of pool and test_unstored_ends.py pass. Ends of jobs without unstored progress are acknowledged at once in both (six rows, one a kind).

--- a/limpetpulley/pool/replies.py
+++ b/limpetpulley/pool/replies.py
@@ -141,9 +141,12 @@
         pool_state.checkpoints[job.attempt_unit(end.task)] = end.checkpoint
     if end.task in pool_state.runs:
         pool_state.tasks_to_check.add(end.task)
-    if job.note_end(end.task, end.number, end.kind, wall_time):
+    changed = job.note_end(end.task, end.number, end.kind, wall_time)
+    if changed:
         pool_state.progress.mark_changed(job.key.job_id)
-        pool_state.progress.note_end(worker.worker_id, end.position, job.key.job_id)
         pool_state.update_ready_tasks(job, wall_time)
     else:
         pool_state.requeue_task(end.task)
+    # An end that changes nothing may be part of progress that is not stored yet: it was listed
+    # before, or by another worker.
+    pool_state.progress.note_end(worker.worker_id, end.position, job.key.job_id)
