Hand no pool over to even the load while its progress can't be stored

A daemon with more claims for its strength than another handed a pool over although the store answered no write: after a second it stopped the owner with its progress unstored and released the claim. The next owner could learn of the ends only from the workers, as long as they were there.

Such a hand-over is a matter of load and can wait. A pool whose last write failed and that has unstored progress is not chosen, and if the progress isn't stored within the second, the owner goes on: it holds its workers and stores the progress when the store answers.

Red before: test_pool_is_not_handed_over_before_its_progress_is_stored, (kept, unstored, handed over later) = (False, 1, False); after: (True, 1, True). The tests of daemons, succession, sessions, recovery pass.

Ruled out, read in the code: an end between the last flush and the end of the owner can't be lost, since shut_down doesn't yield between the two; and a flush of shut_down beside run_flushes writes under the same revision, so that one of the two transactions fails and is read again.

--- a/limpetpulley/ownership/node.py
+++ b/limpetpulley/ownership/node.py
@@ -222,7 +222,7 @@
         jobs = {
             pool: len(owner.pool_state.ready)
             for pool, owner in self.owned.items()
-            if owner.is_serving
+            if owner.is_serving and owner.can_store
         }
         pool = choose_release(self.directory, self.member, jobs)
         if pool is None:
@@ -234,10 +234,13 @@
             return
         self.imbalanced_since = None
         owner = self.owned[pool]
-        self.context.log.write("pool-handed-over", pool=pool, token=owner.token, jobs=jobs[pool])
         with anyio.move_on_after(HANDOVER_TIMEOUT_SECONDS):
             await owner.shut_down()
-        owner.stop()
+        if not owner.scope.cancel_called:
+            # Until its progress is stored, nobody else knows the ends of its runs.
+            self.context.log.write("handover-incomplete", pool=pool, reason="progress not stored")
+            return
+        self.context.log.write("pool-handed-over", pool=pool, token=owner.token, jobs=jobs[pool])
         try:
             await self.session.release({pool: owner.token})
         except (StoreUnavailable, StoreError) as error:
--- a/limpetpulley/ownership/owner.py
+++ b/limpetpulley/ownership/owner.py
@@ -172,6 +172,11 @@
         """Return whether the owner can answer callers: takeover done and not stopped."""
         return self.taken_over.is_set() and not self.stopped.is_set()
 
+    @property
+    def can_store(self) -> bool:
+        """Return whether all progress is stored, or the last write was answered."""
+        return not (self.writer.failing and self.pool_state.unstored_jobs())
+
     async def shut_down(self) -> None:
         """Flush progress to the store and stop; the calling code releases the claim."""
         if self.is_serving:
--- a/limpetpulley/ownership/tests/test_unstored_ends.py
+++ b/limpetpulley/ownership/tests/test_unstored_ends.py
@@ -10,6 +10,7 @@
 from ...batch import JobSpec, Step
 from ...exception import StoreUnavailable
 from ...fleet.vms import WaveOrder
+from .. import node as node_module
 from .test_daemons import TASK, run_scenario
 
 RUN_SECONDS = 0.5
@@ -17,10 +18,14 @@
 WAVE_SECONDS = 2.0
 
 
+def find_owner(deployment, name, pool):
+    return deployment.fleet.daemons[name].node.owned.get(pool)
+
+
 def lose_writes_of_progress(deployment, pool):
     """Let the store answer no write of progress of the pool's owner; return the owner's daemon."""
     name = deployment.fleet.owner_of(pool)
-    writer = deployment.fleet.daemons[name].node.owned[pool].writer
+    writer = find_owner(deployment, name, pool).writer
 
     async def fail(jobs):
         await anyio.sleep(0.3)
@@ -52,3 +57,28 @@
     assert_that(interrupted, Equals(0))
     assert_that([str(state) for state in states.values()], Equals(["completed"]))
     assert_that(starts, Equals([1] * 6))
+
+
+def test_pool_is_not_handed_over_before_its_progress_is_stored(monkeypatch):
+    async def scenario(deployment):
+        spec = JobSpec(str(RUN_SECONDS), (Step(2, TASK, RUN_SECONDS),))
+        await deployment.submit("desk", spec)
+        await anyio.sleep(RUN_SECONDS / 2)
+        name = lose_writes_of_progress(deployment, "desk")
+        owner = find_owner(deployment, name, "desk")
+
+        def choose(directory, local, jobs):
+            return "desk" if local.name == name and "desk" in jobs else None
+
+        monkeypatch.setattr(node_module, "choose_release", choose)
+        await anyio.sleep(5.0)
+        kept = find_owner(deployment, name, "desk") is owner and owner.is_serving
+        unstored = len(owner.pool_state.unstored_jobs())
+        del owner.writer._store_progress
+        await anyio.sleep(3.0)
+        handed_over = owner.stopped.is_set() and not owner.pool_state.unstored_jobs()
+        return kept, unstored, handed_over, await deployment.states()
+
+    kept, unstored, handed_over, states = run_scenario(scenario)
+    assert_that((kept, unstored, handed_over), Equals((True, 1, True)))
+    assert_that([str(state) for state in states.values()], Equals(["completed"]))
