Name the incarnation of a worker in reports and plans

Callers would see a task run twice: a worker that starts again under its identifier counts as ended by a list of VMs that is older than its new process.

Cause: PoolReports.has_ended compared the list with the time at which the identifier was first reported, by whichever owner; a report and a plan name no incarnation.

Now a report's row has the incarnation, and the list must be newer than the first report of that incarnation by the current owner. By this owner, because an earlier one may have started runs in a later incarnation. The times are kept with the latest report, so that they no longer grow with every worker. During a rolling replacement an earlier build reads no ended workers from this one's plans, this one none from an earlier build's, and a row without the incarnation is never answered as ended; leases lapse instead.

Failing before, with the messages in place and the old decision (test_next_incarnation_has_not_ended_by_a_list_older_than_its_first_report, 6 of 9 rows): down-reports1 [('w', 2)] != [] the next incarnation moving-reports2 [('w', 2)] != [] down-reports4 [('w', 2)] != [] reported 0.7 s before the list down-reports6 [('w', 0)] != [] reported by an earlier owner only down-reports7 [('w', 1)] != [] down-reports8 [('w', 0)] != [] report of an earlier build

The older test of the planner compares worker and incarnation instead of the worker alone; its rows are unchanged.

--- a/limpetpulley/ownership/planner.py
+++ b/limpetpulley/ownership/planner.py
@@ -134,7 +134,10 @@
         return pb.PoolPlan(
             outcome=pb.ACCEPTED,
             cordoned_workers=sorted(reported & cordoned),
-            ended_workers=sorted(ended),
+            ended_incarnations=[
+                pb.WorkerIncarnation(worker=row.worker, incarnation=row.incarnation)
+                for row in ended
+            ],
             coming_seconds=self.dispatcher.arrival_seconds(message.pool),
         )
 
--- a/limpetpulley/ownership/pool_reports.py
+++ b/limpetpulley/ownership/pool_reports.py
@@ -21,9 +21,17 @@
 
 @attrs.define
 class _Report:
+    """A pool's latest report.
+
+    :param by_worker: its rows, by worker
+    :param first_reported_at: when this owner first reported each incarnation of a worker in it, by
+        local time
+    """
+
     message: pb.PoolReport
     received_at: float
     by_worker: dict[str, pb.WorkerReport]
+    first_reported_at: dict[tuple[str, int], float]
 
 
 class PoolReports:
@@ -36,73 +44,89 @@
         self.context = context
         self.inventory = inventory
         self.latest: dict[str, _Report] = {}
-        # When a worker was first reported, by local time.
-        self.first_reported_at: dict[str, float] = {}
-        # Workers of each pool's latest report that had ended by the list of VMs.
-        self.ended: dict[str, set[str]] = {}
+        # Incarnations of workers in each pool's latest report that had ended by the list of VMs.
+        self.ended: dict[str, set[tuple[str, int]]] = {}
 
     def record(self, message: pb.PoolReport) -> bool:
         """Record a pool's report; return False if it is from an owner that was replaced."""
         previous = self.latest.get(message.pool)
         if previous is not None and message.token < previous.message.token:
             return False
-        by_worker = {row.worker: row for row in message.workers}
-        self.latest[message.pool] = _Report(message, self.context.clock.now(), by_worker)
-        for row in message.workers:
-            self.first_reported_at.setdefault(row.worker, self.context.clock.now())
+        now = self.context.clock.now()
+        # An earlier owner's report does not tell since when this owner knows the incarnation, and
+        # that owner may have started runs in a later one.
+        known = (
+            previous.first_reported_at
+            if previous is not None and previous.message.token == message.token
+            else {}
+        )
+        self.latest[message.pool] = _Report(
+            message,
+            now,
+            {row.worker: row for row in message.workers},
+            {
+                key: known.get(key, now)
+                for key in ((row.worker, row.incarnation) for row in message.workers)
+            },
+        )
         return True
 
-    def judge_ended(self, message: pb.PoolReport, token: int) -> set[str]:
-        """Return which workers of a report have ended; log those that had not before.
+    def judge_ended(self, message: pb.PoolReport, token: int) -> list[pb.WorkerReport]:
+        """Return the rows of a pool's latest report whose workers have ended; log the new ones.
 
         :param token: the planner's fencing token
         """
-        reasons = {row.worker: self.end_reason(row.worker, row.vm) for row in message.workers}
-        ended = {worker for worker, reason in reasons.items() if reason}
-        found = ended - self.ended.get(message.pool, set())
-        now = self.context.clock.now()
+        now, told = self.context.clock.now(), self.ended.get(message.pool, set())
+        first_reported_at = self.latest[message.pool].first_reported_at
+        ended = []
         for row in message.workers:
-            if row.worker not in found:
+            reason = self.end_reason(message.pool, row)
+            if not reason:
+                continue
+            ended.append(row)
+            incarnation = (row.worker, row.incarnation)
+            if incarnation in told:
                 continue
             vm = self.inventory.vms.get(row.vm)
             self.context.log.write(
                 "worker-ended",
                 worker=row.worker,
+                life=row.incarnation,
                 vm=row.vm,
-                reason=reasons[row.worker],
+                reason=reason,
                 listed_worker=vm.worker_id if vm is not None else "",
                 list_age=round(now - self.inventory.listed_at, 3),
-                reported_for=round(now - self.first_reported_at[row.worker], 3),
+                reported_for=round(now - first_reported_at[incarnation], 3),
                 token=token,
                 pool=message.pool,
                 pool_token=message.token,
             )
-        self.ended[message.pool] = ended
+        self.ended[message.pool] = {(row.worker, row.incarnation) for row in ended}
         return ended
 
-    def has_ended(self, worker_id: str, vm_name: str) -> bool:
-        """Return whether a worker's VM is down, was moved or maintained, or runs another worker."""
-        return bool(self.end_reason(worker_id, vm_name))
-
-    def end_reason(self, worker_id: str, vm_name: str) -> str:
-        """Return by what a worker is known to have ended, empty if it is not.
+    def end_reason(self, pool: str, row: pb.WorkerReport) -> str:
+        """Return by what an incarnation of a worker in a pool's latest report has ended, or "".
 
-        That is the phase of its VM, ``not-listed``, ``other-worker`` or ``standby``.
+        It has if a list that is newer than the incarnation shows its VM as down, moved or
+        maintained (its phase), or with another worker (``other-worker``, ``standby``), or lacks it
+        (``not-listed``). A report without the incarnation does not tell that.
         """
+        first_reported_at = self.latest[pool].first_reported_at[row.worker, row.incarnation]
         if (
-            not vm_name
-            or self.inventory.listed_at <= self.first_reported_at[worker_id] + LIST_LAG_SECONDS
+            not row.vm
+            or not row.HasField("incarnation")
+            or self.inventory.listed_at <= first_reported_at + LIST_LAG_SECONDS
         ):
             # A list that is older than the worker still shows the previous worker of the VM.
             return ""
-        vm = self.inventory.vms.get(vm_name)
+        vm = self.inventory.vms.get(row.vm)
         if vm is None:
             return "not-listed" if self.inventory.vms else ""
         if vm.phase in (Phase.MOVING, Phase.MAINTENANCE, Phase.DOWN):
             return vm.phase.value
         pool_config = self.context.config.pools.get(vm.pool) if self.context.config else None
         standby = pool_config is not None and pool_config.standby
-        if vm.phase is not Phase.UP or vm.worker_id == worker_id:
+        if vm.phase is not Phase.UP or vm.worker_id == row.worker:
             return ""
         if vm.worker_id:
             return "other-worker"
--- a/limpetpulley/ownership/reporting.py
+++ b/limpetpulley/ownership/reporting.py
@@ -89,7 +89,9 @@
                 self.pool_state.expected_join_times = [
                     now + seconds for seconds in plan.coming_seconds
                 ]
-                self.apply_plan(set(plan.cordoned_workers), plan.ended_workers)
+                self.apply_plan(
+                    set(plan.cordoned_workers), (row.worker for row in plan.ended_incarnations)
+                )
             elif now - self.last_plan_at > PLAN_TIMEOUT_SECONDS:
                 self.pool_state.expected_join_times = []
                 self.apply_plan(set(), ())
@@ -145,6 +147,7 @@
                     # stored, the next owner can learn them only from the worker.
                     cordoned=worker.cordoned and worker.reconciled and worker.ends_stored,
                     rack=worker.listed.rack,
+                    incarnation=worker.listed.incarnation,
                 )
                 for worker in pool_state.workers.values()
                 if worker.present
@@ -152,7 +155,7 @@
                 or worker.worker_id in pool_state.unreconciled_workers
             ]
             + [
-                pb.WorkerReport(worker=name, vm=self.roster.inherited[name].vm)
+                pb.WorkerReport(worker=name, vm=self.roster.inherited[name].vm, incarnation=0)
                 for name in pool_state.unreconciled_workers
                 if name not in pool_state.workers and name in self.roster.inherited
             ],
--- a/limpetpulley/ownership/tests/test_planner.py
+++ b/limpetpulley/ownership/tests/test_planner.py
@@ -40,9 +40,16 @@
     return VmPlanner(context, vms, registry, "entry-1", 1, lambda: 0.0)
 
 
-def make_report(*workers):
-    rows = [pb.WorkerReport(worker=worker, vm="m-1", timed_runs=1) for worker in workers]
-    return pb.PoolReport(pool="desk", token=5, workers=rows)
+def make_report(*workers, incarnation=1, token=5):
+    rows = [
+        pb.WorkerReport(worker=worker, vm="m-1", timed_runs=1, incarnation=incarnation)
+        for worker in workers
+    ]
+    return pb.PoolReport(pool="desk", token=token, workers=rows)
+
+
+def ended_workers(plan):
+    return sorted((row.worker, row.incarnation) for row in plan.ended_incarnations)
 
 
 def listed(phase=Phase.UP, worker="new", pool="desk"):
@@ -73,9 +80,46 @@
         vms.vms = after
         await planner._plan_once()
         late = planner.handle_report(make_report("old", "new"))
-        return list(early.ended_workers), list(late.ended_workers)
+        return ended_workers(early), ended_workers(late)
+
+    assert_that(anyio.run(scenario), Equals(([], [(worker, 1) for worker in ended])))
+
 
-    assert_that(anyio.run(scenario), Equals(([], ended)))
+@pytest.mark.parametrize(
+    ("phase", "reports", "ended"),
+    [
+        # Seconds of the report, token of its owner and incarnation of the worker in it.
+        (Phase.DOWN, [(100.1, 5, 1), (105.5, 5, 1)], [("w", 1)]),
+        (Phase.DOWN, [(100.1, 5, 1), (105.5, 5, 2)], []),
+        (Phase.MOVING, [(100.1, 5, 1), (105.5, 5, 2)], []),
+        (Phase.DOWN, [(100.1, 5, 1), (104.0, 5, 2), (105.5, 5, 2)], [("w", 2)]),
+        (Phase.DOWN, [(100.1, 5, 1), (104.3, 5, 2), (105.5, 5, 2)], []),
+        # An unlisted worker on the roster, reported by this owner and by an earlier one.
+        (Phase.DOWN, [(100.1, 5, 0), (105.5, 5, 0)], [("w", 0)]),
+        (Phase.DOWN, [(100.1, 5, 0), (105.5, 6, 0)], []),
+        (Phase.DOWN, [(100.1, 5, 1), (105.5, 6, 1)], []),
+        # Reports of an earlier build do not tell the incarnation.
+        (Phase.DOWN, [(100.1, 5, None), (105.5, 5, None)], []),
+    ],
+)
+def test_next_incarnation_has_not_ended_by_a_list_older_than_its_first_report(
+    phase, reports, ended
+):
+    async def scenario():
+        clock, vms = ManualClock(100.0), FakeVmList()
+        planner = make_planner(clock, vms)
+        vms.vms = listed(worker="w")
+        await planner._plan_once()
+        for seconds, token, incarnation in reports:
+            if seconds > 105.0 > clock.now():
+                clock.advance(105.0 - clock.now())
+                vms.vms = listed(phase, "")
+                await planner._plan_once()
+            clock.advance(seconds - clock.now())
+            plan = planner.handle_report(make_report("w", incarnation=incarnation, token=token))
+        return ended_workers(plan)
+
+    assert_that(anyio.run(scenario), Equals(ended))
 
 
 @pytest.mark.parametrize(
