End only the incarnation of a worker that a plan names

Cause: apply_plan ended whatever incarnation the owner had by then, and removed the worker from unreconciled_workers, although its later incarnation may hold runs of the earlier owner.

Now end_workers compares incarnations. Incarnation 0 stands for a worker that is on the roster but not listed; if it has been listed since the report, its incarnation must be reported first. A worker whose entry tells no incarnation is not ended by a plan, since its restarts cannot be seen; its leases lapse.

Failing before, with the old decision by identifier (test_reporting.py): test_tasks_of_an_earlier_owner_start_... [ended2..4] True != False test_runs_of_the_next_incarnation_are_kept_if_an_earlier_one_has_ended [0-1], [1-1] (0, True) != (1, False)

--- a/limpetpulley/ownership/reporting.py
+++ b/limpetpulley/ownership/reporting.py
@@ -90,7 +90,8 @@
                     now + seconds for seconds in plan.coming_seconds
                 ]
                 self.apply_plan(
-                    set(plan.cordoned_workers), (row.worker for row in plan.ended_incarnations)
+                    set(plan.cordoned_workers),
+                    [(row.worker, row.incarnation) for row in plan.ended_incarnations],
                 )
             elif now - self.last_plan_at > PLAN_TIMEOUT_SECONDS:
                 self.pool_state.expected_join_times = []
@@ -102,12 +103,12 @@
             busy = plan is None or changing or demand > BUSY_FRACTION * report.room_cores
             await anyio.sleep(BUSY_INTERVAL_SECONDS if busy else IDLE_INTERVAL_SECONDS)
 
-    def apply_plan(self, cordoned_ids: set[str], ended_ids: Iterable[str]) -> None:
-        """Apply a plan: cordon the workers that are to be drained, drop the runs of ended ones."""
-        ended_ids = list(ended_ids)
-        for worker_id in ended_ids:
-            self.pool_state.unreconciled_workers.pop(worker_id, None)
-        if self.pool_state.end_workers(ended_ids, "vm-ordered"):
+    def apply_plan(self, cordoned_ids: set[str], ended: Iterable[tuple[str, int]]) -> None:
+        """Apply a plan: cordon the workers that are to be drained, drop the runs of ended ones.
+
+        :param ended: identifiers and incarnations of the workers that have ended
+        """
+        if self.pool_state.end_workers(ended, "vm-ordered"):
             self.on_change()
         for worker in self.pool_state.workers.values():
             cordoned = worker.worker_id in cordoned_ids or worker.ended
--- a/limpetpulley/ownership/tests/test_reporting.py
+++ b/limpetpulley/ownership/tests/test_reporting.py
@@ -2,6 +2,7 @@
 
 import os
 
+import attrs
 import pytest
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
@@ -14,7 +15,7 @@
 from ...scheduling.arrivals import ArrivalEstimator
 from ...store import MemoryStore
 from ...telemetry import EventLog
-from ...workers import EndedRun, HoldReply, ListedWorker
+from ...workers import EndedRun, HoldReply, ListedRun, ListedWorker
 from .. import DaemonContext, Timing
 from ..reporting import PoolReporter, RefusedWork
 from ..roster import WorkerRoster
@@ -51,8 +52,19 @@
     assert_that(rows, Equals(expected))
 
 
+ALL_ENDED = [("listed", 1), ("unlisted", 0), ("left", 1)]
+
+
 @pytest.mark.parametrize(
-    ("ended", "may_start"), [(["listed"], False), (["listed", "unlisted", "left"], True)]
+    ("ended", "may_start"),
+    [
+        ([("listed", 1)], False),
+        (ALL_ENDED, True),
+        # The end of another incarnation, or one that was reported before the worker was listed.
+        ([("listed", 0), *ALL_ENDED[1:]], False),
+        ([("listed", 2), *ALL_ENDED[1:]], False),
+        ([*ALL_ENDED[:2], ("left", 0)], False),
+    ],
 )
 def test_tasks_of_an_earlier_owner_start_once_all_unreconciled_workers_have_ended(ended, may_start):
     pool_state, reporter = make_reporter()
@@ -60,6 +72,17 @@
     assert_that(pool_state.may_start(pool_state.jobs["a"]), Equals(may_start))
 
 
+@pytest.mark.parametrize(("incarnation", "kept"), [(0, 1), (1, 1), (2, 0)])
+def test_runs_of_the_next_incarnation_are_kept_if_an_earlier_one_has_ended(incarnation, kept):
+    pool_state, reporter = make_reporter()
+    worker = pool_state.workers["listed"]
+    pool_state.update_listed_worker(attrs.evolve(worker.listed, incarnation=2))
+    running = (ListedRun(TaskId("a", 0, 0, 0), 1),)
+    process_hold_reply(pool_state, worker, HoldReply(1.0, 2, running), 101.0, 101.0)
+    reporter.apply_plan(set(), [("listed", incarnation)])
+    assert_that((len(pool_state.runs), worker.ended), Equals((kept, not kept)))
+
+
 @pytest.mark.parametrize("name", ["listed", "unlisted", "left"])
 def test_an_unreconciled_worker_is_not_reported_as_cordoned(name):
     """Its runs are unknown: a planner that took its VM for drained would end them.
--- a/limpetpulley/pool/state.py
+++ b/limpetpulley/pool/state.py
@@ -202,13 +202,24 @@
         if worker_id in self.workers:
             self.workers[worker_id].present = False
 
-    def end_workers(self, worker_ids: Iterable[str], reason: str) -> bool:
+    def end_workers(self, incarnations: Iterable[tuple[str, int]], reason: str) -> bool:
         """Drop the runs of workers whose VMs are down, were moved or taken for maintenance.
 
+        A later incarnation of one of them may be alive.
+
+        :param incarnations: identifier and incarnation of each worker; 0 stands for the unknown
+            incarnations of one that is not listed
         :returns: whether any of them was not known to have ended
         """
-        known = [self.workers[name] for name in worker_ids if name in self.workers]
-        ended = [worker for worker in known if not worker.ended]
+        ended = []
+        for worker_id, incarnation in incarnations:
+            worker = self.workers.get(worker_id)
+            if worker is None and not incarnation:
+                self.unreconciled_workers.pop(worker_id, None)
+            elif worker is not None and incarnation == worker.listed.incarnation != 0:
+                self.unreconciled_workers.pop(worker_id, None)
+                if not worker.ended:
+                    ended.append(worker)
         crashes = sum(map(has_crashed, ended))
         for worker in ended:
             worker.ended, worker.ended_at = True, self.scanned_at
--- a/limpetpulley/pool/tests/test_crashes.py
+++ b/limpetpulley/pool/tests/test_crashes.py
@@ -114,7 +114,7 @@
     for number in range(times):
         orders = start(pool_state, NOW + number)
         assert len({order.worker_id for order in orders}) == 2
-        pool_state.end_workers([order.worker_id for order in orders], "test")
+        pool_state.end_workers([(order.worker_id, 1) for order in orders], "test")
         keep_alive(pool_state, NOW + number + 0.5)
     assert pool_state.suspects == ({task(0), task(1)} if times > 1 else set())
 
