Release an ended unreconciled worker in one place, by its incarnation

Its release where the VM has ended stood in end_workers, which compares the incarnation, and again in handle_worker_restart; only the first stays.

--- a/limpetpulley/pool/state.py
+++ b/limpetpulley/pool/state.py
@@ -257,8 +257,6 @@
         worker.processed_through = worker.stored_through = 0
         worker.reconciled = False
         self.progress.remove_worker(worker.worker_id)
-        if worker.ended:
-            self.unreconciled_workers.pop(worker.worker_id, None)
         self.on_event(
             PoolEvent(
                 "worker-restarted",
--- a/limpetpulley/pool/tests/test_planning.py
+++ b/limpetpulley/pool/tests/test_planning.py
@@ -320,3 +320,26 @@
     pool_state.workers["w1"].cordoned = True
     stop_orders = [order for order in plan(pool_state) if isinstance(order, StopOrder)]
     assert_that(stop_orders, HasLength(stops))
+
+
+def next_incarnation(pool_state, name, incarnation=2):
+    listed = attrs.evolve(pool_state.workers[name].listed, incarnation=incarnation)
+    return pool_state.update_listed_worker(listed)
+
+
+@pytest.mark.parametrize(
+    ("seen_by", "answered", "may_start"),
+    [("list", False, False), ("list", True, True), ("reply", True, True)],
+)
+def test_inherited_tasks_wait_for_the_current_incarnation_of_a_worker_that_restarted(
+    seen_by, answered, may_start
+):
+    pool_state = make_pool_state(Step(1, TASK), workers=("w1",))
+    pool_state.inherited.add(JOB)
+    pool_state.unreconciled_workers = {"w1": NOW + 11.0}
+    if seen_by == "list":
+        next_incarnation(pool_state, "w1")
+    if answered:
+        reply = HoldReply(0.5, 2)
+        process_hold_reply(pool_state, pool_state.workers["w1"], reply, NOW, NOW)
+    assert_that(pool_state.may_start(pool_state.jobs[JOB]), Equals(may_start))
