Stop a run that a worker's next incarnation may have answered

Callers would see a task run twice: a start order reaches the next incarnation of a worker before the owner learns of the restart and is answered.

Cause: replies to start orders tell no incarnation; handle_worker_restart took an answered start for one of the previous incarnation. Only a run that a hold reply of the previous incarnation listed, and all of whose starts were answered, is certainly of it. Any other is stopped in the next incarnation before its task starts again, as those with unanswered starts were; on a worker whose VM has ended its stop waits for the worker's return.

An answer before a hold reply that arrives later was weighed as a further sign and left out: replies on different channels overtake each other.

Cost: a run that had not been listed when its worker restarted under its identifier waits for a stop there, about 0.3 s more once the worker answers.

Failing before (pool/tests/test_planning.py): test_run_that_the_next_incarnation_may_have_started_is_stopped_there_first [answered-list] (False, False) != (True, True) [answered-reply] no stop order The table of test_a_late_start_is_stopped_on_a_worker_that_returns_... took an answer for the sign that no stop is needed; its row without a stop now has an answer and a listed run, and rows for either one alone ask for the stop. The state machine lists a restarted worker at a time of its own; 1500 examples on the code before didn't meet this fault.

--- a/limpetpulley/pool/reconcile.py
+++ b/limpetpulley/pool/reconcile.py
@@ -23,6 +23,8 @@
     """Apply a run that a worker lists: update it if known, otherwise adopt or stop it."""
     run = pool_state.runs.get(listed_run.task)
     worker_run = worker.runs.get(listed_run.task)
+    if worker_run is not None and worker_run.number == listed_run.number:
+        worker_run.seen_running = True
     if run is None and worker_run is not None:
         # No other run has replaced it: make it the current run again, or stop it.
         run = _restore(pool_state, worker_run)
@@ -71,6 +73,7 @@
         job.step_of(listed_run.task).charge,
         job.team,
         may_be_stopped_until=worker_seconds + pool_state.stop_seconds + SETTLE_MARGIN_SECONDS,
+        seen_running=True,
     )
     pool_state.add_run(run, worker)
     job.started = True
--- a/limpetpulley/pool/state.py
+++ b/limpetpulley/pool/state.py
@@ -68,8 +68,9 @@
         self.checkpoints: dict[TaskId, str] = {}
         self.failed_on: dict[TaskId, set[str]] = {}
         self.orphan_stops: dict[StopOrder, float] = {}
-        # Stops for start orders to ended workers that had no answer, with the local time at which
-        # the worker was found to have ended: it may return under the same identifier.
+        # Stops for start orders to ended workers that had no answer or whose run was never listed,
+        # with the local time at which the worker was found to have ended: it may return under the
+        # same identifier.
         self.late_start_stops: dict[StopOrder, float] = {}
         self.unreconciled_workers: dict[str, float] = {}
         self.inherited: set[str] = set()
@@ -187,7 +188,7 @@
         return worker
 
     def _queue_late_start_stops(self, worker_id: str) -> None:
-        """Queue stops for the start orders that a worker's previous incarnation did not answer."""
+        """Queue stops for the start orders that may reach a worker's next incarnation."""
         stops = [stop for stop in self.late_start_stops if stop.worker_id == worker_id]
         for stop in stops:
             del self.late_start_stops[stop]
@@ -231,10 +232,11 @@
     ) -> None:
         """Drop the runs of the previous incarnation of a worker.
 
-        A start that was not answered may still reach the new incarnation, so its run is stopped
-        there first. On an ended worker nothing is executed unless it returns; its tasks may
-        start elsewhere at once. An earlier owner may have started runs on the new incarnation, so
-        a worker that is unreconciled remains so until it replies.
+        A start that was not answered may still reach the new incarnation, and one that was answered
+        may have been answered by it, unless the previous incarnation has listed the run. Such a run
+        is stopped there first. On an ended worker nothing is executed unless it returns; its tasks
+        may start elsewhere at once. An earlier owner may have started runs on the new incarnation,
+        so a worker that is unreconciled remains so until it replies.
 
         :param beside_others: whether other workers have crashed at the same time
         :param next_life: the new incarnation, 0 if it is not known, for the log
@@ -242,10 +244,12 @@
         ends = self.end_positions(worker)
         record_crash(self, worker, beside_others)
         for run in list(worker.runs.values()):
-            if run.unanswered_starts and not worker.ended:
+            may_return = run.unanswered_starts or not run.seen_running
+            run.seen_running = False
+            if may_return and not worker.ended:
                 run.phase, run.settled_at, run.sent_at = RunPhase.STOPPING, None, 0.0
                 continue
-            if run.unanswered_starts:
+            if may_return:
                 self.late_start_stops[StopOrder.of(run)] = self.scanned_at
             self.drop_run(run, "worker-restarted")
         for orphan in [
--- a/limpetpulley/pool/tests/test_owner_stateful.py
+++ b/limpetpulley/pool/tests/test_owner_stateful.py
@@ -236,6 +236,10 @@
         if seen:
             self.pool_state.update_listed_worker(self.workers[name].listed)
 
+    @rule(name=st.sampled_from(["w1", "w2"]))
+    def list_worker(self, name):
+        self.pool_state.update_listed_worker(self.workers[name].listed)
+
     @rule(name=st.sampled_from(["w1", "w2"]), alive=st.booleans())
     def set_worker_reachable(self, name, alive):
         self.workers[name].alive = alive
--- a/limpetpulley/pool/tests/test_planning.py
+++ b/limpetpulley/pool/tests/test_planning.py
@@ -282,10 +282,17 @@
 
 
 @pytest.mark.parametrize(
-    ("answered", "seconds", "stops"), [(True, 0.2, 0), (False, 0.2, 1), (False, 20.0, 0)]
+    ("answered", "listed", "seconds", "stops"),
+    [
+        (True, True, 0.2, 0),
+        (True, False, 0.2, 1),
+        (False, True, 0.2, 1),
+        (False, False, 0.2, 1),
+        (False, False, 20.0, 0),
+    ],
 )
 def test_a_late_start_is_stopped_on_a_worker_that_returns_under_the_same_id(
-    answered, seconds, stops
+    answered, listed, seconds, stops
 ):
     pool_state = make_pool_state(Step(1, TASK), workers=("w1",))
     (order,) = plan(pool_state)
@@ -293,6 +300,8 @@
         process_start_reply(
             pool_state, pool_state.runs[order.task], StartOutcome.STARTED, 10.0, NOW
         )
+    if listed:
+        hold(pool_state, "w1", [ListedRun(order.task, order.number)], clock=10.1)
     end_worker(pool_state, "w1")
     plan(pool_state, now=NOW + seconds)
     returned = attrs.evolve(pool_state.workers["w1"].listed, incarnation=2)
@@ -343,3 +352,41 @@
         reply = HoldReply(0.5, 2)
         process_hold_reply(pool_state, pool_state.workers["w1"], reply, NOW, NOW)
     assert_that(pool_state.may_start(pool_state.jobs[JOB]), Equals(may_start))
+
+
+@pytest.mark.parametrize("seen_by", ["list", "reply"])
+@pytest.mark.parametrize(
+    ("answered", "listed", "kept"),
+    [(False, False, True), (True, False, True), (True, True, False)],
+    ids=["unanswered", "answered", "listed"],
+)
+def test_run_that_the_next_incarnation_may_have_started_is_stopped_there_first(
+    answered, listed, kept, seen_by
+):
+    """A reply to a start order does not tell the incarnation."""
+    pool_state = make_pool_state(Step(1, TASK), workers=("w1", "w2"))
+    (order,) = plan(pool_state)
+    name, run = order.worker_id, pool_state.runs[order.task]
+    row = ListedRun(order.task, order.number)
+    if answered:
+        process_start_reply(pool_state, run, StartOutcome.STARTED, 10.2, NOW)
+    if listed:
+        hold(pool_state, name, [row], clock=10.3)
+    if seen_by == "list":
+        next_incarnation(pool_state, name)
+        (order,) = plan(pool_state, now=NOW + 0.1)
+    else:
+        rows = (row,) if answered and not listed else ()
+        reply = HoldReply(0.5, 2, rows)
+        process_hold_reply(pool_state, pool_state.workers[name], reply, NOW, NOW)
+        (order,) = plan(pool_state, now=NOW + 0.1)
+    stop = StopOrder(name, run.task, run.number)
+    assert_that((order == stop, pool_state.runs[run.task] is run), Equals((kept, kept)))
+    if not kept:
+        return
+    process_stop_reply(pool_state, stop, 0.6, NOW + 0.2)
+    stopped = (EndedRun(1, run.task, run.number, EndKind.STOPPED),)
+    reply = HoldReply(1.0, 2, (), stopped)
+    process_hold_reply(pool_state, pool_state.workers[name], reply, NOW + 0.3, NOW + 0.3)
+    (restart,) = plan(pool_state, now=NOW + 0.4)
+    assert isinstance(restart, StartOrder) and restart.number > run.number
--- a/limpetpulley/workers/state.py
+++ b/limpetpulley/workers/state.py
@@ -144,6 +144,7 @@
         executed
     :param started_at: local time of the first reply that told that it had started, None until then
         and for a run adopted from an earlier owner
+    :param seen_running: whether its worker's current incarnation has listed it
     :param ticket: ticket of the advice service that its start order contains
     :param percent: speed that its worker reported last, in percent
     :param may_be_stopped_until: worker time until which a stop order of an earlier owner may still
@@ -165,6 +166,7 @@
     settled_at: float | None = None
     unanswered_starts: int = 0
     started_at: float | None = None
+    seen_running: bool = False
     ticket: str = ""
     percent: int = 0
     may_be_stopped_until: float = 0.0
