Acknowledge no ends after a failed call until a worker has replied

Callers would see a task that ran to its end run again: after a call that failed, the worker may have started again under its identifier, and the next hold acknowledges a position of the previous incarnation.

Now a hold acknowledges nothing after a failed call until a hold that was sent later is answered; its reply tells the incarnation.

--- a/limpetpulley/ownership/tests/test_worker_client.py
+++ b/limpetpulley/ownership/tests/test_worker_client.py
@@ -1,10 +1,20 @@
 """Leases of workers that stop answering expire in time, and their tasks run elsewhere."""
 
+import os
+
 import anyio
 import pytest
 
-from ...batch import EndKind
-from ..worker_client import MAX_LEASE_SECONDS
+from ...batch import Amount, EndKind, TaskId
+from ...batch.keys import BatchKeys
+from ...clock import ManualClock
+from ...exception import WorkerError
+from ...pool import PoolState
+from ...store import MemoryStore
+from ...telemetry import EventLog
+from ...workers import EndedRun, HoldReply, ListedWorker, StopOrder
+from .. import DaemonContext, Timing
+from ..worker_client import MAX_LEASE_SECONDS, WorkerClient
 from .test_daemons import TASK, JobSpec, Step, run_scenario, two_step_spec
 
 #: tolerance for the expiry on a slow worker clock and for one planning round, in seconds
@@ -106,3 +116,72 @@
     worker, states = run_scenario(scenario)
     assert not [end for end in worker.ended if end.kind is EndKind.LAPSED]
     assert set(map(str, states.values())) == {"completed"}
+
+
+class ScriptedOrders:
+    """Answers holds with the given replies and records the acknowledged positions."""
+
+    def __init__(self, replies):
+        self.replies = list(replies)
+        self.acknowledged = []
+
+    async def hold(self, listed, token, acknowledged, until_seconds, wait_seconds):
+        self.acknowledged.append(acknowledged)
+        return self.answer()
+
+    async def stop(self, listed, order, token):
+        return self.answer()
+
+    def answer(self):
+        reply = self.replies.pop(0)
+        if isinstance(reply, Exception):
+            raise reply
+        return reply
+
+
+def make_client(orders):
+    clock = ManualClock(100.0)
+    log = EventLog("entry-1", os.open(os.devnull, os.O_WRONLY))
+    context = DaemonContext(
+        MemoryStore(clock), BatchKeys("lp/"), orders, clock, log, Timing(), None, clock.now
+    )
+    pool_state = PoolState("desk", 3, 0.2, 10.0, 5.0)
+    worker = pool_state.update_listed_worker(ListedWorker("w", "desk", "w:1", 1, Amount(1000)))
+    return WorkerClient(
+        context, pool_state, worker, lambda: None, lambda: anyio.Event(), lambda: 0.0
+    )
+
+
+ENDED = tuple(
+    EndedRun(position, TaskId("a", 0, 0, position), 1, EndKind.DONE) for position in (1, 2)
+)
+REPLY = HoldReply(10.0, 1, (), ENDED)
+NEXT_REPLY = HoldReply(0.5, 2, (), ENDED[:1])
+STOP = StopOrder("w", TaskId("a", 0, 0, 9), 1)
+
+
+@pytest.mark.parametrize(
+    ("calls", "acknowledged"),
+    [
+        ([REPLY, REPLY, REPLY], [0, 2, 2]),
+        ([REPLY, WorkerError("lost"), REPLY, REPLY], [0, 2, 0, 2]),
+        ([REPLY, WorkerError("lost"), NEXT_REPLY, NEXT_REPLY], [0, 2, 0, 1]),
+        # A stop order fails between two holds.
+        ([REPLY, "stop", WorkerError("lost"), REPLY, REPLY], [0, 0, 2]),
+        ([REPLY, "stop", 11.0, REPLY], [0, 2]),
+    ],
+)
+def test_no_end_is_acknowledged_to_an_incarnation_that_has_not_listed_it(calls, acknowledged):
+    async def scenario():
+        client = make_client(orders := ScriptedOrders(c for c in calls if c != "stop"))
+        for call in [call for number, call in enumerate(calls) if calls[number - 1] != "stop"]:
+            if call == "stop":
+                await client.send(STOP)
+                continue
+            try:
+                await client.hold()
+            except WorkerError as error:
+                client._log_failure(str(error))
+        return orders.acknowledged
+
+    assert anyio.run(scenario) == acknowledged
--- a/limpetpulley/ownership/worker_client.py
+++ b/limpetpulley/ownership/worker_client.py
@@ -80,6 +80,9 @@
         self.on_change = on_change
         self.stored_event = stored_event
         self.failing = False
+        self.failed_calls = 0
+        # Failed calls before the last hold that was answered.
+        self.failed_before_reply = 0
 
     async def run(self) -> None:
         """Send holds until the worker is removed from the pool state or has ended."""
@@ -108,16 +111,24 @@
         if lease_known and not self.failing and lease_seconds >= MIN_LEASE_SECONDS:
             lease_until = worker.lease.extend(now, lease_seconds)
         wait = self.hold_wait_seconds() if worker.reconciled and not self.failing else 0.0
+        # A call may have failed because the worker has restarted, and its next incarnation counts
+        # its ends anew.
+        failed_calls = self.failed_calls
+        confirmed = failed_calls == self.failed_before_reply
+        acknowledged = worker.stored_through if confirmed else 0
         try:
             with anyio.fail_after(wait + ANSWER_TIMEOUT_SECONDS):
                 reply = await self.context.orders.hold(
-                    worker.listed, self.pool_state.token, worker.stored_through, lease_until, wait
+                    worker.listed, self.pool_state.token, acknowledged, lease_until, wait
                 )
-        except WorkerError:
+        except (WorkerError, TimeoutError) as error:
+            self.failed_calls += 1
             failed_at = self.context.clock.now()
-            if not self.failing and failed_at - now < wait + MIN_TIMEOUT_MARGIN_SECONDS:
+            is_lost = failed_at - now < wait + MIN_TIMEOUT_MARGIN_SECONDS
+            if isinstance(error, WorkerError) and not self.failing and is_lost:
                 worker.lost_at = failed_at
             raise
+        self.failed_before_reply = failed_calls
         if self.failing:
             self.failing = False
             self.context.log.write(
@@ -171,6 +182,7 @@
                 elif isinstance(order, PaceOrder):
                     await self.context.orders.pace(listed, order, token)
         except (WorkerError, TimeoutError) as error:
+            self.failed_calls += 1
             self.context.log.write(
                 "order-unanswered",
                 worker=self.worker.worker_id,
