Ignore a late reply of a worker that was removed or replaced

An owner would stop with a KeyError: an idle worker whose entry is missing is removed at once, while a hold that it received may still be answered. If the worker was listed again, the reply of the earlier object also counted as the answer that inherited tasks wait for, and acknowledged positions apart from the new one.

Now a reply changes nothing unless its worker is the current one. Replies to starts and stops need no such check: a worker is removed without runs only, and none can be adopted on a removed one any more.

--- a/limpetpulley/pool/replies.py
+++ b/limpetpulley/pool/replies.py
@@ -25,6 +25,9 @@
 ) -> None:
     """Apply a worker's list of running and ended runs.
 
+    Nothing is done for a worker that was removed or replaced since the hold was sent: its next
+    entry, if it returns, is a new worker, which lists everything again.
+
     :param now: local time of the reply
     :param wall_time: wall-clock time, in seconds since 1970
     """
@@ -32,6 +35,8 @@
         last = max((end.position for end in reply.ended), default=0)
         listed = f"{len(reply.running)} runs, ends up to position {last}"
         report_sign_of_life(pool_state, worker, "hold", now, listed)
+    if pool_state.workers.get(worker.worker_id) is not worker:
+        return
     if worker.ended or (reply.incarnation and reply.incarnation < worker.listed.incarnation):
         return
     if reply.incarnation > worker.listed.incarnation:
--- a/limpetpulley/pool/tests/test_planning.py
+++ b/limpetpulley/pool/tests/test_planning.py
@@ -390,3 +390,38 @@
     process_hold_reply(pool_state, pool_state.workers[name], reply, NOW + 0.3, NOW + 0.3)
     (restart,) = plan(pool_state, now=NOW + 0.4)
     assert isinstance(restart, StartOrder) and restart.number > run.number
+
+
+@pytest.mark.parametrize("listed_again", [0, 1, 2], ids=["removed", "same", "next"])
+@pytest.mark.parametrize("incarnation", [1, 2])
+def test_late_reply_of_a_worker_that_was_removed_changes_nothing(incarnation, listed_again):
+    pool_state = make_pool_state(Step(2, TASK), workers=("w1",))
+    worker = pool_state.workers["w1"]
+    pool_state.mark_unlisted("w1")
+    pool_state.expire_leases(NOW + 1.0)
+    if listed_again:
+        pool_state.update_listed_worker(attrs.evolve(worker.listed, incarnation=listed_again))
+    assert pool_state.workers.get("w1") is not worker
+    pool_state.unreconciled_workers = {"w1": NOW + 99.0}
+    reply = HoldReply(
+        11.0,
+        incarnation,
+        (ListedRun(task(0), 1),),
+        (EndedRun(1, task(1), 1, EndKind.DONE),),
+    )
+    process_hold_reply(pool_state, worker, reply, NOW + 1.1, NOW + 1.1)
+    assert_that((pool_state.runs, worker.runs), Equals(({}, {})))
+    assert_that((list(pool_state.unreconciled_workers), worker.stored_through), Equals((["w1"], 0)))
+
+
+def test_run_that_a_removed_worker_lists_late_can_be_removed():
+    """It was adopted on the removed worker, and its removal raised a KeyError."""
+    pool_state = make_pool_state(Step(1, TASK), workers=("w1",))
+    worker = pool_state.workers["w1"]
+    pool_state.mark_unlisted("w1")
+    pool_state.expire_leases(NOW + 1.0)
+    for clock, row in ((11.0, (ListedRun(task(0), 1),)), (12.0, ())):
+        ended = () if row else (EndedRun(1, task(0), 1, EndKind.DONE),)
+        reply = HoldReply(clock, 1, row, ended)
+        process_hold_reply(pool_state, worker, reply, NOW + 1.1, NOW + 1.1)
+    assert_that(pool_state.runs, Equals({}))
