--- a/limpetpulley/ownership/planner.py
+++ b/limpetpulley/ownership/planner.py
@@ -144,7 +144,7 @@
     async def _plan_once(self) -> None:
         now, restore_due = self.context.clock.now(), self.intents.loaded and not self.restored
         vms = {vm.name: vm for vm in await self.platform.list_vms()}
-        self.inventory.vms, self.inventory.listed_at = vms, now
+        self.inventory.update(vms, now)
         if restore_due:
             self.dispatcher.restore(vms, now)
             self.restored = True
--- a/limpetpulley/ownership/pool_reports.py
+++ b/limpetpulley/ownership/pool_reports.py
@@ -108,8 +108,9 @@
         """Return by what an incarnation of a worker in a pool's latest report has ended, or "".
 
         It has if a list that is newer than the incarnation shows its VM as down, moved or
-        maintained (its phase), or with another worker (``other-worker``, ``standby``), or lacks it
-        (``not-listed``). A report without the incarnation does not tell that.
+        maintained (its phase), or with another worker (``other-worker``, ``standby``), or if lists
+        lack its VM for some time (``not-listed``). A report without the incarnation does not tell
+        that.
         """
         first_reported_at = self.latest[pool].first_reported_at[row.worker, row.incarnation]
         if (
@@ -121,7 +122,7 @@
             return ""
         vm = self.inventory.vms.get(row.vm)
         if vm is None:
-            return "not-listed" if self.inventory.vms else ""
+            return "not-listed" if self.inventory.is_gone(row.vm) else ""
         if vm.phase in (Phase.MOVING, Phase.MAINTENANCE, Phase.DOWN):
             return vm.phase.value
         pool_config = self.context.config.pools.get(vm.pool) if self.context.config else None
