Stop late starts in a worker's next incarnation although the run is gone

Callers would see a task run again, also after it was done: a start order that was repeated has one answer, the run ends, is stopped or its lease lapses, and the worker restarts.

Cause: late_start_stops had only the runs that were dropped because their VM had ended, and forgot them at the worker's first return.

Now every run that is removed with an unanswered start is remembered for the 15 s that an order may be late, and its stop is sent to each incarnation that appears in this time. The stop rejects the start if it arrives first and ends the run otherwise.

--- a/limpetpulley/pool/state.py
+++ b/limpetpulley/pool/state.py
@@ -68,9 +68,9 @@
         self.checkpoints: dict[TaskId, str] = {}
         self.failed_on: dict[TaskId, set[str]] = {}
         self.orphan_stops: dict[StopOrder, float] = {}
-        # Stops for start orders to ended workers that had no answer or whose run was never listed,
-        # with the local time at which the worker was found to have ended: it may return under the
-        # same identifier.
+        # Stops for the removed runs that a worker's next incarnation may start late: a start order
+        # had no answer, or the worker has ended without listing the run. With the local time at
+        # which the run was removed.
         self.late_start_stops: dict[StopOrder, float] = {}
         self.unreconciled_workers: dict[str, float] = {}
         self.inherited: set[str] = set()
@@ -189,10 +189,9 @@
 
     def _queue_late_start_stops(self, worker_id: str) -> None:
         """Queue stops for the start orders that may reach a worker's next incarnation."""
-        stops = [stop for stop in self.late_start_stops if stop.worker_id == worker_id]
-        for stop in stops:
-            del self.late_start_stops[stop]
-            self.orphan_stops.setdefault(stop, 0.0)
+        for stop in self.late_start_stops:
+            if stop.worker_id == worker_id:
+                self.orphan_stops.setdefault(stop, 0.0)
 
     def _remove_worker(self, worker: Worker) -> None:
         del self.workers[worker.worker_id]
@@ -256,6 +255,8 @@
             orphan for orphan in self.orphan_stops if orphan.worker_id == worker.worker_id
         ]:
             del self.orphan_stops[orphan]
+        if not worker.ended:
+            self._queue_late_start_stops(worker.worker_id)
         stop_superseded_runs(self, worker)
         worker.lease.reset()
         worker.processed_through = worker.stored_through = 0
@@ -369,6 +370,8 @@
         if not is_superseded(self, run):
             self.unset_current_run(run)
         self.workers[run.worker_id].remove(run)
+        if run.unanswered_starts:
+            self.late_start_stops[StopOrder.of(run)] = self.scanned_at
         self.usage[run.team] = self.usage[run.team] - run.charge
 
     def drop_run(self, run: Run, reason: str) -> None:
--- a/limpetpulley/pool/tests/test_planning.py
+++ b/limpetpulley/pool/tests/test_planning.py
@@ -1,5 +1,6 @@
 """Planned orders for gangs, steps with tickets, drained workers and unanswered starts."""
 
+import math
 from collections import Counter
 
 import attrs
@@ -425,3 +426,38 @@
         reply = HoldReply(clock, 1, row, ended)
         process_hold_reply(pool_state, worker, reply, NOW + 1.1, NOW + 1.1)
     assert_that(pool_state.runs, Equals({}))
+
+
+@pytest.mark.parametrize("removed", ["lease-lapsed", "stopped", "ended"])
+@pytest.mark.parametrize("times", [1, 2])
+@pytest.mark.parametrize(
+    ("answers", "seconds", "stops"), [(1, 0.1, 1), (2, 0.1, 0), (1, 20.0, 0)], ids=str
+)
+def test_late_start_is_stopped_in_the_next_incarnation_although_its_run_was_removed(
+    removed, times, answers, seconds, stops
+):
+    pool_state = make_pool_state(Step(1, TASK), workers=("w1",))
+    (order,) = plan(pool_state)
+    run = pool_state.runs[order.task]
+    run.unanswered_starts = 2
+    for _ in range(answers):
+        process_start_reply(pool_state, run, StartOutcome.STARTED, 10.0, NOW)
+    now = NOW + 0.5
+    if removed == "lease-lapsed":
+        now += 60.0
+    elif removed == "stopped":
+        run.phase = RunPhase.STOPPING
+        process_stop_reply(pool_state, StopOrder.of(run), 10.0, NOW)
+        hold(pool_state, "w1", clock=11.0)
+    else:
+        ended = EndedRun(1, order.task, order.number, EndKind.DONE)
+        hold(pool_state, "w1", ended=[ended], clock=11.0)
+    pool_state.workers["w1"].avoid_until = math.inf
+    plan(pool_state, now=now)
+    assert run not in pool_state.runs.values()
+    now += seconds
+    plan(pool_state, now=now)
+    for incarnation in range(2, 2 + times):
+        next_incarnation(pool_state, "w1", incarnation)
+    expected = [StopOrder.of(run)] * stops
+    assert_that(plan(pool_state, now=now + 0.3), Equals(expected))
