Take no answer of an earlier incarnation for the stop of a run

Callers would see a task wait for minutes after its worker restarted: the answer to a stop arrives after the restart was noticed and settles the run by the time of the earlier clock. A stop of a late start that waits for the next incarnation was also taken for done.

Now an answer counts only if the worker is still in the incarnation in which the order was sent. Answers to starts need no such check: a restart has set the phase of each run whose start is unanswered to STOPPING.

Failing before (ownership/tests/test_worker_client.py): test_late_answer_to_a_stop_does_not_settle_the_run_of_the_next_incarnation [True-None] (500, []) == (None, [StopOrder(...)])

--- a/limpetpulley/ownership/tests/test_worker_client.py
+++ b/limpetpulley/ownership/tests/test_worker_client.py
@@ -3,6 +3,7 @@
 import os
 
 import anyio
+import attrs
 import pytest
 
 from ...batch import Amount, EndKind, TaskId
@@ -12,7 +13,7 @@
 from ...pool import PoolState
 from ...store import MemoryStore
 from ...telemetry import EventLog
-from ...workers import EndedRun, HoldReply, ListedWorker, StopOrder
+from ...workers import EndedRun, HoldReply, ListedWorker, Run, StopOrder
 from .. import DaemonContext, Timing
 from ..worker_client import MAX_LEASE_SECONDS, WorkerClient
 from .test_daemons import TASK, JobSpec, Step, run_scenario, two_step_spec
@@ -185,3 +186,28 @@
         return orders.acknowledged
 
     assert anyio.run(scenario) == acknowledged
+
+
+@pytest.mark.parametrize(("restarted", "settled"), [(False, 500.0), (True, None)])
+def test_late_answer_to_a_stop_does_not_settle_the_run_of_the_next_incarnation(restarted, settled):
+    """The next incarnation's clock starts anew."""
+
+    async def scenario():
+        client = make_client(orders := ScriptedOrders([]))
+        pool_state, worker = client.pool_state, client.worker
+        run = Run(STOP.task, STOP.number, "w", Amount(), unanswered_starts=1)
+        pool_state.add_run(run, worker)
+        pool_state.orphan_stops[STOP] = 0.0
+
+        def answer():
+            if restarted:
+                listed = attrs.evolve(worker.listed, incarnation=2)
+                pool_state.update_listed_worker(listed)
+                pool_state.orphan_stops[STOP] = 0.0
+            return 500.0
+
+        orders.answer = answer
+        await client.send(STOP)
+        return run.settled_at and int(run.settled_at), list(pool_state.orphan_stops)
+
+    assert anyio.run(scenario) == (settled, [STOP] if restarted else [])
--- a/limpetpulley/ownership/worker_client.py
+++ b/limpetpulley/ownership/worker_client.py
@@ -178,7 +178,11 @@
                     await self._send_start(order)
                 elif isinstance(order, StopOrder):
                     stop_time = await self.context.orders.stop(listed, order, token)
-                    process_stop_reply(self.pool_state, order, stop_time, self.context.clock.now())
+                    current = self.pool_state.workers.get(order.worker_id)
+                    # The next incarnation may not have received the order, and its time differs.
+                    if current is None or current.listed.incarnation == listed.incarnation:
+                        now = self.context.clock.now()
+                        process_stop_reply(self.pool_state, order, stop_time, now)
                 elif isinstance(order, PaceOrder):
                     await self.context.orders.pace(listed, order, token)
         except (WorkerError, TimeoutError) as error:
