Order no VM away undrained because one list lacks it

Now it must be drained.

Failing before (ownership/tests/test_planner.py): test_vm_that_one_list_lacks_is_ordered_away_only_if_it_is_drained[vms4-1] True != False

--- a/limpetpulley/ownership/pool_reports.py
+++ b/limpetpulley/ownership/pool_reports.py
@@ -200,5 +200,7 @@
     def may_remove(self, vm: FleetVm) -> bool:
         """Return whether a VM may be moved or maintained: it is drained, or its worker changed."""
         listed = self.inventory.vms.get(vm.name)
-        unchanged = listed is not None and listed.worker_id == vm.worker_id
-        return not unchanged or self.is_drained(vm, self.context.clock.now())
+        if listed is not None and listed.worker_id != vm.worker_id:
+            return True
+        # A list that lacks the VM does not tell that its worker has changed.
+        return self.is_drained(vm, self.context.clock.now())
--- a/limpetpulley/ownership/tests/test_planner.py
+++ b/limpetpulley/ownership/tests/test_planner.py
@@ -255,3 +255,29 @@
         return [round(value, 3) for value in planner.handle_report(message).coming_seconds]
 
     assert_that(anyio.run(scenario), Equals(seconds))
+
+
+@pytest.mark.parametrize(
+    ("vms", "runs", "may_remove"),
+    [
+        (listed(worker="old"), 0, True),
+        (listed(worker="old"), 1, False),
+        (listed(worker="new"), 1, True),
+        (OTHERS, 0, True),
+        (OTHERS, 1, False),
+    ],
+)
+def test_vm_that_one_list_lacks_is_ordered_away_only_if_it_is_drained(vms, runs, may_remove):
+    async def scenario():
+        clock, vm_list = ManualClock(100.0), FakeVmList()
+        planner = make_planner(clock, vm_list)
+        vm_list.vms = vms
+        await planner._plan_once()
+        planner.inventory.cordon_sent_at["m-1"] = clock.now()
+        clock.advance(0.1)
+        report = make_report("old")
+        report.workers[0].cordoned, report.workers[0].timed_runs = True, runs
+        planner.handle_report(report)
+        return planner.reports.may_remove(listed(worker="old")[0])
+
+    assert_that(anyio.run(scenario), Equals(may_remove))
