Log a worker's first list and the runs that are not current

An owner writes `worker-reconciled` when a worker's first list arrives, before what it takes from it: a run of an earlier owner that is neither adopted nor orphaned then is not alive. `run-orphaned` tells once of a listed run that is not the current one of its task or not needed, so that it is stopped: the plainest trace of a task that runs twice, which was in no line. An entry is a sign of life only with a later heartbeat: ListedWorker has its number, which takes no part in comparisons. run_overlaps uses all three; an entry, which may be written before the end, does not count there.

--- a/limpetpulley/platform/workers.py
+++ b/limpetpulley/platform/workers.py
@@ -65,6 +65,7 @@
         labels=frozenset(labels),
         data_centre=fields.get_str(source, "zone", ""),
         draining=DRAINING_BY_STATE[state],
+        heartbeat=fields.get_int(source, "seq", 0),
     )
 
 
--- a/limpetpulley/pool/ended_workers.py
+++ b/limpetpulley/pool/ended_workers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from ..workers import Worker
@@ -27,7 +28,8 @@
     if not worker.ended or kind in worker.signs_after_end:
         return
     worker.signs_after_end.add(kind)
-    text = f"{kind} {now - worker.ended_at:.2f} s after its end"
+    seconds = now - worker.ended_at
+    text = f"{kind} {seconds:.2f} s after its end" if math.isfinite(seconds) else kind
     pool_state.on_event(
         PoolEvent(
             "ended-worker-answers",
--- a/limpetpulley/pool/reconcile.py
+++ b/limpetpulley/pool/reconcile.py
@@ -31,9 +31,11 @@
     if run is None:
         run = _adopt(pool_state, worker, listed_run, worker_seconds)
     if run is None or run.number != listed_run.number or run.worker_id != worker.worker_id:
-        pool_state.orphan_stops.setdefault(
-            StopOrder(worker.worker_id, listed_run.task, listed_run.number), 0.0
-        )
+        stop = StopOrder(worker.worker_id, listed_run.task, listed_run.number)
+        pool_state.orphan_stops.setdefault(stop, 0.0)
+        if (stop.task, stop.number) not in worker.reported_orphans:
+            worker.reported_orphans.add((stop.task, stop.number))
+            _report_orphan(pool_state, worker, listed_run, run)
         return
     if run.phase is RunPhase.STARTING:
         run.phase = RunPhase.RUNNING
@@ -90,6 +92,22 @@
     return run
 
 
+def _report_orphan(
+    pool_state: PoolState, worker: Worker, listed_run: ListedRun, current: Run | None
+) -> None:
+    where = f"run {current.number} on {current.worker_id} is current" if current else "not needed"
+    pool_state.on_event(
+        PoolEvent(
+            "run-orphaned",
+            worker.worker_id,
+            listed_run.task,
+            listed_run.number,
+            where,
+            worker.listed.incarnation,
+        )
+    )
+
+
 def _restore(pool_state: PoolState, run: Run) -> Run | None:
     """Make a run the current run of its task again; return None if it is not needed."""
     job = pool_state.jobs.get(run.task.job_id)
--- a/limpetpulley/pool/replies.py
+++ b/limpetpulley/pool/replies.py
@@ -46,6 +46,8 @@
     worker.last_reply_at = now
     worker.lost_at = None
     worker.silent = False
+    if not worker.reconciled:
+        _report_first_list(pool_state, worker, reply)
     worker.reconciled = True
     if worker.runs and not worker.lease.until_seconds:
         worker.lease.assume_extended(pool_state.longest_hold_seconds)
@@ -64,6 +66,18 @@
     pool_state.acknowledge_ends(worker)
 
 
+def _report_first_list(pool_state: PoolState, worker: Worker, reply: HoldReply) -> None:
+    last = max((end.position for end in reply.ended), default=0)
+    pool_state.on_event(
+        PoolEvent(
+            "worker-reconciled",
+            worker.worker_id,
+            detail=f"{len(reply.running)} runs, ends up to position {last}",
+            life=worker.listed.incarnation,
+        )
+    )
+
+
 def process_start_reply(
     pool_state: PoolState, run: Run, outcome: StartOutcome, worker_seconds: float, now: float
 ) -> None:
--- a/limpetpulley/pool/state.py
+++ b/limpetpulley/pool/state.py
@@ -181,7 +181,7 @@
             self.handle_worker_restart(worker, "listed", next_life=listed.incarnation)
             worker.listed = listed
         elif listed.incarnation == worker.listed.incarnation:
-            if listed is not worker.listed:
+            if listed.heartbeat > worker.listed.heartbeat:
                 report_sign_of_life(self, worker, "entry", self.scanned_at)
             worker.listed = listed
         worker.present = True
--- a/limpetpulley/workers/state.py
+++ b/limpetpulley/workers/state.py
@@ -38,6 +38,7 @@
     :param vm: VM that it runs on
     :param labels: labels that steps may require, including its rack
     :param draining: whether it is being drained
+    :param heartbeat: number of the heartbeat that wrote the entry, 0 if not told
     """
 
     worker_id: str
@@ -50,6 +51,7 @@
     labels: frozenset[str] = frozenset()
     data_centre: str = ""
     draining: bool = False
+    heartbeat: int = attrs.field(default=0, eq=False)
 
 
 class RunPhase(enum.Enum):
@@ -188,6 +190,7 @@
         have ended
     :param ended_at: local time of the last scan of all runs before it was found to have ended
     :param signs_after_end: kinds of signs of life that it has shown since, for the log
+    :param reported_orphans: tasks and numbers of the listed runs that were not current, for the log
     :param silent: whether its last call got no reply
     :param last_reply_at: local time of its last reply
     :param lost_at: local time at which a call failed without a timeout, None after a reply
@@ -212,6 +215,7 @@
     ended: bool = False
     ended_at: float = 0.0
     signs_after_end: set[str] = attrs.field(factory=set)
+    reported_orphans: set[tuple[TaskId, int]] = attrs.field(factory=set)
     silent: bool = False
     last_reply_at: float = 0.0
     lost_at: float | None = None
--- a/tests/test_run_overlaps.py
+++ b/tests/test_run_overlaps.py
@@ -81,6 +81,40 @@
             )
             for life, kinds in ((LIFE, ["overlap"]), (NEXT_LIFE, []))
         ),
+        # An entry that was written before the end shows nothing.
+        (
+            [
+                ordered(0.0),
+                worker_line(1.0, "restarted", life=LIFE, detail="vm-ordered"),
+                AGAIN,
+                line(2.5, "ended-worker-answers", worker="w1", life=LIFE, detail="entry 1 s"),
+            ],
+            [],
+        ),
+        # An owner that takes over finds the run on its worker, or not.
+        ([ordered(0.0), worker_line(1.0, "reconciled", "b", life=LIFE), AGAIN], []),
+        (
+            [
+                ordered(0.0),
+                worker_line(1.0, "reconciled", "b", life=LIFE),
+                run(1.1, "adopted", daemon="b"),
+                AGAIN,
+            ],
+            ["overlap"],
+        ),
+        (
+            [
+                ordered(0.0),
+                AGAIN,
+                worker_line(2.1, "reconciled", "b", life=LIFE),
+                run(2.2, "orphaned", daemon="b", detail="run 2 on w2 is current"),
+            ],
+            ["overlap"],
+        ),
+        (
+            [ordered(0.0), dropped(1.0, "lease-lapsed"), AGAIN, run(2.1, "orphaned")],
+            ["overlap"],
+        ),
         ([run(0.0, "adopted"), AGAIN], ["overlap"]),
         ([run(0.0, "adopted"), run(1.0, "adopted", 2, "w2")], []),
         ([ordered(0.0), ended(1.0), AGAIN], ["start-after-done"]),
