Name incarnations in tests that two parts of the work share

The tests of log events and of hastened writes end workers by identifier; a plan names incarnations by now. Runs that no hold has listed are stopped, not dropped, when their worker restarts, so the table of events lists its two runs first. The assertions are unchanged.

--- a/limpetpulley/ownership/tests/test_writer.py
+++ b/limpetpulley/ownership/tests/test_writer.py
@@ -177,7 +177,7 @@
     if state == "removed":
         pool_state.expire_leases(100.0)
     elif state == "ended":
-        pool_state.end_workers(["w1"], "test")
+        pool_state.end_workers([("w1", 1)], "test")
 
 
 @pytest.mark.parametrize("flushing", [False, True])
--- a/limpetpulley/pool/tests/test_events.py
+++ b/limpetpulley/pool/tests/test_events.py
@@ -54,14 +54,15 @@
         EndedRun(7 + place, TaskId(JOB, 0, 0, place), numbers[place], EndKind.DONE)
         for place in range(2)
     )
-    process_hold_reply(pool_state, worker, HoldReply(10.5, FIRST_LIFE, (), ended), NOW, NOW)
+    running = tuple(ListedRun(TaskId(JOB, 0, 0, place), numbers[place]) for place in (2, 3))
+    process_hold_reply(pool_state, worker, HoldReply(10.5, FIRST_LIFE, running, ended), NOW, NOW)
     if stored:
         pool_state.mark_stored(dict(pool_state.progress.newest))
     return pool_state, worker, events
 
 
 def end_by_plan(pool_state, worker):
-    pool_state.end_workers(["w1"], "vm-ordered")
+    pool_state.end_workers([("w1", FIRST_LIFE)], "vm-ordered")
 
 
 def restart_by_entry(pool_state, worker):
