Count an earlier owner's reports for workers that have replied to this one

The delay is needed only for a worker that may have runs which this owner does not know, in an incarnation that it does not know: one that has not replied to it. A report now says so (unreconciled); for all others the incarnation's first report by any owner counts.

The table of the planner's test is played for both kinds of rows; the rows of two owners moved into a test of their own, with one more for a worker that has replied.

--- a/limpetpulley/ownership/pool_reports.py
+++ b/limpetpulley/ownership/pool_reports.py
@@ -24,14 +24,25 @@
     """A pool's latest report.
 
     :param by_worker: its rows, by worker
-    :param first_reported_at: when this owner first reported each incarnation of a worker in it, by
-        local time
+    :param first_reported_at: when each incarnation of a worker in it was first reported, by local
+        time
+    :param reported_by_owner_at: the same for reports of this owner only
     """
 
     message: pb.PoolReport
     received_at: float
     by_worker: dict[str, pb.WorkerReport]
     first_reported_at: dict[tuple[str, int], float]
+    reported_by_owner_at: dict[tuple[str, int], float]
+
+    def known_since(self, row: pb.WorkerReport) -> float:
+        """Return the local time up to which a list of VMs may show an earlier incarnation.
+
+        An earlier owner may have started runs in a later incarnation than this owner knows, as long
+        as the worker has not replied to this one.
+        """
+        times = self.reported_by_owner_at if row.unreconciled else self.first_reported_at
+        return times[row.worker, row.incarnation]
 
 
 class PoolReports:
@@ -53,10 +64,10 @@
         if previous is not None and message.token < previous.message.token:
             return False
         now = self.context.clock.now()
-        # An earlier owner's report does not tell since when this owner knows the incarnation, and
-        # that owner may have started runs in a later one.
-        known = (
-            previous.first_reported_at
+        incarnations = [(row.worker, row.incarnation) for row in message.workers]
+        known = previous.first_reported_at if previous is not None else {}
+        by_owner = (
+            previous.reported_by_owner_at
             if previous is not None and previous.message.token == message.token
             else {}
         )
@@ -64,10 +75,8 @@
             message,
             now,
             {row.worker: row for row in message.workers},
-            {
-                key: known.get(key, now)
-                for key in ((row.worker, row.incarnation) for row in message.workers)
-            },
+            {incarnation: known.get(incarnation, now) for incarnation in incarnations},
+            {incarnation: by_owner.get(incarnation, now) for incarnation in incarnations},
         )
         return True
 
@@ -77,8 +86,7 @@
         :param token: the planner's fencing token
         """
         now, told = self.context.clock.now(), self.ended.get(message.pool, set())
-        first_reported_at = self.latest[message.pool].first_reported_at
-        ended = []
+        report, ended = self.latest[message.pool], []
         for row in message.workers:
             reason = self.end_reason(message.pool, row)
             if not reason:
@@ -96,7 +104,7 @@
                 reason=reason,
                 listed_worker=vm.worker_id if vm is not None else "",
                 list_age=round(now - self.inventory.listed_at, 3),
-                reported_for=round(now - first_reported_at[incarnation], 3),
+                reported_for=round(now - report.known_since(row), 3),
                 token=token,
                 pool=message.pool,
                 pool_token=message.token,
@@ -112,11 +120,11 @@
         lack its VM for some time (``not-listed``). A report without the incarnation does not tell
         that.
         """
-        first_reported_at = self.latest[pool].first_reported_at[row.worker, row.incarnation]
+        known_since = self.latest[pool].known_since(row)
         if (
             not row.vm
             or not row.HasField("incarnation")
-            or self.inventory.listed_at <= first_reported_at + LIST_LAG_SECONDS
+            or self.inventory.listed_at <= known_since + LIST_LAG_SECONDS
         ):
             # A list that is older than the worker still shows the previous worker of the VM.
             return ""
--- a/limpetpulley/ownership/reporting.py
+++ b/limpetpulley/ownership/reporting.py
@@ -149,6 +149,7 @@
                     cordoned=worker.cordoned and worker.reconciled and worker.ends_stored,
                     rack=worker.listed.rack,
                     incarnation=worker.listed.incarnation,
+                    unreconciled=worker.worker_id in pool_state.unreconciled_workers,
                 )
                 for worker in pool_state.workers.values()
                 if worker.present
@@ -156,7 +157,12 @@
                 or worker.worker_id in pool_state.unreconciled_workers
             ]
             + [
-                pb.WorkerReport(worker=name, vm=self.roster.inherited[name].vm, incarnation=0)
+                pb.WorkerReport(
+                    worker=name,
+                    vm=self.roster.inherited[name].vm,
+                    incarnation=0,
+                    unreconciled=True,
+                )
                 for name in pool_state.unreconciled_workers
                 if name not in pool_state.workers and name in self.roster.inherited
             ],
--- a/limpetpulley/ownership/tests/test_planner.py
+++ b/limpetpulley/ownership/tests/test_planner.py
@@ -40,9 +40,15 @@
     return VmPlanner(context, vms, registry, "entry-1", 1, lambda: 0.0)
 
 
-def make_report(*workers, incarnation=1, token=5):
+def make_report(*workers, incarnation=1, token=5, unreconciled=False):
     rows = [
-        pb.WorkerReport(worker=worker, vm="m-1", timed_runs=1, incarnation=incarnation)
+        pb.WorkerReport(
+            worker=worker,
+            vm="m-1",
+            timed_runs=1,
+            incarnation=incarnation,
+            unreconciled=unreconciled,
+        )
         for worker in workers
     ]
     return pb.PoolReport(pool="desk", token=token, workers=rows)
@@ -130,16 +136,15 @@
         (Phase.MOVING, [(100.1, 5, 1), (105.5, 5, 2)], []),
         (Phase.DOWN, [(100.1, 5, 1), (104.0, 5, 2), (105.5, 5, 2)], [("w", 2)]),
         (Phase.DOWN, [(100.1, 5, 1), (104.3, 5, 2), (105.5, 5, 2)], []),
-        # An unlisted worker on the roster, reported by this owner and by an earlier one.
+        # An unlisted worker on the roster.
         (Phase.DOWN, [(100.1, 5, 0), (105.5, 5, 0)], [("w", 0)]),
-        (Phase.DOWN, [(100.1, 5, 0), (105.5, 6, 0)], []),
-        (Phase.DOWN, [(100.1, 5, 1), (105.5, 6, 1)], []),
         # Reports of an earlier build do not tell the incarnation.
         (Phase.DOWN, [(100.1, 5, None), (105.5, 5, None)], []),
     ],
 )
+@pytest.mark.parametrize("unreconciled", [False, True])
 def test_next_incarnation_has_not_ended_by_a_list_older_than_its_first_report(
-    phase, reports, ended
+    phase, reports, ended, unreconciled
 ):
     async def scenario():
         clock, vms = ManualClock(100.0), FakeVmList()
@@ -152,12 +157,37 @@
                 vms.vms = listed(phase, "")
                 await planner._plan_once()
             clock.advance(seconds - clock.now())
-            plan = planner.handle_report(make_report("w", incarnation=incarnation, token=token))
+            report = make_report(
+                "w", incarnation=incarnation, token=token, unreconciled=unreconciled
+            )
+            plan = planner.handle_report(report)
         return ended_workers(plan)
 
     assert_that(anyio.run(scenario), Equals(ended))
 
 
+@pytest.mark.parametrize(
+    ("incarnation", "unreconciled", "ended"),
+    [(1, False, [("w", 1)]), (1, True, []), (0, True, []), (2, False, [])],
+)
+def test_an_earlier_owners_report_counts_for_workers_that_have_replied_to_this_one(
+    incarnation, unreconciled, ended
+):
+    async def scenario():
+        clock, vms = ManualClock(100.0), FakeVmList()
+        planner = make_planner(clock, vms)
+        vms.vms = listed(worker="w")
+        await planner._plan_once()
+        planner.handle_report(make_report("w", incarnation=min(1, incarnation), token=5))
+        clock.advance(5.0)
+        vms.vms = listed(Phase.DOWN, "")
+        await planner._plan_once()
+        report = make_report("w", incarnation=incarnation, token=6, unreconciled=unreconciled)
+        return ended_workers(planner.handle_report(report))
+
+    assert_that(anyio.run(scenario), Equals(ended))
+
+
 @pytest.mark.parametrize(
     ("after", "reason", "other"),
     [
@@ -184,6 +214,9 @@
         clock.advance(2.0)
         vms.vms = after
         await planner._plan_once()
+        # A VM counts as gone once lists have lacked it for some time.
+        clock.advance(2.0)
+        await planner._plan_once()
         clock.advance(0.25)
         lines.clear()
         for _ in range(3):
@@ -197,11 +230,12 @@
     told, later = anyio.run(scenario)
     expected = {
         "worker": "old",
+        "life": 1,
         "vm": "m-1",
         "reason": reason,
         "listed_worker": other,
         "list_age": 0.25,
-        "reported_for": 2.25,
+        "reported_for": 4.25,
         "token": 1,
         "pool": "desk",
         "pool_token": 5,
