Keep an unlisted worker until its ends are stored

Callers would see a task that was done run again: the store is away, an idle worker's entry expires, and the owner removes the worker at once, from the roster as well, although the progress of its last ends isn't stored.

Now such a worker is removed only once its processed ends are stored.

Failing before (pool/tests/test_planning.py): test_unlisted_worker_is_kept_until_its_ends_are_stored[False-True] False != True

--- a/limpetpulley/pool/state.py
+++ b/limpetpulley/pool/state.py
@@ -281,7 +281,9 @@
                 for run in list(worker.runs.values()):
                     self.drop_run(run, "lease-lapsed")
             expired = worker.ended or worker.lease.has_lapsed(now)
-            if not worker.present and expired and not worker.runs:
+            # A worker whose ends are not stored must stay on the roster for the next owner.
+            is_stored = worker.stored_through >= worker.processed_through
+            if not worker.present and expired and is_stored and not worker.runs:
                 if worker.lost_starts:
                     record_crash(self, worker)
                 life, ends = worker.listed.incarnation, self.end_positions(worker)
--- a/limpetpulley/pool/tests/test_planning.py
+++ b/limpetpulley/pool/tests/test_planning.py
@@ -461,3 +461,36 @@
         next_incarnation(pool_state, "w1", incarnation)
     expected = [StopOrder.of(run)] * stops
     assert_that(plan(pool_state, now=now + 0.3), Equals(expected))
+
+
+@pytest.mark.parametrize("listed_by", ["same", "other"])
+def test_end_that_is_listed_again_is_acknowledged_only_once_it_is_stored(listed_by):
+    """By a worker that was removed and is listed again, or of a copy on another worker."""
+    pool_state = make_pool_state(Step(1, TASK))
+    ended = [EndedRun(1, task(0), 1, EndKind.DONE)]
+    hold(pool_state, "w1", ended=ended, clock=10.5)
+    name = "w1" if listed_by == "same" else "w2"
+    listed = pool_state.workers[name].listed
+    if listed_by == "same":
+        pool_state.mark_unlisted("w1")
+        pool_state.expire_leases(NOW + 0.1)
+    worker = pool_state.update_listed_worker(listed)
+    hold(pool_state, name, ended=ended, clock=11.0)
+    before = worker.stored_through
+    pool_state.mark_stored({JOB: pool_state.progress.newest[JOB]})
+    assert_that((before, worker.stored_through), Equals((0, 1)))
+
+
+@pytest.mark.parametrize(("stored", "kept"), [(False, True), (True, False)])
+def test_unlisted_worker_is_kept_until_its_ends_are_stored(stored, kept):
+    """The next owner must find it on the roster: it has the only other record of the end."""
+    pool_state = make_pool_state(Step(1, TASK), workers=("w1",))
+    hold(pool_state, "w1", ended=[EndedRun(1, task(0), 1, EndKind.DONE)], clock=10.5)
+    if stored:
+        pool_state.mark_stored({JOB: pool_state.progress.newest[JOB]})
+    pool_state.mark_unlisted("w1")
+    pool_state.expire_leases(NOW + 0.1)
+    assert_that("w1" in pool_state.workers, Equals(kept))
+    pool_state.mark_stored({JOB: pool_state.progress.newest[JOB]})
+    pool_state.expire_leases(NOW + 0.2)
+    assert_that("w1" in pool_state.workers, Equals(False))
