Restart a task whose worker restarts and never answers

Callers would see a job never end: a run that must be stopped in a worker's next incarnation waits for that incarnation's answer without a limit, because its lease is not known before. If the owner cannot reach it, and the list of VMs shows it as up, the task never starts again.

Nothing extends the lease of an incarnation that has not replied, so its runs are killed at the latest 15 s (the longest delay of an order) and the longest lease, by a slow clock, after the restart was seen: about 25 s. From then on the lease counts as lapsed; a worker that is no longer listed is removed.

Failing before (pool/tests/test_planning.py): test_task_restarts_if_the_next_incarnation_of_its_worker_never_answers [False-26.0-True], [True-26.0-True] [] != ['w2']

--- a/limpetpulley/pool/replies.py
+++ b/limpetpulley/pool/replies.py
@@ -44,7 +44,7 @@
         worker.listed = attrs.evolve(worker.listed, incarnation=reply.incarnation)
     worker.lease.record_reply(reply.worker_seconds, now)
     worker.last_reply_at = now
-    worker.lost_at = None
+    worker.lost_at = worker.restarted_at = None
     worker.silent = False
     if not worker.reconciled:
         _report_first_list(pool_state, worker, reply)
--- a/limpetpulley/pool/state.py
+++ b/limpetpulley/pool/state.py
@@ -13,6 +13,7 @@
 
 from ..batch import Amount, Job, TaskId
 from ..workers import ListedWorker, Run, RunPhase, StopOrder, Worker
+from ..workers.lease import MIN_CLOCK_RATE
 from .crashes import has_crashed, record_crash, suspend_judgement
 from .ended_workers import report_sign_of_life
 from .events import EndPositions, PoolEvent
@@ -261,6 +262,7 @@
         worker.lease.reset()
         worker.processed_through = worker.stored_through = 0
         worker.reconciled = False
+        worker.restarted_at = max(self.scanned_at, worker.last_reply_at)
         self.progress.remove_worker(worker.worker_id)
         self.on_event(
             PoolEvent(
@@ -276,11 +278,11 @@
     def expire_leases(self, now: float) -> None:
         """Drop the runs whose leases must have expired, and the workers that no longer exist."""
         for worker in list(self.workers.values()):
-            if worker.runs and worker.lease.has_lapsed(now):
+            if worker.runs and self._has_lapsed(worker, now):
                 suspend_judgement(self, worker)
                 for run in list(worker.runs.values()):
                     self.drop_run(run, "lease-lapsed")
-            expired = worker.ended or worker.lease.has_lapsed(now)
+            expired = worker.ended or self._has_lapsed(worker, now)
             # A worker whose ends are not stored must stay on the roster for the next owner.
             is_stored = worker.stored_through >= worker.processed_through
             if not worker.present and expired and is_stored and not worker.runs:
@@ -302,6 +304,17 @@
                 )
             )
 
+    def _has_lapsed(self, worker: Worker, now: float) -> bool:
+        """Return whether all runs on a worker must have been killed.
+
+        Nothing extends the lease of an incarnation that has not replied, so there it lapses some
+        time after the last start order that may have reached it.
+        """
+        if worker.restarted_at is None:
+            return worker.lease.has_lapsed(now)
+        longest = MAX_ORDER_DELAY_SECONDS + self.longest_hold_seconds / MIN_CLOCK_RATE
+        return now - worker.restarted_at > longest
+
     # Runs
 
     def allocate_run_number(self) -> int:
--- a/limpetpulley/pool/tests/test_planning.py
+++ b/limpetpulley/pool/tests/test_planning.py
@@ -494,3 +494,23 @@
     pool_state.mark_stored({JOB: pool_state.progress.newest[JOB]})
     pool_state.expire_leases(NOW + 0.2)
     assert_that("w1" in pool_state.workers, Equals(False))
+
+
+@pytest.mark.parametrize(("seconds", "restarted"), [(24.0, False), (26.0, True)])
+@pytest.mark.parametrize("answered", [False, True])
+def test_task_restarts_if_the_next_incarnation_of_its_worker_never_answers(
+    answered, seconds, restarted
+):
+    """An order may be late by 15 s, and the lease is 10 s at most, on a slow clock."""
+    pool_state = make_pool_state(Step(1, TASK))
+    (order,) = plan(pool_state)
+    if answered:
+        run = pool_state.runs[order.task]
+        process_start_reply(pool_state, run, StartOutcome.STARTED, 10.2, NOW)
+    other = "w2" if order.worker_id == "w1" else "w1"
+    next_incarnation(pool_state, order.worker_id)
+    for now in (NOW + seconds - 1.0, NOW + seconds):
+        hold(pool_state, other, clock=10.0 + now - NOW, now=now)
+        orders = plan(pool_state, now=now)
+    starts = [order.worker_id for order in orders if isinstance(order, StartOrder)]
+    assert_that(starts, Equals([other] * restarted))
--- a/limpetpulley/workers/state.py
+++ b/limpetpulley/workers/state.py
@@ -194,6 +194,8 @@
     :param silent: whether its last call got no reply
     :param last_reply_at: local time of its last reply
     :param lost_at: local time at which a call failed without a timeout, None after a reply
+    :param restarted_at: local time at which its incarnation was found to have started, until that
+        incarnation replies; None for the first one
     :param processed_through: position of the last ended run that was processed
     :param stored_through: position up to which ended runs are stored and may be acknowledged
     :param list_truncated: whether its last reply may have left out ended runs
@@ -219,6 +221,7 @@
     silent: bool = False
     last_reply_at: float = 0.0
     lost_at: float | None = None
+    restarted_at: float | None = None
     processed_through: int = 0
     stored_through: int = 0
     list_truncated: bool = False
