Check in the state machine that no end is in a worker's list alone

The state machine of an owner now checks that each `done` end that is acknowledged, or that the list of a worker that may be taken still holds, is part of the stored progress; a second machine lets owner and workers work for some rounds while nothing is stored, unlists workers, and restarts none.

--- a/limpetpulley/pool/tests/test_owner_stateful.py
+++ b/limpetpulley/pool/tests/test_owner_stateful.py
@@ -5,6 +5,8 @@
 and orders may be executed late or twice.
 """
 
+import math
+
 import attrs
 from hypothesis import settings
 from hypothesis import strategies as st
@@ -106,8 +108,16 @@
     def start_owner(self):
         self.token += 1
         self.pool_state = PoolState(
-            "desk", self.token, STOP_SECONDS, LONGEST_HOLD_SECONDS, LEASE_SECONDS
+            "desk",
+            self.token,
+            STOP_SECONDS,
+            LONGEST_HOLD_SECONDS,
+            LEASE_SECONDS,
+            self.note_event,
         )
+        # Workers whose lease has lapsed since their last reply: their tasks may start elsewhere
+        # although they have ended there.
+        self.lapsed = set()
         for job_id in self.descriptions:
             self.pool_state.add_job(self.read_job(job_id), 0.0, inherited=True)
         for worker in self.workers.values():
@@ -116,6 +126,10 @@
             until = self.clock.now() + 2 * LONGEST_HOLD_SECONDS
             self.pool_state.unreconciled_workers = dict.fromkeys(self.workers, until)
 
+    def note_event(self, change):
+        if change.detail == "lease-lapsed":
+            self.lapsed.add(change.worker_id)
+
     def flush(self):
         jobs = self.pool_state.unstored_jobs()
         versions = {job.key.job_id: self.pool_state.progress.newest[job.key.job_id] for job in jobs}
@@ -129,12 +143,24 @@
         until = None
         if worker.reconciled and worker.lease.worker_seconds is not None:
             until = worker.lease.extend(now, LEASE_SECONDS)
+        self.check_ends_are_stored(name, worker.stored_through)
         try:
             reply = self.workers[name].hold(self.token, worker.stored_through, until)
         except (WorkerError, NotOwnerError):
             return
         if answered:
             process_hold_reply(self.pool_state, worker, reply, now, now)
+            self.lapsed.discard(name)
+
+    def check_ends_are_stored(self, name, through):
+        """Check that each end `done` up to a position is part of the stored progress."""
+        worker = self.pool_state.workers[name]
+        if self.workers[name].listed.incarnation != worker.listed.incarnation:
+            return
+        for end in self.workers[name].ended:
+            job = self.read_job(end.task.job_id)
+            if end.position <= through and end.kind is EndKind.DONE:
+                assert end.task in job.done, f"{end} is in no other record"
 
     def deliver(self, pending_order):
         worker = self.workers[pending_order.worker_id]
@@ -244,6 +270,13 @@
     def set_worker_reachable(self, name, alive):
         self.workers[name].alive = alive
 
+    @invariant()
+    def workers_that_may_be_taken_have_no_other_record_of_an_end(self):
+        for name, worker in self.pool_state.workers.items():
+            known = worker.reconciled and name not in self.lapsed
+            if known and worker.ends_stored and not worker.runs:
+                self.check_ends_are_stored(name, math.inf)
+
     @invariant()
     def workers_are_not_overcommitted(self):
         for worker in self.workers.values():
@@ -289,5 +322,29 @@
         ) and not any(worker.runs or worker.ended for worker in self.workers.values())
 
 
+class LastingWorkers(OwnedPool):
+    """Workers that don't restart, are unlisted at times and work while nothing is stored."""
+
+    restart_worker = None
+
+    @rule(rounds=st.integers(1, 6))
+    def work(self, rounds):
+        """Let the owner and the workers work undisturbed, while nothing is stored."""
+        for _ in range(rounds):
+            for name in self.workers:
+                self.hold(name, True)
+            self.plan_once([])
+            self.clock.advance(0.3)
+
+    @rule(name=st.sampled_from(["w1", "w2"]))
+    def unlist_and_list_worker(self, name):
+        """Unlist a worker, as after an outage in which its entry expired, and list it again."""
+        self.pool_state.mark_unlisted(name)
+        self.pool_state.expire_leases(self.clock.now())
+        self.pool_state.update_listed_worker(self.workers[name].listed).in_roster = True
+
+
 TestOwnedPool = OwnedPool.TestCase
 TestOwnedPool.settings = settings(max_examples=60, stateful_step_count=40, deadline=None)
+TestLastingWorkers = LastingWorkers.TestCase
+TestLastingWorkers.settings = TestOwnedPool.settings
