Go on claiming pools after an owner lost its claim in a hand-over

The error ended the loop that claims pools, which was started again a second later, so that pools that had lost their owner waited a second longer.

The hand-over now takes that error as a planned stop does: a log line, and on.

Failed before: test_daemon_goes_on_claiming_pools_after_an_owner_lost_its_claim_in_a_handover, NotOwnerError: claim of pool desk is no longer valid.

--- a/limpetpulley/ownership/node.py
+++ b/limpetpulley/ownership/node.py
@@ -234,8 +234,7 @@
             return
         self.imbalanced_since = None
         owner = self.owned[pool]
-        with anyio.move_on_after(HANDOVER_TIMEOUT_SECONDS):
-            await owner.shut_down()
+        await self._finish_in_time(owner.shut_down)
         if not owner.scope.cancel_called:
             # Until its progress is stored, nobody else knows the ends of its runs.
             self.context.log.write("handover-incomplete", pool=pool, reason="progress not stored")
--- a/limpetpulley/ownership/tests/test_unstored_ends.py
+++ b/limpetpulley/ownership/tests/test_unstored_ends.py
@@ -8,7 +8,7 @@
 from testtools.matchers import Equals
 
 from ...batch import JobSpec, Step
-from ...exception import StoreUnavailable
+from ...exception import NotOwnerError, StoreUnavailable
 from ...fleet.vms import WaveOrder
 from .. import node as node_module
 from .test_daemons import TASK, run_scenario
@@ -82,3 +82,20 @@
     kept, unstored, handed_over, states = run_scenario(scenario)
     assert_that((kept, unstored, handed_over), Equals((True, 1, True)))
     assert_that([str(state) for state in states.values()], Equals(["completed"]))
+
+
+def test_daemon_goes_on_claiming_pools_after_an_owner_lost_its_claim_in_a_handover(monkeypatch):
+    async def scenario(deployment):
+        name = deployment.fleet.owner_of("desk")
+        node, owner = deployment.fleet.daemons[name].node, find_owner(deployment, name, "desk")
+
+        async def flush():
+            raise NotOwnerError("claim of pool desk is no longer valid")
+
+        monkeypatch.setattr(node_module, "choose_release", lambda directory, local, jobs: "desk")
+        owner.writer.flush = flush
+        node.imbalanced_since = 0.0
+        await node._rebalance()
+        return owner.scope.cancel_called
+
+    assert_that(run_scenario(scenario), Equals(False))
