Order no VM of a wave again while its order is in flight

The platform would see two planners order one VM within the lease of VM orders, with no lost answer near (rule ONE), and calls that are refused or needless.

Cause: a VM whose order is in flight stays among those that are drained, so that it remains cordoned, and maintenance_orders issued a further order for it each planning round (0.1 s); moves leave out what is in flight. All orders of a VM share one intent and one entry of in_flight. The first that is answered closes both, while another may still be on its way (a slow platform, a paused process); the record then says less than the time that the next planner has to wait.

--- a/limpetpulley/ownership/tests/test_succession.py
+++ b/limpetpulley/ownership/tests/test_succession.py
@@ -290,6 +290,12 @@
         assert simulation.vms.most_down <= 4
 
 
+@pytest.mark.parametrize("seed", [109, 123, 130, 131, 154])
+def test_vm_of_a_wave_is_not_ordered_again_while_its_order_is_in_flight(seed):
+    """The first answer closes the intent of all orders, and the next planner does not wait."""
+    assert_that(find_conflicts(simulate_planners(seed, wave=True).sent_orders), Equals([]))
+
+
 def test_the_next_planner_orders_other_vms_without_delay():
     """A successor that waited for the whole lease of 3 s would miss most of a peak."""
     delays = []
--- a/limpetpulley/ownership/vm_selector.py
+++ b/limpetpulley/ownership/vm_selector.py
@@ -129,6 +129,8 @@
             vm = self.inventory.vms.get(name)
             if kind != WAVE_REASON or vm is None or not self._may_be_ordered(vm):
                 continue
+            if name in self.dispatcher.in_flight:
+                continue
             if self.reports.is_drained(vm, now):
                 orders.append(VmOrder(vm, Urgency.UPKEEP, wave=wave))
         return orders
