Store a completed wave again if the store does not answer

Now the tracker's loop writes it, which repeats until a write is answered, as it does for the VMs that are done; it is the only one that writes a wave, so that no two writes of one wave are in flight.

--- a/limpetpulley/ownership/wave_tracker.py
+++ b/limpetpulley/ownership/wave_tracker.py
@@ -73,11 +73,10 @@
                 wave = self.waves[name] = await self._load_wave(order)
                 self._restore_maintenance(wave)
                 if not wave.completed:
-                    await self._store_wave(wave)
+                    self.dispatcher.unsaved_waves.add(name)
             if not wave.completed and is_finished(wave, vms):
-                self.dispatcher.unsaved_waves.discard(name)
                 wave.completed = True
-                await self._store_wave(wave)
+                self.dispatcher.unsaved_waves.add(name)
                 self.context.log.write("wave-completed", wave=name, vms=len(order.vms))
 
     def _restore_maintenance(self, wave: WaveProgress) -> None:
