Use no returned share while its write is in flight or in doubt

A team could run more than its limit (rule QUOTA): an owner that returns a part of its pool's share went on with the old share until it had read the new record, for 0.6 s and more if the answer is lost, while another pool takes what the store has as free.

Now the pool uses the smaller one of both shares until the record is known to be newer than the revision that the write compares. Such a record is written again also if the share stays the same, since that settles the earlier write.

--- a/limpetpulley/ownership/share_manager.py
+++ b/limpetpulley/ownership/share_manager.py
@@ -105,6 +105,7 @@
         keys = self.context.keys
         compares = [Compare(keys.share(change.team), change.revision) for change in changes]
         writes = [Put(keys.share(change.team), encode_shares(change.pools)) for change in changes]
+        self.shares.mark_pending(changes)
         if await self.writer.commit(compares, writes):
             await self.load()
             self._log_changes(changes)
--- a/limpetpulley/quota/shares.py
+++ b/limpetpulley/quota/shares.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 
 import attrs
 
@@ -59,11 +59,30 @@
         self.pool = pool
         self.limits: dict[str, Amount] = {}
         self.records: dict[str, ShareRecord] = {}
+        # The smallest share of this pool in changes that may have been applied, or may still be,
+        # with the revision that the record then had.
+        self.pending: dict[str, ShareRecord] = {}
 
     def set_limits(self, limits: Mapping[str, Amount]) -> None:
         """Set the teams' upper limits; a dimension of 0 is unlimited."""
         self.limits = {team: limit for team, limit in limits.items() if any(_triple(limit))}
 
+    def mark_pending(self, changes: Iterable[ShareChange]) -> None:
+        """Note changes that are about to be written.
+
+        Until the record is known to be newer, the pool uses the smaller one of both shares: another
+        pool may already have taken what this one has returned.
+        """
+        for change in changes:
+            share = change.pools.get(self.pool, (0, 0, 0))
+            if self._is_pending(change.team, change.revision):
+                share = _smaller(share, self.pending[change.team].pools[self.pool])
+            self.pending[change.team] = ShareRecord(change.revision, {self.pool: share})
+
+    def _is_pending(self, team: str, revision: int) -> bool:
+        pending = self.pending.get(team)
+        return pending is not None and pending.revision == revision
+
     def allows(self, team: str, running: Amount, more: Amount) -> bool:
         """Return whether a team may run more in this pool.
 
@@ -92,6 +111,8 @@
         """Return what a team may run here, scaled down while the shares exceed a lowered limit."""
         record = self.records.get(team, ShareRecord())
         own_share = record.pools.get(self.pool, (0, 0, 0))
+        if self._is_pending(team, record.revision):
+            own_share = _smaller(own_share, self.pending[team].pools[self.pool])
         limit = _triple(self.limits[team])
         sums = [sum(row[dimension] for row in record.pools.values()) for dimension in range(3)]
         scaled = [
@@ -127,7 +148,7 @@
             record = self.records.get(team, ShareRecord())
             old = record.pools.get(self.pool, (0, 0, 0))
             new = self._target_share(team, record, old, running, wanted)
-            if new != old:
+            if new != old or self._is_pending(team, record.revision):
                 pools = {**record.pools, self.pool: new}
                 if not any(new):
                     del pools[self.pool]
@@ -167,3 +188,7 @@
 
 def _triple(amount: Amount) -> ResourceTriple:
     return amount.cpu_millicores, amount.memory_mb, amount.accelerators
+
+
+def _smaller(first: ResourceTriple, second: ResourceTriple) -> ResourceTriple:
+    return min(first[0], second[0]), min(first[1], second[1]), min(first[2], second[2])
