--- a/limpetpulley/ownership/intents.py
+++ b/limpetpulley/ownership/intents.py
@@ -157,6 +157,8 @@
         key = self.context.keys.succession
         if self.revision < 0:
             await self._find_revision()
+        # Without an answer, either record may be stored, and another write is due.
+        self.stored, self.stored_others = {}, True
         # The key's revision is a condition too, so that a delayed write overwrites no later one.
         result = await self.context.store.commit(
             [self.claim, Compare(key, self.revision)], [Put(key, value)]
