Let an attempt to read a configuration take longer after it has failed

Callers saw: 503 no-config from every daemon with a slow link, from a restart until the end.

Cause (one of two shown here): an attempt to confirm the copy is cut after 0.5 s and the next one begins at the first byte again.

Evidence, on the code before: FAILED test_entries_that_take_longer_than_an_attempt_are_read[0.9] FAILED test_entries_that_take_longer_than_an_attempt_are_read[1.4] and with longer attempts, but requests that wait for their end: test_a_request_does_not_wait_for_a_long_attempt: assert 4.0 <= (1.01 * 0.5)

Change: the time of an attempt doubles after each failed one, from 0.5 up to 4 s; a request still waits 0.5 s at most for an attempt under way.

--- a/limpetpulley/ownership/freshness.py
+++ b/limpetpulley/ownership/freshness.py
@@ -23,8 +23,10 @@
 REFRESH_AGE_FRACTION = 0.5
 #: interval between two checks of the age, in seconds
 CHECK_INTERVAL_SECONDS = 0.1
-#: timeout of an attempt to confirm the copy, in seconds
+#: timeout of an attempt to confirm the copy, in seconds, doubled after each failed attempt up to
+#: the maximum, because on a slow link the entries take longer than the first
 CONFIRM_TIMEOUT_SECONDS = 0.5
+MAX_CONFIRM_TIMEOUT_SECONDS = 4.0
 #: time that the store has for its answer before other daemons are asked too, in seconds
 STORE_HEAD_START_SECONDS = 0.1
 #: pause after an attempt that left the copy too old, in seconds
@@ -128,6 +130,7 @@
         self.ask_peers = ask_peers
         self.log = log
         self.failed = False
+        self.attempt_seconds = CONFIRM_TIMEOUT_SECONDS
         # Set at the end of the attempt that is under way, None if there is none.
         self.attempt_ended: anyio.Event | None = None
 
@@ -165,14 +168,20 @@
         attempt that is under way when the store answers again.
         """
         while not self.is_fresh() and not self.failed:
-            if self.attempt_ended is not None:
-                await self.attempt_ended.wait()
-            else:
+            if self.attempt_ended is None:
                 await self._attempt()
+            elif not await self._wait_for(self.attempt_ended):
+                return self.is_fresh()
         if not self.is_usable() and self.attempt_ended is not None:
-            await self.attempt_ended.wait()
+            await self._wait_for(self.attempt_ended)
         return self.is_fresh()
 
+    async def _wait_for(self, attempt_ended: anyio.Event) -> bool:
+        """Wait for an attempt, but not as long as a slow one takes; return whether it has ended."""
+        with anyio.move_on_after(CONFIRM_TIMEOUT_SECONDS):
+            await attempt_ended.wait()
+        return attempt_ended.is_set()
+
     def _is_recent(self) -> bool:
         return self.age() <= REFRESH_AGE_FRACTION * self.limit()
 
@@ -181,7 +190,7 @@
         ended = self.attempt_ended = anyio.Event()
         age, started_at = self.age(), self.mirror.clock.now()
         try:
-            with anyio.move_on_after(CONFIRM_TIMEOUT_SECONDS):
+            with anyio.move_on_after(self.attempt_seconds):
                 async with anyio.create_task_group() as tasks:
                     tasks.start_soon(self._ask_peers, tasks.cancel_scope)
                     await self._read()
@@ -190,7 +199,10 @@
         finally:
             self.attempt_ended = None
             ended.set()
-        if not self._is_recent():
+        if self._is_recent():
+            self.attempt_seconds = CONFIRM_TIMEOUT_SECONDS
+        else:
+            self.attempt_seconds = min(2 * self.attempt_seconds, MAX_CONFIRM_TIMEOUT_SECONDS)
             seconds = round(self.mirror.clock.now() - started_at, 2)
             self.log.write("config-attempt-failed", age=round_age(self.age()), seconds=seconds)
         self._record_outcome(age)
