Take no lease for lapsed that a call to an earlier incarnation may extend

Callers would see a task run twice: the owner dropped a run as killed by its lease, started the task elsewhere, and the run ended `done` on its worker and was listed later.

Cause: a worker that starts again under its identifier begins its clock anew. A hold or start to the earlier incarnation that the next one executes (late, or because it has started just before) requests a lease until a time of the earlier clock, mostly a larger one, and the worker grants up to its longest lease. The owner's record of the lease was reset with the restart, so that it took the lease for lapsed up to 5.8 s early.

Change: the lease that was requested from earlier incarnations is kept beside the current one until no call can give it any more, or the worker's clock has passed it. Only the runs of a worker that falls silent within 25 s after it has started again wait longer.

Ruled out: an earlier owner's calls to an earlier incarnation, which this owner doesn't know.

--- a/limpetpulley/pool/state.py
+++ b/limpetpulley/pool/state.py
@@ -13,7 +13,7 @@
 
 from ..batch import Amount, Job, TaskId
 from ..workers import ListedWorker, Run, RunPhase, StopOrder, Worker
-from ..workers.lease import MIN_CLOCK_RATE
+from ..workers.lease import MIN_CLOCK_RATE, EarlierLease
 from .crashes import has_crashed, record_crash, suspend_judgement
 from .ended_workers import report_sign_of_life
 from .events import EndPositions, PoolEvent
@@ -73,6 +73,8 @@
         # had no answer, or the worker has ended without listing the run. With the local time at
         # which the run was removed.
         self.late_start_stops: dict[StopOrder, float] = {}
+        # Leases that calls to earlier incarnations may give the current ones, by worker.
+        self.earlier_leases: dict[str, EarlierLease] = {}
         self.unreconciled_workers: dict[str, float] = {}
         self.inherited: set[str] = set()
         self.progress = ProgressLedger()
@@ -195,9 +197,25 @@
                 self.orphan_stops.setdefault(stop, 0.0)
 
     def _remove_worker(self, worker: Worker) -> None:
+        self._note_earlier_lease(worker)
         del self.workers[worker.worker_id]
         self.progress.remove_worker(worker.worker_id)
 
+    def _note_earlier_lease(self, worker: Worker) -> None:
+        """Note that a late call may give a worker's next incarnation this one's lease."""
+        until_seconds = worker.lease.until_seconds
+        if not until_seconds:
+            return
+        earlier = self.earlier_leases.get(worker.worker_id)
+        if earlier is not None:
+            until_seconds = max(until_seconds, earlier.until_seconds)
+        expired_at = max(self.scanned_at, worker.last_reply_at) + self._longest_late_lease()
+        self.earlier_leases[worker.worker_id] = EarlierLease(until_seconds, expired_at)
+
+    def _longest_late_lease(self) -> float:
+        """Return how long after a call a lease may last that it gives late, in seconds."""
+        return MAX_ORDER_DELAY_SECONDS + self.longest_hold_seconds / MIN_CLOCK_RATE
+
     def mark_unlisted(self, worker_id: str) -> None:
         """Mark a worker as missing from the platform's list; its runs may still be alive."""
         if worker_id in self.workers:
@@ -259,6 +277,7 @@
         if not worker.ended:
             self._queue_late_start_stops(worker.worker_id)
         stop_superseded_runs(self, worker)
+        self._note_earlier_lease(worker)
         worker.lease.reset()
         worker.processed_through = worker.stored_through = 0
         worker.reconciled = False
@@ -277,6 +296,11 @@
 
     def expire_leases(self, now: float) -> None:
         """Drop the runs whose leases must have expired, and the workers that no longer exist."""
+        self.earlier_leases = {
+            name: earlier
+            for name, earlier in self.earlier_leases.items()
+            if earlier.expired_at > now
+        }
         for worker in list(self.workers.values()):
             if worker.runs and self._has_lapsed(worker, now):
                 suspend_judgement(self, worker)
@@ -308,12 +332,15 @@
         """Return whether all runs on a worker must have been killed.
 
         Nothing extends the lease of an incarnation that has not replied, so there it lapses some
-        time after the last start order that may have reached it.
+        time after the last start order that may have reached it. A call to an earlier incarnation
+        extends the lease of the one that it reaches.
         """
-        if worker.restarted_at is None:
-            return worker.lease.has_lapsed(now)
-        longest = MAX_ORDER_DELAY_SECONDS + self.longest_hold_seconds / MIN_CLOCK_RATE
-        return now - worker.restarted_at > longest
+        if worker.restarted_at is not None:
+            return now - worker.restarted_at > self._longest_late_lease()
+        earlier = self.earlier_leases.get(worker.worker_id)
+        return worker.lease.has_lapsed(now) and (
+            earlier is None or earlier.has_lapsed(worker.lease, now)
+        )
 
     # Runs
 
--- a/limpetpulley/workers/lease.py
+++ b/limpetpulley/workers/lease.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-__all__ = ["MIN_CLOCK_RATE", "WorkerLease"]
+__all__ = ["MIN_CLOCK_RATE", "EarlierLease", "WorkerLease"]
 
 #: lowest rate of a worker's clock relative to real time, as the platform specifies for workers
 MIN_CLOCK_RATE = 0.98
@@ -67,3 +67,23 @@
         """Discard the worker's time and lease, because its new incarnation has a new clock."""
         self.worker_seconds = None
         self.until_seconds = 0.0
+
+
+@attrs.frozen
+class EarlierLease:
+    """Lease that calls meant for earlier incarnations of a worker may still give its current one.
+
+    :param until_seconds: latest worker time that these calls request; each incarnation's clock
+        starts anew
+    :param expired_at: local time from which on no run can live under it
+    """
+
+    until_seconds: float
+    expired_at: float
+
+    def has_lapsed(self, lease: WorkerLease, now: float) -> bool:
+        """Return whether no run can live under it any more.
+
+        :param lease: the current incarnation's lease
+        """
+        return now >= self.expired_at or lease.min_worker_time(now) >= self.until_seconds
