Acknowledge a position again only if the last reply still listed ends

Callers would see a task run twice: a worker that had started again under its identifier forgot ends that it had listed to nobody, so that their tasks were started again.

Cause: every hold carried the position up to which ends are stored, also when the worker had forgotten them already. A hold that is carried out late may reach the next incarnation, which counts its ends from 1; the worker forgets as many as its predecessor had ended.

The new row on the code before: FAILED ...test_worker_client.py::test_no_end_is_acknowledged_to_an_incarnation_that_has_not_listed_it assert [0, 2, 2, 2, 2] == [0, 2, 0, 0, 2]

Change: a hold carries the position only if the last reply listed ends; otherwise the worker has nothing to forget.

The worker cannot tell for which incarnation a call is meant.

--- a/limpetpulley/ownership/tests/test_worker_client.py
+++ b/limpetpulley/ownership/tests/test_worker_client.py
@@ -157,6 +157,7 @@
     EndedRun(position, TaskId("a", 0, 0, position), 1, EndKind.DONE) for position in (1, 2)
 )
 REPLY = HoldReply(10.0, 1, (), ENDED)
+EMPTY_REPLY = HoldReply(10.0, 1, (), ())
 NEXT_REPLY = HoldReply(0.5, 2, (), ENDED[:1])
 STOP = StopOrder("w", TaskId("a", 0, 0, 9), 1)
 
@@ -170,6 +171,8 @@
         # A stop order fails between two holds.
         ([REPLY, "stop", WorkerError("lost"), REPLY, REPLY], [0, 0, 2]),
         ([REPLY, "stop", 11.0, REPLY], [0, 2]),
+        # A hold that is carried out late may reach the next incarnation.
+        ([REPLY, EMPTY_REPLY, EMPTY_REPLY, REPLY, EMPTY_REPLY], [0, 2, 0, 0, 2]),
     ],
 )
 def test_no_end_is_acknowledged_to_an_incarnation_that_has_not_listed_it(calls, acknowledged):
--- a/limpetpulley/ownership/worker_client.py
+++ b/limpetpulley/ownership/worker_client.py
@@ -83,6 +83,8 @@
         self.failed_calls = 0
         # Failed calls before the last hold that was answered.
         self.failed_before_reply = 0
+        # Whether that reply has listed ends; the worker forgets those that are acknowledged.
+        self.has_listed_ends = False
 
     async def run(self) -> None:
         """Send holds until the worker is removed from the pool state or has ended."""
@@ -112,10 +114,11 @@
             lease_until = worker.lease.extend(now, lease_seconds)
         wait = self.hold_wait_seconds() if worker.reconciled and not self.failing else 0.0
         # A call may have failed because the worker has restarted, and its next incarnation counts
-        # its ends anew.
+        # its ends anew. A hold that is executed late may reach it as well, so no position is
+        # acknowledged again without need.
         failed_calls = self.failed_calls
         confirmed = failed_calls == self.failed_before_reply
-        acknowledged = worker.stored_through if confirmed else 0
+        acknowledged = worker.stored_through if confirmed and self.has_listed_ends else 0
         try:
             with anyio.fail_after(wait + ANSWER_TIMEOUT_SECONDS):
                 reply = await self.context.orders.hold(
@@ -129,6 +132,7 @@
                 worker.lost_at = failed_at
             raise
         self.failed_before_reply = failed_calls
+        self.has_listed_ends = bool(reply.ended)
         if self.failing:
             self.failing = False
             self.context.log.write(
