Borrow the entries with the fewest bytes first, not the fewest entries

Callers would see: a daemon that has no answer from the store for 1.3 s asks four others at once for its "smallest" mirror. That is the one with the fewest entries, and so the configuration, one entry of several hundred kilobytes, or a mirror not read yet, which is answered in full: four long replies every 0.4 s on the link over which the store's answer has to come.

Evidence, on the code before: FAILED test_the_mirror_that_several_daemons_are_asked_for_has_the_fewest_bytes AssertionError: Counter({'unread/': 4, 'large/': 1, 'small/': 1})

Change: the size is counted in bytes; mirrors not read yet come last.

--- a/limpetpulley/ownership/mirror_fallback.py
+++ b/limpetpulley/ownership/mirror_fallback.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Callable
 
@@ -65,7 +66,7 @@
 
     async def _update_all(self) -> None:
         """Update the smallest mirror from several daemons, the others from one that answered."""
-        first, *others = sorted(self.mirrors.values(), key=lambda mirror: len(mirror.entries))
+        first, *others = sorted(self.mirrors.values(), key=_expected_bytes)
         member = await self.update(first)
         if member is not None:
             async with anyio.create_task_group() as tasks:
@@ -130,3 +131,10 @@
         if reply.fresh and reply.HasField("age_seconds"):
             mirror.confirm(requested_at - reply.age_seconds)
         return reply.fresh
+
+
+def _expected_bytes(mirror: Mirror) -> float:
+    """Return the size of a mirror's values in bytes, infinite while they are unknown."""
+    if not mirror.loaded.is_set():
+        return math.inf
+    return sum(len(entry.value) for entry in mirror.entries.values())
--- a/limpetpulley/ownership/tests/test_slow_link.py
+++ b/limpetpulley/ownership/tests/test_slow_link.py
@@ -1,13 +1,20 @@
 """A daemon gets its configuration over a link on which that takes longer than an attempt."""
 
+from collections import Counter
+
 import anyio
 import pytest
 
+from ...batch.keys import BatchKeys
 from ...exception import StoreUnavailable
+from ...peer import batch_pb2 as pb
 from ...standin.virtual import VirtualClock, run_virtual
-from ...store import Entry, Mirror, Snapshot
+from ...store import Entry, MemoryStore, Mirror, Snapshot
 from ...telemetry import null_log
+from ..context import DaemonContext, Timing
+from ..directory import Directory, Member
 from ..freshness import CONFIRM_TIMEOUT_SECONDS, MirrorFreshness
+from ..mirror_fallback import MirrorFallback
 
 LIMIT_SECONDS = 3.0
 PLAYED_SECONDS = 15.0
@@ -118,3 +125,36 @@
 @pytest.mark.parametrize("seconds", [0.3, 0.6, 0.9])
 def test_other_daemons_do_not_slow_the_read_of_a_store_that_answers(seconds):
     assert play(Link(seconds), peers=4)
+
+
+def test_the_mirror_that_several_daemons_are_asked_for_has_the_fewest_bytes():
+    asked = Counter()
+
+    class Peers:
+        async def call(self, address, method, message, timeout):
+            asked[message.prefix] += 1
+            await anyio.sleep(0.02)
+            return pb.EntriesReply(fresh=True, revision=1)
+
+    async def run():
+        clock = VirtualClock()
+        store, keys, log = MemoryStore(clock), BatchKeys("lp/"), null_log("entry-0")
+        context = DaemonContext(store, keys, None, clock, log, Timing(), None, clock.now)
+        mirrors = {
+            prefix: Mirror(store, prefix, clock, lambda events: None)
+            for prefix in ("large/", "small/", "unread/")
+        }
+        for prefix, values in {"large/": [b"x" * 1000], "small/": [b"x"] * 9}.items():
+            entries = tuple(Entry(f"{prefix}{n}", value, 1) for n, value in enumerate(values))
+            mirrors[prefix].apply_snapshot(Snapshot(entries, 1))
+        directory = Directory(keys)
+        directory.members = {f"entry-{n}": Member(f"entry-{n}", 1, f"a:{n}") for n in range(9)}
+        fallback = MirrorFallback(
+            context, Member("entry-0", 1, "a:0"), directory, Peers(), mirrors, lambda: 9.0
+        )
+        with anyio.move_on_after(0.5):
+            await fallback.run()
+
+    run_virtual(run)
+    assert max(asked, key=asked.__getitem__) == "small/", asked
+    assert asked["large/"] == asked["unread/"] == 1, asked
