Start no run whose end a late hold to an earlier incarnation may acknowledge

Callers would see a task run twice: a worker that had started again under its identifier forgot ends that it had listed to nobody, so that their tasks were started again.

Cause: a hold that acknowledges ends for the first time and times out may still be carried out, up to 12 s after it was sent. If the worker starts again meanwhile, its next incarnation counts its ends from 1 and forgets as many as the hold names. The worker cannot tell for which incarnation a call is meant.

The new test on the code before, in worker_client.py: FAILED ...test_no_run_starts_whose_end_a_late_hold_to_the_earlier_incarnation_may_acknowledge [failure0-1.0-0-answered] (and -listed, -listed-before)

Change: the incarnation and the time of an acknowledging hold that timed out are kept for 15 s, the longest delay of an order; a later incarnation of the worker takes no runs until then. A worker that answers again in the same incarnation is used as before. A hold that fails because its connection is lost is taken to have reached the process that is gone. A pause for another reason no longer shortens a longer one.

Cost: a worker that was silent, with an acknowledgement on its way, and starts again under its identifier is idle for at most 15 s from that hold on.

Not closed: runs that the next incarnation was given before the hold's failure was known (2 s at most), and those that it starts by late orders.

--- a/limpetpulley/ownership/tests/test_worker_client.py
+++ b/limpetpulley/ownership/tests/test_worker_client.py
@@ -6,11 +6,13 @@
 import attrs
 import pytest
 
-from ...batch import Amount, EndKind, TaskId
+from ...batch import Amount, EndKind, Job, JobKey, TaskId
 from ...batch.keys import BatchKeys
 from ...clock import ManualClock
 from ...exception import WorkerError
-from ...pool import PoolState
+from ...pool import PlanningLimits, PoolState, plan_orders
+from ...pool.state import MAX_ORDER_DELAY_SECONDS
+from ...pool.tests.test_planning import Shares
 from ...store import MemoryStore
 from ...telemetry import EventLog
 from ...workers import EndedRun, HoldReply, ListedWorker, Run, StopOrder
@@ -158,6 +160,7 @@
 )
 REPLY = HoldReply(10.0, 1, (), ENDED)
 EMPTY_REPLY = HoldReply(10.0, 1, (), ())
+FIRST_REPLY = HoldReply(0.5, 2, (), ())
 NEXT_REPLY = HoldReply(0.5, 2, (), ENDED[:1])
 STOP = StopOrder("w", TaskId("a", 0, 0, 9), 1)
 
@@ -191,6 +194,49 @@
     assert anyio.run(scenario) == acknowledged
 
 
+@pytest.mark.parametrize("found", ["answered", "listed", "listed-before"])
+@pytest.mark.parametrize(
+    ("failure", "seconds", "starts"),
+    [
+        (TimeoutError(), 1.0, 0),
+        (TimeoutError(), MAX_ORDER_DELAY_SECONDS + 0.1, 1),
+        (WorkerError("connection lost"), 1.0, 1),
+    ],
+)
+def test_no_run_starts_whose_end_a_late_hold_to_the_earlier_incarnation_may_acknowledge(
+    found, failure, seconds, starts
+):
+    async def scenario():
+        client = make_client(orders := ScriptedOrders([REPLY, failure, FIRST_REPLY, FIRST_REPLY]))
+        pool_state, clock = client.pool_state, client.context.clock
+        pool_state.add_job(
+            Job(JobKey("q", "b"), JobSpec("", (Step(1, Amount(1000)),)), "desk"), 0.0
+        )
+        client.worker.in_roster = True
+        returned = attrs.evolve(client.worker.listed, incarnation=2)
+        await client.hold()
+        if found == "listed-before":
+            answer = orders.answer
+
+            def enlist_and_answer():
+                pool_state.update_listed_worker(returned)
+                return answer()
+
+            orders.answer = enlist_and_answer
+
+        with pytest.raises((WorkerError, TimeoutError)):
+            await client.hold()
+        if found == "listed":
+            pool_state.update_listed_worker(returned)
+        await client.hold()
+        clock.advance(seconds)
+        await client.hold()
+        now = clock.now()
+        return plan_orders(pool_state, Shares(), now, now, PlanningLimits())
+
+    assert len(anyio.run(scenario)) == starts
+
+
 @pytest.mark.parametrize(("restarted", "settled"), [(False, 500.0), (True, None)])
 def test_late_answer_to_a_stop_does_not_settle_the_run_of_the_next_incarnation(restarted, settled):
     """The next incarnation's clock starts anew."""
--- a/limpetpulley/ownership/worker_client.py
+++ b/limpetpulley/ownership/worker_client.py
@@ -118,6 +118,7 @@
         # acknowledged again without need.
         failed_calls = self.failed_calls
         confirmed = failed_calls == self.failed_before_reply
+        incarnation = worker.listed.incarnation
         acknowledged = worker.stored_through if confirmed and self.has_listed_ends else 0
         try:
             with anyio.fail_after(wait + ANSWER_TIMEOUT_SECONDS):
@@ -130,6 +131,8 @@
             is_lost = failed_at - now < wait + MIN_TIMEOUT_MARGIN_SECONDS
             if isinstance(error, WorkerError) and not self.failing and is_lost:
                 worker.lost_at = failed_at
+            if acknowledged and not (isinstance(error, WorkerError) and is_lost):
+                self.pool_state.note_late_acknowledgement(worker.worker_id, incarnation, now)
             raise
         self.failed_before_reply = failed_calls
         self.has_listed_ends = bool(reply.ended)
--- a/limpetpulley/pool/state.py
+++ b/limpetpulley/pool/state.py
@@ -75,6 +75,9 @@
         self.late_start_stops: dict[StopOrder, float] = {}
         # Leases that calls to earlier incarnations may give the current ones, by worker.
         self.earlier_leases: dict[str, EarlierLease] = {}
+        # Incarnation to which a hold without an answer acknowledged ends, and the local time until
+        # which it may be executed, by worker.
+        self.late_acknowledgements: dict[str, tuple[int, float]] = {}
         self.unreconciled_workers: dict[str, float] = {}
         self.inherited: set[str] = set()
         self.progress = ProgressLedger()
@@ -178,6 +181,7 @@
             worker = None
         if worker is None:
             worker = self.workers[listed.worker_id] = Worker(listed)
+            self._avoid_late_acknowledgement(worker, listed.incarnation)
             del self.expected_join_times[:1]
             self._queue_late_start_stops(listed.worker_id)
         elif listed.incarnation > worker.listed.incarnation:
@@ -216,6 +220,26 @@
         """Return how long after a call a lease may last that it gives late, in seconds."""
         return MAX_ORDER_DELAY_SECONDS + self.longest_hold_seconds / MIN_CLOCK_RATE
 
+    def note_late_acknowledgement(self, worker_id: str, incarnation: int, sent_at: float) -> None:
+        """Note that a hold that acknowledges ends may reach a worker's next incarnation.
+
+        :param sent_at: local time at which it was sent
+        """
+        until = sent_at + MAX_ORDER_DELAY_SECONDS
+        self.late_acknowledgements[worker_id] = (incarnation, until)
+        worker = self.workers.get(worker_id)
+        if worker is not None:
+            self._avoid_late_acknowledgement(worker, worker.listed.incarnation)
+
+    def _avoid_late_acknowledgement(self, worker: Worker, incarnation: int) -> None:
+        """Start no run whose end may be acknowledged unseen by a call to an earlier incarnation.
+
+        :param incarnation: the worker's newest incarnation
+        """
+        earlier, until = self.late_acknowledgements.get(worker.worker_id, (incarnation, 0.0))
+        if earlier < incarnation:
+            worker.avoid_until = max(worker.avoid_until, until)
+
     def mark_unlisted(self, worker_id: str) -> None:
         """Mark a worker as missing from the platform's list; its runs may still be alive."""
         if worker_id in self.workers:
@@ -281,6 +305,8 @@
         worker.lease.reset()
         worker.processed_through = worker.stored_through = 0
         worker.reconciled = False
+        next_incarnation = next_life or worker.listed.incarnation + 1
+        self._avoid_late_acknowledgement(worker, next_incarnation)
         worker.restarted_at = max(self.scanned_at, worker.last_reply_at)
         self.progress.remove_worker(worker.worker_id)
         self.on_event(
@@ -315,6 +341,11 @@
                 life, ends = worker.listed.incarnation, self.end_positions(worker)
                 self._remove_worker(worker)
                 self.on_event(PoolEvent("worker-gone", worker.worker_id, life=life, ends=ends))
+        self.late_acknowledgements = {
+            name: (incarnation, until)
+            for name, (incarnation, until) in self.late_acknowledgements.items()
+            if until > now
+        }
         for stop, since in list(self.late_start_stops.items()):
             if now - since > MAX_ORDER_DELAY_SECONDS:
                 del self.late_start_stops[stop]
--- a/limpetpulley/pool/tests/test_acknowledged_ends.py
+++ b/limpetpulley/pool/tests/test_acknowledged_ends.py
@@ -1,12 +1,14 @@
 """Ends of runs are acknowledged only after the progress that contains them is stored."""
 
+import attrs
 import pytest
 from testtools.assertions import assert_that
-from testtools.matchers import Equals
+from testtools.matchers import Equals, HasLength
 
 from ...batch import EndKind, Step
-from ...workers import EndedRun
-from .test_planning import JOB, TASK, hold, make_pool_state, plan, task
+from ...workers import EndedRun, HoldReply
+from ..replies import process_hold_reply
+from .test_planning import JOB, NOW, TASK, hold, make_pool_state, plan, task
 
 LAST_POSITION = 4
 
@@ -89,3 +91,18 @@
     list_end(pool_state, "w2", kind)
     assert_that(pool_state.workers["w2"].stored_through, Equals(LAST_POSITION))
     assert plan(pool_state)
+
+
+@pytest.mark.parametrize(("incarnation", "starts"), [(1, 1), (2, 0)])
+def test_only_a_new_incarnation_takes_no_runs_while_an_acknowledgement_may_be_late(
+    incarnation, starts
+):
+    pool_state = make_pool_state(Step(1, TASK), workers=("w1",))
+    pool_state.note_late_acknowledgement("w1", 1, NOW)
+    listed = attrs.evolve(pool_state.workers["w1"].listed, incarnation=incarnation)
+    pool_state._remove_worker(pool_state.workers["w1"])
+    worker = pool_state.update_listed_worker(listed)
+    worker.in_roster = True
+    reply = HoldReply(10.0, incarnation, (), ())
+    process_hold_reply(pool_state, worker, reply, NOW, NOW)
+    assert_that(plan(pool_state), HasLength(starts))
--- a/limpetpulley/pool/worker_avoidance.py
+++ b/limpetpulley/pool/worker_avoidance.py
@@ -37,7 +37,7 @@
     if outcome is StartOutcome.NO_TICKET:
         pool_state.tickets.drop(run.task)
     elif outcome is StartOutcome.NO_ROOM:
-        worker.avoid_until = now + NO_ROOM_PAUSE_SECONDS
+        worker.avoid_until = max(worker.avoid_until, now + NO_ROOM_PAUSE_SECONDS)
     elif outcome is not StartOutcome.LATE:
         avoid(pool_state, worker, now)
 
--- a/limpetpulley/workers/state.py
+++ b/limpetpulley/workers/state.py
@@ -274,5 +274,5 @@
         pause = min(
             MAX_AVOID_SECONDS, FIRST_AVOID_SECONDS * 2 ** min(self.consecutive_failures - 1, 8)
         )
-        self.avoid_until = now + pause
+        self.avoid_until = max(self.avoid_until, now + pause)
         return pause
