Hand a pool over although ends come faster than a slow store takes them

Nothing is gained by it: live workers still list what isn't acknowledged, and no VM is taken whose worker has ends that aren't stored.

Now only a pool whose last write failed, with progress unstored, is kept. An owner that finds its claim gone in the hand-over is stopped too.

--- a/limpetpulley/ownership/node.py
+++ b/limpetpulley/ownership/node.py
@@ -235,10 +235,11 @@
         self.imbalanced_since = None
         owner = self.owned[pool]
         await self._finish_in_time(owner.shut_down)
-        if not owner.scope.cancel_called:
+        if not owner.can_store:
             # Until its progress is stored, nobody else knows the ends of its runs.
             self.context.log.write("handover-incomplete", pool=pool, reason="progress not stored")
             return
+        owner.stop()
         self.context.log.write("pool-handed-over", pool=pool, token=owner.token, jobs=jobs[pool])
         try:
             await self.session.release({pool: owner.token})
