Judge no lease as lapsed right after a pause of the owner's process

Callers would see a task that was done run again. An owner whose process stood still (a VM that is frozen, a processor that is taken away) goes on with a clock that has jumped: it judged the leases on its workers before it read the replies that had come meanwhile, dropped the runs and ordered their tasks again. The holds of before the pause end with it, so that their replies are lost to it as well; the ends stay on the workers' lists and come with the next hold, 0.2 s later.

Now an owner whose planning stood still for more than 1 s judges no lease, and gives up no worker of an earlier owner, for 1.5 s: the time in which a hold is repeated and answered.

Failed before: pool/tests/test_pauses.py, [False-0.0-0] and [False-1.4-0]: 1 != 0 starts. Ruled out: runs on workers that are lost in the pause start 1.5 s later than before.

--- a/limpetpulley/ownership/owner.py
+++ b/limpetpulley/ownership/owner.py
@@ -42,6 +42,9 @@
 MIN_PLAN_INTERVAL_SECONDS = 0.01
 #: longest time between two planning rounds, in seconds, for orders to repeat and leases to expire
 MAX_PLAN_INTERVAL_SECONDS = 0.25
+#: time between two planning rounds above which the process was paused or had no processor, in
+#: seconds
+PAUSE_SECONDS = 1.0
 #: interval between deletions of the records of jobs that ended long ago, in seconds
 CLEANUP_INTERVAL_SECONDS = 10.0
 #: shards of the jobs' records that are read concurrently during a takeover: at first, so that no
@@ -114,6 +117,8 @@
         self.stopped = anyio.Event()
         self.scope = anyio.CancelScope()
         self.limits = PlanningLimits()
+        # Local time of the last planning round.
+        self.planned_at = 0.0
 
     # Lifecycle
 
@@ -360,6 +365,7 @@
         event.set()
 
     async def _run_planning(self) -> None:
+        self.planned_at = self.context.clock.now()
         while True:
             with anyio.move_on_after(MAX_PLAN_INTERVAL_SECONDS):
                 await self.planning_requested.wait()
@@ -369,8 +375,15 @@
 
     async def _plan(self) -> None:
         clock, wall_time = self.context.clock, self.context.wall_time()
+        now = clock.now()
+        if now - self.planned_at > PAUSE_SECONDS:
+            self.pool_state.resumed_at = now
+            self.context.log.write(
+                "owner-resumed", pool=self.pool, seconds=round(now - self.planned_at, 2)
+            )
+        self.planned_at = now
         self.share_manager.apply_config()
-        orders = plan_orders(self.pool_state, self.shares, clock.now(), wall_time, self.limits)
+        orders = plan_orders(self.pool_state, self.shares, now, wall_time, self.limits)
         orders += pace_fillers(self.pool_state, clock.now())
         if self.pool_state.unstored_jobs():
             self.writer.flush_requested.set()
--- a/limpetpulley/pool/state.py
+++ b/limpetpulley/pool/state.py
@@ -30,6 +30,10 @@
 #: platform delays orders by up to 12 s
 MAX_ORDER_DELAY_SECONDS = 15.0
 
+#: time after a pause of the process for which no lease counts as lapsed, in seconds: holds that
+#: were sent before it fail, and are repeated and answered
+RESUME_SECONDS = 1.5
+
 
 class PoolState:
     """Jobs, workers and runs of one pool.
@@ -64,6 +68,8 @@
         # Tasks whose run may have become unnecessary since the last planning round.
         self.tasks_to_check: set[TaskId] = set()
         self.scanned_at = -math.inf
+        # End of the process's last pause, by local time.
+        self.resumed_at = -math.inf
         self.ready: dict[str, list[TaskId]] = {}
         self.usage: dict[str, Amount] = {}
         self.checkpoints: dict[TaskId, str] = {}
@@ -350,7 +356,9 @@
             if now - since > MAX_ORDER_DELAY_SECONDS:
                 del self.late_start_stops[stop]
         for worker_id in [
-            name for name, until in self.unreconciled_workers.items() if until <= now
+            name
+            for name, until in self.unreconciled_workers.items()
+            if until <= now and not self._is_resuming(now)
         ]:
             del self.unreconciled_workers[worker_id]
             self.on_event(
@@ -359,6 +367,10 @@
                 )
             )
 
+    def _is_resuming(self, now: float) -> bool:
+        """Return whether ends may have been listed in a pause of this process, and not be read."""
+        return now - self.resumed_at < RESUME_SECONDS
+
     def _has_lapsed(self, worker: Worker, now: float) -> bool:
         """Return whether all runs on a worker must have been killed.
 
@@ -366,6 +378,8 @@
         time after the last start order that may have reached it. A call to an earlier incarnation
         extends the lease of the one that it reaches.
         """
+        if self._is_resuming(now):
+            return False
         if worker.restarted_at is not None:
             return now - worker.restarted_at > self._longest_late_lease()
         earlier = self.earlier_leases.get(worker.worker_id)
