Count bytes from the store and other daemons by purpose

The hypotheses differ in what a daemon's link carries, and no metric or line told: a read that timed out after 300 kB looked like one that was never answered, and copies from other daemons were not counted at all.

Change: the HTTP client passes the bytes of each part of a response on; the calls to the store have a purpose (read or watch of a prefix, get, commit, lease); a gauge, and a line each 2 s while more than 50 kB arrive, tell the bytes by purpose. A response that timed out says after how many bytes. The HTTP part of the platform's store client moved to store/transfers.py, since it names nothing of the platform. No logic has changed.

--- a/limpetpulley/http_client.py
+++ b/limpetpulley/http_client.py
@@ -51,6 +51,7 @@
         content: bytes,
         timeout: float,
         may_send: Callable[[], bool] | None = None,
+        on_bytes: Callable[[int], None] | None = None,
     ) -> HttpResponse:
         """Send a request and return its response.
 
@@ -59,6 +60,7 @@
         :param timeout: timeout of the whole call, in seconds
         :param may_send: called once there is a connection, right before the first byte is sent;
             nothing is sent if it returns False
+        :param on_bytes: called with the number of bytes whenever a part of the response arrives
         :raises HttpError: if no complete response was received; the request may have been executed
         """
 
@@ -76,6 +78,9 @@
         self.parser = httptools.HttpResponseParser(self)
         self.body = bytearray()
         self.idle_since = 0.0
+        # Bytes of the pending response so far, and what is called with those of each part.
+        self.received_bytes = 0
+        self.on_bytes: Callable[[int], None] | None = None
 
     @property
     def is_open(self) -> bool:
@@ -93,6 +98,9 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse a part of the response."""
+        self.received_bytes += len(data)
+        if self.on_bytes is not None:
+            self.on_bytes(len(data))
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserError as error:
@@ -120,6 +128,7 @@
         """Send a request; return a future of its response."""
         assert self.transport is not None
         self.body = bytearray()
+        self.received_bytes = 0
         self.response = asyncio.get_running_loop().create_future()
         self.transport.write(request)
         return self.response
@@ -164,6 +173,7 @@
         content: bytes,
         timeout: float,
         may_send: Callable[[], bool] | None = None,
+        on_bytes: Callable[[int], None] | None = None,
     ) -> HttpResponse:
         """Send a request and return its response."""
         self.calls += 1
@@ -175,6 +185,7 @@
         await _acquire_slot(connections, address, timeout)
         try:
             connection = await self._get_connection(connections, address, deadline)
+            connection.on_bytes = on_bytes
             request = _encode(method, address, target, headers, content)
             return await self._call(connections, connection, request, deadline, may_send)
         finally:
@@ -224,7 +235,7 @@
 
     def _on_timeout(self, connections: _AddressConnections, connection: _Connection) -> None:
         self._close_idle(connections)
-        connection.fail("response timed out")
+        connection.fail(f"response timed out after {connection.received_bytes} bytes")
 
     def _pop_idle(self, connections: _AddressConnections, now: float) -> _Connection | None:
         while connections.idle:
--- a/limpetpulley/ownership/daemon.py
+++ b/limpetpulley/ownership/daemon.py
@@ -5,6 +5,7 @@
 import importlib
 import signal
 import time
+from collections import Counter
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
@@ -21,7 +22,7 @@
 from ..exception import RecordError
 from ..fleet.vms import VmPlatform
 from ..peer import BatchStub, PeerClient, PeerServer
-from ..store import MeasuredStore, Store
+from ..store import MeasuredStore, Store, StoreContact
 from ..tasks import keep_running, start_guarded
 from ..telemetry import BatchMetrics, EventLog
 from ..workers import ListedWorker, MeasuredOrderSender, OrderSender
@@ -49,6 +50,11 @@
 LAG_SAMPLE_SECONDS = 0.5
 #: lag of the event loop from which on it is logged, in seconds
 LOGGED_LAG_SECONDS = 0.3
+#: interval between two lines about the bytes that have arrived, in seconds
+BYTES_SAMPLE_SECONDS = 2.0
+#: number of bytes in that time from which on the line is written: a fifth of what a link of
+#: 1 Mbit/s carries
+LOGGED_BYTES = 50_000
 #: time after the start at which the modules are loaded that a daemon does not need to start
 #: serving, in seconds: after the takeover of its pools, before one of them is likely to be needed
 DEFERRED_LOAD_SECONDS = 5.0
@@ -96,6 +102,7 @@
 class DaemonDependencies:
     """Clients of external services, and callbacks that depend on the platform.
 
+    :param store_contact: records what arrives from the store
     :param operator_prefix: key prefix in the store of the entries that the operator writes
     :param workers_prefix: key prefix in the store of the workers' entries
     :param apply_operator_entry: applies the key and value of an operator's entry to the node;
@@ -108,6 +115,7 @@
     """
 
     store: Store
+    store_contact: StoreContact
     orders: OrderSender
     vms: VmPlatform
     adviser: Adviser | None
@@ -144,6 +152,7 @@
             time.time,
             dependencies.adviser,
             self.metrics,
+            store_contact=dependencies.store_contact,
         )
         member = Member(
             settings.name,
@@ -192,6 +201,7 @@
         self.tasks.start_soon(keep_running, self.listing.mirror.run)
         self.tasks.start_soon(keep_running, self._watch_settings)
         self.tasks.start_soon(keep_running, self._measure_loop_lag)
+        self.tasks.start_soon(keep_running, self._log_received_bytes)
         start_guarded(self.tasks, self._load_deferred_modules)
         self.node.start()
 
@@ -235,6 +245,15 @@
             if lag > LOGGED_LAG_SECONDS:
                 self.log.write("loop-delayed", seconds=round(lag, 2))
 
+    async def _log_received_bytes(self) -> None:
+        """Log what arrives from the store and other daemons, by purpose, while it is much."""
+        received, logged = self.context.store_contact.received_bytes, Counter[str]()
+        while True:
+            await anyio.sleep(BYTES_SAMPLE_SECONDS)
+            arrived, logged = received - logged, received.copy()
+            if arrived.total() > LOGGED_BYTES:
+                self.log.write("bytes-received", seconds=BYTES_SAMPLE_SECONDS, by_purpose=arrived)
+
     async def _load_deferred_modules(self) -> None:
         await anyio.sleep(DEFERRED_LOAD_SECONDS)
         for name in DEFERRED_MODULES:
@@ -248,6 +267,8 @@
         instruments.config_version.set(config.version if config else 0)
         instruments.config_age_seconds.set(self.context.freshness.age())
         instruments.lines_dropped.set(self.log.dropped_lines)
+        for purpose, count in self.context.store_contact.received_bytes.items():
+            instruments.received_bytes.labels(purpose).set(count)
         for prefix, mirror in self.node.mirrors.items():
             age = self.context.clock.now() - mirror.last_reply_at
             instruments.watch_age_seconds.labels(prefix).set(age)
--- a/limpetpulley/ownership/mirror_fallback.py
+++ b/limpetpulley/ownership/mirror_fallback.py
@@ -118,6 +118,8 @@
         except PeerError as error:
             self.context.log.write("entries-not-borrowed", peer=member.name, reason=str(error))
             return False
+        purpose = f"other daemons {mirror.prefix}"
+        self.context.store_contact.note_bytes(purpose, reply.ByteSize())
         if reply.fresh and reply.revision > mirror.revision:
             entries = tuple(Entry(row.key, row.value, row.revision) for row in reply.entries)
             self.context.log.write(
--- a/limpetpulley/platform/daemon.py
+++ b/limpetpulley/platform/daemon.py
@@ -13,6 +13,7 @@
 from ..http_client import PooledHttpClient
 from ..ownership import BatchNode, WaveRegistry
 from ..ownership.daemon import DaemonDependencies, run_daemon
+from ..store import StoreContact
 from .advice import PlatformAdviser
 from .callers import platform_dialect
 from .config import CONFIG_KEY, OPERATOR_PREFIX, decode_config
@@ -31,8 +32,10 @@
     http = PooledHttpClient()
     advice_address = settings.advice_address
     wave_registry = WaveRegistry(wave_state_key, encode_wave_state)
+    contact = StoreContact()
     return DaemonDependencies(
-        PlatformStore(http, settings.store_address),
+        PlatformStore(http, settings.store_address, contact),
+        contact,
         PlatformOrderSender(http),
         PlatformVms(http, settings.vms_address),
         PlatformAdviser(http, advice_address) if advice_address else None,
--- a/limpetpulley/platform/store.py
+++ b/limpetpulley/platform/store.py
@@ -4,15 +4,14 @@
 
 import base64
 import binascii
-import json
 from collections.abc import AsyncIterator, Sequence
 from typing import Any
 from urllib.parse import quote
 
-from ..exception import HttpError, RecordError, StoreError, StoreRefused, StoreUnavailable
+from ..exception import RecordError, StoreError, StoreRefused, StoreUnavailable
 from ..http_client import HttpClient, HttpResponse
 from ..json_decoding import get_int, get_list, get_str, parse_object
-from ..store import Compare, Delete, Entry, Event, Put, Snapshot, TxnResult
+from ..store import Compare, Delete, Entry, Event, Put, Snapshot, StoreContact, Transfers, TxnResult
 from .config import MILLISECONDS
 
 __all__ = ["PlatformStore"]
@@ -24,7 +23,6 @@
 WATCH_WAIT_SECONDS = 0.6
 #: time allowed for the response to a watch request in addition to its wait, in seconds
 MARGIN_SECONDS = 1.0
-JSON_HEADERS = {"Content-Type": "application/json"}
 OK, NOT_FOUND, GONE, CONDITION_FAILED = 200, 404, 410, 412
 TOO_MANY, UNAVAILABLE = 429, 503
 
@@ -33,11 +31,11 @@
     """A :class:`~limpetpulley.store.Store` on the platform.
 
     :param address: ``host:port`` of the store
+    :param contact: records what arrives from the store
     """
 
-    def __init__(self, http: HttpClient, address: str):
-        self.http = http
-        self.address = address
+    def __init__(self, http: HttpClient, address: str, contact: StoreContact):
+        self.transfers = Transfers(http, address, contact)
 
     async def read(self, prefix: str) -> Snapshot:
         """Return all entries whose keys have a prefix; the pages may be of different revisions.
@@ -50,7 +48,7 @@
             target = f"/api/kv-range?pathPrefix={quote(prefix, safe='')}"
             if after:
                 target += f"&after={quote(after, safe='')}"
-            page = _read_body(await self._call("GET", target), OK)
+            page = _read_body(await self._call(f"read {prefix}", "GET", target), OK)
             revision = revision or get_int(page, "currentRev")
             for item in get_list(page, "items"):
                 entry = _decode_entry(item)
@@ -61,7 +59,7 @@
 
     async def get(self, key: str) -> Entry | None:
         """Return the entry of a key, or None if there is none."""
-        answer = await self._call("GET", f"/api/kv-key?key={quote(key, safe='')}")
+        answer = await self._call("get", "GET", f"/api/kv-key?key={quote(key, safe='')}")
         return None if answer.status == NOT_FOUND else _decode_entry(_read_body(answer, OK))
 
     async def commit(
@@ -74,19 +72,20 @@
             # Here "remove" lists keys to delete; elsewhere on the platform it lists removed routes.
             "remove": [write.key for write in writes if isinstance(write, Delete)],
         }
-        answer = await self._call("POST", "/api/kv-txn", body)
+        answer = await self._call("commit", "POST", "/api/kv-txn", body)
         if answer.status == CONDITION_FAILED:
             return TxnResult(False, 0)
         return TxnResult(True, get_int(_read_body(answer, OK), "revision"))
 
     async def grant_lease(self, seconds: float) -> int:
         """Grant a lease and return its identifier."""
-        answer = await self._call("POST", "/api/kv-lease", {"ttlMs": int(seconds * MILLISECONDS)})
+        body = {"ttlMs": int(seconds * MILLISECONDS)}
+        answer = await self._call("lease", "POST", "/api/kv-lease", body)
         return get_int(_read_body(answer, OK), "lease")
 
     async def renew_lease(self, lease: int) -> bool:
         """Renew a lease and return whether it still existed."""
-        answer = await self._call("POST", f"/api/kv-keep/{lease}")
+        answer = await self._call("lease", "POST", f"/api/kv-keep/{lease}")
         if answer.status == NOT_FOUND:
             return False
         _read_body(answer, OK)
@@ -94,16 +93,17 @@
 
     async def revoke_lease(self, lease: int) -> None:
         """Revoke a lease, which deletes the keys attached to it."""
-        answer = await self._call("DELETE", f"/api/kv-lease-end/{lease}")
+        answer = await self._call("lease", "DELETE", f"/api/kv-lease-end/{lease}")
         if answer.status != NOT_FOUND:
             _check_status(answer, OK)
 
     async def watch(self, prefix: str, after: int) -> AsyncIterator[list[Event]]:
         """Yield the changes of keys with a prefix after a revision, in order."""
         base = f"/api/kv-watch?pathPrefix={quote(prefix, safe='')}"
+        seconds = WATCH_WAIT_SECONDS + MARGIN_SECONDS
         while True:
             target = f"{base}&after={after}&waitMs={int(WATCH_WAIT_SECONDS * MILLISECONDS)}"
-            answer = await self._call("GET", target, seconds=WATCH_WAIT_SECONDS + MARGIN_SECONDS)
+            answer = await self._call(f"watch {prefix}", "GET", target, seconds=seconds)
             if answer.status == GONE:
                 raise StoreError(f"changes after revision {after} are no longer available")
             page = _read_body(answer, OK)
@@ -111,16 +111,14 @@
             yield [_decode_event(item) for item in get_list(page, "events")]
 
     async def _call(
-        self, method: str, target: str, body: Any = None, seconds: float = CALL_TIMEOUT_SECONDS
+        self,
+        purpose: str,
+        method: str,
+        target: str,
+        body: Any = None,
+        seconds: float = CALL_TIMEOUT_SECONDS,
     ) -> HttpResponse:
-        content = b"" if body is None else json.dumps(body, separators=(",", ":")).encode()
-        headers = JSON_HEADERS if content else {}
-        try:
-            answer = await self.http.request(
-                method, self.address, target, headers, content, seconds
-            )
-        except HttpError as error:
-            raise StoreUnavailable(str(error)) from None
+        answer = await self.transfers.request(purpose, method, target, body, seconds)
         if answer.status in (TOO_MANY, UNAVAILABLE):
             raise StoreRefused(f"the store returned status {answer.status}")
         return answer
--- a/limpetpulley/platform/tests/config_fleet.py
+++ b/limpetpulley/platform/tests/config_fleet.py
@@ -14,7 +14,7 @@
 from ...standin.batchfleet import BatchFleet
 from ...standin.network import call_app
 from ...standin.virtual import VirtualClock, run_virtual
-from ...store import Put
+from ...store import Put, StoreContact
 from ..callers import platform_dialect
 from ..config import CONFIG_KEY, OPERATOR_PREFIX
 from ..daemon import apply_operator_entry
@@ -47,7 +47,9 @@
     refused_target: str = ""
     calls: int = 0
 
-    async def request(self, method, address, target, headers, content, timeout, may_send=None):
+    async def request(
+        self, method, address, target, headers, content, timeout, may_send=None, on_bytes=None
+    ):
         """Return the answer of the platform."""
         self.calls += 1
         with anyio.move_on_after(timeout):
@@ -91,7 +93,7 @@
     def make_store(self, name):
         """Return a client of the stand-in over a link of the daemon's own."""
         self.links[name] = StoreLink(self.platform)
-        return PlatformStore(self.links[name], "store:1")
+        return PlatformStore(self.links[name], "store:1", StoreContact())
 
     def start_daemon(self, name):
         """Start a daemon that mirrors the operator's entries."""
--- a/limpetpulley/platform/tests/test_store.py
+++ b/limpetpulley/platform/tests/test_store.py
@@ -8,7 +8,7 @@
 from ...api.server import HttpServer
 from ...exception import HttpError, StoreError, StoreUnavailable
 from ...http_client import PooledHttpClient
-from ...store import Compare, Delete, Put
+from ...store import Compare, Delete, Put, StoreContact
 from .. import store as store_module
 from ..store import PlatformStore
 from .standin import PlatformStandin
@@ -23,7 +23,9 @@
             server = HttpServer(platform, "127.0.0.1", 0)
             await tasks.start(server.serve)
             http = PooledHttpClient()
-            result = await function(PlatformStore(http, f"127.0.0.1:{server.port}"), platform)
+            result = await function(
+                PlatformStore(http, f"127.0.0.1:{server.port}", StoreContact()), platform
+            )
             await http.aclose()
             tasks.cancel_scope.cancel()
         return result
@@ -157,7 +159,9 @@
     def __init__(self):
         self.timeouts = []
 
-    async def request(self, method, address, target, headers, content, timeout, may_send=None):
+    async def request(
+        self, method, address, target, headers, content, timeout, may_send=None, on_bytes=None
+    ):
         self.timeouts.append(timeout)
         raise HttpError("no answer in time")
 
@@ -171,7 +175,7 @@
     async def scenario():
         http = TimingOutHttp()
         with pytest.raises(StoreUnavailable):
-            await anext(aiter(PlatformStore(http, "192.0.2.1:1").watch("a/", 0)))
+            await anext(aiter(PlatformStore(http, "192.0.2.1:1", StoreContact()).watch("a/", 0)))
         return http.timeouts
 
     (timeout,) = anyio.run(scenario)
--- a/limpetpulley/store/__init__.py
+++ b/limpetpulley/store/__init__.py
@@ -5,6 +5,7 @@
 from .memory import MemoryStore
 from .mirror import Mirror
 from .store import Compare, Delete, Entry, Event, Put, Snapshot, Store, TxnResult
+from .transfers import Transfers
 
 __all__ = [
     "Compare",
@@ -18,5 +19,6 @@
     "Snapshot",
     "Store",
     "StoreContact",
+    "Transfers",
     "TxnResult",
 ]
--- a/limpetpulley/store/contact.py
+++ b/limpetpulley/store/contact.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections import Counter
 from collections.abc import Iterator
 from contextlib import contextmanager
 
@@ -34,6 +35,16 @@
         self.waiting_calls: dict[anyio.CancelScope, float] = {}
         # Time of the answer that ended the last silence in which entries may have expired.
         self.returned_at = -math.inf
+        # Bytes of answers, also of those that were given up, by the purpose of the call.
+        self.received_bytes: Counter[str] = Counter()
+
+    def note_bytes(self, purpose: str, count: int) -> None:
+        """Record that a part of an answer has arrived.
+
+        :param purpose: the kind of call and what it is about, such as ``read op/``
+        :param count: number of bytes
+        """
+        self.received_bytes[purpose] += count
 
     def note_answer(self, called_at: float, now: float) -> None:
         """Record an answer.
--- a/limpetpulley/telemetry/instruments.py
+++ b/limpetpulley/telemetry/instruments.py
@@ -62,6 +62,9 @@
         self.watch_age_seconds = gauge(
             "watch_age_seconds", "Time since the store last answered a watch", "prefix"
         )
+        self.received_bytes = gauge(
+            "received_bytes", "Bytes from the store and other daemons since the start", "purpose"
+        )
         self.lines_dropped = gauge("log_lines_dropped", "Log lines lost to a slow reader")
 
     def count(self, name: str, labels: tuple[object, ...]) -> None:
--- a/limpetpulley/workers/tests/test_wire.py
+++ b/limpetpulley/workers/tests/test_wire.py
@@ -39,7 +39,9 @@
         self.error = error
         self.requests = []
 
-    async def request(self, method, address, target, headers, content, timeout, may_send=None):
+    async def request(
+        self, method, address, target, headers, content, timeout, may_send=None, on_bytes=None
+    ):
         self.requests.append((address, target, json.loads(content), timeout))
         if self.error:
             raise self.error
