--- a/limpetpulley/platform/daemon.py
+++ b/limpetpulley/platform/daemon.py
@@ -13,7 +13,7 @@
 from ..http_client import PooledHttpClient
 from ..ownership import BatchNode, WaveRegistry
 from ..ownership.daemon import DaemonDependencies, run_daemon
-from ..store import StoreContact
+from ..store import StoreContact, Transfers
 from .advice import PlatformAdviser
 from .callers import platform_dialect
 from .config import CONFIG_KEY, OPERATOR_PREFIX, decode_config
@@ -34,7 +34,7 @@
     wave_registry = WaveRegistry(wave_state_key, encode_wave_state)
     contact = StoreContact()
     return DaemonDependencies(
-        PlatformStore(http, settings.store_address, contact),
+        PlatformStore(Transfers(http, settings.store_address, contact)),
         contact,
         PlatformOrderSender(http),
         PlatformVms(http, settings.vms_address),
--- a/limpetpulley/platform/store.py
+++ b/limpetpulley/platform/store.py
@@ -9,9 +9,9 @@
 from urllib.parse import quote
 
 from ..exception import RecordError, StoreError, StoreRefused, StoreUnavailable
-from ..http_client import HttpClient, HttpResponse
+from ..http_client import HttpResponse
 from ..json_decoding import get_int, get_list, get_str, parse_object
-from ..store import Compare, Delete, Entry, Event, Put, Snapshot, StoreContact, Transfers, TxnResult
+from ..store import Compare, Delete, Entry, Event, Put, Snapshot, Transfers, TxnResult
 from .config import MILLISECONDS
 
 __all__ = ["PlatformStore"]
@@ -30,12 +30,11 @@
 class PlatformStore:
     """A :class:`~limpetpulley.store.Store` on the platform.
 
-    :param address: ``host:port`` of the store
-    :param contact: records what arrives from the store
+    :param transfers: sends the calls
     """
 
-    def __init__(self, http: HttpClient, address: str, contact: StoreContact):
-        self.transfers = Transfers(http, address, contact)
+    def __init__(self, transfers: Transfers):
+        self.transfers = transfers
 
     async def read(self, prefix: str) -> Snapshot:
         """Return all entries whose keys have a prefix; the pages may be of different revisions.
--- a/limpetpulley/platform/tests/config_fleet.py
+++ b/limpetpulley/platform/tests/config_fleet.py
@@ -14,7 +14,7 @@
 from ...standin.batchfleet import BatchFleet
 from ...standin.network import call_app
 from ...standin.virtual import VirtualClock, run_virtual
-from ...store import Put, StoreContact
+from ...store import Put, StoreContact, Transfers
 from ..callers import platform_dialect
 from ..config import CONFIG_KEY, OPERATOR_PREFIX
 from ..daemon import apply_operator_entry
@@ -93,7 +93,7 @@
     def make_store(self, name):
         """Return a client of the stand-in over a link of the daemon's own."""
         self.links[name] = StoreLink(self.platform)
-        return PlatformStore(self.links[name], "store:1", StoreContact())
+        return PlatformStore(Transfers(self.links[name], "store:1", StoreContact()))
 
     def start_daemon(self, name):
         """Start a daemon that mirrors the operator's entries."""
--- a/limpetpulley/platform/tests/test_store.py
+++ b/limpetpulley/platform/tests/test_store.py
@@ -8,12 +8,16 @@
 from ...api.server import HttpServer
 from ...exception import HttpError, StoreError, StoreUnavailable
 from ...http_client import PooledHttpClient
-from ...store import Compare, Delete, Put, StoreContact
+from ...store import Compare, Delete, Put, StoreContact, Transfers
 from .. import store as store_module
 from ..store import PlatformStore
 from .standin import PlatformStandin
 
 
+def make_client(http, address):
+    return PlatformStore(Transfers(http, address, StoreContact()))
+
+
 def with_store(function):
     """Run a function with a client of a stand-in that listens on the loopback interface."""
 
@@ -23,9 +27,7 @@
             server = HttpServer(platform, "127.0.0.1", 0)
             await tasks.start(server.serve)
             http = PooledHttpClient()
-            result = await function(
-                PlatformStore(http, f"127.0.0.1:{server.port}", StoreContact()), platform
-            )
+            result = await function(make_client(http, f"127.0.0.1:{server.port}"), platform)
             await http.aclose()
             tasks.cancel_scope.cancel()
         return result
@@ -175,7 +177,7 @@
     async def scenario():
         http = TimingOutHttp()
         with pytest.raises(StoreUnavailable):
-            await anext(aiter(PlatformStore(http, "192.0.2.1:1", StoreContact()).watch("a/", 0)))
+            await anext(aiter(make_client(http, "192.0.2.1:1").watch("a/", 0)))
         return http.timeouts
 
     (timeout,) = anyio.run(scenario)
