--- a/limpetpulley/platform/tests/config_fleet.py
+++ b/limpetpulley/platform/tests/config_fleet.py
@@ -14,7 +14,7 @@
 from ...standin.batchfleet import BatchFleet
 from ...standin.network import call_app
 from ...standin.virtual import VirtualClock, run_virtual
-from ...store import Put, StoreContact, Transfers
+from ...store import Put, Transfers
 from ..callers import platform_dialect
 from ..config import CONFIG_KEY, OPERATOR_PREFIX
 from ..daemon import apply_operator_entry
@@ -48,7 +48,16 @@
     calls: int = 0
 
     async def request(
-        self, method, address, target, headers, content, timeout, may_send=None, on_bytes=None
+        self,
+        method,
+        address,
+        target,
+        headers,
+        content,
+        timeout,
+        may_send=None,
+        on_bytes=None,
+        longest=0.0,
     ):
         """Return the answer of the platform."""
         self.calls += 1
@@ -84,16 +93,23 @@
 class ConfigFleet(BatchFleet):
     """A fleet whose daemons take their configuration from the platform's store."""
 
+    #: time between the starts of two daemons, in seconds
+    start_gap_seconds = 0.0
+
     def __init__(self, tasks, clock, seed):
         super().__init__(tasks, clock, make_config(), Amount(4000, 8000), seed)
         self.platform = PlatformStandin(clock)
         self.links = {}
         self.version = 1
 
-    def make_store(self, name):
+    def make_store(self, name, contact):
         """Return a client of the stand-in over a link of the daemon's own."""
-        self.links[name] = StoreLink(self.platform)
-        return PlatformStore(Transfers(self.links[name], "store:1", StoreContact()))
+        self.links[name] = self.make_link(name)
+        return PlatformStore(Transfers(self.links[name], "store:1", contact))
+
+    def make_link(self, name):
+        """Return a daemon's client of the store's HTTP interface."""
+        return StoreLink(self.platform)
 
     def start_daemon(self, name):
         """Start a daemon that mirrors the operator's entries."""
@@ -101,21 +117,29 @@
         entries = OperatorEntries(
             node.context.store,
             OPERATOR_PREFIX,
-            lambda node, key, value: apply_operator_entry(self.wave_registry, node, key, value),
+            self.apply_entry,
             node,
         )
         entries.start()
         return node
 
+    def apply_entry(self, node, key, value):
+        """Apply an entry of the operator to a daemon."""
+        apply_operator_entry(self.wave_registry, node, key, value)
+
+    def make_routes(self, queues):
+        """Return the rows of queues in the configuration."""
+        return [
+            {"name": name, "host": HOST, "pathPrefix": f"/{name}/", "service": "desk"}
+            for name in queues
+        ]
+
     async def configure(self, queues, keys=(KEY,)):
         """Write the next version of the configuration, with these queues and access keys."""
         self.version += 1
         document = {
             "version": self.version,
-            "routes": [
-                {"name": name, "host": HOST, "pathPrefix": f"/{name}/", "service": "desk"}
-                for name in queues
-            ],
+            "routes": self.make_routes(queues),
             "services": [{"name": pool} for pool in self.config.pools],
             "tenants": [{"name": "agents", "apiKeys": list(keys)}],
         }
@@ -133,17 +157,22 @@
         return await call_app(app, f"/{queue}/", headers, method="GET")
 
 
-def run_config_scenario(scenario, daemons=5, seed=1):
-    """Run a scenario with a fleet that has served for two seconds; return its result."""
+def run_config_scenario(scenario, daemons=5, seed=1, make_fleet=ConfigFleet):
+    """Run a scenario with a fleet that has served for two seconds; return its result.
+
+    :param make_fleet: returns a fleet for a task group, a clock and a seed
+    """
 
     async def run():
         async with anyio.create_task_group() as tasks:
-            fleet = ConfigFleet(tasks, VirtualClock(), seed)
+            fleet = make_fleet(tasks, VirtualClock(), seed)
             await fleet.configure(["old"])
             for pool in ("desk", "tour"):
                 fleet.vms.add(f"{pool}-0", pool, "r0")
             for number in range(daemons):
                 fleet.start_daemon(f"entry-{number}")
+                if fleet.start_gap_seconds:
+                    await anyio.sleep(fleet.start_gap_seconds)
             while not (fleet.owner_of("desk") and fleet.owner_of("tour")):
                 await anyio.sleep(0.1)
             await anyio.sleep(2.0)
--- a/limpetpulley/platform/tests/standin.py
+++ b/limpetpulley/platform/tests/standin.py
@@ -25,6 +25,7 @@
 
     def __init__(self, clock=None):
         self.store = MemoryStore(clock)
+        self.page_items = PAGE_ITEMS
         self.workers = {}
         self.machines = []
         self.orders = []
@@ -84,8 +85,8 @@
         snapshot = await self.store.read(query["pathPrefix"])
         entries = [entry for entry in snapshot.entries if entry.key > query.get("after", "")]
         return 200, {
-            "items": [self.encode_entry(entry) for entry in entries[:PAGE_ITEMS]],
-            "morePages": len(entries) > PAGE_ITEMS,
+            "items": [self.encode_entry(entry) for entry in entries[: self.page_items]],
+            "morePages": len(entries) > self.page_items,
             "currentRev": self.store.revision,
         }
 
--- a/limpetpulley/standin/batchfleet.py
+++ b/limpetpulley/standin/batchfleet.py
@@ -16,7 +16,8 @@
 from ..clock import Clock
 from ..fleet.vms import WaveOrder
 from ..ownership import BatchNode, DaemonContext, Member, Timing, WaveRegistry
-from ..store import MemoryStore, Store
+from ..ownership.directory import MIN_STRENGTH
+from ..store import MemoryStore, Store, StoreContact
 from ..telemetry import EventLog, null_log
 from ..workers import ListedWorker, StartOrder
 from .faults import Faults
@@ -95,6 +96,8 @@
         self.wave_registry = WaveRegistry(lambda name: f"state/{name}", self._encode_wave_state)
         self.daemons: dict[str, _Daemon] = {}
         self.paused: set[str] = set()
+        # Strengths of the daemons that are stronger than the weakest, by name.
+        self.strengths: dict[str, float] = {}
         self.runs: list[StartedRun] = []
         self.log_descriptor = log_descriptor
         standby_pools = frozenset(pool.name for pool in config.pools.values() if pool.standby)
@@ -113,8 +116,9 @@
         """Start a daemon and return its node."""
         log = self.make_log(name)
         daemon_tasks: Any = _DaemonTasks(self.tasks, name)
+        contact = StoreContact()
         context = DaemonContext(
-            self.make_store(name),
+            self.make_store(name, contact),
             BatchKeys("lp/"),
             self.workers,
             self.clock,
@@ -122,9 +126,11 @@
             Timing(move=1.5, maintenance=1.5, holder_lease=1.0),
             daemon_tasks,
             lambda: WALL_CLOCK_OFFSET_SECONDS + self.clock.now(),
+            store_contact=contact,
         )
         incarnation = int(self.clock.now() * 1000) + 1
-        member = Member(name, incarnation, f"{name}:1", "dc-1")
+        strength = self.strengths.get(name, MIN_STRENGTH)
+        member = Member(name, incarnation, f"{name}:1", "dc-1", strength)
         peers = MemoryPeerCaller(self.network, name, self.tasks)
         node = BatchNode(context, member, peers, self.vms, self.wave_registry)
         self.network.services[f"{name}:1"] = _HostHandlers(node.handlers, name)
@@ -140,8 +146,11 @@
             return null_log(name)
         return EventLog(name, self.log_descriptor)
 
-    def make_store(self, name: str) -> Store:
-        """Return a daemon's client of the store."""
+    def make_store(self, name: str, contact: StoreContact) -> Store:
+        """Return a daemon's client of the store.
+
+        :param contact: records the answers of the store to the daemon
+        """
         return FaultyStore(
             self.store, self.faults, self.network, name, self.counts, self.tasks, self.rng
         )
--- a/limpetpulley/standin/network.py
+++ b/limpetpulley/standin/network.py
@@ -14,6 +14,7 @@
 from ..exception import PeerError
 from ..peer.peer_grpc import PeerBase
 from ..tasks import start_guarded
+from .link import BandwidthLink, carry_between
 
 __all__ = ["AsgiConnections", "MemoryNetwork", "MemoryPeerCaller", "call_app"]
 
@@ -36,6 +37,7 @@
     :param cut: hosts that are partitioned from all others
     :param cut_pairs: pairs of hosts that are partitioned from each other
     :param frozen: hosts whose traffic is held back until they are removed from the set
+    :param links: links of the hosts; messages from and to other hosts take no time for their bytes
     :param messages: number of requests between daemons, by method
     :param bytes_sent: bytes sent between daemons, by method; replies are counted separately
     """
@@ -51,6 +53,7 @@
     cut: set[str] = attrs.field(factory=set)
     cut_pairs: set[frozenset[str]] = attrs.field(factory=set)
     frozen: set[str] = attrs.field(factory=set)
+    links: dict[str, BandwidthLink] = attrs.field(factory=dict)
     messages: Counter[str] = attrs.field(factory=Counter)
     bytes_sent: Counter[str] = attrs.field(factory=Counter)
 
@@ -62,6 +65,12 @@
             await anyio.sleep_forever()
         await anyio.sleep(self.delay_seconds + self.rng.random() * self.jitter_seconds)
 
+    async def carry(self, source: str, target: str, count: int) -> None:
+        """Carry the bytes of a message over the links of two hosts, if they have one."""
+        links = self.links.get(source), self.links.get(target)
+        if links[0] is not None and links[1] is not None:
+            await carry_between(links[0], links[1], count)
+
     def is_partitioned(self, source: str, target: str) -> bool:
         """Return whether two hosts are partitioned from each other."""
         return bool(self.cut & {source, target}) or frozenset((source, target)) in self.cut_pairs
@@ -108,6 +117,7 @@
         network.bytes_sent[method] += message.ByteSize()
         with anyio.move_on_after(timeout):
             await network.simulate_transit(self.host, target)
+            await network.carry(self.host, target, message.ByteSize())
             service = network.services.get(address)
             if service is None or network.rng.random() < network.loss_rate:
                 await anyio.sleep_forever()
@@ -120,6 +130,7 @@
             if network.rng.random() < network.loss_rate:
                 await anyio.sleep_forever()
             await network.simulate_transit(target, self.host)
+            await network.carry(target, self.host, stream.reply.ByteSize())
             network.bytes_sent[method + " reply"] += stream.reply.ByteSize()
             return stream.reply
         raise PeerError(f"{address}: no reply to {method}")
