Reproduce outdated answers and a late recovery behind long queues

Where a transfer has 256 kB in the queue of a slow link, renewals are answered so late that a daemon takes the store for silent and serves by an old copy: 9 outdated answers in 3 of 6 daemons. After a loss of all daemons one of six gets its configuration after 22.6 s.

No logic has changed.

--- a/limpetpulley/platform/tests/linked_fleet.py
+++ b/limpetpulley/platform/tests/linked_fleet.py
@@ -9,7 +9,7 @@
 from ...exception import HttpError
 from ...http_client import HttpResponse
 from ...ownership.listing import IDLE_INTERVAL_SECONDS, SILENCE_SECONDS
-from ...standin.link import BandwidthLink
+from ...standin.link import SHORT_QUEUE_CHUNKS, BandwidthLink
 from ...store import Mirror, Put
 from ...tasks import keep_running
 from ..workers import SERVERS_PREFIX
@@ -110,6 +110,7 @@
 class LinkedFleet(ConfigFleet):
     """A fleet of two daemons on fast links and six on slow ones.
 
+    :param queue_chunks: most chunks of a transfer that stand in the queue of a link at a time
     :ivar versions: versions written so far
     :ivar applied: times at which each daemon has applied versions, and their numbers
     """
@@ -117,7 +118,7 @@
     # The watches of the daemons, which all wait equally long, end at different times.
     start_gap_seconds = 0.037
 
-    def __init__(self, tasks, clock, seed):
+    def __init__(self, tasks, clock, seed, queue_chunks=SHORT_QUEUE_CHUNKS):
         super().__init__(tasks, clock, seed)
         self.versions = []
         self.applied = {name: [] for name in DAEMONS}
@@ -128,8 +129,9 @@
             strong = name in STRONG_DAEMONS
             mbits = STRONG_MBITS if strong else WEAK_MBITS
             self.strengths[name] = STRONG_STRENGTH if strong else WEAK_STRENGTH
-            self.network.links[name] = BandwidthLink(mbits * BYTES_PER_MBIT)
-            tasks.start_soon(self._load_link, self.network.links[name])
+            link = BandwidthLink(mbits * BYTES_PER_MBIT, queue_chunks)
+            self.network.links[name] = link
+            tasks.start_soon(self._load_link, link)
         tasks.start_soon(self._send_heartbeats)
 
     async def _load_link(self, link):
--- a/limpetpulley/platform/tests/test_large_config.py
+++ b/limpetpulley/platform/tests/test_large_config.py
@@ -2,11 +2,13 @@
 
 import random
 from collections import Counter
+from functools import partial
 
 import anyio
 import attrs
 import pytest
 
+from ...standin.link import SHORT_QUEUE_CHUNKS
 from .config_fleet import KEY, run_config_scenario
 from .linked_fleet import DAEMONS, LIMIT_SECONDS, WEAK_DAEMONS, LinkedFleet
 
@@ -30,17 +32,23 @@
 
     :param gaps: times before each of the further changes, in seconds
     :param silent: daemon to which the store is silent from the first of them on, empty for none
+    :param queue_chunks: most chunks of a transfer that stand in the queue of a link at a time
     """
 
     gaps: tuple
     silent: str = ""
+    queue_chunks: int = SHORT_QUEUE_CHUNKS
 
 
 SERIES = (2.0, 0.5, 3.0, 0.7, 2.0, 1.0)
+PAIRS = (5.0, 1.2, 4.7, 1.2, 4.7, 1.2)
+#: as many chunks as a receiver's buffer of 256 kB admits
+LONG_QUEUE_CHUNKS = 16
 SILENT_SECONDS = 3.0
 DAYS = {
     "changes-in-series": Day(SERIES),
-    "pairs-of-changes": Day((5.0, 1.2, 4.7, 1.2, 4.7, 1.2)),
+    "pairs-of-changes": Day(PAIRS),
+    "pairs-of-changes-behind-long-queues": Day(PAIRS, queue_chunks=LONG_QUEUE_CHUNKS),
     "changes-beside-a-silent-store": Day(SERIES, WEAK_DAEMONS[0]),
     "storm-of-changes": Day((0.5,) * 20),
 }
@@ -134,7 +142,8 @@
         findings.late = +findings.late
         return findings
 
-    return run_config_scenario(scenario, len(DAEMONS), make_fleet=LinkedFleet)
+    make_fleet = partial(LinkedFleet, queue_chunks=day.queue_chunks)
+    return run_config_scenario(scenario, len(DAEMONS), make_fleet=make_fleet)
 
 
 async def silence(fleet, name):
@@ -148,8 +157,13 @@
     assert play(DAYS[name]) == Findings()
 
 
-@pytest.mark.parametrize("queues", [BULK_QUEUES])
-def test_daemons_on_slow_links_have_a_large_configuration_soon_after_a_loss_of_all(queues):
+@pytest.mark.parametrize(
+    ("queues", "queue_chunks"),
+    [(BULK_QUEUES, SHORT_QUEUE_CHUNKS), (BULK_QUEUES, LONG_QUEUE_CHUNKS)],
+)
+def test_daemons_on_slow_links_have_a_large_configuration_soon_after_a_loss_of_all(
+    queues, queue_chunks
+):
     async def scenario(fleet):
         fleet.add_queues(queues)
         await change(fleet, 0)
@@ -162,4 +176,5 @@
         await anyio.sleep(RECOVERY_SECONDS)
         return [name for name in DAEMONS if fleet.daemons[name].node.context.config is None]
 
-    assert run_config_scenario(scenario, len(DAEMONS), make_fleet=LinkedFleet) == []
+    make_fleet = partial(LinkedFleet, queue_chunks=queue_chunks)
+    assert run_config_scenario(scenario, len(DAEMONS), make_fleet=make_fleet) == []
--- a/limpetpulley/standin/link.py
+++ b/limpetpulley/standin/link.py
@@ -7,22 +7,23 @@
 
 import anyio
 
-__all__ = ["BandwidthLink", "carry_between"]
+__all__ = ["SHORT_QUEUE_CHUNKS", "BandwidthLink", "carry_between"]
 
 CHUNK_BYTES = 16_384
-#: chunks of a transfer that stand in a link's queue at a time; those of a transfer that was given
-#: up are carried all the same
-WINDOW_CHUNKS = 2
+SHORT_QUEUE_CHUNKS = 2
 
 
 class BandwidthLink:
     """The network link of a host, which carries chunks in the order in which they were sent.
 
     :param bytes_per_second: capacity, for both directions together
+    :param queue_chunks: most chunks of a transfer that stand in the queue at a time; those of a
+        transfer that was given up are carried all the same
     """
 
-    def __init__(self, bytes_per_second: float):
+    def __init__(self, bytes_per_second: float, queue_chunks: int = SHORT_QUEUE_CHUNKS):
         self.bytes_per_second = bytes_per_second
+        self.queue_chunks = queue_chunks
         self.carried_bytes = 0
         self.free_at = 0.0
 
@@ -44,7 +45,7 @@
         pending: deque[tuple[float, int]] = deque()
         chunks = _split(count)
         while True:
-            while len(pending) < WINDOW_CHUNKS and (size := next(chunks, 0)):
+            while len(pending) < self.queue_chunks and (size := next(chunks, 0)):
                 pending.append((self.enqueue(size), size))
             if not pending:
                 return
@@ -61,7 +62,7 @@
     arrivals: deque[float] = deque()
     async for size in source.carry(count):
         arrivals.append(target.enqueue(size))
-        if len(arrivals) == WINDOW_CHUNKS:
+        if len(arrivals) == target.queue_chunks:
             await anyio.sleep_until(arrivals.popleft())
     if arrivals:
         await anyio.sleep_until(arrivals[-1])
