Give no answer of the store up while it is arriving

What callers saw: 503 configuration-not-confirmed, and 200 by versions up to 44 s old, from daemons on 5 Mbit/s with 1450 queues.

Cause: reads, watches and attempts to confirm a copy ended 0.5 to 1.6 s after their start, however much had arrived, and everything was asked for again.

Change: the HTTP client extends the timeout of a call with a 'longest' time while bytes arrive (the last one less than 1 s ago); calls to the store have one of 15 s. An attempt to confirm the configuration is not ended while its entries arrive. Parts of a long answer show that the store is not silent, so that the reads themselves no longer look like an outage; a refusal is too short to count, and an outage still ends with a complete answer only.

Ruled out: longer timeouts alone, since a lost call would be noticed later.

Tests: test_response_is_not_given_up_while_it_is_arriving and test_store_is_not_silent_while_a_long_answer_arrives; the first failed before (no such parameter; a response of 0.8 s in parts timed out after 0.3 s).

--- a/limpetpulley/http_client.py
+++ b/limpetpulley/http_client.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import socket
 from collections.abc import Callable, Mapping
 from typing import Protocol
@@ -27,6 +28,8 @@
 CONNECT_TIMEOUT_SECONDS = 1.0
 #: time after which a connection with unacknowledged data is closed
 UNACKNOWLEDGED_TIMEOUT_MS = 3000
+#: time without any byte after which a response that is arriving counts as interrupted, in seconds
+STALL_SECONDS = 1.0
 #: size limit of a response body; a page of the store's entries has about a megabyte
 MAX_RESPONSE_BYTES = 8 << 20
 
@@ -52,15 +55,18 @@
         timeout: float,
         may_send: Callable[[], bool] | None = None,
         on_bytes: Callable[[int], None] | None = None,
+        longest: float = 0.0,
     ) -> HttpResponse:
         """Send a request and return its response.
 
         :param address: ``host:port``
         :param target: path and query
-        :param timeout: timeout of the whole call, in seconds
+        :param timeout: timeout of the call, in seconds
         :param may_send: called once there is a connection, right before the first byte is sent;
             nothing is sent if it returns False
         :param on_bytes: called with the number of bytes whenever a part of the response arrives
+        :param longest: timeout of the call while the response is arriving, in seconds, if that is
+            longer
         :raises HttpError: if no complete response was received; the request may have been executed
         """
 
@@ -78,8 +84,11 @@
         self.parser = httptools.HttpResponseParser(self)
         self.body = bytearray()
         self.idle_since = 0.0
-        # Bytes of the pending response so far, and what is called with those of each part.
+        # Bytes of the pending response so far, when the last of them arrived, the timer of its
+        # timeout, and what is called with the bytes of each part.
         self.received_bytes = 0
+        self.received_at = -math.inf
+        self.timer: asyncio.TimerHandle | None = None
         self.on_bytes: Callable[[int], None] | None = None
 
     @property
@@ -99,6 +108,7 @@
     def data_received(self, data: bytes) -> None:
         """Parse a part of the response."""
         self.received_bytes += len(data)
+        self.received_at = asyncio.get_running_loop().time()
         if self.on_bytes is not None:
             self.on_bytes(len(data))
         try:
@@ -128,7 +138,7 @@
         """Send a request; return a future of its response."""
         assert self.transport is not None
         self.body = bytearray()
-        self.received_bytes = 0
+        self.received_bytes, self.received_at = 0, -math.inf
         self.response = asyncio.get_running_loop().create_future()
         self.transport.write(request)
         return self.response
@@ -174,6 +184,7 @@
         timeout: float,
         may_send: Callable[[], bool] | None = None,
         on_bytes: Callable[[int], None] | None = None,
+        longest: float = 0.0,
     ) -> HttpResponse:
         """Send a request and return its response."""
         self.calls += 1
@@ -181,13 +192,17 @@
         if connections is None:
             _check_address(address)
             connections = self.connections[address] = _AddressConnections()
-        deadline = asyncio.get_running_loop().time() + timeout
+        started_at = asyncio.get_running_loop().time()
+        deadline = started_at + timeout
         await _acquire_slot(connections, address, timeout)
         try:
             connection = await self._get_connection(connections, address, deadline)
             connection.on_bytes = on_bytes
             request = _encode(method, address, target, headers, content)
-            return await self._call(connections, connection, request, deadline, may_send)
+            longest_until = max(deadline, started_at + longest)
+            return await self._call(
+                connections, connection, request, deadline, longest_until, may_send
+            )
         finally:
             connections.slots.release()
 
@@ -212,11 +227,14 @@
         connection: _Connection,
         request: bytes,
         deadline: float,
+        longest_until: float,
         may_send: Callable[[], bool] | None,
     ) -> HttpResponse:
         loop = asyncio.get_running_loop()
         # A timer costs a fraction of a cancel scope, and most calls end before either fires.
-        timer = loop.call_at(deadline, self._on_timeout, connections, connection)
+        connection.timer = loop.call_at(
+            deadline, self._on_timeout, connections, connection, longest_until
+        )
         completed = False
         try:
             if may_send is not None and not may_send():
@@ -226,14 +244,24 @@
             completed = True
             return response
         finally:
-            timer.cancel()
+            connection.timer.cancel()
             if completed and connection.is_open:
                 connection.idle_since = loop.time()
                 connections.idle.append(connection)
             else:
                 connection.abort()
 
-    def _on_timeout(self, connections: _AddressConnections, connection: _Connection) -> None:
+    def _on_timeout(
+        self, connections: _AddressConnections, connection: _Connection, longest_until: float
+    ) -> None:
+        """Give up a response, unless it is arriving."""
+        loop = asyncio.get_running_loop()
+        until = min(connection.received_at + STALL_SECONDS, longest_until)
+        if loop.time() < until:
+            connection.timer = loop.call_at(
+                until, self._on_timeout, connections, connection, longest_until
+            )
+            return
         self._close_idle(connections)
         connection.fail(f"response timed out after {connection.received_bytes} bytes")
 
--- a/limpetpulley/ownership/freshness.py
+++ b/limpetpulley/ownership/freshness.py
@@ -190,14 +190,7 @@
         ended = self.attempt_ended = anyio.Event()
         age, started_at = self.age(), self.mirror.clock.now()
         try:
-            with anyio.move_on_after(self.attempt_seconds):
-                async with anyio.create_task_group() as tasks:
-                    read_ended = anyio.Event()
-                    tasks.start_soon(self._ask_peers, tasks.cancel_scope, read_ended)
-                    await self._read()
-                    read_ended.set()
-                    if self._is_recent():
-                        tasks.cancel_scope.cancel()
+            await self._read_or_ask_peers()
         finally:
             self.attempt_ended = None
             ended.set()
@@ -209,6 +202,26 @@
             self.log.write("config-attempt-failed", age=round_age(self.age()), seconds=seconds)
         self._record_outcome(age)
 
+    async def _read_or_ask_peers(self) -> None:
+        """Read the entries from the store, and ask other daemons if that fails."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._give_up_in_time, tasks.cancel_scope)
+            async with anyio.create_task_group() as attempts:
+                read_ended = anyio.Event()
+                attempts.start_soon(self._ask_peers, attempts.cancel_scope, read_ended)
+                await self._read()
+                read_ended.set()
+                if self._is_recent():
+                    attempts.cancel_scope.cancel()
+            tasks.cancel_scope.cancel()
+
+    async def _give_up_in_time(self, scope: anyio.CancelScope) -> None:
+        """End an attempt after its time, unless the entries are arriving from the store."""
+        await anyio.sleep(self.attempt_seconds)
+        while self.mirror.is_arriving():
+            await anyio.sleep(CHECK_INTERVAL_SECONDS)
+        scope.cancel()
+
     def _record_outcome(self, previous_age: float) -> None:
         """Record whether the mirror is fresh; log if that has changed."""
         confirmed = self.is_fresh()
--- a/limpetpulley/platform/store.py
+++ b/limpetpulley/platform/store.py
@@ -11,7 +11,7 @@
 from ..exception import RecordError, StoreError, StoreRefused, StoreUnavailable
 from ..http_client import HttpResponse
 from ..json_decoding import get_int, get_list, get_str, parse_object
-from ..store import Compare, Delete, Entry, Event, Put, Snapshot, Transfers, TxnResult
+from ..store import Compare, Delete, Entry, Event, Put, Snapshot, Transfers, TxnResult, read_purpose
 from .config import MILLISECONDS
 
 __all__ = ["PlatformStore"]
@@ -47,7 +47,7 @@
             target = f"/api/kv-range?pathPrefix={quote(prefix, safe='')}"
             if after:
                 target += f"&after={quote(after, safe='')}"
-            page = _read_body(await self._call(f"read {prefix}", "GET", target), OK)
+            page = _read_body(await self._call(read_purpose(prefix), "GET", target), OK)
             revision = revision or get_int(page, "currentRev")
             for item in get_list(page, "items"):
                 entry = _decode_entry(item)
--- a/limpetpulley/store/__init__.py
+++ b/limpetpulley/store/__init__.py
@@ -1,6 +1,6 @@
 """The platform's key-value store: interface, mirror of its entries, and in-memory store."""
 
-from .contact import StoreContact
+from .contact import StoreContact, read_purpose
 from .measured import MeasuredStore
 from .memory import MemoryStore
 from .mirror import Mirror
@@ -21,4 +21,5 @@
     "StoreContact",
     "Transfers",
     "TxnResult",
+    "read_purpose",
 ]
--- a/limpetpulley/store/contact.py
+++ b/limpetpulley/store/contact.py
@@ -9,7 +9,7 @@
 
 import anyio
 
-__all__ = ["StoreContact"]
+__all__ = ["StoreContact", "read_purpose"]
 
 #: time without any answer after which the next answer shows that earlier calls were lost, in
 #: seconds; a daemon renews its lease every 0.3 s
@@ -18,6 +18,11 @@
 OUTAGE_SECONDS = 1.0
 
 
+def read_purpose(prefix: str) -> str:
+    """Return the purpose of a read of all entries under a prefix."""
+    return f"read {prefix}"
+
+
 class StoreContact:
     """Tracks the answers of the store to the calls of one daemon.
 
@@ -29,6 +34,10 @@
         # Start of the latest call that was answered, and time of the latest answer.
         self.called_at = -math.inf
         self.answered_at = -math.inf
+        # Time of the latest bytes of a long answer that may not be complete, outside of an outage,
+        # which ends with a complete one; and of all such answers by the purpose of the call.
+        self.arrived_at = -math.inf
+        self.arrivals: dict[str, float] = {}
         self.answered = anyio.Event()
         # Set at the answer that ends the current or next silence.
         self.silence_ended = anyio.Event()
@@ -46,13 +55,24 @@
         """
         self.received_bytes[purpose] += count
 
+    def note_arrival(self, purpose: str, now: float) -> None:
+        """Record that the store is sending an answer: it is not silent, only slow to arrive.
+
+        :param purpose: the kind of call and what it is about
+        :param now: local time
+        """
+        self.arrivals[purpose] = now
+        if not self._is_outage(now):
+            self.arrived_at = now
+
     def note_answer(self, called_at: float, now: float) -> None:
         """Record an answer.
 
         :param called_at: when the call was made, by the local clock
         :param now: local time
         """
-        was_silent = math.isfinite(self.answered_at) and now - self.answered_at > SILENCE_SECONDS
+        heard_at = self._heard_at()
+        was_silent = math.isfinite(heard_at) and now - heard_at > SILENCE_SECONDS
         if self._is_outage(now):
             self.returned_at = now
         self.called_at = max(self.called_at, called_at)
@@ -78,12 +98,20 @@
         finally:
             del self.waiting_calls[scope]
 
+    def is_arriving(self, purpose: str, now: float) -> bool:
+        """Return whether a long answer has been arriving lately.
+
+        :param purpose: the kind of call and what it is about
+        :param now: local time
+        """
+        return now - self.arrivals.get(purpose, -math.inf) <= SILENCE_SECONDS
+
     def is_answering(self, now: float) -> bool:
         """Return whether the store has answered a call lately.
 
         :param now: local time
         """
-        return now - self.answered_at <= OUTAGE_SECONDS
+        return now - self._heard_at() <= OUTAGE_SECONDS
 
     def seconds_since_outage(self, now: float) -> float:
         """Return the time since the last outage, in seconds: 0 during one, infinite without any.
@@ -93,7 +121,11 @@
         return 0.0 if self._is_outage(now) else now - self.returned_at
 
     def _is_outage(self, now: float) -> bool:
-        return math.isfinite(self.answered_at) and now - self.answered_at > OUTAGE_SECONDS
+        heard_at = self._heard_at()
+        return math.isfinite(heard_at) and now - heard_at > OUTAGE_SECONDS
+
+    def _heard_at(self) -> float:
+        return max(self.answered_at, self.arrived_at)
 
     async def sleep(self, seconds: float) -> None:
         """Sleep before the next attempt, but not beyond the end of a silence.
--- a/limpetpulley/store/mirror.py
+++ b/limpetpulley/store/mirror.py
@@ -9,7 +9,7 @@
 
 from ..clock import Clock
 from ..exception import StoreError, StoreUnavailable
-from .contact import StoreContact
+from .contact import StoreContact, read_purpose
 from .store import Entry, Event, Snapshot, Store
 
 __all__ = ["Mirror"]
@@ -84,6 +84,10 @@
         """Record that the copy includes all changes up to a local time."""
         self.confirmed_at = max(self.confirmed_at, at)
 
+    def is_arriving(self) -> bool:
+        """Return whether the entries that a read has asked for are arriving."""
+        return self.contact.is_arriving(read_purpose(self.prefix), self.clock.now())
+
     async def run(self) -> None:
         """Keep the copy up to date until cancelled."""
         backoff = INITIAL_BACKOFF_SECONDS
--- a/limpetpulley/store/tests/test_contact.py
+++ b/limpetpulley/store/tests/test_contact.py
@@ -41,3 +41,27 @@
         return elapsed
 
     assert run_virtual(run) == pytest.approx(given_up_at or CALL_SECONDS, abs=0.01)
+
+
+@pytest.mark.parametrize(
+    ("arrivals", "asked_at", "is_answering"),
+    [
+        ([], 0.9, True),
+        ([], 1.2, False),
+        # A long answer arrives in parts, so that the store is not silent.
+        ([0.5, 0.9, 1.3], 1.9, True),
+        ([0.5, 0.9, 1.3], 2.4, False),
+        # After an outage only a complete answer counts.
+        ([1.5], 1.6, False),
+    ],
+)
+def test_store_is_not_silent_while_a_long_answer_arrives(arrivals, asked_at, is_answering):
+    contact = StoreContact()
+    contact.note_answer(-0.1, 0.0)
+    for at in arrivals:
+        contact.note_arrival("read op/", at)
+    assert contact.is_answering(asked_at) is is_answering
+    assert contact.is_arriving("read op/", asked_at) is any(
+        0 <= asked_at - at <= SILENCE_SECONDS for at in arrivals
+    )
+    assert not contact.is_arriving("read servers/", asked_at)
--- a/limpetpulley/store/transfers.py
+++ b/limpetpulley/store/transfers.py
@@ -1,17 +1,22 @@
-"""Calls of a store over HTTP, with the bytes that arrive by purpose."""
+"""Calls of a store over HTTP; what arrives is recorded by purpose."""
 
 from __future__ import annotations
 
 import json
-from functools import partial
 from typing import Any
 
+from ..clock import Clock, SystemClock
 from ..exception import HttpError, StoreUnavailable
 from ..http_client import HttpClient, HttpResponse
 from .contact import StoreContact
 
 __all__ = ["Transfers"]
 
+#: longest time for an answer whose bytes are arriving, in seconds: a page of entries has up to
+#: 1.4 MB, which takes a link of 1 Mbit/s eleven seconds
+LONGEST_TRANSFER_SECONDS = 15.0
+#: size up to which an answer arrives at once or not at all, in bytes; a refusal is shorter
+SHORT_ANSWER_BYTES = 4096
 JSON_HEADERS = {"Content-Type": "application/json"}
 
 
@@ -20,9 +25,13 @@
 
     :param address: ``host:port`` of the store
     :param contact: records the bytes of the answers
+    :param clock: the clock by which the contact is judged
     """
 
-    def __init__(self, http: HttpClient, address: str, contact: StoreContact):
+    def __init__(
+        self, http: HttpClient, address: str, contact: StoreContact, clock: Clock | None = None
+    ):
+        self.clock = clock or SystemClock()
         self.http = http
         self.address = address
         self.contact = contact
@@ -34,10 +43,19 @@
 
         :param purpose: the kind of call and what it is about, such as ``read op/``
         :param body: document to send as JSON, None for none
-        :param seconds: timeout of the call, in seconds
+        :param seconds: timeout of the call, in seconds, unless its answer is arriving
         :raises StoreUnavailable: if no complete response was received
         """
         content = b"" if body is None else json.dumps(body, separators=(",", ":")).encode()
+        arrived = 0
+
+        def note_bytes(count: int) -> None:
+            nonlocal arrived
+            arrived += count
+            self.contact.note_bytes(purpose, count)
+            if arrived > SHORT_ANSWER_BYTES:
+                self.contact.note_arrival(purpose, self.clock.now())
+
         try:
             return await self.http.request(
                 method,
@@ -46,7 +64,8 @@
                 JSON_HEADERS if content else {},
                 content,
                 seconds,
-                on_bytes=partial(self.contact.note_bytes, purpose),
+                on_bytes=note_bytes,
+                longest=LONGEST_TRANSFER_SECONDS,
             )
         except HttpError as error:
             raise StoreUnavailable(str(error)) from None
--- a/limpetpulley/tests/test_http_client.py
+++ b/limpetpulley/tests/test_http_client.py
@@ -181,3 +181,42 @@
 
     assert_that(anyio.run(run), HasLength(20))
     assert_that(server.connections, Equals(3))
+
+
+@pytest.mark.parametrize(
+    ("gap", "longest", "expected"),
+    [
+        # Seconds between the parts of a response that takes longer than the timeout of 0.3 s.
+        (0.1, 5.0, OK),
+        (0.1, 0.0, "response timed out"),
+        (0.1, 0.5, "response timed out"),
+        (1.5, 5.0, "response timed out"),
+    ],
+)
+def test_response_is_not_given_up_while_it_is_arriving(gap, longest, expected):
+    async def handle(stream):
+        async with stream:
+            await stream.receive()
+            for number in range(len(GOOD) // 5 + 1):
+                await stream.send(GOOD[5 * number : 5 * number + 5] or b" ")
+                await anyio.sleep(gap)
+
+    async def run():
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        address = f"127.0.0.1:{listener.extra(anyio.abc.SocketAttribute.local_port)}"
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(listener.serve, handle)
+            try:
+                return await PooledHttpClient().request(
+                    "GET", address, "/", {}, b"", 0.3, longest=longest
+                )
+            except HttpError as error:
+                return str(error)
+            finally:
+                tasks.cancel_scope.cancel()
+
+    result = anyio.run(run)
+    if isinstance(expected, str):
+        assert_that(result, Contains(expected))
+    else:
+        assert_that(result, Equals(expected))
