Read the entries of a prefix once at a time

Cause: the mirror reads all of op/ whenever a watch has ended, and the age of the copy leads to another read beside it, each of 408 kB on a link that carries 625 kB a second, so that both are late.

Change: a call of Mirror.load waits for the read that is under way, and reads by itself only if that failed, or if nothing of it has arrived for 0.3 s: it may be lost, and a request that waits for it would get an old answer (seen on virtual time as a denial after a pause, test_first_request_after_a_pause_is_answered_by_the_newest_version).

Test: test_entries_are_not_read_twice_at_a_time_on_the_same_link; its first three rows failed before with two reads.

--- a/limpetpulley/store/mirror.py
+++ b/limpetpulley/store/mirror.py
@@ -17,6 +17,10 @@
 #: backoff after the first failed call, doubled up to the maximum, in seconds
 INITIAL_BACKOFF_SECONDS = 0.1
 MAX_BACKOFF_SECONDS = 1.0
+#: time after which a read of which nothing arrives is not waited for, in seconds
+EXPECTED_READ_SECONDS = 0.3
+#: interval between two checks of that, in seconds
+READ_CHECK_SECONDS = 0.05
 
 
 class Mirror:
@@ -72,6 +76,11 @@
         self.confirmed_at = -math.inf
         self.loaded = anyio.Event()
         self.failing = False
+        # Set at the end of the latest read, and when that began.
+        self.read_ended = anyio.Event()
+        self.read_ended.set()
+        self.read_started_at = -math.inf
+        self.completed_reads = 0
 
     def age(self) -> float:
         """Return the time since the copy was known to be complete, in seconds.
@@ -136,8 +145,37 @@
     async def load(self) -> None:
         """Read all entries and apply the differences to the copy.
 
-        A read that was lost in a silence of the store is repeated at the store's next answer. The
-        repeated one is not given up so: answers may be late because of its own length.
+        One read is under way at a time: a second one would slow the first on the same link. A call
+        during a read waits for that one, and reads only if it failed, or if nothing of it arrives.
+
+        :raises StoreUnavailable: if the store did not answer
+        """
+        reads = self.completed_reads
+        while self._is_read_expected():
+            with anyio.move_on_after(READ_CHECK_SECONDS):
+                await self.read_ended.wait()
+            if self.completed_reads > reads:
+                return
+        ended = self.read_ended = anyio.Event()
+        self.read_started_at = self.clock.now()
+        try:
+            await self._load()
+            self.completed_reads += 1
+        finally:
+            ended.set()
+
+    def _is_read_expected(self) -> bool:
+        """Return whether a read is under way that is not overdue."""
+        if self.read_ended.is_set():
+            return False
+        age = self.clock.now() - self.read_started_at
+        return age <= EXPECTED_READ_SECONDS or self.is_arriving()
+
+    async def _load(self) -> None:
+        """Read all entries, again if the read was lost in a silence of the store.
+
+        It is repeated at the store's next answer. The repeated read is not given up so: answers may
+        be late because of its own length.
         """
         requested_at = self.clock.now()
         with (
--- a/limpetpulley/store/tests/test_mirror.py
+++ b/limpetpulley/store/tests/test_mirror.py
@@ -6,6 +6,7 @@
 from ...exception import StoreUnavailable
 from ...standin.virtual import VirtualClock, run_virtual
 from .. import MemoryStore, Mirror, Put, StoreContact
+from ..mirror import EXPECTED_READ_SECONDS
 
 
 class StalledWatchStore:
@@ -132,3 +133,36 @@
         return entries
 
     assert run_virtual(run)["op/limits"].value == b"2"
+
+
+@pytest.mark.parametrize(
+    ("arriving", "gap", "reads"),
+    [(True, 0.05, 1), (True, 0.7, 1), (False, 0.05, 1), (False, 0.7, 2)],
+)
+def test_entries_are_not_read_twice_at_a_time_on_the_same_link(arriving, gap, reads):
+    """A read of which nothing arrives may be lost, so that another one is made."""
+    calls = []
+
+    async def run():
+        clock = VirtualClock()
+        store = MemoryStore(clock)
+        mirror = Mirror(store, "op/", clock, lambda events: None)
+        read = store.read
+
+        async def read_slowly(prefix):
+            calls.append(prefix)
+            for _ in range(10 if arriving or gap > EXPECTED_READ_SECONDS else 2):
+                await anyio.sleep(0.1)
+                if arriving:
+                    mirror.contact.note_arrival("read op/", clock.now())
+            return await read(prefix)
+
+        store.read = read_slowly
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(mirror.load)
+            await anyio.sleep(gap)
+            await mirror.load()
+        return mirror.loaded.is_set()
+
+    assert run_virtual(run)
+    assert len(calls) == reads
