--- a/limpetpulley/store/mirror.py
+++ b/limpetpulley/store/mirror.py
@@ -198,7 +198,7 @@
         events = [
             Event(key, None, max(snapshot.revision, entry.revision + 1))
             for key, entry in self.entries.items()
-            if key not in snapshot_entries
+            if key not in snapshot_entries and entry.revision <= snapshot.revision
         ]
         events += [Event(entry.key, entry.value, entry.revision) for entry in snapshot.entries]
         self.revision = max(self.revision, snapshot.revision)
