Send other daemons only what differs from their copy

Cause: a daemon that could not read the configuration asked four others for all entries at once, 1.2 MB of 305 kB each over a link of 625 kB a second, with 0.8 s for it, and began anew 0.4 s later.

Several daemons are asked how recent their copies are, without entries, and one of them for what differs, under a lock for each prefix. A request may wait for the receiver's next confirmation.

Weighed: deflate alone (305 kB become some 40 kB), which still costs the size of the configuration for each version; a digest key in the store, which needs a writer that may be lost and says nothing about what the operator wrote since.

--- /dev/null
+++ b/limpetpulley/ownership/entry_client.py
@@ -0,0 +1,107 @@
+"""Requests for other daemons' copies of store entries."""
+
+from __future__ import annotations
+
+import math
+
+from ..exception import PeerError, RecordError
+from ..peer import PeerCaller
+from ..peer import batch_pb2 as pb
+from ..store import Mirror
+from .context import DaemonContext
+from .directory import Member
+from .entry_replies import decode_snapshot, make_request
+
+__all__ = ["EntryClient"]
+
+#: time for which an observation of the store by another daemon is used, in seconds
+OBSERVATION_SECONDS = 2.0
+
+
+class EntryClient:
+    """Updates this daemon's mirrors from the mirrors of other daemons.
+
+    The replies also tell whether the store answers the others.
+    """
+
+    def __init__(self, context: DaemonContext, peers: PeerCaller):
+        self.context = context
+        self.peers = peers
+        # When another daemon last said that the store answers it, and that it does not.
+        self.answering_at = -math.inf
+        self.silent_at = -math.inf
+
+    def is_outage_shared(self) -> bool:
+        """Return whether other daemons have lately found the store silent, and none has not."""
+        now = self.context.clock.now()
+        is_silent, is_answering = (
+            now - at <= OBSERVATION_SECONDS for at in (self.silent_at, self.answering_at)
+        )
+        return is_silent and not is_answering
+
+    async def ask(self, mirror: Mirror, member: Member, timeout: float) -> pb.EntriesReply | None:
+        """Ask a daemon how recent its mirror is; confirm the local one if that has all of it.
+
+        :returns: the reply, None if there was none
+        """
+        return await self._call(mirror, member, make_request(mirror, without_entries=True), timeout)
+
+    async def update(
+        self, mirror: Mirror, member: Member, timeout: float, wait_seconds: float = 0.0
+    ) -> bool:
+        """Update a mirror from another daemon's; return whether that one can reach the store.
+
+        :param wait_seconds: longest time to wait for the next confirmation of the other mirror, in
+            seconds
+        """
+        reply = await self._call(mirror, member, make_request(mirror, wait_seconds), timeout)
+        return reply is not None and reply.fresh
+
+    async def _call(
+        self, mirror: Mirror, member: Member, request: pb.EntriesRequest, timeout: float
+    ) -> pb.EntriesReply | None:
+        requested_at = self.context.clock.now()
+        try:
+            reply = await self.peers.call(member.address, "FetchEntries", request, timeout)
+            self._note_reply(mirror, reply)
+            self._apply(mirror, member, request, reply)
+        except (PeerError, RecordError) as error:
+            self.context.log.write(
+                "entries-not-borrowed", peer=member.name, prefix=mirror.prefix, reason=str(error)
+            )
+            return None
+        if reply.fresh and reply.HasField("age_seconds") and reply.revision <= mirror.revision:
+            mirror.confirm(requested_at - reply.age_seconds)
+        return reply
+
+    def _note_reply(self, mirror: Mirror, reply: pb.EntriesReply) -> None:
+        purpose = f"other daemons {mirror.prefix}"
+        self.context.store_contact.note_bytes(purpose, reply.ByteSize())
+        now = self.context.clock.now()
+        if reply.fresh:
+            self.answering_at = now
+        elif reply.store_silent:
+            self.silent_at = now
+
+    def _apply(
+        self, mirror: Mirror, member: Member, request: pb.EntriesRequest, reply: pb.EntriesReply
+    ) -> None:
+        """Apply the entries in a reply.
+
+        :raises RecordError: if they cannot be decoded
+        """
+        if not reply.fresh or reply.revision <= mirror.revision:
+            return
+        if request.without_entries and not reply.entries:
+            return
+        had, snapshot = mirror.revision, decode_snapshot(mirror, reply)
+        if any(entry.revision > had for entry in snapshot.entries):
+            self.context.log.write(
+                "entries-borrowed",
+                peer=member.name,
+                prefix=mirror.prefix,
+                revision=reply.revision,
+                had=had,
+                bytes=reply.ByteSize(),
+            )
+        mirror.apply_snapshot(snapshot)
--- a/limpetpulley/ownership/handlers.py
+++ b/limpetpulley/ownership/handlers.py
@@ -6,12 +6,15 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
+import anyio
+
 from ..batch.records import decode_spec
 from ..exception import RecordError
 from ..peer import BatchBase
 from ..peer import batch_pb2 as pb
 from ..store import Mirror
 from .context import DaemonContext
+from .entry_replies import EntryEncoder
 from .owner import PoolOwner, Submission
 from .service import cancel_locally, count_locally, find_locally, submit_locally
 
@@ -21,6 +24,11 @@
 #: age of the store's last answer up to which other daemons may fetch this daemon's copies of store
 #: entries, in seconds
 MAX_STORE_AGE_SECONDS = 1.0
+#: longest wait for the next confirmation of a mirror, whatever the request says, in seconds
+MAX_WAIT_SECONDS = 2.0
+#: by how much later than the sender's copy a mirror must have been confirmed to be worth a reply
+#: before the next confirmation, in seconds
+MIN_GAIN_SECONDS = 0.1
 
 
 class BatchHandlers(BatchBase):
@@ -33,6 +41,7 @@
         self.context = context
         self.owned = owned
         self.mirrors: dict[str, Mirror] = {}
+        self.encoder = EntryEncoder()
         self.store_age: Callable[[], float] = lambda: math.inf
         self.handle_pool_report: Callable[[pb.PoolReport], pb.PoolPlan] = (
             lambda report: pb.PoolPlan()
@@ -79,15 +88,16 @@
         """Return the entries of this daemon's copy of a prefix of the store."""
         message = await stream.recv_message()
         mirror = self.mirrors.get(message.prefix)
+        if mirror is not None and mirror.loaded.is_set():
+            await _wait_for_news(mirror, message)
+        contact, now = self.context.store_contact, self.context.clock.now()
+        reply = pb.EntriesReply(store_silent=not contact.is_answering(now))
         if mirror is None or self.store_age() > MAX_STORE_AGE_SECONDS or not mirror.loaded.is_set():
-            await stream.send_message(pb.EntriesReply())
+            await stream.send_message(reply)
             return
-        reply = pb.EntriesReply(fresh=True, revision=mirror.revision, age_seconds=mirror.age())
-        if mirror.revision > message.after:
-            reply.entries.extend(
-                pb.EntryRow(key=entry.key, value=entry.value, revision=entry.revision)
-                for entry in mirror.entries.values()
-            )
+        reply.fresh, reply.revision, reply.age_seconds = True, mirror.revision, mirror.age()
+        if mirror.revision > message.after and not message.without_entries:
+            reply.entries.extend(self.encoder.encode_rows(mirror, message))
         await stream.send_message(reply)
 
     def _serving_owner(self, pool: str) -> PoolOwner | None:
@@ -101,3 +111,12 @@
         owner = self._serving_owner(message.pool)
         reply = not_owner_reply if owner is None else await handler(owner, message)
         await stream.send_message(reply)
+
+
+async def _wait_for_news(mirror: Mirror, request: pb.EntriesRequest) -> None:
+    """Wait until a mirror is newer than the copy of a request's sender, or was confirmed later."""
+    sender_age = request.age_seconds if request.HasField("age_seconds") else math.inf
+    known_at = mirror.clock.now() - sender_age + MIN_GAIN_SECONDS
+    with anyio.move_on_after(min(request.wait_seconds, MAX_WAIT_SECONDS)):
+        while mirror.revision <= request.after and mirror.confirmed_at <= known_at:
+            await mirror.updated.wait()
--- a/limpetpulley/ownership/mirror_fallback.py
+++ b/limpetpulley/ownership/mirror_fallback.py
@@ -8,12 +8,11 @@
 
 import anyio
 
-from ..exception import PeerError
-from ..peer import PeerCaller
-from ..peer import batch_pb2 as pb
-from ..store import Entry, Mirror, Snapshot
+from ..store import Mirror
 from .context import DaemonContext
 from .directory import Directory, Member
+from .entry_client import EntryClient
+from .relays import choose_relays
 
 __all__ = ["MirrorFallback"]
 
@@ -21,17 +20,23 @@
 CHECK_INTERVAL_SECONDS = 0.4
 #: time without an answer from the store after which other daemons are asked, in seconds
 STORE_TIMEOUT_SECONDS = 1.3
-#: timeout of a request to another daemon, in seconds
-PEER_TIMEOUT_SECONDS = 0.8
+#: timeout of a question how recent another daemon's mirror is, in seconds
+ASK_TIMEOUT_SECONDS = 0.8
+#: timeout of a transfer from a daemon that has just answered, in seconds: a deflated configuration
+#: of a megabyte takes a link of 1 Mbit/s as long
+TRANSFER_TIMEOUT_SECONDS = 2.5
 #: most daemons that are asked side by side, since some of them may be unreachable as well
 MAX_PEERS = 4
+#: those of them that are relays of this daemon, which have each change first
+MAX_ASKED_RELAYS = 2
 
 
 class MirrorFallback:
     """Updates the mirrors from other daemons while the store is unreachable from this one.
 
     A daemon that alone cannot reach the store thus still learns the newest configuration and the
-    owners of the pools.
+    owners of the pools. Several daemons are asked how recent their copies are, and one of them for
+    what differs.
 
     :param local: this daemon
     :param mirrors: the local mirrors by key prefix
@@ -43,7 +48,7 @@
         context: DaemonContext,
         local: Member,
         directory: Directory,
-        peers: PeerCaller,
+        client: EntryClient,
         mirrors: dict[str, Mirror],
         store_age: Callable[[], float],
     ):
@@ -51,11 +56,13 @@
         self.context = context
         self.local = local
         self.directory = directory
-        self.peers = peers
+        self.client = client
         self.mirrors = mirrors
         self.rng = random.Random(local.name)
         # Name of the daemon that answered last; it is asked first.
         self.last_responder = ""
+        # Held during an update of the mirror with a prefix.
+        self.locks: dict[str, anyio.Lock] = {}
 
     async def run(self) -> None:
         """Update the mirrors until cancelled, whenever the store is unreachable."""
@@ -64,79 +71,87 @@
             if self.store_age() > STORE_TIMEOUT_SECONDS:
                 await self._update_all()
 
+    def is_outage_shared(self) -> bool:
+        """Return whether the store is silent to others as well, as far as this daemon can know."""
+        others = self.directory.members.keys() - {self.local.name}
+        return not others or self.client.is_outage_shared()
+
     async def _update_all(self) -> None:
         """Update the smallest mirror from several daemons, the others from one that answered."""
         first, *others = sorted(self.mirrors.values(), key=_expected_bytes)
         member = await self.update(first)
-        if member is not None:
-            async with anyio.create_task_group() as tasks:
-                for mirror in others:
-                    tasks.start_soon(self._update_from, mirror, member)
+        if member is None:
+            return
+        async with anyio.create_task_group() as tasks:
+            for mirror in others:
+                tasks.start_soon(self._transfer, mirror, member)
 
     async def update(self, mirror: Mirror, max_age: float | None = None) -> Member | None:
-        """Update a mirror from several daemons side by side.
+        """Update a mirror from the first of several daemons whose copy is recent enough.
 
-        :param max_age: age at which the mirror is recent enough, in seconds; None if the reply of
-            any daemon that can reach the store is
-        :returns: the first daemon whose reply was recent enough, None if there was none
+        :param max_age: age at which a copy is recent enough, in seconds; None if the copy of any
+            daemon that can reach the store is
+        :returns: that daemon, None if there was none
         """
-        responder: Member | None = None
+        async with self._lock(mirror):
+            if max_age is not None and mirror.age() <= max_age:
+                return self.directory.members.get(self.last_responder)
+            responder = await self._find_recent(mirror, max_age)
+            if responder is None:
+                return None
+            member, revision = responder
+            self.last_responder = member.name
+            if revision > mirror.revision and not await self._update_from(mirror, member):
+                return None
+            return member
+
+    async def _find_recent(
+        self, mirror: Mirror, max_age: float | None
+    ) -> tuple[Member, int] | None:
+        """Return the first daemon whose copy is recent enough, and its revision."""
+        responder: tuple[Member, int] | None = None
 
         async def ask(member: Member) -> None:
             nonlocal responder
-            is_fresh = await self._update_from(mirror, member)
-            if is_fresh if max_age is None else mirror.age() <= max_age:
-                responder = responder or member
+            reply = await self.client.ask(mirror, member, ASK_TIMEOUT_SECONDS)
+            if reply is None or not reply.fresh:
+                return
+            if max_age is None or reply.age_seconds <= max_age:
+                responder = responder or (member, reply.revision)
                 tasks.cancel_scope.cancel()
 
         async with anyio.create_task_group() as tasks:
             for member in self._select_peers():
                 tasks.start_soon(ask, member)
-        if responder is not None:
-            self.last_responder = responder.name
         return responder
 
+    async def _transfer(self, mirror: Mirror, member: Member) -> None:
+        async with self._lock(mirror):
+            await self._update_from(mirror, member)
+
+    async def _update_from(self, mirror: Mirror, member: Member) -> bool:
+        return await self.client.update(mirror, member, TRANSFER_TIMEOUT_SECONDS)
+
+    def _lock(self, mirror: Mirror) -> anyio.Lock:
+        return self.locks.setdefault(mirror.prefix, anyio.Lock())
+
     def _select_peers(self) -> list[Member]:
+        """Return the daemon that answered last, relays, and others drawn at random."""
+        members = self.directory.members
+        last = members.get(self.last_responder)
+        selected = {last.name: last} if last is not None else {}
+        for relay in choose_relays(self.directory, self.local)[:MAX_ASKED_RELAYS]:
+            selected[relay.name] = relay
+        selected.pop(self.local.name, None)
         others = [
             member
-            for member in self.directory.members.values()
-            if member.name not in (self.local.name, self.last_responder)
+            for name, member in members.items()
+            if name != self.local.name and name not in selected
         ]
-        last = self.directory.members.get(self.last_responder)
-        first = [last] if last is not None else []
-        count = MAX_PEERS - len(first)
-        return first + self.rng.sample(others, min(count, len(others)))
-
-    async def _update_from(self, mirror: Mirror, member: Member) -> bool:
-        """Update a mirror from one daemon; return whether that one can reach the store."""
-        request = pb.EntriesRequest(prefix=mirror.prefix, after=mirror.revision)
-        requested_at = self.context.clock.now()
-        try:
-            reply = await self.peers.call(
-                member.address, "FetchEntries", request, PEER_TIMEOUT_SECONDS
-            )
-        except PeerError as error:
-            self.context.log.write("entries-not-borrowed", peer=member.name, reason=str(error))
-            return False
-        purpose = f"other daemons {mirror.prefix}"
-        self.context.store_contact.note_bytes(purpose, reply.ByteSize())
-        if reply.fresh and reply.revision > mirror.revision:
-            entries = tuple(Entry(row.key, row.value, row.revision) for row in reply.entries)
-            self.context.log.write(
-                "entries-borrowed",
-                peer=member.name,
-                prefix=mirror.prefix,
-                revision=reply.revision,
-                had=mirror.revision,
-            )
-            mirror.apply_snapshot(Snapshot(entries, reply.revision))
-        if reply.fresh and reply.HasField("age_seconds"):
-            mirror.confirm(requested_at - reply.age_seconds)
-        return reply.fresh
+        count = min(max(0, MAX_PEERS - len(selected)), len(others))
+        return [*selected.values(), *self.rng.sample(others, count)]
 
 
 def _expected_bytes(mirror: Mirror) -> float:
     """Return the size of a mirror's values in bytes, infinite while they are unknown."""
-    if not mirror.loaded.is_set():
-        return math.inf
-    return sum(len(entry.value) for entry in mirror.entries.values())
+    return mirror.value_bytes() if mirror.loaded.is_set() else math.inf
--- a/limpetpulley/ownership/node.py
+++ b/limpetpulley/ownership/node.py
@@ -18,6 +18,7 @@
 from ..workers import ListedWorker
 from .context import DaemonContext
 from .directory import PLANNER, Directory, Member, choose_claims, choose_release
+from .entry_client import EntryClient
 from .freshness import round_age
 from .handlers import BatchHandlers
 from .mirror_fallback import MirrorFallback
@@ -98,8 +99,9 @@
         )
         self.mirrors = {self.directory_mirror.prefix: self.directory_mirror}
         self.handlers.mirrors = self.mirrors
+        self.entry_client = EntryClient(context, peers)
         self.mirror_fallback = MirrorFallback(
-            context, member, self.directory, peers, self.mirrors, self.session.age
+            context, member, self.directory, self.entry_client, self.mirrors, self.session.age
         )
         self.handlers.store_age = self.session.age
         # Start of the current period in which claims are limited, by the local clock.
--- a/limpetpulley/ownership/tests/test_slow_link.py
+++ b/limpetpulley/ownership/tests/test_slow_link.py
@@ -13,6 +13,7 @@
 from ...telemetry import null_log
 from ..context import DaemonContext, Timing
 from ..directory import Directory, Member
+from ..entry_client import EntryClient
 from ..freshness import CONFIRM_TIMEOUT_SECONDS, MirrorFreshness
 from ..mirror_fallback import MirrorFallback
 
@@ -150,8 +151,9 @@
             mirrors[prefix].apply_snapshot(Snapshot(entries, 1))
         directory = Directory(keys)
         directory.members = {f"entry-{n}": Member(f"entry-{n}", 1, f"a:{n}") for n in range(9)}
+        client = EntryClient(context, Peers())
         fallback = MirrorFallback(
-            context, Member("entry-0", 1, "a:0"), directory, Peers(), mirrors, lambda: 9.0
+            context, Member("entry-0", 1, "a:0"), directory, client, mirrors, lambda: 9.0
         )
         with anyio.move_on_after(0.5):
             await fallback.run()
--- a/limpetpulley/store/mirror.py
+++ b/limpetpulley/store/mirror.py
@@ -3,16 +3,19 @@
 from __future__ import annotations
 
 import math
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncGenerator, Callable
+from contextlib import aclosing
+from typing import Protocol
 
 import anyio
 
 from ..clock import Clock
 from ..exception import StoreError, StoreUnavailable
 from .contact import StoreContact, read_purpose
+from .history import LARGE_VALUE_BYTES, EntryHistory
 from .store import Entry, Event, Snapshot, Store
 
-__all__ = ["Mirror"]
+__all__ = ["Mirror", "Upstream"]
 
 #: backoff after the first failed call, doubled up to the maximum, in seconds
 INITIAL_BACKOFF_SECONDS = 0.1
@@ -21,6 +24,21 @@
 EXPECTED_READ_SECONDS = 0.3
 #: interval between two checks of that, in seconds
 READ_CHECK_SECONDS = 0.05
+#: interval between two questions to the upstream while the first read is under way, in seconds
+FIRST_READ_POLL_SECONDS = 0.2
+
+
+class Upstream(Protocol):
+    """Keeps a mirror up to date in place of the store."""
+
+    def is_preferred(self, mirror: Mirror) -> bool:
+        """Return whether the mirror should follow the upstream rather than the store."""
+
+    async def update(self, mirror: Mirror, wait: bool) -> bool:
+        """Apply the upstream's changes to the mirror; return whether that has confirmed it.
+
+        :param wait: whether to wait a moment for the upstream's next confirmation
+        """
 
 
 class Mirror:
@@ -29,7 +47,8 @@
     Revisions never go back: an entry is only replaced by a later revision. While the store is
     unavailable, the copy stays unchanged. Whenever the watch has ended, all entries are read again,
     because the store may no longer have the changes since the copy's revision, which is old if few
-    entries under the prefix change.
+    entries under the prefix change. While an upstream is preferred, the copy follows that one, and
+    the store only if the upstream does not answer.
 
     :param store: the store
     :param prefix: prefix of the keys
@@ -80,6 +99,11 @@
         self.read_ended = anyio.Event()
         self.read_ended.set()
         self.read_started_at = -math.inf
+        self.upstream: Upstream | None = None
+        # Set when the copy is confirmed or changed, and replaced by another event then.
+        self.updated = anyio.Event()
+        # Earlier values of large entries, for differences to other daemons.
+        self.history = EntryHistory()
         self.completed_reads = 0
 
     def age(self) -> float:
@@ -91,29 +115,77 @@
 
     def confirm(self, at: float) -> None:
         """Record that the copy includes all changes up to a local time."""
-        self.confirmed_at = max(self.confirmed_at, at)
+        if at > self.confirmed_at:
+            self.confirmed_at = at
+            self._wake_followers()
 
     def is_arriving(self) -> bool:
         """Return whether the entries that a read has asked for are arriving."""
         return self.contact.is_arriving(read_purpose(self.prefix), self.clock.now())
 
+    def value_bytes(self) -> int:
+        """Return the size of all values, in bytes."""
+        return sum(len(entry.value) for entry in self.entries.values())
+
+    def large_entries(self) -> list[Entry]:
+        """Return the entries with large values."""
+        return [entry for entry in self.entries.values() if len(entry.value) >= LARGE_VALUE_BYTES]
+
+    def prefers_upstream(self) -> bool:
+        """Return whether the copy should follow the upstream rather than the store."""
+        return self.upstream is not None and self.upstream.is_preferred(self)
+
     async def run(self) -> None:
         """Keep the copy up to date until cancelled."""
         backoff = INITIAL_BACKOFF_SECONDS
         while True:
             try:
-                await self.load()
+                while await self._update_from_upstream(wait=True):
+                    backoff = INITIAL_BACKOFF_SECONDS
+                await (self.load() if self.loaded.is_set() else self._load_first())
                 backoff = INITIAL_BACKOFF_SECONDS
-                async for events in self._watch():
-                    self.apply(events)
-                    if events:
-                        await anyio.sleep(self.poll_interval())
+                await self._follow_store()
             except (StoreUnavailable, StoreError) as error:
                 self._record_failure(str(error), backoff)
                 await self.contact.sleep(backoff)
                 backoff = min(2 * backoff, MAX_BACKOFF_SECONDS)
 
-    async def _watch(self) -> AsyncIterator[list[Event]]:
+    async def _follow_store(self) -> None:
+        """Apply the changes that a watch reports until the upstream is preferred and answers."""
+        async with aclosing(self._watch()) as watch:
+            async for events in watch:
+                self.apply(events)
+                if await self._update_from_upstream(wait=False):
+                    return
+                if events:
+                    await anyio.sleep(self.poll_interval())
+
+    async def _update_from_upstream(self, wait: bool) -> bool:
+        """Return whether the upstream is preferred and has confirmed the copy."""
+        if self.upstream is None or not self.upstream.is_preferred(self):
+            return False
+        return await self.upstream.update(self, wait)
+
+    async def _load_first(self) -> None:
+        """Read all entries for the first time, from the upstream if that has them sooner."""
+        failure: StoreUnavailable | StoreError | None = None
+
+        async def poll() -> None:
+            while not await self._update_from_upstream(wait=False):
+                await anyio.sleep(FIRST_READ_POLL_SECONDS)
+            tasks.cancel_scope.cancel()
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(poll)
+            try:
+                await self.load()
+            except (StoreUnavailable, StoreError) as error:
+                failure = error
+            tasks.cancel_scope.cancel()
+        if failure is not None:
+            raise failure
+
+    async def _watch(self) -> AsyncGenerator[list[Event], None]:
         """Yield the changes that a watch reports.
 
         :raises StoreUnavailable: if the watch yields nothing within the timeout, because its
@@ -213,6 +285,8 @@
             self.revision = max(self.revision, event.revision)
             if current is not None and event.revision <= current.revision:
                 continue
+            if current is not None:
+                self.history.add(current)
             if event.value is not None:
                 self.entries[event.key] = Entry(event.key, event.value, event.revision)
             elif current is not None:
@@ -221,8 +295,13 @@
                 continue
             new_events.append(event)
         if new_events:
+            self._wake_followers()
             self.on_change(new_events)
 
+    def _wake_followers(self) -> None:
+        updated, self.updated = self.updated, anyio.Event()
+        updated.set()
+
     def _record_reply(self, requested_at: float) -> None:
         self.last_reply_at = self.clock.now()
         self.confirm(requested_at)
--- a/limpetpulley/store/tests/test_mirror.py
+++ b/limpetpulley/store/tests/test_mirror.py
@@ -171,7 +171,7 @@
 
 @pytest.mark.parametrize(("revision", "kept"), [(4, True), (5, False), (6, False)])
 def test_snapshot_does_not_remove_an_entry_that_was_written_after_it(revision, kept):
-    mirror = Mirror(MemoryStore(VirtualClock()), "op/", ManualClock(), lambda events: None)
+    mirror = Mirror(MemoryStore(ManualClock()), "op/", ManualClock(), lambda events: None)
     mirror.apply([Event("op/wave/1", b"wave", 5)])
     mirror.apply_snapshot(Snapshot((Entry("op/config", b"config", 3),), revision))
     assert ("op/wave/1" in mirror.entries) is kept
