Follow daemons with fast links where the whole copy takes long

What callers saw: 503 configuration-not-confirmed for 15 s and more after the last change, 200 by versions up to 44 s old, no-config for 46 s after a loss of all.

Cause: each daemon carried each version of op/config whole over its own link. With 1450 queues a version takes a link of 5 Mbit/s 0.65 s; two versions in a row, or one read beside a watch, and every limit of the daemon is passed.

Change: a daemon whose link takes more than 0.1 s for the whole copy follows a relay: one of up to eight daemons of at least half the strength of the strongest, by an order of its own, so that the relays share the followers. A request waits there for the next confirmation of the relay's copy, and brings what has changed and how recent it is. If a relay does not confirm the copy it is left out for 2 s and the next one asked; without any the store is read and watched as before. An attempt to confirm such a copy asks other daemons first, and the store only above three quarters of the limit. The first copy comes from a relay if that has it sooner. With a small configuration, or on links of the same kind, nothing changes.

--- a/limpetpulley/ownership/entry_client.py
+++ b/limpetpulley/ownership/entry_client.py
@@ -48,14 +48,18 @@
 
     async def update(
         self, mirror: Mirror, member: Member, timeout: float, wait_seconds: float = 0.0
-    ) -> bool:
-        """Update a mirror from another daemon's; return whether that one can reach the store.
+    ) -> float | None:
+        """Update a mirror from another daemon's.
 
         :param wait_seconds: longest time to wait for the next confirmation of the other mirror, in
             seconds
+        :returns: the age of the other mirror, in seconds, infinite if it is not told; None if that
+            daemon cannot reach the store or does not reply
         """
         reply = await self._call(mirror, member, make_request(mirror, wait_seconds), timeout)
-        return reply is not None and reply.fresh
+        if reply is None or not reply.fresh:
+            return None
+        return reply.age_seconds if reply.HasField("age_seconds") else math.inf
 
     async def _call(
         self, mirror: Mirror, member: Member, request: pb.EntriesRequest, timeout: float
--- a/limpetpulley/ownership/freshness.py
+++ b/limpetpulley/ownership/freshness.py
@@ -27,6 +27,10 @@
 #: the maximum, because on a slow link the entries take longer than the first
 CONFIRM_TIMEOUT_SECONDS = 0.5
 MAX_CONFIRM_TIMEOUT_SECONDS = 4.0
+#: the same fraction up to which a copy that follows another daemon's is not read from the store
+FOLLOWED_AGE_FRACTION = 0.75
+#: time that other daemons have to confirm such a copy before the store is asked, in seconds
+PEERS_HEAD_START_SECONDS = 0.4
 #: time that the store has for its answer before other daemons are asked, in seconds
 STORE_HEAD_START_SECONDS = 0.1
 #: pause after an attempt that left the copy too old, in seconds
@@ -146,6 +150,10 @@
         """Return whether the mirror is fresh, or the store answers nothing."""
         return self.is_fresh() or not self._is_store_answering()
 
+    def refresh_age(self) -> float:
+        """Return the age from which on the mirror is confirmed without a request, in seconds."""
+        return REFRESH_AGE_FRACTION * self.limit()
+
     def _is_store_answering(self) -> bool:
         return self.mirror.contact.is_answering(self.mirror.clock.now())
 
@@ -183,14 +191,15 @@
         return attempt_ended.is_set()
 
     def _is_recent(self) -> bool:
-        return self.age() <= REFRESH_AGE_FRACTION * self.limit()
+        return self.age() <= self.refresh_age()
 
     async def _attempt(self) -> None:
         """Read the entries from the store and other daemons until the mirror is recent."""
         ended = self.attempt_ended = anyio.Event()
         age, started_at = self.age(), self.mirror.clock.now()
         try:
-            await self._read_or_ask_peers()
+            if not await self._confirm_by_peers():
+                await self._read_or_ask_peers()
         finally:
             self.attempt_ended = None
             ended.set()
@@ -202,6 +211,17 @@
             self.log.write("config-attempt-failed", age=round_age(self.age()), seconds=seconds)
         self._record_outcome(age)
 
+    async def _confirm_by_peers(self) -> bool:
+        """Ask other daemons first if the copy follows them; return whether the store is not needed.
+
+        Their answer is short, while the store's would fill the link.
+        """
+        if not self.mirror.prefers_upstream():
+            return False
+        with anyio.move_on_after(PEERS_HEAD_START_SECONDS):
+            await self.ask_peers(self.mirror, self.refresh_age())
+        return self.age() <= FOLLOWED_AGE_FRACTION * self.limit()
+
     async def _read_or_ask_peers(self) -> None:
         """Read the entries from the store, and ask other daemons if that fails."""
         async with anyio.create_task_group() as tasks:
@@ -246,6 +266,6 @@
         while self._is_store_answering() and not read_ended.is_set():
             with anyio.move_on_after(CHECK_INTERVAL_SECONDS):
                 await read_ended.wait()
-        await self.ask_peers(self.mirror, REFRESH_AGE_FRACTION * self.limit())
+        await self.ask_peers(self.mirror, self.refresh_age())
         if self._is_recent():
             scope.cancel()
--- a/limpetpulley/ownership/operator_entries.py
+++ b/limpetpulley/ownership/operator_entries.py
@@ -10,6 +10,7 @@
 from ..tasks import keep_running
 from .freshness import MirrorFreshness, round_age
 from .node import BatchNode
+from .relay_follower import RelayFollower
 
 __all__ = ["OperatorEntries"]
 
@@ -42,12 +43,16 @@
             on_watch_ended=partial(node.context.log_watch_ended, prefix),
         )
         node.mirrors[prefix] = self.mirror
+        fallback = node.mirror_fallback
         self.freshness = MirrorFreshness(
             self.mirror,
             lambda: node.context.timing.config_limit,
-            node.mirror_fallback.update,
+            fallback.update,
             self.log,
         )
+        self.mirror.upstream = RelayFollower(
+            node.context, node.member, node.directory, node.entry_client, self.freshness.refresh_age
+        )
         node.context.freshness = self.freshness
 
     def start(self) -> None:
--- /dev/null
+++ b/limpetpulley/ownership/tests/test_relay_follower.py
@@ -0,0 +1,174 @@
+"""A daemon on a slow link goes on to another relay, and to the store, if a relay is of no use."""
+
+import anyio
+import attrs
+import pytest
+
+from ...batch.keys import BatchKeys
+from ...exception import PeerError
+from ...peer import batch_pb2 as pb
+from ...standin.virtual import VirtualClock, run_virtual
+from ...store import Entry, MemoryStore, Mirror, Put, Snapshot
+from ...telemetry import null_log
+from ..context import DaemonContext, Timing
+from ..directory import Directory, Member
+from ..entry_client import EntryClient
+from ..handlers import BatchHandlers
+from ..relay_follower import RelayFollower
+
+MAX_AGE_SECONDS = 1.5
+PLAYED_SECONDS = 12.0
+VALUE = b'{"name":"queue"}' * 20_000
+RELAYS = ["fast-0", "fast-1"]
+
+
+@attrs.define
+class Reply:
+    """Records the reply of a handler."""
+
+    request: pb.EntriesRequest
+    reply: pb.EntriesReply | None = None
+
+    async def recv_message(self):
+        return self.request
+
+    async def send_message(self, message):
+        self.reply = message
+
+
+class Peers:
+    """Relays with mirrors of their own, some of which do not answer."""
+
+    def __init__(self, handlers, faults):
+        self.handlers = handlers
+        self.faults = faults
+        self.calls = 0
+
+    async def call(self, address, method, message, timeout):
+        name = address.partition(":")[0]
+        self.calls += 1
+        fault = self.faults.get(name)
+        with anyio.move_on_after(timeout):
+            if fault == "refused":
+                raise PeerError(f"{address}: connection refused")
+            if fault == "silent":
+                await anyio.sleep_forever()
+            await anyio.sleep(0.001)
+            reply = Reply(message)
+            await self.handlers[name].FetchEntries(reply)
+            return reply.reply
+        raise PeerError(f"{address}: no reply")
+
+
+@attrs.define
+class CountingStore:
+    """Counts the reads of a store."""
+
+    store: MemoryStore
+    reads: int = 0
+
+    async def read(self, prefix):
+        self.reads += 1
+        return await self.store.read(prefix)
+
+    def watch(self, prefix, after):
+        return self._poll(prefix, after)
+
+    async def _poll(self, prefix, after):
+        while True:
+            await anyio.sleep(0.6)
+            events = self.store.events_after(prefix, after)
+            after = self.store.revision
+            yield events
+
+
+def make_mirror(store, clock, on_change=lambda events: None):
+    return Mirror(store, "op/", clock, on_change)
+
+
+def play(faults, stale=()):
+    """Return the delays of all changes, the later reads of the store, and the relays' calls."""
+
+    async def run():
+        clock = VirtualClock()
+        store, keys = MemoryStore(clock), BatchKeys("lp/")
+        store.apply([Put("op/config", VALUE)])
+        directory, handlers, mirrors = Directory(keys), {}, []
+        local = Member("slow-0", 1, "slow-0:1", strength=0.125)
+        for name in RELAYS:
+            directory.members[name] = Member(name, 1, f"{name}:1", strength=2.15)
+            context = DaemonContext(store, keys, None, clock, null_log(name), Timing(), None, clock)
+            context.store_contact.note_answer(clock.now(), clock.now())
+            handlers[name] = BatchHandlers(context, {})
+            mirror = make_mirror(CountingStore(store), clock)
+            handlers[name].mirrors["op/"] = mirror
+            handlers[name].store_age = lambda: 0.0
+            mirrors.append(mirror)
+        changed_at, delays, counting = [], [], CountingStore(store)
+        context = DaemonContext(store, keys, None, clock, null_log("slow-0"), Timing(), None, clock)
+        peers = Peers(handlers, faults)
+        client = EntryClient(context, peers)
+        mirror = make_mirror(
+            counting, clock, lambda events: delays.append(clock.now() - changed_at[-1])
+        )
+        mirror.upstream = RelayFollower(context, local, directory, client, lambda: MAX_AGE_SECONDS)
+        changed_at.append(clock.now())
+        async with anyio.create_task_group() as tasks:
+            for name, relay in zip(RELAYS, mirrors, strict=True):
+                if name in stale:
+                    await relay.load()
+                else:
+                    tasks.start_soon(relay.run)
+            await anyio.sleep(0.01)
+            tasks.start_soon(mirror.run)
+            await anyio.sleep(2.0)
+            until, counting.reads = clock.now() + PLAYED_SECONDS, 0
+            while clock.now() < until:
+                changed_at.append(clock.now())
+                store.apply([Put("op/config", VALUE + b"%d}" % len(changed_at))])
+                await anyio.sleep(3.0)
+            tasks.cancel_scope.cancel()
+        return delays[1:], counting.reads, peers.calls
+
+    return run_virtual(run)
+
+
+@pytest.mark.parametrize(
+    ("faults", "stale", "longest", "reads"),
+    [
+        ({}, (), 0.7, 0),
+        ({"fast-0": "refused"}, (), 0.7, 0),
+        ({"fast-1": "refused"}, (), 0.7, 0),
+        ({"fast-0": "silent"}, (), 2.7, 1),
+        ({}, ("fast-0",), 0.7, 0),
+        # Nobody else has the changes: the store is read once, and its watch followed.
+        (dict.fromkeys(RELAYS, "refused"), (), 0.7, 1),
+        (dict.fromkeys(RELAYS, "silent"), (), 2.7, 1),
+        ({}, RELAYS, 0.7, 1),
+    ],
+)
+def test_changes_arrive_whichever_relays_are_of_use(faults, stale, longest, reads):
+    delays, counted, calls = play(faults, stale)
+    assert len(delays) == 4
+    assert max(delays) <= longest
+    assert counted <= reads
+    assert calls <= 12 * PLAYED_SECONDS
+
+
+def test_small_copy_follows_the_store():
+    clock = VirtualClock
+
+    async def run():
+        directory = Directory(BatchKeys("lp/"))
+        directory.members["fast-0"] = Member("fast-0", 1, "fast-0:1", strength=2.15)
+        local = Member("slow-0", 1, "slow-0:1", strength=0.125)
+        mirror = make_mirror(MemoryStore(clock()), clock())
+        follower = RelayFollower(None, local, directory, None, lambda: MAX_AGE_SECONDS)
+        preferred = [follower.is_preferred(mirror)]
+        for size in (10_000, 100_000):
+            entry = Entry("op/config", b"x" * size, size)
+            mirror.apply_snapshot(Snapshot((entry,), size))
+            preferred.append(follower.is_preferred(mirror))
+        return preferred
+
+    assert run_virtual(run) == [True, False, True]
--- a/limpetpulley/store/mirror.py
+++ b/limpetpulley/store/mirror.py
@@ -24,6 +24,8 @@
 EXPECTED_READ_SECONDS = 0.3
 #: interval between two checks of that, in seconds
 READ_CHECK_SECONDS = 0.05
+#: time that the upstream has for the first copy before the store is read, in seconds
+UPSTREAM_HEAD_START_SECONDS = 0.1
 #: interval between two questions to the upstream while the first read is under way, in seconds
 FIRST_READ_POLL_SECONDS = 0.2
 
@@ -140,9 +142,14 @@
         backoff = INITIAL_BACKOFF_SECONDS
         while True:
             try:
-                while await self._update_from_upstream(wait=True):
-                    backoff = INITIAL_BACKOFF_SECONDS
-                await (self.load() if self.loaded.is_set() else self._load_first())
+                if self.loaded.is_set():
+                    while await self._update_from_upstream(wait=True):
+                        backoff = INITIAL_BACKOFF_SECONDS
+                    await self.load()
+                else:
+                    await self._load_first()
+                    if await self._update_from_upstream(wait=False):
+                        continue
                 backoff = INITIAL_BACKOFF_SECONDS
                 await self._follow_store()
             except (StoreUnavailable, StoreError) as error:
@@ -177,6 +184,8 @@
 
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(poll)
+            if self.prefers_upstream():
+                await anyio.sleep(UPSTREAM_HEAD_START_SECONDS)
             try:
                 await self.load()
             except (StoreUnavailable, StoreError) as error:
