Serve by an old copy only in an outage that others see

Cause: a copy that is too old serves while the store answers nothing for 1 s.

Change: replies of other daemons tell whether the store answers them.

--- a/limpetpulley/ownership/freshness.py
+++ b/limpetpulley/ownership/freshness.py
@@ -54,9 +54,9 @@
     def is_usable(self) -> bool:
         """Return whether requests may be served by it.
 
-        An outdated configuration is used only while the store answers nothing at all. If the store
-        answers other calls, changes to the configuration take effect elsewhere, and callers get an
-        answer there.
+        An outdated configuration is used only in an outage of the store. If the store answers other
+        calls or other daemons, changes to the configuration take effect elsewhere, and callers get
+        an answer there.
         """
 
     async def confirm(self) -> bool:
@@ -120,6 +120,8 @@
     :param limit: returns the time within which a change must be in force, in seconds
     :param ask_peers: updates the mirror from other daemons until it is at most as old as its second
         argument says, in seconds
+    :param is_outage_shared: returns whether the store is silent to other daemons as well; what this
+        one hears may be held up on its own link
     """
 
     def __init__(
@@ -128,7 +130,9 @@
         limit: Callable[[], float],
         ask_peers: Callable[[Mirror, float], Awaitable[object]],
         log: EventLog,
+        is_outage_shared: Callable[[], bool] = lambda: True,
     ):
+        self.is_outage_shared = is_outage_shared
         self.mirror = mirror
         self.limit = limit
         self.ask_peers = ask_peers
@@ -147,8 +151,10 @@
         return self.age() <= MAX_AGE_FRACTION * self.limit()
 
     def is_usable(self) -> bool:
-        """Return whether the mirror is fresh, or the store answers nothing."""
-        return self.is_fresh() or not self._is_store_answering()
+        """Return whether the mirror is fresh, or the store answers nothing to any daemon."""
+        if self.is_fresh():
+            return True
+        return not self._is_store_answering() and self.is_outage_shared()
 
     def refresh_age(self) -> float:
         """Return the age from which on the mirror is confirmed without a request, in seconds."""
--- a/limpetpulley/ownership/mirror_fallback.py
+++ b/limpetpulley/ownership/mirror_fallback.py
@@ -71,6 +71,11 @@
             if self.store_age() > STORE_TIMEOUT_SECONDS:
                 await self._update_all()
 
+    def is_outage_shared(self) -> bool:
+        """Return whether the store is silent to others as well, as far as this daemon can know."""
+        others = self.directory.members.keys() - {self.local.name}
+        return not others or self.client.is_outage_shared()
+
     async def _update_all(self) -> None:
         """Update the smallest mirror from several daemons, the others from one that answered."""
         first, *others = sorted(self.mirrors.values(), key=_expected_bytes)
--- a/limpetpulley/ownership/operator_entries.py
+++ b/limpetpulley/ownership/operator_entries.py
@@ -49,6 +49,7 @@
             lambda: node.context.timing.config_limit,
             fallback.update,
             self.log,
+            fallback.is_outage_shared,
         )
         self.mirror.upstream = RelayFollower(
             node.context, node.member, node.directory, node.entry_client, self.freshness.refresh_age
--- a/limpetpulley/ownership/tests/test_freshness.py
+++ b/limpetpulley/ownership/tests/test_freshness.py
@@ -3,6 +3,7 @@
 import anyio
 import pytest
 
+from ...clock import ManualClock
 from ...standin.virtual import VirtualClock, run_virtual
 from ...store import MemoryStore, Mirror
 from ...telemetry import null_log
@@ -48,3 +49,27 @@
         return set(ages)
 
     assert run_virtual(run) == {True}
+
+
+@pytest.mark.parametrize(
+    ("answered_before", "age", "is_outage_shared", "usable"),
+    [
+        (0.1, 1.0, False, True),
+        (0.1, 9.0, True, False),
+        # The daemon hears nothing: that is an outage only if others hear nothing either.
+        (5.0, 9.0, True, True),
+        (5.0, 9.0, False, False),
+        (5.0, 1.0, False, True),
+    ],
+)
+def test_silence_on_the_own_link_does_not_serve_by_an_outdated_copy(
+    answered_before, age, is_outage_shared, usable
+):
+    clock = ManualClock(100.0)
+    mirror = Mirror(MemoryStore(clock), "op/", clock, lambda events: None)
+    mirror.contact.note_answer(clock.now() - answered_before, clock.now() - answered_before)
+    mirror.confirm(clock.now() - age)
+    freshness = MirrorFreshness(
+        mirror, lambda: 3.0, ask_nobody, null_log("entry-1"), lambda: is_outage_shared
+    )
+    assert freshness.is_usable() is usable
