--- a/limpetpulley/ownership/operator_entries.py
+++ b/limpetpulley/ownership/operator_entries.py
@@ -12,7 +12,7 @@
 from .node import BatchNode
 from .relay_follower import RelayFollower
 
-__all__ = ["OperatorEntries"]
+__all__ = ["OperatorEntries", "latest_events"]
 
 
 class OperatorEntries:
@@ -62,7 +62,7 @@
             self.node.context.tasks.start_soon(keep_running, loop)
 
     def _apply_events(self, events: list[Event]) -> None:
-        for event in events:
+        for event in latest_events(events):
             if event.value is None:
                 continue
             try:
@@ -81,3 +81,12 @@
             reason=reason,
             age=round_age(self.mirror.age()),
         )
+
+
+def latest_events(events: list[Event]) -> list[Event]:
+    """Return the latest change of each entry, in the order of their revisions."""
+    latest: dict[str, Event] = {}
+    for event in events:
+        latest.pop(event.key, None)
+        latest[event.key] = event
+    return list(latest.values())
