Count the end of serving from the signal to stop, not from the handover

Cause: a daemon that is told to stop handed its pools over first, up to 4 s of the store's time, and only then served callers for 0.4 of the grace period, and the requests under way after it.

Change: the handover runs beside the 0.4 of the grace period.

--- a/limpetpulley/ownership/daemon.py
+++ b/limpetpulley/ownership/daemon.py
@@ -40,7 +40,7 @@
 __all__ = ["BatchDaemon", "BatchSettings", "DaemonDependencies", "run_daemon"]
 
 KEY_PREFIX = "lp/"
-#: fraction of the grace period for which callers are still served after the pools were handed over
+#: fraction of the grace period for which callers are still served after the signal to stop
 DRAIN_FRACTION = 0.4
 #: interval between checks for open connections during shutdown, in seconds
 DRAIN_POLL_SECONDS = 0.02
@@ -206,13 +206,13 @@
         self.node.start()
 
     async def stop(self) -> None:
-        """Hand all pools over, serve callers a little longer and close the connections."""
+        """Hand all pools over while callers are still served, then close the connections."""
         self.log.write("daemon-stopping")
-        await self.node.leave()
-        await anyio.sleep(self.settings.timing.grace * DRAIN_FRACTION)
-        self.callers_server.stop()
-        while self.callers_server.is_busy:
-            await anyio.sleep(DRAIN_POLL_SECONDS)
+        async with anyio.create_task_group() as tasks:
+            # A handover may take as long as the store: the end of the grace period does not move.
+            drain_seconds = self.settings.timing.grace * DRAIN_FRACTION
+            tasks.start_soon(_drain, self.callers_server, drain_seconds)
+            await self.node.leave()
         self.log.write("daemon-stopped")
         self.log.flush()
 
@@ -284,6 +284,14 @@
         await send_json(send, {"ready": ready}, 200 if ready else 503)
 
 
+async def _drain(server: HttpServer, seconds: float) -> None:
+    """Serve callers for some seconds, and then those whose requests have been read."""
+    await anyio.sleep(seconds)
+    server.stop()
+    while server.is_busy:
+        await anyio.sleep(DRAIN_POLL_SECONDS)
+
+
 async def run_daemon(settings: BatchSettings, dependencies: DaemonDependencies) -> None:
     """Run a daemon until SIGTERM or SIGINT, then shut it down gracefully; reload on SIGHUP."""
     async with anyio.create_task_group() as tasks:
--- a/limpetpulley/platform/tests/test_leases_on_slow_links.py
+++ b/limpetpulley/platform/tests/test_leases_on_slow_links.py
@@ -25,7 +25,7 @@
     lock: anyio.Lock = attrs.field(factory=anyio.Lock)
 
     async def request(
-        self, method, address, target, headers, content, timeout, may_send=None, on_bytes=None
+        self, method, address, target, headers, content, timeout, may_send=None, **progress
     ):
         """Return the answer; one that is given up occupies the link no longer."""
         with anyio.move_on_after(timeout):
