--- a/limpetpulley/ownership/handlers.py
+++ b/limpetpulley/ownership/handlers.py
@@ -42,6 +42,7 @@
         self.owned = owned
         self.mirrors: dict[str, Mirror] = {}
         self.encoder = EntryEncoder()
+        self.started_at = context.clock.now()
         self.store_age: Callable[[], float] = lambda: math.inf
         self.handle_pool_report: Callable[[pb.PoolReport], pb.PoolPlan] = (
             lambda report: pb.PoolPlan()
@@ -90,8 +91,7 @@
         mirror = self.mirrors.get(message.prefix)
         if mirror is not None and mirror.loaded.is_set():
             await _wait_for_news(mirror, message)
-        contact, now = self.context.store_contact, self.context.clock.now()
-        reply = pb.EntriesReply(store_silent=not contact.is_answering(now))
+        reply = pb.EntriesReply(store_silent=self._is_store_silent())
         if mirror is None or self.store_age() > MAX_STORE_AGE_SECONDS or not mirror.loaded.is_set():
             await stream.send_message(reply)
             return
@@ -100,6 +100,13 @@
             reply.entries.extend(self.encoder.encode_rows(mirror, message))
         await stream.send_message(reply)
 
+    def _is_store_silent(self) -> bool:
+        """Return whether the store answers nothing, which a daemon cannot know at its start."""
+        now = self.context.clock.now()
+        if now - self.started_at <= MAX_STORE_AGE_SECONDS:
+            return False
+        return not self.context.store_contact.is_answering(now)
+
     def _serving_owner(self, pool: str) -> PoolOwner | None:
         owner = self.owned.get(pool)
         return owner if owner is not None and owner.is_serving else None
--- a/limpetpulley/ownership/tests/test_entry_client.py
+++ b/limpetpulley/ownership/tests/test_entry_client.py
@@ -12,6 +12,7 @@
 from ..context import DaemonContext, Timing
 from ..directory import Member
 from ..entry_client import OBSERVATION_SECONDS, EntryClient
+from ..handlers import BatchHandlers
 
 SILENT = pb.EntriesReply(store_silent=True)
 ANSWERING = pb.EntriesReply(fresh=True)
@@ -58,3 +59,39 @@
         return client.is_outage_shared()
 
     assert run_virtual(run) is shared
+
+
+@pytest.mark.parametrize(
+    ("elapsed", "answered_at", "silent"),
+    [(0.5, None, False), (1.5, None, True), (5.0, 4.5, False), (5.0, 3.5, True)],
+)
+def test_daemon_tells_that_the_store_is_silent_to_it_only_once_it_can_know(
+    elapsed, answered_at, silent
+):
+    class Stream:
+        async def recv_message(self):
+            return pb.EntriesRequest(prefix="op/")
+
+        async def send_message(self, message):
+            self.reply = message
+
+    async def run():
+        clock, stream = ManualClock(), Stream()
+        context = DaemonContext(
+            MemoryStore(clock),
+            BatchKeys("lp/"),
+            None,
+            clock,
+            null_log("entry-0"),
+            Timing(),
+            None,
+            clock.now,
+        )
+        handlers = BatchHandlers(context, {})
+        if answered_at is not None:
+            context.store_contact.note_answer(answered_at, answered_at)
+        clock.advance(elapsed)
+        await handlers.FetchEntries(stream)
+        return stream.reply.store_silent
+
+    assert run_virtual(run) is silent
