Count the wait of a request at a relay out of the copy's age

Cause: the age of a copy from a relay counted from the request, which waits up to 0.65 s there, so that the copy seemed older than it was and was asked for again at once: twice the requests.

Change: the reply tells how long the request waited, by the receiver's clock, which includes pauses; what it was on its way counts as age as before.

Test: test_wait_at_a_relay_does_not_count_as_age_of_the_copy, failed before.

--- a/limpetpulley/ownership/entry_client.py
+++ b/limpetpulley/ownership/entry_client.py
@@ -75,7 +75,7 @@
             )
             return None
         if reply.fresh and reply.HasField("age_seconds") and reply.revision <= mirror.revision:
-            mirror.confirm(requested_at - reply.age_seconds)
+            mirror.confirm(requested_at + reply.waited_seconds - reply.age_seconds)
         return reply
 
     def _note_reply(self, mirror: Mirror, reply: pb.EntriesReply) -> None:
--- a/limpetpulley/ownership/handlers.py
+++ b/limpetpulley/ownership/handlers.py
@@ -88,6 +88,7 @@
     async def FetchEntries(self, stream: Any) -> None:  # noqa: N802
         """Return the entries of this daemon's copy of a prefix of the store."""
         message = await stream.recv_message()
+        arrived_at = self.context.clock.now()
         mirror = self.mirrors.get(message.prefix)
         if mirror is not None and mirror.loaded.is_set():
             await _wait_for_news(mirror, message)
@@ -96,6 +97,7 @@
             await stream.send_message(reply)
             return
         reply.fresh, reply.revision, reply.age_seconds = True, mirror.revision, mirror.age()
+        reply.waited_seconds = self.context.clock.now() - arrived_at
         if mirror.revision > message.after and not message.without_entries:
             reply.entries.extend(self.encoder.encode_rows(mirror, message))
         await stream.send_message(reply)
--- a/limpetpulley/ownership/tests/test_relay_follower.py
+++ b/limpetpulley/ownership/tests/test_relay_follower.py
@@ -17,7 +17,9 @@
 from ..relay_follower import RelayFollower
 
 MAX_AGE_SECONDS = 1.5
-PLAYED_SECONDS = 12.0
+SETTLING_SECONDS, PLAYED_SECONDS = 2.0, 12.0
+#: time that a watch of the store waits for a change, in seconds
+WATCH_SECONDS = 0.6
 VALUE = b'{"name":"queue"}' * 20_000
 RELAYS = ["fast-0", "fast-1"]
 
@@ -76,7 +78,7 @@
 
     async def _poll(self, prefix, after):
         while True:
-            await anyio.sleep(0.6)
+            await anyio.sleep(WATCH_SECONDS)
             events = self.store.events_after(prefix, after)
             after = self.store.revision
             yield events
@@ -87,7 +89,7 @@
 
 
 def play(faults, stale=()):
-    """Return the delays of all changes, the later reads of the store, and the relays' calls."""
+    """Return delays of changes, later reads of the store, the relays' calls, and the oldest age."""
 
     async def run():
         clock = VirtualClock()
@@ -104,7 +106,7 @@
             handlers[name].mirrors["op/"] = mirror
             handlers[name].store_age = lambda: 0.0
             mirrors.append(mirror)
-        changed_at, delays, counting = [], [], CountingStore(store)
+        changed_at, delays, ages, counting = [], [], [], CountingStore(store)
         context = DaemonContext(store, keys, None, clock, null_log("slow-0"), Timing(), None, clock)
         peers = Peers(handlers, faults)
         client = EntryClient(context, peers)
@@ -121,14 +123,16 @@
                     tasks.start_soon(relay.run)
             await anyio.sleep(0.01)
             tasks.start_soon(mirror.run)
-            await anyio.sleep(2.0)
+            await anyio.sleep(SETTLING_SECONDS)
             until, counting.reads = clock.now() + PLAYED_SECONDS, 0
             while clock.now() < until:
                 changed_at.append(clock.now())
                 store.apply([Put("op/config", VALUE + b"%d}" % len(changed_at))])
-                await anyio.sleep(3.0)
+                for _ in range(30):
+                    await anyio.sleep(0.1)
+                    ages.append(mirror.age())
             tasks.cancel_scope.cancel()
-        return delays[1:], counting.reads, peers.calls
+        return delays[1:], counting.reads, peers.calls, max(ages)
 
     return run_virtual(run)
 
@@ -148,13 +152,22 @@
     ],
 )
 def test_changes_arrive_whichever_relays_are_of_use(faults, stale, longest, reads):
-    delays, counted, calls = play(faults, stale)
+    delays, counted, calls, _ = play(faults, stale)
     assert len(delays) == 4
     assert max(delays) <= longest
     assert counted <= reads
     assert calls <= 12 * PLAYED_SECONDS
 
 
+def test_wait_at_a_relay_does_not_count_as_age_of_the_copy():
+    """A copy that seems older than it is would be asked for again at once."""
+    delays, _, calls, oldest = play({})
+    watches = (SETTLING_SECONDS + PLAYED_SECONDS) / WATCH_SECONDS
+    assert calls <= 1 + watches + len(delays)
+    # The relay's own copy is at most two watches old.
+    assert oldest <= 2 * WATCH_SECONDS + 0.05
+
+
 def test_small_copy_follows_the_store():
     clock = VirtualClock
 
