End the session of a leaving daemon whose claims cannot be released

Change: each step is tried by itself. Test: test_daemon_that_leaves_without_its_lease_begins_no_other, failed before.

--- a/limpetpulley/ownership/node.py
+++ b/limpetpulley/ownership/node.py
@@ -137,11 +137,11 @@
             owner.stop()
             claims[pool] = owner.token
             self.owned.pop(pool, None)
-        try:
-            await self.session.stop_claiming(claims)
-            await self.session.end()
-        except (StoreUnavailable, StoreError) as error:
-            self.context.log.write("claims-not-released", reason=str(error))
+        for step in (partial(self.session.stop_claiming, claims), self.session.end):
+            try:
+                await step()
+            except (StoreUnavailable, StoreError) as error:
+                self.context.log.write("claims-not-released", reason=str(error))
 
     async def _finish_in_time(self, hand_over: Callable[[], Awaitable[None]]) -> None:
         """Store what the next owner or planner needs, unless the store takes too long."""
--- a/limpetpulley/ownership/tests/test_daemons.py
+++ b/limpetpulley/ownership/tests/test_daemons.py
@@ -364,6 +364,17 @@
     assert result.retry_seconds >= 1
 
 
+def test_daemon_that_leaves_without_its_lease_begins_no_other():
+    async def scenario(deployment):
+        node = next(iter(deployment.fleet.daemons.values())).node
+        await deployment.fleet.store.revoke_lease(node.session.lease)
+        await node.leave()
+        await anyio.sleep(2.0)
+        return node.session.lease, node.session.closed
+
+    assert run_scenario(scenario) == (0, True)
+
+
 def test_daemon_that_has_left_is_no_longer_a_member():
     async def scenario(deployment):
         node = deployment.fleet.daemons[DAEMON_NAMES[0]].node
