Take a copy for complete only up to the first page's revision

What callers would see: a queue that is added or removed while the entries are read stays unknown, or in force, for as long as nothing else changes (CONFIG).

An entry of a later page raised the copy's revision, so that the watch began behind changes of the first page, and its empty answers confirmed the copy.

Tests: test_pages_of_later_revisions_do_not_hide_the_changes_between_them and test_older_snapshot_does_not_bring_removed_entries_back, which failed before.

--- a/limpetpulley/store/mirror.py
+++ b/limpetpulley/store/mirror.py
@@ -281,10 +281,16 @@
             for key, entry in self.entries.items()
             if key not in snapshot_entries and entry.revision <= snapshot.revision
         ]
-        events += [Event(entry.key, entry.value, entry.revision) for entry in snapshot.entries]
-        self.revision = max(self.revision, snapshot.revision)
+        events += [
+            Event(entry.key, entry.value, entry.revision)
+            for entry in snapshot.entries
+            if entry.key in self.entries or entry.revision > self.revision
+        ]
+        # Pages of later revisions do not have the changes between the first page's and theirs.
+        revision = max(self.revision, snapshot.revision)
         self.loaded.set()
         self.apply(events)
+        self.revision = revision
 
     def apply(self, events: list[Event]) -> None:
         """Apply changes, except those that are older than the copy's entry of the key."""
--- a/limpetpulley/store/tests/test_mirror.py
+++ b/limpetpulley/store/tests/test_mirror.py
@@ -175,3 +175,26 @@
     mirror.apply([Event("op/wave/1", b"wave", 5)])
     mirror.apply_snapshot(Snapshot((Entry("op/config", b"config", 3),), revision))
     assert ("op/wave/1" in mirror.entries) is kept
+
+
+@pytest.mark.parametrize(
+    ("known", "snapshot_revision", "page_revision", "revision"),
+    [(0, 10, 12, 10), (11, 10, 12, 11), (14, 10, 12, 14)],
+)
+def test_pages_of_later_revisions_do_not_hide_the_changes_between_them(
+    known, snapshot_revision, page_revision, revision
+):
+    mirror = Mirror(MemoryStore(ManualClock()), "op/", ManualClock(), lambda events: None)
+    mirror.apply_snapshot(Snapshot((Entry("op/config", b"old", 3),), known))
+    rows = (Entry("op/config", b"old", 3), Entry("op/wave/1", b"wave", page_revision))
+    mirror.apply_snapshot(Snapshot(rows, snapshot_revision))
+    assert mirror.revision == revision
+
+
+def test_older_snapshot_does_not_bring_removed_entries_back():
+    mirror = Mirror(MemoryStore(ManualClock()), "lp/dir/", ManualClock(), lambda events: None)
+    old = Snapshot((Entry("lp/dir/member/a", b"a", 4), Entry("lp/dir/member/b", b"b", 5)), 6)
+    mirror.apply_snapshot(old)
+    mirror.apply_snapshot(Snapshot((Entry("lp/dir/member/b", b"b", 5),), 9))
+    mirror.apply_snapshot(old)
+    assert set(mirror.entries) == {"lp/dir/member/b"}
