Choose relays among the daemons that stay

Found by the review: while the only strong daemons leave, the strongest was counted among them and no other daemon was strong enough, so that all read the store whole at once. Test: a row of test_of_many_equal_daemons_a_few_read_the_store.

--- a/limpetpulley/ownership/relays.py
+++ b/limpetpulley/ownership/relays.py
@@ -26,12 +26,9 @@
     The order differs between daemons, so that the relays share the load.
     """
     members = {**directory.members, local.name: local}.values()
-    strongest = max(member.strength for member in members)
-    able = [
-        member
-        for member in members
-        if member.strength >= RELAY_STRENGTH_FRACTION * strongest and not member.leaving
-    ]
+    staying = [member for member in members if not member.leaving]
+    strongest = max((member.strength for member in staying), default=0.0)
+    able = [member for member in staying if member.strength >= RELAY_STRENGTH_FRACTION * strongest]
     relays = sorted(able, key=lambda member: (-member.strength, _rank(member.name, "")))
     relays = relays[:MAX_RELAYS]
     if any(member.name == local.name for member in relays):
--- a/limpetpulley/ownership/tests/test_relays.py
+++ b/limpetpulley/ownership/tests/test_relays.py
@@ -47,9 +47,10 @@
     assert names(choose_relays(directory, member)) == expected
 
 
-def test_of_many_equal_daemons_a_few_read_the_store():
-    directory = make_directory(SLOW)
-    relays = [choose_relays(directory, member) for member in directory.members.values()]
+@pytest.mark.parametrize(("strengths", "leaving"), [(SLOW, ()), (FAST | SLOW, tuple(FAST))])
+def test_of_many_equal_daemons_a_few_read_the_store(strengths, leaving):
+    directory = make_directory(strengths, leaving)
+    relays = [choose_relays(directory, directory.members[name]) for name in SLOW]
     assert sum(not each for each in relays) == MAX_RELAYS
     assert len({frozenset(names(each)) for each in relays if each}) == 1
 
