--- a/limpetpulley/ownership/tests/test_entry_replies.py
+++ b/limpetpulley/ownership/tests/test_entry_replies.py
@@ -21,7 +21,7 @@
     """Return a mirror that has had versions of an entry, as value and revision."""
     mirror = Mirror(MemoryStore(ManualClock()), "op/", ManualClock(), lambda events: None)
     for value, revision in versions:
-        mirror.apply([Event("op/config", value, revision)])
+        mirror.apply([Event("op/entry", value, revision)])
     if versions:
         mirror.loaded.set()
     return mirror
@@ -52,13 +52,13 @@
     assert reply.ByteSize() <= most_bytes
     value, revision = sent[-1]
     snapshot = decode_snapshot(receiver, reply)
-    assert snapshot == Snapshot((Entry("op/config", value, revision),), revision)
+    assert snapshot == Snapshot((Entry("op/entry", value, revision),), revision)
 
 
 def test_unchanged_entries_are_kept_and_removed_ones_are_not():
     receiver, sender = make_mirror((LARGE, 5)), make_mirror((LARGE, 5))
-    receiver.apply([Event("op/wave/1", b"wave", 6)])
-    sender.apply([Event("op/wave/2", b"wave", 8)])
+    receiver.apply([Event("op/other/1", b"wave", 6)])
+    sender.apply([Event("op/other/2", b"wave", 8)])
     reply = reply_to(make_request(receiver), sender)
     assert reply.ByteSize() < 100
     receiver.apply_snapshot(decode_snapshot(receiver, reply))
@@ -92,7 +92,7 @@
 def test_value_that_cannot_be_decoded_is_not_applied(row):
     receiver = make_mirror((LARGE, 5))
     reply = pb.EntriesReply(fresh=True, revision=9)
-    reply.entries.add(key="op/config", revision=9, **row)
+    reply.entries.add(key="op/entry", revision=9, **row)
     with pytest.raises(RecordError):
         decode_snapshot(receiver, reply)
 
--- a/limpetpulley/ownership/tests/test_relay_follower.py
+++ b/limpetpulley/ownership/tests/test_relay_follower.py
@@ -94,7 +94,7 @@
     async def run():
         clock = VirtualClock()
         store, keys = MemoryStore(clock), BatchKeys("lp/")
-        store.apply([Put("op/config", VALUE)])
+        store.apply([Put("op/entry", VALUE)])
         directory, handlers, mirrors = Directory(keys), {}, []
         local = Member("slow-0", 1, "slow-0:1", strength=0.125)
         for name in RELAYS:
@@ -127,7 +127,7 @@
             until, counting.reads = clock.now() + PLAYED_SECONDS, 0
             while clock.now() < until:
                 changed_at.append(clock.now())
-                store.apply([Put("op/config", VALUE + b"%d}" % len(changed_at))])
+                store.apply([Put("op/entry", VALUE + b"%d}" % len(changed_at))])
                 for _ in range(30):
                     await anyio.sleep(0.1)
                     ages.append(mirror.age())
@@ -179,7 +179,7 @@
         follower = RelayFollower(None, local, directory, None, lambda: MAX_AGE_SECONDS)
         preferred = [follower.is_preferred(mirror)]
         for size in (10_000, 100_000):
-            entry = Entry("op/config", b"x" * size, size)
+            entry = Entry("op/entry", b"x" * size, size)
             mirror.apply_snapshot(Snapshot((entry,), size))
             preferred.append(follower.is_preferred(mirror))
         return preferred
--- a/limpetpulley/store/tests/test_contact.py
+++ b/limpetpulley/store/tests/test_contact.py
@@ -64,4 +64,4 @@
     assert contact.is_arriving("read op/", asked_at) is any(
         0 <= asked_at - at <= SILENCE_SECONDS for at in arrivals
     )
-    assert not contact.is_arriving("read servers/", asked_at)
+    assert not contact.is_arriving("read workers/", asked_at)
--- a/limpetpulley/store/tests/test_history.py
+++ b/limpetpulley/store/tests/test_history.py
@@ -22,8 +22,8 @@
 def test_latest_large_values_are_kept(sizes, kept):
     history = EntryHistory()
     for revision, size in enumerate(sizes, 1):
-        history.add(Entry("op/config", b"x" * size, revision))
+        history.add(Entry("op/entry", b"x" * size, revision))
     revisions = range(1, len(sizes) + 1)
-    assert [each for each in revisions if history.find("op/config", each)] == kept
+    assert [each for each in revisions if history.find("op/entry", each)] == kept
     assert history.find("op/other", kept[0] if kept else 1) is None
     assert history.bytes <= MAX_HISTORY_BYTES
--- a/limpetpulley/store/tests/test_mirror.py
+++ b/limpetpulley/store/tests/test_mirror.py
@@ -172,9 +172,9 @@
 @pytest.mark.parametrize(("revision", "kept"), [(4, True), (5, False), (6, False)])
 def test_snapshot_does_not_remove_an_entry_that_was_written_after_it(revision, kept):
     mirror = Mirror(MemoryStore(ManualClock()), "op/", ManualClock(), lambda events: None)
-    mirror.apply([Event("op/wave/1", b"wave", 5)])
-    mirror.apply_snapshot(Snapshot((Entry("op/config", b"config", 3),), revision))
-    assert ("op/wave/1" in mirror.entries) is kept
+    mirror.apply([Event("op/other/1", b"wave", 5)])
+    mirror.apply_snapshot(Snapshot((Entry("op/entry", b"config", 3),), revision))
+    assert ("op/other/1" in mirror.entries) is kept
 
 
 @pytest.mark.parametrize(
@@ -185,8 +185,8 @@
     known, snapshot_revision, page_revision, revision
 ):
     mirror = Mirror(MemoryStore(ManualClock()), "op/", ManualClock(), lambda events: None)
-    mirror.apply_snapshot(Snapshot((Entry("op/config", b"old", 3),), known))
-    rows = (Entry("op/config", b"old", 3), Entry("op/wave/1", b"wave", page_revision))
+    mirror.apply_snapshot(Snapshot((Entry("op/entry", b"old", 3),), known))
+    rows = (Entry("op/entry", b"old", 3), Entry("op/other/1", b"wave", page_revision))
     mirror.apply_snapshot(Snapshot(rows, snapshot_revision))
     assert mirror.revision == revision
 
