Ask for copies of entries on connections of their own

The relays are the strong daemons, which own the pools, so that each late reply about the configuration could cost a job's answer.

Change: a second client of the other daemons for FetchEntries.

--- a/limpetpulley/ownership/daemon.py
+++ b/limpetpulley/ownership/daemon.py
@@ -167,6 +167,7 @@
             PeerClient(BatchStub),
             dependencies.vms,
             dependencies.wave_registry,
+            PeerClient(BatchStub),
         )
         host = settings.host
         self.peer_server = PeerServer([self.node.handlers], host, settings.peers_port)
--- a/limpetpulley/ownership/node.py
+++ b/limpetpulley/ownership/node.py
@@ -55,6 +55,8 @@
 
     :param member: this daemon
     :param peers: calls other daemons
+    :param entry_peers: the same for copies of entries, on connections of their own: a long or late
+        one must not hold up or close those of jobs; None for the same connections
     :param vms: client that lists VMs and sends orders for them
     :param wave_registry: maintenance waves that the operator has ordered
     """
@@ -66,6 +68,7 @@
         peers: PeerCaller,
         vms: VmPlatform,
         wave_registry: WaveRegistry,
+        entry_peers: PeerCaller | None = None,
     ):
         self.context = context
         self.member = member
@@ -99,7 +102,7 @@
         )
         self.mirrors = {self.directory_mirror.prefix: self.directory_mirror}
         self.handlers.mirrors = self.mirrors
-        self.entry_client = EntryClient(context, peers)
+        self.entry_client = EntryClient(context, entry_peers or peers)
         self.mirror_fallback = MirrorFallback(
             context, member, self.directory, self.entry_client, self.mirrors, self.session.age
         )
