--- a/limpetpulley/ownership/relay_follower.py
+++ b/limpetpulley/ownership/relay_follower.py
@@ -22,6 +22,8 @@
 RELAY_WAIT_SECONDS = 0.65
 #: time allowed for a relay's reply in addition to that, in seconds
 MARGIN_SECONDS = 0.6
+#: the same for the first copy, which is whole, in seconds; the store is read meanwhile
+FIRST_COPY_SECONDS = 5.0
 #: shortest time between two updates, in seconds; changes in quick succession arrive together
 MIN_INTERVAL_SECONDS = 0.1
 #: time for which a relay that did not confirm the copy is not asked, in seconds
@@ -67,7 +69,8 @@
         wait_seconds = RELAY_WAIT_SECONDS if wait else 0.0
         started_at = self.context.clock.now()
         for relay in self._available_relays()[:MAX_ASKED_RELAYS]:
-            timeout = wait_seconds + MARGIN_SECONDS
+            margin = MARGIN_SECONDS if mirror.loaded.is_set() else FIRST_COPY_SECONDS
+            timeout = wait_seconds + margin
             age = await self.client.update(mirror, relay, timeout, wait_seconds)
             # The next relay is not waited for, since the copy may be about to be too old.
             wait_seconds = 0.0
