Know an outage by the daemons that are left

What callers would see: 503 configuration-not-confirmed for known queues in an outage of the store, from daemons most of whose others are lost.

Cause: in an outage the directory stands still, so that lost daemons are asked; a silent reply counted for 2 s, and nobody remembered who replies.

Change: a silent reply counts for 10 s unless the store answers somebody; daemons that did not reply are left out for 5 s; if neither others nor the store are heard at all, the others are taken for lost. A daemon at which a long answer is arriving does not call the store silent, and one that the store answers, though its renewals are slow, counts as able to reach it.

--- a/limpetpulley/ownership/entry_client.py
+++ b/limpetpulley/ownership/entry_client.py
@@ -14,8 +14,13 @@
 
 __all__ = ["EntryClient"]
 
-#: time for which an observation of the store by another daemon is used, in seconds
-OBSERVATION_SECONDS = 2.0
+#: time for which the store counts as answering others after one has said so, in seconds
+ANSWERING_SECONDS = 2.0
+#: time for which it counts as silent to others after one has said so, in seconds: in an outage most
+#: of the daemons that are asked may be lost
+SILENT_SECONDS = 10.0
+#: time for which a daemon that did not reply is asked after the others, in seconds
+UNREACHABLE_SECONDS = 5.0
 
 
 class EntryClient:
@@ -30,14 +35,27 @@
         # When another daemon last said that the store answers it, and that it does not.
         self.answering_at = -math.inf
         self.silent_at = -math.inf
+        # When another daemon last replied, and when each one last failed to.
+        self.replied_at = -math.inf
+        self.unreachable: dict[str, float] = {}
 
     def is_outage_shared(self) -> bool:
-        """Return whether other daemons have lately found the store silent, and none has not."""
-        now = self.context.clock.now()
-        is_silent, is_answering = (
-            now - at <= OBSERVATION_SECONDS for at in (self.silent_at, self.answering_at)
-        )
-        return is_silent and not is_answering
+        """Return whether the store is silent to others as well, as far as this daemon can know.
+
+        If neither others nor the store are heard at all, what this daemon hears is not held up on
+        its own link: the others may be lost.
+        """
+        contact, now = self.context.store_contact, self.context.clock.now()
+        if now - self.answering_at <= ANSWERING_SECONDS:
+            return False
+        if now - self.silent_at <= SILENT_SECONDS:
+            return True
+        return now - self.replied_at > ANSWERING_SECONDS and not contact.is_anything_arriving(now)
+
+    def is_unreachable(self, member: Member) -> bool:
+        """Return whether a daemon has lately not replied."""
+        failed_at = self.unreachable.get(member.name, -math.inf)
+        return self.context.clock.now() - failed_at <= UNREACHABLE_SECONDS
 
     async def ask(self, mirror: Mirror, member: Member, timeout: float) -> pb.EntriesReply | None:
         """Ask a daemon how recent its mirror is; confirm the local one if that has all of it.
@@ -69,7 +87,9 @@
             reply = await self.peers.call(member.address, "FetchEntries", request, timeout)
             self._note_reply(mirror, reply)
             self._apply(mirror, member, request, reply)
+            self.unreachable.pop(member.name, None)
         except (PeerError, RecordError) as error:
+            self.unreachable[member.name] = self.context.clock.now()
             self.context.log.write(
                 "entries-not-borrowed", peer=member.name, prefix=mirror.prefix, reason=str(error)
             )
@@ -81,7 +101,7 @@
     def _note_reply(self, mirror: Mirror, reply: pb.EntriesReply) -> None:
         purpose = f"other daemons {mirror.prefix}"
         self.context.store_contact.note_bytes(purpose, reply.ByteSize())
-        now = self.context.clock.now()
+        now = self.replied_at = self.context.clock.now()
         if reply.fresh:
             self.answering_at = now
         elif reply.store_silent:
--- a/limpetpulley/ownership/handlers.py
+++ b/limpetpulley/ownership/handlers.py
@@ -93,7 +93,7 @@
         if mirror is not None and mirror.loaded.is_set():
             await _wait_for_news(mirror, message)
         reply = pb.EntriesReply(store_silent=self._is_store_silent())
-        if mirror is None or self.store_age() > MAX_STORE_AGE_SECONDS or not mirror.loaded.is_set():
+        if mirror is None or not mirror.loaded.is_set() or not self._can_reach_store():
             await stream.send_message(reply)
             return
         reply.fresh, reply.revision, reply.age_seconds = True, mirror.revision, mirror.age()
@@ -102,12 +102,19 @@
             reply.entries.extend(self.encoder.encode_rows(mirror, message))
         await stream.send_message(reply)
 
+    def _can_reach_store(self) -> bool:
+        """Return whether the store has answered a renewal or another call lately."""
+        now = self.context.clock.now()
+        is_renewed = self.store_age() <= MAX_STORE_AGE_SECONDS
+        return is_renewed or self.context.store_contact.is_answering(now)
+
     def _is_store_silent(self) -> bool:
         """Return whether the store answers nothing, which a daemon cannot know at its start."""
         now = self.context.clock.now()
         if now - self.started_at <= MAX_STORE_AGE_SECONDS:
             return False
-        return not self.context.store_contact.is_answering(now)
+        contact = self.context.store_contact
+        return not contact.is_answering(now) and not contact.is_anything_arriving(now)
 
     def _serving_owner(self, pool: str) -> PoolOwner | None:
         owner = self.owned.get(pool)
--- a/limpetpulley/ownership/mirror_fallback.py
+++ b/limpetpulley/ownership/mirror_fallback.py
@@ -136,11 +136,20 @@
         return self.locks.setdefault(mirror.prefix, anyio.Lock())
 
     def _select_peers(self) -> list[Member]:
-        """Return the daemon that answered last, relays, and others drawn at random."""
-        members = self.directory.members
+        """Return the daemon that answered last, relays, and others drawn at random.
+
+        Those that lately did not reply are left out, unless there are no others.
+        """
+        reachable = {
+            name: member
+            for name, member in self.directory.members.items()
+            if not self.client.is_unreachable(member)
+        }
+        members = reachable if reachable.keys() - {self.local.name} else self.directory.members
         last = members.get(self.last_responder)
         selected = {last.name: last} if last is not None else {}
-        for relay in choose_relays(self.directory, self.local)[:MAX_ASKED_RELAYS]:
+        relays = choose_relays(self.directory, self.local)
+        for relay in [each for each in relays if each.name in members][:MAX_ASKED_RELAYS]:
             selected[relay.name] = relay
         selected.pop(self.local.name, None)
         others = [
--- a/limpetpulley/store/contact.py
+++ b/limpetpulley/store/contact.py
@@ -9,7 +9,7 @@
 
 import anyio
 
-__all__ = ["StoreContact", "read_purpose"]
+__all__ = ["StoreContact", "read_purpose", "watch_purpose"]
 
 #: time without any answer after which the next answer shows that earlier calls were lost, in
 #: seconds; a daemon renews its lease every 0.3 s
@@ -23,6 +23,11 @@
     return f"read {prefix}"
 
 
+def watch_purpose(prefix: str) -> str:
+    """Return the purpose of a watch of all entries under a prefix."""
+    return f"watch {prefix}"
+
+
 class StoreContact:
     """Tracks the answers of the store to the calls of one daemon.
 
@@ -106,6 +111,13 @@
         """
         return now - self.arrivals.get(purpose, -math.inf) <= SILENCE_SECONDS
 
+    def is_anything_arriving(self, now: float) -> bool:
+        """Return whether any long answer has been arriving lately, also in an outage.
+
+        :param now: local time
+        """
+        return any(self.is_arriving(purpose, now) for purpose in self.arrivals)
+
     def is_answering(self, now: float) -> bool:
         """Return whether the store has answered a call lately.
 
