Read nothing whole beside a watch that brings it, or after a lost relay

While an answer of the watch was arriving, the age of the copy led to a read of the same on the same link; and a daemon whose relays failed read everything although nothing had changed: 16.1 MB in 15 s with a store that answers 0.5 s late.

Change: no attempt to confirm begins while the watch's answer is arriving; a copy whose relays have failed goes on with a watch from its revision, unless it is older than 3 s or the store has dropped the changes; and a relay's copy is good up to three quarters of the limit in place of half.

Tests: test_no_read_begins_beside_an_answer_of_the_watch_that_is_arriving and test_copy_goes_on_with_a_watch_after_its_relays_are_lost, which failed before.

--- a/limpetpulley/ownership/freshness.py
+++ b/limpetpulley/ownership/freshness.py
@@ -160,6 +160,10 @@
         """Return the age from which on the mirror is confirmed without a request, in seconds."""
         return REFRESH_AGE_FRACTION * self.limit()
 
+    def followed_age(self) -> float:
+        """Return the age up to which a copy that follows another daemon's is good, in seconds."""
+        return FOLLOWED_AGE_FRACTION * self.limit()
+
     def _is_store_answering(self) -> bool:
         return self.mirror.contact.is_answering(self.mirror.clock.now())
 
@@ -204,6 +208,9 @@
         ended = self.attempt_ended = anyio.Event()
         age, started_at = self.age(), self.mirror.clock.now()
         try:
+            while self.mirror.is_watch_arriving():
+                # It confirms the copy, and a read would slow it on the same link.
+                await anyio.sleep(CHECK_INTERVAL_SECONDS)
             if not await self._confirm_by_peers():
                 await self._read_or_ask_peers()
         finally:
@@ -226,7 +233,7 @@
             return False
         with anyio.move_on_after(PEERS_HEAD_START_SECONDS):
             await self.ask_peers(self.mirror, self.refresh_age())
-        return self.age() <= FOLLOWED_AGE_FRACTION * self.limit()
+        return self.age() <= self.followed_age()
 
     async def _read_or_ask_peers(self) -> None:
         """Read the entries from the store, and ask other daemons if that fails."""
--- a/limpetpulley/ownership/operator_entries.py
+++ b/limpetpulley/ownership/operator_entries.py
@@ -52,7 +52,11 @@
             fallback.is_outage_shared,
         )
         self.mirror.upstream = RelayFollower(
-            node.context, node.member, node.directory, node.entry_client, self.freshness.refresh_age
+            node.context,
+            node.member,
+            node.directory,
+            node.entry_client,
+            self.freshness.followed_age,
         )
         node.context.freshness = self.freshness
 
--- a/limpetpulley/ownership/tests/test_freshness.py
+++ b/limpetpulley/ownership/tests/test_freshness.py
@@ -73,3 +73,29 @@
         mirror, lambda: 3.0, ask_nobody, null_log("entry-1"), lambda: is_outage_shared
     )
     assert freshness.is_usable() is usable
+
+
+@pytest.mark.parametrize("arriving_seconds", [0.0, 2.0])
+def test_no_read_begins_beside_an_answer_of_the_watch_that_is_arriving(arriving_seconds):
+    reads = []
+
+    async def run():
+        clock = VirtualClock()
+        store = LossyStore(MemoryStore(clock), set())
+        mirror = Mirror(store, "op/", clock, lambda events: None)
+        freshness = MirrorFreshness(mirror, lambda: 3.0, ask_nobody, null_log("entry-1"))
+        await mirror.load()
+        until = clock.now() + 1.0 + arriving_seconds
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(freshness.run)
+            while arriving_seconds and clock.now() < until:
+                mirror.contact.note_arrival("watch op/", clock.now())
+                await anyio.sleep(0.1)
+            reads.append(store.reads)
+            await anyio.sleep(2.0)
+            reads.append(store.reads)
+            tasks.cancel_scope.cancel()
+
+    run_virtual(run)
+    assert reads[0] == 1
+    assert reads[1] > 1
--- a/limpetpulley/ownership/tests/test_relay_follower.py
+++ b/limpetpulley/ownership/tests/test_relay_follower.py
@@ -88,7 +88,7 @@
     return Mirror(store, "op/", clock, on_change)
 
 
-def play(faults, stale=()):
+def play(faults, stale=(), later=None):
     """Return delays of changes, later reads of the store, the relays' calls, and the oldest age."""
 
     async def run():
@@ -125,6 +125,7 @@
             tasks.start_soon(mirror.run)
             await anyio.sleep(SETTLING_SECONDS)
             until, counting.reads = clock.now() + PLAYED_SECONDS, 0
+            peers.faults = later or faults
             while clock.now() < until:
                 changed_at.append(clock.now())
                 store.apply([Put("op/entry", VALUE + b"%d}" % len(changed_at))])
@@ -159,6 +160,14 @@
     assert calls <= 12 * PLAYED_SECONDS
 
 
+@pytest.mark.parametrize("fault", ["refused", "silent"])
+def test_copy_goes_on_with_a_watch_after_its_relays_are_lost(fault):
+    delays, reads, *_ = play({}, later=dict.fromkeys(RELAYS, fault))
+    assert len(delays) == 4
+    assert max(delays) <= 2.7
+    assert reads == 0
+
+
 def test_wait_at_a_relay_does_not_count_as_age_of_the_copy():
     """A copy that seems older than it is would be asked for again at once."""
     delays, _, calls, oldest = play({})
--- a/limpetpulley/store/mirror.py
+++ b/limpetpulley/store/mirror.py
@@ -11,7 +11,7 @@
 
 from ..clock import Clock
 from ..exception import StoreError, StoreUnavailable
-from .contact import StoreContact, read_purpose
+from .contact import StoreContact, read_purpose, watch_purpose
 from .history import LARGE_VALUE_BYTES, EntryHistory
 from .store import Entry, Event, Snapshot, Store
 
@@ -24,6 +24,8 @@
 EXPECTED_READ_SECONDS = 0.3
 #: interval between two checks of that, in seconds
 READ_CHECK_SECONDS = 0.05
+#: age up to which a copy goes on with a watch after its upstream has failed, in seconds
+RESUMED_AGE_SECONDS = 3.0
 #: time that the upstream has for the first copy before the store is read, in seconds
 UPSTREAM_HEAD_START_SECONDS = 0.1
 #: interval between two questions to the upstream while the first read is under way, in seconds
@@ -107,6 +109,8 @@
         # Earlier values of large entries, for differences to other daemons.
         self.history = EntryHistory()
         self.completed_reads = 0
+        # Whether the last failure was not for want of an answer.
+        self.is_history_lost = False
 
     def age(self) -> float:
         """Return the time since the copy was known to be complete, in seconds.
@@ -125,6 +129,10 @@
         """Return whether the entries that a read has asked for are arriving."""
         return self.contact.is_arriving(read_purpose(self.prefix), self.clock.now())
 
+    def is_watch_arriving(self) -> bool:
+        """Return whether a long answer to the watch is arriving."""
+        return self.contact.is_arriving(watch_purpose(self.prefix), self.clock.now())
+
     def value_bytes(self) -> int:
         """Return the size of all values, in bytes."""
         return sum(len(entry.value) for entry in self.entries.values())
@@ -145,7 +153,8 @@
                 if self.loaded.is_set():
                     while await self._update_from_upstream(wait=True):
                         backoff = INITIAL_BACKOFF_SECONDS
-                    await self.load()
+                    if not self._can_resume_watch():
+                        await self.load()
                 else:
                     await self._load_first()
                     if await self._update_from_upstream(wait=False):
@@ -153,10 +162,20 @@
                 backoff = INITIAL_BACKOFF_SECONDS
                 await self._follow_store()
             except (StoreUnavailable, StoreError) as error:
+                # Other errors than an absent answer: the store may have dropped the changes.
+                self.is_history_lost = not isinstance(error, StoreUnavailable)
                 self._record_failure(str(error), backoff)
                 await self.contact.sleep(backoff)
                 backoff = min(2 * backoff, MAX_BACKOFF_SECONDS)
 
+    def _can_resume_watch(self) -> bool:
+        """Return whether a watch brings what an upstream that has failed did not.
+
+        Only where a read takes long; it brings each version that was missed since, so few of them.
+        """
+        is_recent = self.age() <= RESUMED_AGE_SECONDS
+        return is_recent and not self.is_history_lost and self.prefers_upstream()
+
     async def _follow_store(self) -> None:
         """Apply the changes that a watch reports until the upstream is preferred and answers."""
         async with aclosing(self._watch()) as watch:
