--- a/limpetpulley/http_client.py
+++ b/limpetpulley/http_client.py
@@ -245,6 +245,7 @@
             return response
         finally:
             connection.timer.cancel()
+            connection.on_bytes = None
             if completed and connection.is_open:
                 connection.idle_since = loop.time()
                 connections.idle.append(connection)
--- a/limpetpulley/ownership/freshness.py
+++ b/limpetpulley/ownership/freshness.py
@@ -132,11 +132,11 @@
         log: EventLog,
         is_outage_shared: Callable[[], bool] = lambda: True,
     ):
-        self.is_outage_shared = is_outage_shared
         self.mirror = mirror
         self.limit = limit
         self.ask_peers = ask_peers
         self.log = log
+        self.is_outage_shared = is_outage_shared
         self.failed = False
         self.attempt_seconds = CONFIRM_TIMEOUT_SECONDS
         # Set at the end of the attempt that is under way, None if there is none.
--- a/limpetpulley/ownership/tests/test_relay_follower.py
+++ b/limpetpulley/ownership/tests/test_relay_follower.py
@@ -178,13 +178,12 @@
 
 
 def test_small_copy_follows_the_store():
-    clock = VirtualClock
-
     async def run():
+        clock = VirtualClock()
         directory = Directory(BatchKeys("lp/"))
         directory.members["fast-0"] = Member("fast-0", 1, "fast-0:1", strength=2.15)
         local = Member("slow-0", 1, "slow-0:1", strength=0.125)
-        mirror = make_mirror(MemoryStore(clock()), clock())
+        mirror = make_mirror(MemoryStore(clock), clock)
         follower = RelayFollower(None, local, directory, None, lambda: MAX_AGE_SECONDS)
         preferred = [follower.is_preferred(mirror)]
         for size in (10_000, 100_000):
