Ask for the preferred upstream in one place; two comments said otherwise than the code

Found on reading the whole change. Mirror._update_from_upstream repeated the check of prefers_upstream. A daemon that did not reply is not asked, rather than asked later; replies of other daemons are no longer as long as the store's.

--- a/limpetpulley/ownership/entry_client.py
+++ b/limpetpulley/ownership/entry_client.py
@@ -19,7 +19,7 @@
 #: time for which it counts as silent to others after one has said so, in seconds: in an outage most
 #: of the daemons that are asked may be lost
 SILENT_SECONDS = 10.0
-#: time for which a daemon that did not reply is asked after the others, in seconds
+#: time for which a daemon that did not reply is not asked if there are others, in seconds
 UNREACHABLE_SECONDS = 5.0
 
 
--- a/limpetpulley/ownership/freshness.py
+++ b/limpetpulley/ownership/freshness.py
@@ -273,7 +273,7 @@
         """Ask other daemons once the read has failed or the store answers nothing.
 
         While the store answers other calls, the read may only be slow, and the replies of other
-        daemons, which are as long, would slow it further.
+        daemons would slow it further.
         """
         await anyio.sleep(STORE_HEAD_START_SECONDS)
         while self._is_store_answering() and not read_ended.is_set():
--- a/limpetpulley/store/mirror.py
+++ b/limpetpulley/store/mirror.py
@@ -188,7 +188,7 @@
 
     async def _update_from_upstream(self, wait: bool) -> bool:
         """Return whether the upstream is preferred and has confirmed the copy."""
-        if self.upstream is None or not self.upstream.is_preferred(self):
+        if self.upstream is None or not self.prefers_upstream():
             return False
         return await self.upstream.update(self, wait)
 
