--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -60,6 +60,8 @@
 ZONES = ["baltic-a", "baltic-b", "baltic-c", "baltic-d"]
 HEARTBEAT_SECONDS = 1.5
 PORTS_PER_DAEMON = 24
+#: fields of a phase that only the stand-in of an executor reads: how long its work items take
+OWN_FIELDS = {"seconds", "long_seconds"}
 FIRST_PORT = 12000
 
 
@@ -146,6 +148,7 @@
         self.daemons: list[Daemon] = []
         self.tasks: list[asyncio.Task[None]] = []
         self.config: dict[str, Any] = {}
+        self.advice_address: str | None = None
 
     def add_executors(
         self, service: str, count: int, cpu: int = 16000, memory: int = 65536, rack_size: int = 4
@@ -199,14 +202,14 @@
             "faultTolerance": {"machines": 2, "zones": 0, "regionCount": 0},
             "bounds": BOUNDS,
             "orders": "call",
-            "advice": None,
+            "advice": self.advice_address,
             "platform": {"address": self.store.address, "form": "kv", "writesPerS": 400,
                          "readsPerS": 2000, "historyS": 20, "valueBytes": 1048576,
                          "ttlMinMs": 1000},
             "cloud": {"address": self.machines.address, "ratePerS": 64.0, "duties": [],
                       "dutyPerS": 64.0},
         }
-        port = FIRST_PORT + os.getpid() % 500 * PORTS_PER_DAEMON
+        port = FIRST_PORT + os.getpid() % 150 * 4 * PORTS_PER_DAEMON
         for number in range(self.daemon_count):
             zone = ZONES[number % len(ZONES)]
             daemon = Daemon(f"edge-{zone}-{number}", zone, self.temporary, settings, port)
@@ -351,7 +354,8 @@
         """Hand a job in; ``seconds`` of a phase is how long its work items take on an executor."""
         self.deployment.jobs.specs[job] = {"phases": phases, **fields}
         sent = [
-            {name: value for name, value in phase.items() if name != "seconds"} for phase in phases
+            {name: value for name, value in phase.items() if name not in OWN_FIELDS}
+            for phase in phases
         ]
         body = {"spec": f"work of {job}", "phases": sent, **fields}
         status, _ = await self.call(daemon, "POST", job, body, leave_after)
--- a/review/lib/standin.py
+++ b/review/lib/standin.py
@@ -306,6 +306,8 @@
         self.finished: list[list[Any]] = []
         self.next_end = 1
         self.cut = False
+        self.is_down = False
+        self.restarted_at = 0.0
         self.unhealthy = False
         self.state = "ready"
         self.sequence = 0
@@ -339,11 +341,37 @@
     def clock_ms(self) -> int:
         return int(self.clock() * 1000)
 
+    def crash(self) -> None:
+        """Crash: all runs are gone, and it answers nothing until :meth:`restart`."""
+        self.record.write(f"{self.name} crashes with {sorted(self.runs)}")
+        self.is_down = True
+        self.runs.clear()
+        self.finished.clear()
+        self.highest.clear()
+
+    def restart(self) -> None:
+        """Start again under the same identifier; nothing of before is known."""
+        self.record.write(f"{self.name} starts again")
+        self.born = max(self.born + 1, time.time_ns() // 1_000_000)
+        self.origin = time.monotonic() - 5.0
+        self.fence, self.until, self.next_end, self.sequence = 0, 0.0, 1, 0
+        self.is_down, self.restarted_at = False, time.monotonic()
+
     async def live(self, store: Store, heartbeat: float) -> None:
         """Write the entry at each heartbeat; end the runs whose time has come."""
-        written_at = 0.0
+        written_at, silent_beats = 0.0, 0
         while True:
             now = time.monotonic()
+            if self.is_down:
+                # The store drops the entry after three heartbeats of silence.
+                if silent_beats < 3 and now - written_at >= heartbeat:
+                    written_at, silent_beats = now, silent_beats + 1
+                    if silent_beats == 3:
+                        store.delete(f"servers/{self.name}")
+                await asyncio.sleep(0.005)
+                continue
+            if silent_beats or written_at < self.restarted_at:
+                written_at, silent_beats = 0.0, 0
             if now - written_at >= heartbeat:
                 written_at = now
                 store.put(f"servers/{self.name}", json.dumps(self.entry()).encode())
@@ -366,12 +394,13 @@
         ended.set()
 
     async def handle(self, method: str, target: str, headers: dict[str, str], body: Any) -> Reply:
-        if self.cut:
+        if self.cut or self.is_down:
             raise Silence
         if headers.get("expect-instance", self.name) != self.name:
             return 421, {}
+        born = self.born
         reply = await self._call(target, body)
-        if self.cut:
+        if self.cut or self.is_down or born != self.born:
             raise Silence
         return reply
 
@@ -422,6 +451,8 @@
             self.record.write(f"{self.name}: start of {task} run {number} is answered room")
             return 409, {"clockMs": self.clock_ms(), "reason": "room"}
         seconds = phase.get("seconds")
+        if "long_seconds" in phase and int(task.rsplit(".", 1)[1]) % 2:
+            seconds = phase["long_seconds"]
         self.runs[task] = {
             "run": number,
             "need": need,
@@ -481,11 +512,11 @@
             {
                 "machine": executor.machine,
                 "pool": executor.service,
-                "state": "up",
+                "state": "down" if executor.is_down else "up",
                 "zone": executor.zone,
                 "labels": executor.labels,
                 "capacity": executor.capacity,
-                "id": executor.name,
+                "id": "" if executor.is_down else executor.name,
             }
             for executor in self.executors
         ]
