--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,127 +1,89 @@
-"""A job is cancelled while its storing is in doubt; the cancel is answered 410, and the job runs on.
+"""An executor is lost just after a lasting job has started there: another one starts nothing more.
 
-For some seconds the answers to a part of the store's writes are lost, and these writes are carried
-out late. A client that has no answer within 0.3 s leaves and cancels its job.
+Eight executors of 16 cores. A job that lasts has one work item on each of them; another one has
+six large ones. Of the two executors with much room one is lost for good. Jobs whose work items fit
+only on the other one are accepted, and never begin.
 """
 
 import asyncio
 import pathlib
-import random
 import sys
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[2]))
 
-from review.lib.case import (  # noqa: E402
-    KEY,
-    add_second_service,
-    has_trouble,
-    make_config,
-    run_case,
-)
-from review.lib.deployment import BOUNDS, CannotRun, Client, Deployment  # noqa: E402
+from review.lib.case import KEY, has_trouble, make_config, run_case  # noqa: E402
+from review.lib.deployment import CannotRun, Client, Deployment  # noqa: E402
 
-#: the pages' largest share of the writes whose answers are lost, for how long at most, in seconds,
-#: and when such writes are carried out, in seconds
-LOST_SHARE, LOST_SECONDS, LATE_SECONDS = 0.35, 4.5, (1.0, 6.0)
-#: jobs that are handed in during that time, the clients' time budget, and when they leave: after half
-#: of the latency target of 600 ms
-JOBS, BUDGET_MS, LEAVE_SECONDS = 30, 3000, 0.3
-SEED = 45
-CANCEL_SECONDS, STOP_SECONDS = BOUNDS["cancel_ms"] / 1000, BOUNDS["stopMs"] / 1000
-CONTACT_SECONDS = BOUNDS["contactMs"] / 1000
+CPU = 16_000
+#: what a work item needs, in thousandths of a core: of the jobs that last, and of the later ones
+SMALL, LARGE, LATER = 1_500, 7_400, 7_200
+#: after which time from the acceptance of a job it is judged, in seconds
+WAIT_SECONDS = 20.0
 
 
 async def run(deployment: Deployment) -> bool:
-    record, store, chance = deployment.record, deployment.store, random.Random(SEED)
-    route = make_config(deployment)
-    other_route = add_second_service(deployment)
-    executors = deployment.add_executors("drivers", 8)
-    deployment.add_executors("depot", 8)
+    record = deployment.record
+    route = make_config(deployment, stretch=4.0)
+    executors = deployment.add_executors("drivers", 8, cpu=CPU)
     await deployment.start()
     await deployment.wait_ready()
-    await asyncio.sleep(3.0)
-    client = Client(deployment, route, KEY, BUDGET_MS)
-    other = Client(deployment, other_route, KEY, BUDGET_MS)
-    cancelled: dict[str, float] = {}
-    lost = total = 0
+    await asyncio.sleep(1.0)
+    client = Client(deployment, route, KEY, 3000)
+    entry = deployment.daemons[0]
+    begun: set[str] = set()
+    for executor in executors:
+        executor.on_start = lambda executor, task, number: begun.add(task.split(".")[0])
+    lasting = {"memMb": 1024, "estimateMs": 900, "longRunning": True, "antiAffinity": 1,
+               "mayMiss": 1}
+    large = {**lasting, "count": 6, "cpu": LARGE}
+    small = {**lasting, "count": 8, "cpu": SMALL}
+    if await client.submit(entry, "00000000000000e0", [large]) != 200:
+        raise CannotRun("the first job that lasts was not accepted")
+    await wait_for_runs(executors, 6)
+    if await client.submit(entry, "00000000000000e1", [small]) != 200:
+        raise CannotRun("the second job that lasts was not accepted")
+    await wait_for_runs(executors, 8)
+    free = [executor for executor in executors if executor.used("cpu") < LARGE]
+    if len(free) != 2:
+        raise CannotRun(f"{len(free)} executors have much room")
+    await asyncio.sleep(0.1)
+    if has_trouble():
+        free[1].crash()
+    await asyncio.sleep(8.0)
+    later = {"count": 1, "cpu": LATER, "memMb": 256, "estimateMs": 1000, "seconds": 1.0}
+    accepted: dict[str, float] = {}
+    for number in range(4):
+        job = f"{0xf0 + number:016x}"
+        if await client.submit(entry, job, [later]) == 200:
+            accepted[job] = record.now()
+        await asyncio.sleep(0.5)
+    if not accepted:
+        raise CannotRun("no job was accepted")
+    await asyncio.sleep(WAIT_SECONDS)
+    alive = [executor for executor in executors if not executor.is_down]
+    in_use = sum(executor.used("cpu") for executor in alive)
+    record.write(
+        f"in use: {in_use} of {CPU * len(alive)}, on {free[0].name} {free[0].used('cpu')} of {CPU}"
+    )
     broken = False
-
-    def check_start(executor, task, number):
-        nonlocal broken
-        since = cancelled.get(task.split(".")[0])
-        if since is not None and record.now() > since + CANCEL_SECONDS + LATE_SECONDS[1]:
-            seconds = record.now() - since
-            record.write(f"BROKEN: {task} starts {seconds:.1f} s after its cancel was acknowledged")
+    for job, since in accepted.items():
+        status, answer = await client.call(entry, "GET", job)
+        if job not in begun and status == 200:
+            record.write(
+                f"BROKEN: {job}, accepted {record.now() - since:.0f} s ago, has nothing running;"
+                f" its work item needs {LATER}, {CPU - free[0].used('cpu')} are free on"
+                f" {free[0].name}, under half of the service's capacity is in use"
+            )
             broken = True
+    return broken and in_use * 2 < CPU * len(alive)
 
-    for executor in executors:
-        executor.on_start = check_start
-
-    def lose(body):
-        """Return when a write is carried out whose answer is lost, None for a sound one."""
-        nonlocal lost, total
-        total += 1
-        if lost + 1 > LOST_SHARE * total or chance.random() >= LOST_SHARE:
-            return None
-        lost += 1
-        keys = [row["key"] for row in body["writes"]]
-        record.write(f"store: a write of {keys} gets no answer")
-        return chance.uniform(*LATE_SECONDS)
 
-    async def hand_in(number: int) -> None:
-        """Hand a job in; leave and cancel it if there is no answer in time."""
-        job = f"{0x5c0e7a2100000000 + number:016x}"
-        daemon = deployment.daemons[number % len(deployment.daemons)]
-        phase = {"count": 1, "cpu": 200, "memMb": 128, "estimateMs": 900, "longRunning": True}
-        status = await client.submit(daemon, job, [phase], leave_after=LEAVE_SECONDS)
-        if status == 200 and has_trouble():
+async def wait_for_runs(executors, count: int) -> None:
+    for _ in range(500):
+        if len([executor for executor in executors if executor.runs]) == count:
             return
-        while True:
-            status, _ = await client.call(daemon, "DELETE", job)
-            if status in (200, 410):
-                cancelled[job] = record.now()
-                return
-            await asyncio.sleep(0.2)
-
-    others = asyncio.create_task(use_other_service(other, deployment.daemons))
-    await asyncio.sleep(1.0)
-    if has_trouble():
-        store.on_txn = lose
-        record.write("the store's answers to a part of the writes are lost from now on")
-    tasks = []
-    for number in range(JOBS):
-        tasks.append(asyncio.create_task(hand_in(number)))
-        await asyncio.sleep(LOST_SECONDS / JOBS)
-    store.on_txn = lambda body: None
-    record.write(f"the store answers all writes again; {lost} of {total} answers were lost")
-    others.cancel()
-    await asyncio.wait_for(asyncio.gather(*tasks), 30.0)
-    if not cancelled:
-        raise CannotRun("no client was left in doubt")
-    record.write(f"{len(cancelled)} of {JOBS} jobs were cancelled, each cancel was acknowledged")
-    await asyncio.sleep(LATE_SECONDS[1] + CANCEL_SECONDS + STOP_SECONDS + CONTACT_SECONDS)
-    for executor in executors:
-        for task, row in executor.runs.items():
-            job = task.split(".")[0]
-            if job in cancelled:
-                seconds = record.now() - cancelled[job]
-                record.write(
-                    f"BROKEN: {task} is at work on {executor.name}, run {row['run']},"
-                    f" {seconds:.1f} s after its cancel was acknowledged"
-                )
-                broken = True
-    return broken
-
-
-async def use_other_service(client: Client, daemons) -> None:
-    """Hand in a short job each 0.15 s at the other service, so that the store has ordinary load."""
-    number = 0
-    while True:
-        number += 1
-        phase = {"count": 2, "cpu": 500, "memMb": 256, "estimateMs": 300, "seconds": 0.3}
-        daemon = daemons[number % len(daemons)]
-        asyncio.ensure_future(client.submit(daemon, f"{0xb00000 + number:016x}", [phase]))
-        await asyncio.sleep(0.15)
+        await asyncio.sleep(0.01)
+    raise CannotRun(f"not {count} executors have a work item")
 
 
 if __name__ == "__main__":
