--- a/review/lib/case.py
+++ b/review/lib/case.py
@@ -9,7 +9,7 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
-from .deployment import CannotRun, Deployment
+from .deployment import Deployment
 
 KEY = "sjnbanfqasnmgkcuyj8p"
 TENANT = "cugo130"
@@ -71,8 +71,8 @@
         deployment = Deployment(pathlib.Path(file).resolve().parent, daemons)
         try:
             return 1 if await run(deployment) else 0
-        except CannotRun as error:
-            deployment.record.write(f"the case could not run: {error}")
+        except Exception as error:
+            deployment.record.write(f"the case could not run: {error!r}")
             return 2
         finally:
             await deployment.close()
