--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,8 +1,7 @@
-"""A pool is handed over while an executor is cut off: its runs do not count in the tenant's limit."""
+"""Jobs whose start was turned away by an unhealthy executor are no longer counted as pending."""
 
 import asyncio
 import pathlib
-import signal
 import sys
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[2]))
@@ -10,62 +9,79 @@
 from review.lib.case import KEY, has_trouble, make_config, run_case  # noqa: E402
 from review.lib.deployment import BOUNDS, CannotRun, Client, Deployment  # noqa: E402
 
-#: the tenant's limit, and what a work item needs, in thousandths of a core
-LIMIT, ITEM = 32_000, 2_000
-#: the pages' longest cut of executors, in seconds, and its largest share
-CUT_SECONDS, CUT_SHARE = 5.5, 0.17
+#: how long the executor is unhealthy, in seconds, and its share of the executors
+GREY_SECONDS, GREY_SHARE = 6.5, 0.15
+JOBS = 6
+VISIBLE_SECONDS = BOUNDS["visible_ms"] / 1000 + 2.0
 
 
 async def run(deployment: Deployment) -> bool:
     record = deployment.record
-    route = make_config(deployment, upper_cpu=LIMIT, stretch=4.0)
+    route = make_config(deployment, stretch=4.0)
     executors = deployment.add_executors("drivers", 8)
     await deployment.start()
     await deployment.wait_ready()
     await asyncio.sleep(3.0)
     client = Client(deployment, route, KEY, 3000)
-    owner = deployment.owner("drivers")
-    if owner is None:
-        raise CannotRun("the pool has no owner")
-    entry = next(each for each in deployment.daemons if each is not owner)
-    allowed = LIMIT * (1 + BOUNDS["quotaOverage"]) + ITEM
-    broken = False
+    entry = deployment.daemons[0]
+    begun: set[str] = set()
 
-    def check_start(executor, task, number):
-        nonlocal broken
-        running = sum(each.used("cpu") for each in executors)
-        if running > allowed:
-            record.write(f"BROKEN: {running} thousandths of a core run, {allowed:.0f} are allowed")
-            broken = True
+    def note_start(executor, task, number):
+        begun.add(task.split(".")[0])
 
     for executor in executors:
-        executor.on_start = check_start
-    phase = {"count": LIMIT // ITEM, "cpu": ITEM, "memMb": 256, "estimateMs": 6000, "seconds": 6.0}
-    if await client.submit(entry, "00000000000000a1", [phase]) != 200:
-        raise CannotRun("the first job was not accepted")
-    await asyncio.sleep(1.2)
-    busy = [executor for executor in executors if executor.runs]
-    record.write(f"at work: {({each.name: len(each.runs) for each in busy})}")
-    if not busy:
-        raise CannotRun("nothing runs")
+        executor.on_start = note_start
+    # A job that lasts fills all executors but one.
+    phase = {"count": 7, "cpu": 15000, "memMb": 256, "estimateMs": 900, "longRunning": True}
+    if await client.submit(entry, "00000000000000b0", [phase]) != 200:
+        raise CannotRun("the job that lasts was not accepted")
+    for _ in range(50):
+        await asyncio.sleep(0.1)
+        idle = [executor for executor in executors if not executor.runs]
+        if len(idle) == 1:
+            break
+    else:
+        raise CannotRun(f"{len(idle)} executors are idle")
+    grey = idle[0]
+    short = {"count": 1, "cpu": 2000, "memMb": 256, "estimateMs": 2500, "seconds": 2.5}
+    for number in range(40):
+        if await client.submit(entry, f"{0xa0 + number:016x}", [short]) == 200:
+            break
+        await asyncio.sleep(0.25)
+    else:
+        raise CannotRun("no job was accepted for the idle executor")
     if has_trouble():
-        if 1 / len(executors) > CUT_SHARE:
+        if 1 / len(executors) > GREY_SHARE:
             raise CannotRun("too few executors")
-        busy[0].cut = True
-        record.write(f"{busy[0].name} is cut off from the daemons and runs on")
-    await asyncio.sleep(0.3)
-    record.write(f"SIGTERM to {owner.name}")
-    owner.signal(signal.SIGTERM)
-    await asyncio.sleep(0.8)
-    phase = {"count": LIMIT // ITEM, "cpu": ITEM, "memMb": 256, "estimateMs": 1000, "seconds": 1.0}
-    await client.submit(entry, "00000000000000a2", [phase])
-    await asyncio.sleep(CUT_SECONDS - 1.1)
-    if has_trouble():
-        busy[0].cut = False
-        record.write(f"{busy[0].name} is reached again")
-    await asyncio.sleep(8.0)
-    for job in ("00000000000000a1", "00000000000000a2"):
-        await client.call(entry, "GET", job)
+        grey.unhealthy = True
+        record.write(f"{grey.name} is unhealthy: it answers 503 to starts")
+    accepted: dict[str, float] = {}
+    for number in range(JOBS):
+        job = f"{0xc0 + number:016x}"
+        if await client.submit(entry, job, [short]) == 200:
+            accepted[job] = record.now()
+    if len(accepted) < 2:
+        raise CannotRun("the jobs were not accepted")
+    await asyncio.sleep(VISIBLE_SECONDS + 0.2)
+    broken = False
+    for daemon in deployment.daemons:
+        asked_at = record.now()
+        waiting = [
+            job
+            for job, since in accepted.items()
+            if job not in begun and since < asked_at - VISIBLE_SECONDS
+        ]
+        status, answer = await client.call(daemon, "GET")
+        if status != 200:
+            raise CannotRun(f"the count was answered {status}")
+        if answer["pending"] < len(waiting) / 2:
+            record.write(
+                f"BROKEN: {daemon.name} gives {answer['pending']} as pending, but {len(waiting)}"
+                " jobs were accepted over 5 s before and have not begun"
+            )
+            broken = True
+        for job in waiting[:1]:
+            await client.call(daemon, "GET", job)
     return broken
 
 
