--- a/review/2/case.py
+++ b/review/2/case.py
@@ -17,6 +17,8 @@
 CPU = 16_000
 #: what a work item needs, in thousandths of a core: of the jobs that last, and of the later ones
 SMALL, LARGE, LATER = 1_500, 7_400, 7_200
+#: how long after the lasting job has started the executor is lost, in seconds
+CRASH_SECONDS = 0.5
 #: after which time from the acceptance of a job it is judged, in seconds
 WAIT_SECONDS = 20.0
 
@@ -46,7 +48,7 @@
     free = [executor for executor in executors if executor.used("cpu") < LARGE]
     if len(free) != 2:
         raise CannotRun(f"{len(free)} executors have much room")
-    await asyncio.sleep(0.1)
+    await asyncio.sleep(CRASH_SECONDS)
     if has_trouble():
         free[1].crash()
     await asyncio.sleep(8.0)
