--- a/review/2/case.py
+++ b/review/2/case.py
@@ -11,8 +11,8 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[2]))
 
-from review.lib.case import KEY, has_trouble, make_config, run_case  # noqa: E402
-from review.lib.deployment import CannotRun, Client, Deployment  # noqa: E402
+from review.common import KEY, has_trouble, make_config, run_case  # noqa: E402
+from review.deployment import CannotRun, Client, Deployment  # noqa: E402
 
 CPU = 16_000
 #: what a work item needs, in thousandths of a core: of the jobs that last, and of the later ones
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -11,14 +11,14 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[2]))
 
-from review.lib.case import (  # noqa: E402
+from review.common import (  # noqa: E402
     KEY,
     add_second_service,
     has_trouble,
     make_config,
     run_case,
 )
-from review.lib.deployment import BOUNDS, CannotRun, Client, Deployment  # noqa: E402
+from review.deployment import BOUNDS, CannotRun, Client, Deployment  # noqa: E402
 
 #: the pages' largest share of the writes whose answers are lost, for how long at most, in seconds,
 #: and when such writes are carried out, in seconds
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -6,8 +6,8 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[2]))
 
-from review.lib.case import KEY, has_trouble, make_config, run_case  # noqa: E402
-from review.lib.deployment import BOUNDS, CannotRun, Client, Deployment  # noqa: E402
+from review.common import KEY, has_trouble, make_config, run_case  # noqa: E402
+from review.deployment import BOUNDS, CannotRun, Client, Deployment  # noqa: E402
 
 #: how long the executor is unhealthy, in seconds, and its share of the executors
 GREY_SECONDS, GREY_SHARE = 6.5, 0.15
--- a/review/lib/case.py
+++ b/review/common.py
@@ -13,6 +13,8 @@
 
 KEY = "sjnbanfqasnmgkcuyj8p"
 TENANT = "cugo130"
+#: longest time that a script may take, in seconds
+LIMIT_SECONDS = 110.0
 
 
 def has_trouble() -> bool:
@@ -70,7 +72,7 @@
     async def main() -> int:
         deployment = Deployment(pathlib.Path(file).resolve().parent, daemons)
         try:
-            return 1 if await run(deployment) else 0
+            return 1 if await asyncio.wait_for(run(deployment), LIMIT_SECONDS) else 0
         except Exception as error:
             deployment.record.write(f"the case could not run: {error!r}")
             return 2
--- a/review/lib/deployment.py
+++ b/review/deployment.py
@@ -17,7 +17,7 @@
 
 from .standin import HOST, Executor, Jobs, Machines, Record, Store
 
-REPOSITORY = pathlib.Path(__file__).resolve().parents[2]
+REPOSITORY = pathlib.Path(__file__).resolve().parents[1]
 #: the figures of the small deployments
 BOUNDS = {
     "seedLagS": 3,
