--- a/limpetpulley/pool/planning.py
+++ b/limpetpulley/pool/planning.py
@@ -22,16 +22,10 @@
     max_free_capacity,
 )
 from ..workers import PaceOrder, Run, RunPhase, StartOrder, StopOrder, Worker
-from .crashes import (
-    fail_crashing_jobs,
-    is_suspect,
-    may_start_suspect,
-    reserve_trial_worker,
-    trial_workers,
-    update_trials,
-)
+from .crashes import fail_crashing_jobs, is_suspect, may_start_suspect
 from .gangs import find_broken_gang_runs, gang_tasks, place_gang
 from .state import PoolState
+from .trials import reserve_trial_worker, trial_workers, update_trials
 
 __all__ = ["Order", "PlanningLimits", "Shares", "plan_orders"]
 
