--- a/limpetpulley/pool/crashes.py
+++ b/limpetpulley/pool/crashes.py
@@ -148,7 +148,8 @@
     if number <= max(job.crashes.get(unit, ()), default=0):
         return
     pool_state.suspects.discard(unit)
-    pool_state.trials.pop(worker.worker_id, None)
+    if pool_state.trials.pop(worker.worker_id, None) is not None:
+        pool_state.ended_trials.add(worker.worker_id)
     job.crashes.pop(unit, None)
     life = worker.listed.incarnation
     pool_state.on_event(PoolEvent("task-cleared", worker.worker_id, task, number, life=life))
--- a/limpetpulley/pool/gangs.py
+++ b/limpetpulley/pool/gangs.py
@@ -16,11 +16,19 @@
 from ..workers import ListedWorker, Run, RunPhase, Worker
 from .state import PoolState
 
-__all__ = ["find_broken_gang_runs", "fits_empty_pool", "place_gang"]
+__all__ = [
+    "TentativeWorker",
+    "find_broken_gang_runs",
+    "fits_alone",
+    "fits_empty_pool",
+    "fits_together",
+    "gang_tasks",
+    "place_gang",
+]
 
 
 @attrs.define(eq=False)
-class _TentativeWorker:
+class TentativeWorker:
     """A worker with the capacity that tentative placements leave free."""
 
     listed: ListedWorker
@@ -56,9 +64,21 @@
 
 def fits_empty_pool(step: Step, workers: Iterable[ListedWorker]) -> bool:
     """Return whether all tasks of a gang would fit on the workers if these were empty."""
+    return fits_together(step, [TentativeWorker(worker, worker.capacity) for worker in workers])
+
+
+def fits_alone(step: Step, worker: TentativeWorker, tasks_per_worker: Counter[str]) -> bool:
+    """Return whether one task of a step fits in the free capacity of a worker.
+
+    :param tasks_per_worker: number of running tasks of this step and occurrence by worker
+    """
+    return choose_worker(step, [worker], tasks_per_worker) is not None  # type: ignore[list-item]
+
+
+def fits_together(step: Step, workers: Iterable[TentativeWorker]) -> bool:
+    """Return whether all tasks of a gang fit in the free capacity of the workers."""
     tasks = [TaskId("", 0, 0, position) for position in range(step.count)]
-    empty = [_TentativeWorker(worker, worker.capacity) for worker in workers]
-    return _place_all(step, tasks, empty) is not None
+    return _place_all(step, tasks, workers) is not None
 
 
 def _rack_rank(step: Step, group: list[Worker]) -> tuple[bool, int]:
@@ -67,9 +87,9 @@
 
 
 def _place_all(
-    step: Step, tasks: list[TaskId], workers: Iterable[Worker | _TentativeWorker]
+    step: Step, tasks: list[TaskId], workers: Iterable[Worker | TentativeWorker]
 ) -> dict[TaskId, str] | None:
-    tentative = [_TentativeWorker(worker.listed, worker.room) for worker in workers]
+    tentative = [TentativeWorker(worker.listed, worker.room) for worker in workers]
     tasks_per_worker: Counter[str] = Counter()
     placement: dict[TaskId, str] = {}
     for task in tasks:
--- a/limpetpulley/pool/planning.py
+++ b/limpetpulley/pool/planning.py
@@ -355,6 +355,10 @@
     """Start tasks that may have crashed a worker, each by itself."""
     orders: list[Order] = []
     update_trials(pool_state, now)
+    if _has_other_ready_tasks(pool_state):
+        # The tasks that wait for a worker start there between the trials of two suspects.
+        workers = [each for each in workers if each.worker_id not in pool_state.ended_trials]
+    pool_state.ended_trials.clear()
     job_ids = {unit.job_id for unit in pool_state.suspects} & pool_state.ready.keys()
     for job in sorted((pool_state.jobs[job_id] for job_id in job_ids), key=rank):
         if not pool_state.may_start(job):
@@ -365,6 +369,15 @@
     return orders
 
 
+def _has_other_ready_tasks(pool_state: PoolState) -> bool:
+    """Return whether tasks wait that are not suspects."""
+    return any(
+        not is_suspect(pool_state, pool_state.jobs[job_id], task)
+        for job_id, tasks in pool_state.ready.items()
+        for task in tasks
+    )
+
+
 def _start_suspect(
     pool_state: PoolState, job: Job, task: TaskId, workers: list[Worker], shares: Shares, now: float
 ) -> list[StartOrder]:
@@ -373,6 +386,7 @@
         return []
     allowed_workers = pool_state.tickets.allowed_workers(job, task, workers, now)
     candidates = trial_workers(pool_state, allowed_workers)
+    counts: Counter[str] = Counter()
     if step.gang:
         starts = _start_gang(pool_state, job, task, candidates, shares, now)
     else:
@@ -381,7 +395,8 @@
         worker = next(fitting, None)
         starts = [] if worker is None else [_start_run(pool_state, job, task, worker, now)]
     if not starts:
-        reserve_trial_worker(pool_state, step, allowed_workers, now)
+        lasting_counts = counts if step.lasting else Counter()
+        reserve_trial_worker(pool_state, job, task, allowed_workers, lasting_counts, now)
     for start in starts:
         pool_state.trials[start.worker_id] = now
     return starts
--- a/limpetpulley/pool/state.py
+++ b/limpetpulley/pool/state.py
@@ -96,6 +96,11 @@
         self.excused: set[TaskId] = set()
         # Workers on which only suspects are started, with the local time since when.
         self.trials: dict[str, float] = {}
+        # Workers whose trial no suspect has made use of, with the local time until which none is
+        # reserved again.
+        self.trial_pauses: dict[str, float] = {}
+        # Workers whose suspect was cleared since the last planning round.
+        self.ended_trials: set[str] = set()
         # VMs whose worker has crashed, with the local time of its last reply.
         self.crashed_vms: dict[str, float] = {}
         # Local times at which VMs that are being moved to this pool should take tasks.
