--- a/limpetpulley/ownership/admission.py
+++ b/limpetpulley/ownership/admission.py
@@ -52,6 +52,9 @@
 #: time after the last attempt beyond which an unanswered write is no longer applied, in seconds;
 #: from the platform's writes, which are late by a few seconds
 MAX_WRITE_DELAY_SECONDS = 8.0
+#: time for which a cancel of an unknown job also applies to a submission that arrives after it, in
+#: seconds: daemons repeat submissions for as long as their callers wait, and messages may be late
+CANCEL_MEMORY_SECONDS = 15.0
 #: largest number of jobs in doubt that one check looks up, to stay within the store's rate limit
 MAX_IN_DOUBT_CHECKS = 2
 
@@ -99,6 +102,8 @@
         # Accepted jobs that are being stored or are in doubt, by job id. A repeated submission of
         # such a job is neither decided again nor refused, since the job may be stored.
         self.pending: dict[str, StoreOutcome] = {}
+        # Jobs that were cancelled while no such job was known, with the local time of the cancel.
+        self.cancelled_unknown: dict[JobKey, float] = {}
         self.are_checks_failing = False
         # Cached forecast of the queue, and its expiry time by the local clock.
         self.forecast: QueueForecast | None = None
@@ -110,6 +115,10 @@
         :param wait_seconds: longest time until the result, in seconds
         """
         key = JobKey(submission.queue.name, submission.job_id)
+        if self._was_cancelled(key):
+            verdict = await self._judge_cancelled(key, submission)
+            if verdict is None or not verdict.accepted:
+                return verdict
         existing = self.pool_state.jobs.get(submission.job_id)
         if existing is not None:
             is_same_job = existing.key == key
@@ -134,9 +143,77 @@
         elif outcome.job.key != key:
             return Verdict(False, retry_seconds=LONGEST_RETRY_SECONDS, reason="id-in-use")
         elif outcome.settled.is_set():
-            outcome = self._store_description(outcome.job, may_be_stored=True)
+            outcome = self._store_again(outcome)
         return await self._wait_until_stored(outcome, wait_seconds)
 
+    def is_pending(self, key: JobKey) -> bool:
+        """Return whether a job is being stored, or may be stored."""
+        outcome = self.pending.get(key.job_id)
+        return outcome is not None and outcome.job.key == key
+
+    async def cancel(self, key: JobKey, wait_seconds: float) -> None:
+        """Cancel a job that is not in the pool; return once it is in the pool or not stored.
+
+        A job in doubt is written again, because that decides soon whether it is stored. It is
+        cancelled before it is in the pool, so that it never starts.
+
+        :param wait_seconds: longest time until that is known, in seconds
+        :raises StoreUnavailable: if it is not known in time; the job is cancelled when it is stored
+        """
+        outcome = self.pending[key.job_id] if self.is_pending(key) else None
+        self.context.log.write(
+            "cancel-before-stored",
+            job=key.job_id,
+            queue=key.queue,
+            known=outcome is not None,
+            attempts=outcome.attempts if outcome is not None else 0,
+        )
+        if outcome is None:
+            self._remember_cancel(key)
+            return
+        outcome.cancelled = True
+        if outcome.is_unsent:
+            outcome.settle(False)
+        elif outcome.settled.is_set():
+            outcome = self._store_again(outcome)
+        if await self._wait_until_stored(outcome, wait_seconds) is None:
+            raise StoreUnavailable(f"not known whether job {key.job_id} is stored")
+        if not outcome.stored:
+            self._remember_cancel(key)
+
+    def _remember_cancel(self, key: JobKey) -> None:
+        now = self.context.clock.now()
+        self.cancelled_unknown = {
+            each: cancelled_at
+            for each, cancelled_at in self.cancelled_unknown.items()
+            if now - cancelled_at <= CANCEL_MEMORY_SECONDS
+        }
+        self.cancelled_unknown[key] = now
+
+    def _was_cancelled(self, key: JobKey) -> bool:
+        """Return whether a job that was unknown was cancelled a short time ago."""
+        cancelled_at = self.cancelled_unknown.get(key, -math.inf)
+        return self.context.clock.now() - cancelled_at <= CANCEL_MEMORY_SECONDS
+
+    async def _judge_cancelled(self, key: JobKey, submission: Submission) -> Verdict | None:
+        """Refuse a submission that arrives after its cancel, unless the job is stored.
+
+        It may be stored in another pool, if its queue has moved.
+
+        :returns: None if it is unknown whether the job is stored
+        """
+        probe = StoreOutcome(self._make_job(key, submission))
+        try:
+            is_stored = await self.writer.read_stored(probe)
+        except (StoreUnavailable, StoreError) as error:
+            self.context.log.write("job-in-doubt", job=key.job_id, reason=str(error))
+            return None
+        if is_stored:
+            return Verdict(True)
+        verdict = Verdict(False, retry_seconds=LONGEST_RETRY_SECONDS, reason="cancelled")
+        self._log_verdict(submission, verdict)
+        return verdict
+
     async def run_in_doubt_checks(self) -> None:
         """Resolve jobs in doubt by their records until cancelled."""
         async with anyio.create_task_group() as tasks:
@@ -189,6 +266,12 @@
         self.writer.create(outcome)
         return outcome
 
+    def _store_again(self, outcome: StoreOutcome) -> StoreOutcome:
+        """Write a job's description again after attempts without an outcome."""
+        again = self._store_description(outcome.job, may_be_stored=True)
+        again.cancelled = outcome.cancelled
+        return again
+
     async def _wait_until_stored(
         self, outcome: StoreOutcome, wait_seconds: float
     ) -> Verdict | None:
@@ -203,6 +286,8 @@
             return Verdict(True)
         if outcome.stored is False:
             reason = "not-stored" if outcome.attempts else "store-away"
+            if outcome.cancelled:
+                reason = "cancelled"
             return Verdict(False, retry_seconds=FAILURE_RETRY_SECONDS, reason=reason)
         key = outcome.job.key
         self.context.log.write("job-in-doubt", job=key.job_id, queue=key.queue)
@@ -217,7 +302,10 @@
         self.pending.pop(job.key.job_id, None)
         is_new = job.key.job_id not in self.pool_state.jobs
         if outcome.stored and is_new and job.pool == self.pool_state.pool:
-            self.pool_state.add_job(job, self.context.wall_time())
+            wall_time = self.context.wall_time()
+            self.pool_state.add_job(job, wall_time)
+            if outcome.cancelled:
+                self.pool_state.cancel(job, wall_time)
 
     def assess(self, job: Job, submission: Submission) -> Verdict:
         """Decide about a job by its predicted completion time."""
--- a/limpetpulley/ownership/owner.py
+++ b/limpetpulley/ownership/owner.py
@@ -45,6 +45,8 @@
 #: time between two planning rounds above which the process was paused or had no processor, in
 #: seconds
 PAUSE_SECONDS = 1.0
+#: longest time for which a cancel waits until it is known whether its job is stored, in seconds
+CANCEL_WAIT_SECONDS = 1.2
 #: interval between deletions of the records of jobs that ended long ago, in seconds
 CLEANUP_INTERVAL_SECONDS = 10.0
 #: shards of the jobs' records that are read concurrently during a takeover: at first, so that no
@@ -289,9 +291,13 @@
     async def cancel(self, key: JobKey) -> JobState | None:
         """Cancel a job; return its state once it is stored, None if there is no such job.
 
-        :raises StoreUnavailable: if the owner stops before; the job may still be cancelled
+        :raises StoreUnavailable: if the owner stops before, or if it is not known in time whether
+            the job is stored; the job may still be cancelled
         """
         job = self.find(key)
+        if job is None:
+            await self.admission.cancel(key, CANCEL_WAIT_SECONDS)
+            job = self.find(key)
         if job is None:
             return None
         if self.pool_state.cancel(job, self.context.wall_time()):
@@ -306,6 +312,10 @@
         job = self.pool_state.jobs.get(key.job_id)
         return job if job is not None and job.key == key else None
 
+    def is_pending(self, key: JobKey) -> bool:
+        """Return whether a job of this pool is being stored, or may be stored."""
+        return self.admission.is_pending(key)
+
     def reported_state(self, job: Job) -> JobState:
         """Return the state reported to callers: a final state only once it is stored."""
         job_id = job.key.job_id
--- a/limpetpulley/ownership/service.py
+++ b/limpetpulley/ownership/service.py
@@ -239,7 +239,7 @@
             )
             if reply.outcome == pb.UNKNOWN:
                 raise ChangeUnknown(
-                    f"the owner of pool {pool} stopped or could not reach the store"
+                    f"the owner of pool {pool} does not know whether the job is stored"
                 )
             if reply.outcome == pb.ACCEPTED:
                 return JobState(reply.state)
@@ -356,7 +356,10 @@
 
 async def find_locally(owner: PoolOwner, message: pb.JobRequest) -> pb.StateReply:
     """Return a job's state from an owner in this process."""
-    job = owner.find(JobKey(message.queue, message.job_id))
+    key = JobKey(message.queue, message.job_id)
+    job = owner.find(key)
+    if job is None and owner.is_pending(key):
+        return pb.StateReply(outcome=pb.UNKNOWN)
     if job is None:
         return pb.StateReply(outcome=pb.ABSENT)
     return pb.StateReply(outcome=pb.ACCEPTED, state=owner.reported_state(job))
--- a/limpetpulley/ownership/writer.py
+++ b/limpetpulley/ownership/writer.py
@@ -52,6 +52,7 @@
     :param unanswered_at: when the last attempt ended without an answer, by the local clock
     :param wait_until: until when a caller waits for the outcome, by the local clock
     :param attempts: number of write attempts
+    :param cancelled: whether the job is cancelled as soon as it is known to be stored
     """
 
     job: Job
@@ -61,6 +62,7 @@
     unanswered_at: float = 0.0
     wait_until: float = 0.0
     attempts: int = 0
+    cancelled: bool = False
     settled: anyio.Event = attrs.field(factory=anyio.Event)
 
     @property
