--- a/limpetpulley/batch/job.py
+++ b/limpetpulley/batch/job.py
@@ -61,7 +61,7 @@
         task: by run number, the reciprocal of the number of tasks that may have caused it
     :param cancelled: whether it was cancelled
     :param failed: whether a task reached the maximum number of failed runs, or crashed its workers
-    :param started: whether any task has ever started
+    :param started: whether a worker has told of the start of any task
     :param ended_at: time when it ended, in seconds since 1970, 0 until then
     """
 
--- a/limpetpulley/pool/reconcile.py
+++ b/limpetpulley/pool/reconcile.py
@@ -21,6 +21,7 @@
     pool_state: PoolState, worker: Worker, listed_run: ListedRun, worker_seconds: float
 ) -> None:
     """Apply a run that a worker lists: update it if known, otherwise adopt or stop it."""
+    pool_state.note_started(listed_run.task)
     run = pool_state.runs.get(listed_run.task)
     worker_run = worker.runs.get(listed_run.task)
     if worker_run is not None and worker_run.number == listed_run.number:
@@ -78,7 +79,6 @@
         seen_running=True,
     )
     pool_state.add_run(run, worker)
-    job.started = True
     worker.lease.assume_extended(pool_state.longest_hold_seconds)
     pool_state.on_event(
         PoolEvent(
--- a/limpetpulley/pool/replies.py
+++ b/limpetpulley/pool/replies.py
@@ -85,6 +85,8 @@
     worker = pool_state.workers.get(run.worker_id)
     if worker is not None and outcome is not StartOutcome.OTHER_WORKER:
         report_sign_of_life(pool_state, worker, "start", now, outcome.name.lower())
+    if outcome is StartOutcome.STARTED:
+        pool_state.note_started(run.task)
     if worker is None or pool_state.runs.get(run.task) is not run:
         return
     worker.last_reply_at = now
@@ -154,6 +156,7 @@
     )
     if job is None:
         return
+    pool_state.note_started(end.task)
     clear_suspect(pool_state, worker, end.task, end.number)
     track_failures(pool_state, worker, end)
     if end.kind is not EndKind.DONE and end.checkpoint and job.needs_run(end.task):
--- a/limpetpulley/pool/state.py
+++ b/limpetpulley/pool/state.py
@@ -422,9 +422,17 @@
         self.add_run(run, worker)
         # Until the order is sent, assume that the run may live for the lease that it requests.
         worker.lease.assume_extended(self.lease_seconds)
-        job.started = True
         return run
 
+    def note_started(self, task: TaskId) -> None:
+        """Record that a worker has told that a run of a task has started.
+
+        A start order alone does not tell that: it may be rejected, or never arrive.
+        """
+        job = self.jobs.get(task.job_id)
+        if job is not None:
+            job.started = True
+
     def runs_of(self, job_id: str) -> Iterable[Run]:
         """Return the current runs of a job's tasks."""
         return self.runs_by_job.get(job_id, {}).values()
