Look for other ready tasks only after a trial has ended

The check stood in each planning round; it matters only in the round after a suspect was cleared. Behaviour is unchanged; pool/tests/test_trials.py and test_crashes.py pass.

--- a/limpetpulley/pool/planning.py
+++ b/limpetpulley/pool/planning.py
@@ -355,7 +355,7 @@
     """Start tasks that may have crashed a worker, each by itself."""
     orders: list[Order] = []
     update_trials(pool_state, now)
-    if _has_other_ready_tasks(pool_state):
+    if pool_state.ended_trials and _has_other_ready_tasks(pool_state):
         # The tasks that wait for a worker start there between the trials of two suspects.
         workers = [each for each in workers if each.worker_id not in pool_state.ended_trials]
     pool_state.ended_trials.clear()
