--- a/limpetpulley/ownership/admission.py
+++ b/limpetpulley/ownership/admission.py
@@ -115,7 +115,8 @@
         :param wait_seconds: longest time until the result, in seconds
         """
         key = JobKey(submission.queue.name, submission.job_id)
-        if self._was_cancelled(key):
+        is_known = submission.job_id in self.pool_state.jobs or submission.job_id in self.pending
+        if not is_known and self._was_cancelled(key):
             verdict = await self._judge_cancelled(key, submission)
             if verdict is None or not verdict.accepted:
                 return verdict
--- a/limpetpulley/ownership/owner.py
+++ b/limpetpulley/ownership/owner.py
@@ -293,12 +293,15 @@
 
         :raises StoreUnavailable: if the owner stops before, or if it is not known in time whether
             the job is stored; the job may still be cancelled
+        :raises StoreError: if the store does not answer
         """
         job = self.find(key)
         if job is None:
             await self.admission.cancel(key, CANCEL_WAIT_SECONDS)
             job = self.find(key)
         if job is None:
+            if not await self.writer.is_claim_valid():
+                raise StoreUnavailable(f"pool {self.pool} may have another owner")
             return None
         if self.pool_state.cancel(job, self.context.wall_time()):
             self.context.log.write("job-cancelled", job=key.job_id, queue=key.queue)
--- a/limpetpulley/ownership/service.py
+++ b/limpetpulley/ownership/service.py
@@ -369,7 +369,7 @@
     """Cancel a job at an owner in this process."""
     try:
         state = await owner.cancel(JobKey(message.queue, message.job_id))
-    except StoreUnavailable as error:
+    except (StoreUnavailable, StoreError) as error:
         owner.context.log.write("cancel-in-doubt", job=message.job_id, reason=str(error))
         return pb.StateReply(outcome=pb.UNKNOWN)
     if state is None:
--- a/limpetpulley/ownership/tests/test_cancel.py
+++ b/limpetpulley/ownership/tests/test_cancel.py
@@ -4,7 +4,8 @@
 import pytest
 
 from ...batch import JobKey, JobState
-from ...exception import StoreUnavailable
+from ...exception import ChangeUnknown, StoreUnavailable
+from ...store import Compare
 from .. import Outcome
 from ..admission import MAX_WRITE_DELAY_SECONDS
 from .test_daemons import DAEMON_NAMES, lasting_spec, run_scenario
@@ -146,3 +147,18 @@
         return result.outcome
 
     assert run_scenario(scenario) is Outcome.ACCEPTED
+
+
+# Guards against a 410 by an owner that was replaced without its knowledge, while its successor
+# stores the job.
+def test_cancel_of_an_unknown_job_is_not_answered_by_an_owner_that_was_replaced():
+    async def scenario(deployment):
+        name = deployment.fleet.owner_of("desk")
+        node = deployment.fleet.daemons[name].node
+        claim = node.owned["desk"].writer.claim
+        node.owned["desk"].writer.claim = Compare(claim.key, claim.revision - 1)
+        queue = deployment.fleet.config.queues["desk"]
+        with pytest.raises(ChangeUnknown):
+            await node.service.cancel(queue, JOB_ID, 0.5)
+
+    run_scenario(scenario)
--- a/limpetpulley/ownership/writer.py
+++ b/limpetpulley/ownership/writer.py
@@ -265,11 +265,18 @@
         self.failing = False
         if result.ok:
             return result.revision
-        entry = await self.context.store.get(self.claim.key)
-        if entry is None or entry.revision != self.claim.revision:
+        if not await self.is_claim_valid():
             raise NotOwnerError(f"claim of pool {self.pool_state.pool} is no longer valid")
         return 0
 
+    async def is_claim_valid(self) -> bool:
+        """Return whether the store still holds the owner's claim.
+
+        :raises StoreError: if the store does not answer
+        """
+        entry = await self.context.store.get(self.claim.key)
+        return entry is not None and entry.revision == self.claim.revision
+
     async def _create_next(self) -> None:
         """Make an attempt for the first queued descriptions; queue those without an outcome again.
 
