--- a/limpetpulley/pool/crashes.py
+++ b/limpetpulley/pool/crashes.py
@@ -86,9 +86,12 @@
     return not worker.cordoned and not worker.listed.draining
 
 
-def record_crash(pool_state: PoolState, worker: Worker, beside_others: bool = False) -> None:
+def record_crash(
+    pool_state: PoolState, worker: Worker, evidence: str, beside_others: bool = False
+) -> None:
     """Record that a worker has ended, before its runs are dropped, unless that was planned.
 
+    :param evidence: by what the worker is known to have ended, for the log
     :param beside_others: whether other workers have crashed at the same time
     """
     lost = [*((run.task, run.number) for run in suspect_runs(worker)), *worker.lost_starts]
@@ -122,7 +125,7 @@
             )
         )
     names = ", ".join(".".join(map(str, task)) for task, _ in lost) or "none"
-    detail = f"{len(worker.runs)} runs lost, of which just started: {names}"
+    detail = f"{evidence}: {len(worker.runs)} runs lost, of which just started: {names}"
     life = worker.listed.incarnation
     pool_state.on_event(PoolEvent("worker-crashed", worker.worker_id, detail=detail, life=life))
 
--- a/limpetpulley/pool/planning.py
+++ b/limpetpulley/pool/planning.py
@@ -24,6 +24,7 @@
 from ..workers import PaceOrder, Run, RunPhase, StartOrder, StopOrder, Worker
 from .crashes import fail_crashing_jobs, is_suspect, may_start_suspect
 from .gangs import find_broken_gang_runs, gang_tasks, place_gang
+from .standstill import report_standstills
 from .state import PoolState
 from .trials import reserve_trial_worker, trial_workers, update_trials
 
@@ -86,6 +87,8 @@
     fail_crashing_jobs(pool_state, wall_time)
     orders = _stop_unneeded_runs(pool_state, now) + orders
     orders += _start_ready_jobs(pool_state, shares, now, limits)
+    if pool_state.scanned_at == now:
+        report_standstills(pool_state, now, limits.max_reply_age_seconds)
     return orders
 
 
--- a/limpetpulley/pool/state.py
+++ b/limpetpulley/pool/state.py
@@ -103,6 +103,9 @@
         self.ended_trials: set[str] = set()
         # VMs whose worker has crashed, with the local time of its last reply.
         self.crashed_vms: dict[str, float] = {}
+        # Jobs of which nothing runs although tasks are ready: the local times since when, and of
+        # the next report.
+        self.standstills: dict[str, tuple[float, float]] = {}
         # Local times at which VMs that are being moved to this pool should take tasks.
         self.expected_join_times: list[float] = []
 
@@ -295,7 +298,7 @@
         :param next_life: the new incarnation, 0 if it is not known, for the log
         """
         ends = self.end_positions(worker)
-        record_crash(self, worker, beside_others)
+        record_crash(self, worker, reason, beside_others)
         for run in list(worker.runs.values()):
             may_return = run.unanswered_starts or not run.seen_running
             run.seen_running = False
@@ -348,7 +351,7 @@
             is_stored = worker.stored_through >= worker.processed_through
             if not worker.present and expired and is_stored and not worker.runs:
                 if worker.lost_starts:
-                    record_crash(self, worker)
+                    record_crash(self, worker, "lease-lapsed")
                 life, ends = worker.listed.incarnation, self.end_positions(worker)
                 self._remove_worker(worker)
                 self.on_event(PoolEvent("worker-gone", worker.worker_id, life=life, ends=ends))
--- a/limpetpulley/scheduling/placement.py
+++ b/limpetpulley/scheduling/placement.py
@@ -23,6 +23,7 @@
     "is_available",
     "is_unconstrained",
     "max_free_capacity",
+    "unavailability",
 ]
 
 #: fraction of a worker that must be free for one more lasting task to be packed there
@@ -34,16 +35,23 @@
 
     :param max_reply_age_seconds: age of its last reply beyond which it may be gone
     """
-    return (
-        worker.present
-        and worker.reconciled
-        and worker.in_roster
-        and not worker.silent
-        and not worker.cordoned
-        and not worker.listed.draining
-        and now >= worker.avoid_until
-        and now - worker.last_reply_at <= max_reply_age_seconds
-    )
+    return not unavailability(worker, now, max_reply_age_seconds)
+
+
+def unavailability(worker: Worker, now: float, max_reply_age_seconds: float) -> str:
+    """Return why no tasks may start on a worker, empty if they may.
+
+    :param max_reply_age_seconds: age of its last reply beyond which it may be gone
+    """
+    if not worker.present:
+        return "unlisted"
+    if worker.silent or now - worker.last_reply_at > max_reply_age_seconds:
+        return "silent"
+    if worker.cordoned or worker.listed.draining:
+        return "draining"
+    if not worker.reconciled or not worker.in_roster:
+        return "joining"
+    return "avoided" if now < worker.avoid_until else ""
 
 
 def fits_empty_worker(step: Step, workers: Iterable[Worker]) -> bool:
--- a/limpetpulley/telemetry/trace.py
+++ b/limpetpulley/telemetry/trace.py
@@ -37,6 +37,7 @@
         "ended-worker-answers",
         "worker-avoided",
         "worker-cordoned",
+        "worker-crashed",
         "worker-ended",
         "worker-given-up",
         "worker-gone",
