--- a/limpetpulley/pool/tests/test_crashes.py
+++ b/limpetpulley/pool/tests/test_crashes.py
@@ -5,7 +5,7 @@
 
 from ...batch import EndKind, JobState, Step
 from ...batch.records import decode_job, encode_description, encode_progress
-from ...workers import EndedRun, ListedRun, StartOrder, StartOutcome
+from ...workers import EndedRun, ListedRun, RunPhase, StartOrder, StartOutcome
 from .. import process_start_reply, requeue_speculative_tasks
 from .test_planning import JOB, NOW, TASK, hold, make_pool_state, plan, task
 
@@ -175,3 +175,45 @@
     successor = make_pool_state(PLAIN, token=4)
     successor.add_job(read, 0.0, inherited=True)
     assert order.task in successor.suspects
+
+
+def lose_touch(pool_state, name, now):
+    """Let a worker fall silent and its entry expire, until the leases of its runs have lapsed."""
+    pool_state.workers[name].silent = True
+    pool_state.mark_unlisted(name)
+    pool_state.expire_leases(now)
+    pool_state.expire_leases(now + 0.1)
+
+
+# Guards against LOST where two executors are cut off just after the start of the same task.
+@pytest.mark.parametrize("lasting", [True, False])
+@pytest.mark.parametrize("times", [2, 5])
+def test_job_is_not_given_up_because_touch_was_lost_with_its_workers(lasting, times):
+    step = Step(2, TASK, lasting=lasting, max_per_worker=1, may_miss=1 if lasting else None)
+    pool_state = make_busy_pool_state(step, workers=8)
+    start(pool_state, NOW)
+    for number in range(times):
+        now = NOW + 20.0 * (number + 1)
+        lose_touch(pool_state, pool_state.runs[task(0)].worker_id, now)
+        keep_alive(pool_state, now + 1.0)
+        start(pool_state, now + 1.0)
+        assert task(0) in pool_state.runs
+    assert not pool_state.jobs[JOB].state.is_final
+    assert all(run.phase is not RunPhase.STOPPING for run in pool_state.runs_of(JOB))
+
+
+# Guards against LOST and AVAIL of review/1: crashes soon after the start of the same lasting task.
+@pytest.mark.parametrize("times", [2, 5])
+def test_lasting_job_is_not_given_up_after_crashes_of_its_workers(times):
+    step = Step(2, TASK, lasting=True, max_per_worker=1, may_miss=1)
+    pool_state = make_busy_pool_state(step, workers=8)
+    start(pool_state, NOW)
+    for number in range(times):
+        now = NOW + 6.0 * (number + 1)
+        crash(pool_state, pool_state.runs[task(0)].worker_id)
+        pool_state.mark_stored(dict(pool_state.progress.newest))
+        keep_alive(pool_state, now)
+        start(pool_state, now)
+        assert task(0) in pool_state.runs
+    assert not pool_state.jobs[JOB].state.is_final
+    assert pool_state.runs[task(1)].phase is not RunPhase.STOPPING
