--- a/limpetpulley/pool/planning.py
+++ b/limpetpulley/pool/planning.py
@@ -23,6 +23,7 @@
 )
 from ..workers import PaceOrder, Run, RunPhase, StartOrder, StopOrder, Worker
 from .crashes import fail_crashing_jobs, is_suspect, may_start_suspect
+from .evidence import is_busy
 from .gangs import find_broken_gang_runs, gang_tasks, place_gang
 from .standstill import report_standstills
 from .state import PoolState
@@ -230,8 +231,29 @@
     ]
     if not waiting or not workers:
         return orders
-    worker_index = WorkerIndex(workers)
     waiting.sort(key=rank)
+    doubted = [worker for worker in workers if pool_state.evidence.is_doubted(worker.worker_id)]
+    trusted = [worker for worker in workers if worker not in doubted] if doubted else workers
+    if trusted:
+        orders += _start_jobs(pool_state, waiting, trusted, shares, now)
+    if doubted:
+        waiting = [job for job in waiting if job.key.job_id in pool_state.ready]
+        if is_busy(pool_state):
+            orders += _start_probes(pool_state, waiting, doubted, shares, now)
+        else:
+            orders += _start_jobs(pool_state, waiting, workers, shares, now)
+    return orders
+
+
+def _start_jobs(
+    pool_state: PoolState, waiting: list[Job], workers: list[Worker], shares: Shares, now: float
+) -> list[StartOrder]:
+    """Start the ready tasks that fit, by the rank of their jobs.
+
+    :param workers: available workers, at least one
+    """
+    orders: list[StartOrder] = []
+    worker_index = WorkerIndex(workers)
     millicores_left = behind_capacity(pool_state) if any(job.behind for job in waiting) else 0
     behind_runs = any(job.behind for job in waiting) and _behind_usage(pool_state) > 0
     for job in waiting:
@@ -250,6 +272,27 @@
     return orders
 
 
+def _start_probes(
+    pool_state: PoolState, waiting: list[Job], doubted: list[Worker], shares: Shares, now: float
+) -> list[StartOrder]:
+    """Start one task on each doubted worker whose probe is due."""
+    orders: list[StartOrder] = []
+    for worker in doubted:
+        if not pool_state.evidence.is_probe_due(worker.worker_id, now):
+            continue
+        for job in waiting:
+            # A job that runs behind all others could hold the worker for long.
+            if job.behind or not pool_state.may_start(job):
+                continue
+            index = WorkerIndex([worker])
+            starts = _start_job(pool_state, job, index, shares, now, math.inf, is_probe=True)
+            if starts:
+                pool_state.evidence.probed_at[worker.worker_id] = now
+                orders += starts
+                break
+    return orders
+
+
 def _count_unanswered_starts(worker: Worker) -> int:
     return sum(
         1
@@ -301,10 +344,12 @@
     shares: Shares,
     now: float,
     millicores_left: float,
+    is_probe: bool = False,
 ) -> list[StartOrder]:
     """Start the ready tasks of a job that fit.
 
     :param millicores_left: millicores that the job may still use
+    :param is_probe: whether to start one task at the most, and none where it has failed before
     """
     orders: list[StartOrder] = []
     tasks_per_worker: dict[tuple[int, int], Counter[str]] = {}
@@ -314,6 +359,13 @@
         step = job.step_of(task)
         if step_key in blocked_steps or is_suspect(pool_state, job, task):
             continue
+        if not pool_state.retries.is_due(job.attempt_unit(task), now):
+            continue
+        failed_on = pool_state.failed_on.get(task, ())
+        if is_probe and (
+            orders or any(each.worker_id in failed_on for each in worker_index.workers)
+        ):
+            continue
         running = pool_state.usage.get(job.team, Amount())
         if (
             not step.charge.fits(worker_index.max_free)
@@ -333,15 +385,10 @@
             tasks_per_worker[step_key] = (
                 count_tasks_per_worker(pool_state, task) if step.max_per_worker else Counter()
             )
-        if (
-            allowed_workers is worker_index.workers
-            and is_unconstrained(step)
-            and task not in pool_state.failed_on
-        ):
+        if allowed_workers is worker_index.workers and is_unconstrained(step) and not failed_on:
             worker = worker_index.best_fit(step)
         else:
-            avoided = pool_state.failed_on.get(task, ())
-            worker = choose_worker(step, allowed_workers, tasks_per_worker[step_key], avoided)
+            worker = choose_worker(step, allowed_workers, tasks_per_worker[step_key], failed_on)
         if worker is None:
             blocked_steps.add(step_key)
             continue
@@ -367,7 +414,8 @@
         if not pool_state.may_start(job):
             continue
         for task in list(pool_state.ready[job.key.job_id]):
-            if is_suspect(pool_state, job, task) and may_start_suspect(pool_state, job):
+            is_due = pool_state.retries.is_due(job.attempt_unit(task), now)
+            if is_due and is_suspect(pool_state, job, task) and may_start_suspect(pool_state, job):
                 orders += _start_suspect(pool_state, job, task, workers, shares, now)
     return orders
 
--- a/limpetpulley/pool/replies.py
+++ b/limpetpulley/pool/replies.py
@@ -10,9 +10,10 @@
 from .crashes import clear_survivors, clear_suspect
 from .ended_workers import report_sign_of_life
 from .events import PoolEvent
+from .evidence import weigh_end
 from .reconcile import SETTLE_MARGIN_SECONDS, drop_unlisted_runs, reconcile_running
+from .rejections import handle_rejection
 from .state import PoolState
-from .worker_avoidance import handle_rejection, track_failures
 
 __all__ = ["process_hold_reply", "process_start_reply", "process_stop_reply"]
 
@@ -93,6 +94,8 @@
     run.unanswered_starts -= 1
     if run.phase is RunPhase.STOPPING:
         return
+    if outcome is StartOutcome.STARTED:
+        worker.rejections = 0
     if outcome in (StartOutcome.STARTED, StartOutcome.OLD_RUN):
         # An OLD_RUN has ended on the worker; if it ever started, its end is listed.
         run.settled_at = worker_seconds + SETTLE_MARGIN_SECONDS
@@ -158,7 +161,10 @@
         return
     pool_state.note_started(end.task)
     clear_suspect(pool_state, worker, end.task, end.number)
-    track_failures(pool_state, worker, end)
+    weigh_end(pool_state, worker, end, now)
+    if end.kind is EndKind.FAILED:
+        ran_seconds = now - run.started_at if run is not None and run.started_at else 0.0
+        pool_state.retries.note_setback(job.attempt_unit(end.task), now, ran_seconds)
     if end.kind is not EndKind.DONE and end.checkpoint and job.needs_run(end.task):
         pool_state.checkpoints[job.attempt_unit(end.task)] = end.checkpoint
     if end.task in pool_state.runs:
--- a/limpetpulley/pool/standstill.py
+++ b/limpetpulley/pool/standstill.py
@@ -63,4 +63,6 @@
         obstacles.append(f"{len(pool_state.unreconciled_workers)} workers of earlier owners")
     if is_suspect(pool_state, job, task):
         obstacles.append("suspect")
+    if not pool_state.retries.is_due(job.attempt_unit(task), now):
+        obstacles.append("retry delayed")
     return ", ".join(obstacles)
--- a/limpetpulley/pool/state.py
+++ b/limpetpulley/pool/state.py
@@ -17,7 +17,9 @@
 from .crashes import has_crashed, record_crash, suspend_judgement
 from .ended_workers import report_sign_of_life
 from .events import EndPositions, PoolEvent
+from .evidence import FailureEvidence
 from .progress import ProgressLedger
+from .retries import RetryDelays
 from .run_times import TaskRunTimes
 from .speculation import is_superseded, stop_superseded_runs
 from .tickets import TicketCache
@@ -90,6 +92,8 @@
         self.next_run_number = token * RUN_NUMBERS_PER_OWNER + 1
         self.run_times = TaskRunTimes()
         self.tickets = TicketCache()
+        self.evidence = FailureEvidence()
+        self.retries = RetryDelays()
         # Tasks, or first tasks of gangs, that may have crashed a worker; see :mod:`.crashes`.
         self.suspects: set[TaskId] = set()
         # Those that were excused, because several workers crashed at once.
@@ -153,6 +157,7 @@
         if job.state.is_final:
             self.tasks_to_check.update(self.runs_by_job.get(job.key.job_id, ()))
             self.inherited.discard(job.key.job_id)
+            self.retries.forget_job(job.key.job_id)
             if self.excused:
                 self.excused = {unit for unit in self.excused if unit.job_id != job.key.job_id}
             for by_task in (self.checkpoints, self.failed_on):
@@ -217,6 +222,7 @@
     def _remove_worker(self, worker: Worker) -> None:
         self._note_earlier_lease(worker)
         del self.workers[worker.worker_id]
+        self.evidence.forget_failures(worker.worker_id)
         self.progress.remove_worker(worker.worker_id)
 
     def _note_earlier_lease(self, worker: Worker) -> None:
@@ -336,6 +342,7 @@
 
     def expire_leases(self, now: float) -> None:
         """Drop the runs whose leases must have expired, and the workers that no longer exist."""
+        self.evidence.expire(now)
         self.earlier_leases = {
             name: earlier
             for name, earlier in self.earlier_leases.items()
--- a/limpetpulley/workers/state.py
+++ b/limpetpulley/workers/state.py
@@ -20,10 +20,10 @@
     "Worker",
 ]
 
-#: first time without new starts on a worker that rejects starts or on which runs fail, in seconds;
-#: doubled with each further rejection or failure up to the maximum
-FIRST_AVOID_SECONDS = 0.5
-MAX_AVOID_SECONDS = 4.0
+#: first time without new starts on a worker that rejects starts, in seconds; doubled with each
+#: further rejection up to the maximum, which is short against the time that a job may stand still
+FIRST_AVOID_SECONDS = 0.25
+MAX_AVOID_SECONDS = 1.0
 #: full speed of a run, in percent
 FULL_SPEED = 100
 
@@ -200,7 +200,7 @@
     :param stored_through: position up to which ended runs are stored and may be acknowledged
     :param list_truncated: whether its last reply may have left out ended runs
     :param avoid_until: local time until which no run is started on it
-    :param consecutive_failures: number of consecutive rejected starts and failed runs
+    :param rejections: number of pauses after rejected starts since the last accepted one
     :param speed_changed_at: local time when the speed of its filler runs was last changed
     :param used: capacity that its runs reserve
     :param lease: lease on its runs
@@ -226,7 +226,7 @@
     stored_through: int = 0
     list_truncated: bool = False
     avoid_until: float = 0.0
-    consecutive_failures: int = 0
+    rejections: int = 0
     speed_changed_at: float = 0.0
     used: Amount = Amount()
     lease: WorkerLease = attrs.field(factory=WorkerLease)
@@ -268,11 +268,9 @@
         del self.runs[run.task]
         self.used = self.used - run.charge
 
-    def avoid(self, now: float) -> float:
+    def note_rejection(self, now: float) -> float:
         """Allow no starts on the worker for a while; return for how long, in seconds."""
-        self.consecutive_failures += 1
-        pause = min(
-            MAX_AVOID_SECONDS, FIRST_AVOID_SECONDS * 2 ** min(self.consecutive_failures - 1, 8)
-        )
+        pause = min(MAX_AVOID_SECONDS, FIRST_AVOID_SECONDS * 2 ** min(self.rejections, 8))
+        self.rejections += 1
         self.avoid_until = max(self.avoid_until, now + pause)
         return pause
