--- a/limpetpulley/pool/crashes.py
+++ b/limpetpulley/pool/crashes.py
@@ -8,6 +8,11 @@
 
 A worker that was being drained has ended as planned and has not crashed. If several workers crash
 at once, as a rack does, a common cause is likelier than a task; each task is excused for that once.
+
+A crash is known from the list of VMs or from the worker's next incarnation. A worker that is silent
+and not listed may live: when the leases have lapsed there, what had just started is started
+by itself, but nothing is held against it. A lasting job is never given up; a task of it that goes
+on crashing its workers is started at growing intervals.
 """
 
 from __future__ import annotations
@@ -17,6 +22,7 @@
 from ..batch import Job, TaskId
 from ..workers import Run, Worker
 from .events import PoolEvent
+from .retries import CRASH_PACE
 
 if TYPE_CHECKING:
     from .state import PoolState
@@ -78,7 +84,9 @@
         worker.lost_starts.append((run.task, run.number))
         job = pool_state.jobs.get(run.task.job_id)
         if job is not None and job.needs_run(run.task):
-            pool_state.suspects.add(job.attempt_unit(run.task))
+            unit = job.attempt_unit(run.task)
+            pool_state.suspects.add(unit)
+            pool_state.retries.note_setback(unit, pool_state.scanned_at)
 
 
 def has_crashed(worker: Worker) -> bool:
@@ -114,6 +122,8 @@
         pool_state.suspects.add(unit)
         if job.note_crash(task, number, share):
             pool_state.progress.mark_changed(job.key.job_id)
+            if job.step_of(task).lasting:
+                _pace_lasting(pool_state, job, unit, worker)
         pool_state.on_event(
             PoolEvent(
                 "task-suspected",
@@ -130,6 +140,15 @@
     pool_state.on_event(PoolEvent("worker-crashed", worker.worker_id, detail=detail, life=life))
 
 
+def _pace_lasting(pool_state: PoolState, job: Job, unit: TaskId, worker: Worker) -> None:
+    """Delay the next start of a lasting task, and keep no more of its crashes than count."""
+    shares = job.crashes[unit]
+    for number in sorted(shares)[:-MAX_CRASHES]:
+        del shares[number]
+    now = max(pool_state.scanned_at, worker.last_reply_at)
+    pool_state.retries.note_setback(unit, now, pace=CRASH_PACE)
+
+
 def clear_survivors(pool_state: PoolState, worker: Worker) -> None:
     """Clear the suspects whose start a worker has outlived."""
     worker.lost_starts = []
@@ -159,7 +178,7 @@
 
 
 def fail_crashing_jobs(pool_state: PoolState, wall_time: float) -> None:
-    """Fail the jobs with a task that has crashed too many workers.
+    """Fail the jobs with a task that ends by itself and has crashed too many workers.
 
     :param wall_time: wall-clock time, in seconds since 1970
     """
@@ -169,6 +188,8 @@
             pool_state.suspects.discard(unit)
             continue
         crashes = len(job.crashes.get(unit, ()))
+        if job.step_of(unit).lasting:
+            continue
         if job.suspicion(unit) < MAX_SUSPICION and crashes < MAX_CRASHES:
             continue
         job.fail(wall_time)
@@ -181,14 +202,16 @@
 def may_start_suspect(pool_state: PoolState, job: Job) -> bool:
     """Return whether a suspect of a job may be started now.
 
-    Repeated crashes must be stored, so that a later owner counts them too. If one of them
-    was the only suspect of a crash, they are started one at a time, because the tasks of a job are
-    alike and may all be the cause.
+    Repeated crashes must be stored if the job may be given up, so that a later owner counts them
+    too. If one of them was the only suspect of a crash, they are started one at a time, because the
+    tasks of a job are alike and may all be the cause.
     """
     is_likely = any(job.suspicion(unit) >= LIKELY_SUSPICION for unit in job.crashes)
     if not is_likely:
         return True
-    is_repeated = any(len(shares) > 1 for shares in job.crashes.values())
+    is_repeated = any(
+        len(shares) > 1 and not job.step_of(unit).lasting for unit, shares in job.crashes.items()
+    )
     if is_repeated and not pool_state.progress.is_stored(job.key.job_id):
         return False
     return not any(
--- a/limpetpulley/pool/state.py
+++ b/limpetpulley/pool/state.py
@@ -357,11 +357,13 @@
             # A worker whose ends are not stored must stay on the roster for the next owner.
             is_stored = worker.stored_through >= worker.processed_through
             if not worker.present and expired and is_stored and not worker.runs:
-                if worker.lost_starts:
-                    record_crash(self, worker, "lease-lapsed")
                 life, ends = worker.listed.incarnation, self.end_positions(worker)
                 self._remove_worker(worker)
-                self.on_event(PoolEvent("worker-gone", worker.worker_id, life=life, ends=ends))
+                starts = ", ".join(".".join(map(str, task)) for task, _ in worker.lost_starts)
+                detail = f"just started before its silence: {starts}" if starts else ""
+                self.on_event(
+                    PoolEvent("worker-gone", worker.worker_id, detail=detail, life=life, ends=ends)
+                )
         self.late_acknowledgements = {
             name: (incarnation, until)
             for name, (incarnation, until) in self.late_acknowledgements.items()
