Delay the retries of lasting, refused and suspect tasks only

The delay of 0.25 and 0.5 s before the third and fourth attempt of a task that ends by itself made sound jobs later that had failed on a broken worker, and saved nothing, since its attempts are limited.

--- a/limpetpulley/pool/replies.py
+++ b/limpetpulley/pool/replies.py
@@ -162,7 +162,8 @@
     pool_state.note_started(end.task)
     clear_suspect(pool_state, worker, end.task, end.number)
     weigh_end(pool_state, worker, end, now)
-    if end.kind is EndKind.FAILED:
+    # The attempts of a task that ends by itself are limited; a lasting one may fail for ever.
+    if end.kind is EndKind.FAILED and job.step_of(end.task).lasting:
         ran_seconds = now - run.started_at if run is not None and run.started_at else 0.0
         pool_state.retries.note_setback(job.attempt_unit(end.task), now, ran_seconds)
     if end.kind is not EndKind.DONE and end.checkpoint and job.needs_run(end.task):
