Let the evidence on failed runs order workers, not exclude them in busy pools

A worker that refused all orders drew 804 starts in 10 s; weighing cost 0.8 s a planning round with 500 workers and 20 failing jobs; the log of jobs that stand still 1.3 s with 4000 jobs; late ends of ended jobs were kept for good; a gang's failure counted once a member.

Now a pool without a trusted worker makes no difference between workers; lasting tasks start on doubted ones too; the others are limited to probes only while half of the cores is in use and the trusted workers by tasks that end, at least half of what lasting tasks leave; one task a job, or a gang, jobs of which nothing runs first. Evidence is by step, with totals. A refusal counts like a failed run. Setbacks count once a run and fade after 10 s.

--- a/limpetpulley/pool/crashes.py
+++ b/limpetpulley/pool/crashes.py
@@ -86,7 +86,7 @@
         if job is not None and job.needs_run(run.task):
             unit = job.attempt_unit(run.task)
             pool_state.suspects.add(unit)
-            pool_state.retries.note_setback(unit, pool_state.scanned_at)
+            pool_state.retries.note_setback(unit, run.number, pool_state.scanned_at)
 
 
 def has_crashed(worker: Worker) -> bool:
@@ -123,7 +123,7 @@
         if job.note_crash(task, number, share):
             pool_state.progress.mark_changed(job.key.job_id)
             if job.step_of(task).lasting:
-                _pace_lasting(pool_state, job, unit, worker)
+                _pace_lasting(pool_state, job, unit, number, worker)
         pool_state.on_event(
             PoolEvent(
                 "task-suspected",
@@ -140,13 +140,15 @@
     pool_state.on_event(PoolEvent("worker-crashed", worker.worker_id, detail=detail, life=life))
 
 
-def _pace_lasting(pool_state: PoolState, job: Job, unit: TaskId, worker: Worker) -> None:
+def _pace_lasting(
+    pool_state: PoolState, job: Job, unit: TaskId, number: int, worker: Worker
+) -> None:
     """Delay the next start of a lasting task, and keep no more of its crashes than count."""
     shares = job.crashes[unit]
-    for number in sorted(shares)[:-MAX_CRASHES]:
-        del shares[number]
+    for earlier in sorted(shares)[:-MAX_CRASHES]:
+        del shares[earlier]
     now = max(pool_state.scanned_at, worker.last_reply_at)
-    pool_state.retries.note_setback(unit, now, pace=CRASH_PACE)
+    pool_state.retries.note_setback(unit, number, now, CRASH_PACE)
 
 
 def clear_survivors(pool_state: PoolState, worker: Worker) -> None:
--- a/limpetpulley/pool/evidence.py
+++ b/limpetpulley/pool/evidence.py
@@ -1,9 +1,9 @@
-"""Evidence on whose fault failed runs are: their job's or their worker's. No I/O.
+"""Evidence on whose fault failed runs are: the step's or the worker's. No I/O.
 
-A failed run counts against its worker only as far as the job's runs do not fail on others as well.
-A worker with enough such failures since its last successful run is doubted. That changes the order
-in which workers are used and never empties a pool: a doubted worker takes what fits on no other,
-and only a probe now and then while so much is in use that other workers are soon free.
+A failed run counts against its worker only as far as runs of the same step do not fail on others as
+well. A worker with enough such failures since its last successful run is doubted. That changes the
+order in which workers are used and never empties a pool: a doubted worker takes what fits on no
+other. Only while other workers are soon free does it take one task that ends by itself at a time.
 """
 
 from __future__ import annotations
@@ -13,7 +13,7 @@
 
 import attrs
 
-from ..batch import Amount, EndKind
+from ..batch import EndKind
 from ..workers import EndedRun, Worker
 from .events import PoolEvent
 
@@ -30,13 +30,17 @@
 EVIDENCE_SECONDS = 10.0
 #: shortest interval between two starts on a doubted worker in a busy pool, in seconds
 PROBE_INTERVAL_SECONDS = 1.0
-#: fraction of a pool's capacity from which on the pool is busy
+#: fraction of the capacity in use from which on a pool is busy
 BUSY_FRACTION = 0.5
 
 
+#: a step of a job, of one occurrence: runs of the same kind
+StepKey = tuple[str, int, int]
+
+
 @attrs.define
 class _EndCounts:
-    """Ends of a job's runs on one worker.
+    """Ends of a step's runs, on one worker or on all.
 
     :param last_at: local time of the last one
     """
@@ -45,39 +49,47 @@
     failed: int = 0
     last_at: float = 0.0
 
+    def add(self, is_done: bool, now: float) -> None:
+        """Count an end."""
+        self.done += is_done
+        self.failed += not is_done
+        self.last_at = now
+
 
 class FailureEvidence:
-    """Ends of runs by job and worker, and the workers that are doubted because of them."""
+    """Ends of runs by step and worker, and the workers that are doubted because of them."""
 
     def __init__(self) -> None:
-        self.ends: dict[str, dict[str, _EndCounts]] = {}
-        # Failed runs on each worker since its last successful run, by job.
-        self.failures: dict[str, Counter[str]] = {}
+        self.ends: dict[StepKey, dict[str, _EndCounts]] = {}
+        self.totals: dict[StepKey, _EndCounts] = {}
+        # Failed runs on each worker since its last successful run, by step.
+        self.failures: dict[str, Counter[StepKey]] = {}
         self.failed_at: dict[str, float] = {}
         self.probed_at: dict[str, float] = {}
 
-    def note_end(self, job_id: str, worker_id: str, is_done: bool, now: float) -> None:
-        """Note that a run of a job has ended on a worker, successfully or not."""
-        counts = self.ends.setdefault(job_id, {}).setdefault(worker_id, _EndCounts())
-        counts.last_at = now
+    def note_end(self, step: StepKey, worker_id: str, is_done: bool, now: float) -> None:
+        """Note that a run has ended on a worker, successfully or not."""
+        self.ends.setdefault(step, {}).setdefault(worker_id, _EndCounts()).add(is_done, now)
+        self.totals.setdefault(step, _EndCounts()).add(is_done, now)
         if is_done:
-            counts.done += 1
             self.forget_failures(worker_id)
         else:
-            counts.failed += 1
-            self.failures.setdefault(worker_id, Counter())[job_id] += 1
+            self.failures.setdefault(worker_id, Counter())[step] += 1
             self.failed_at[worker_id] = now
 
     def doubt(self, worker_id: str) -> float:
         """Return how many failed runs count against a worker."""
         return sum(
-            count * (1 - self._failure_rate_elsewhere(job_id, worker_id))
-            for job_id, count in self.failures.get(worker_id, {}).items()
+            count * (1 - self._failure_rate_elsewhere(step, worker_id))
+            for step, count in self.failures.get(worker_id, {}).items()
         )
 
     def is_doubted(self, worker_id: str) -> bool:
         """Return whether other workers are to be preferred to a worker."""
-        return bool(self.failures) and self.doubt(worker_id) >= MIN_DOUBT
+        failures = self.failures.get(worker_id)
+        if failures is None or failures.total() < MIN_DOUBT:
+            return False
+        return self.doubt(worker_id) >= MIN_DOUBT
 
     def is_probe_due(self, worker_id: str, now: float) -> bool:
         """Return whether a doubted worker may be tried again in a busy pool."""
@@ -94,14 +106,16 @@
         for worker_id, failed_at in list(self.failed_at.items()):
             if now - failed_at > EVIDENCE_SECONDS:
                 self.forget_failures(worker_id)
-        for job_id, by_worker in list(self.ends.items()):
-            if now - max(counts.last_at for counts in by_worker.values()) > EVIDENCE_SECONDS:
-                del self.ends[job_id]
+        for step, total in list(self.totals.items()):
+            if now - total.last_at > EVIDENCE_SECONDS:
+                del self.totals[step], self.ends[step]
 
-    def _failure_rate_elsewhere(self, job_id: str, worker_id: str) -> float:
-        others = [counts for name, counts in self.ends.get(job_id, {}).items() if name != worker_id]
-        ended = sum(counts.done + counts.failed for counts in others)
-        return sum(counts.failed for counts in others) / ended if ended else UNKNOWN_FAILURE_RATE
+    def _failure_rate_elsewhere(self, step: StepKey, worker_id: str) -> float:
+        if step not in self.totals:
+            return UNKNOWN_FAILURE_RATE
+        total, own = self.totals[step], self.ends[step].get(worker_id, _EndCounts())
+        failed, done = total.failed - own.failed, total.done - own.done
+        return failed / (failed + done) if failed + done else UNKNOWN_FAILURE_RATE
 
 
 def weigh_end(pool_state: PoolState, worker: Worker, end: EndedRun, now: float) -> None:
@@ -113,25 +127,38 @@
         return
     evidence, worker_id = pool_state.evidence, worker.worker_id
     was_doubted = evidence.is_doubted(worker_id)
-    evidence.note_end(end.task.job_id, worker_id, end.kind is EndKind.DONE, now)
-    if end.kind is EndKind.FAILED:
-        pool_state.failed_on.setdefault(end.task, set()).add(worker_id)
+    task = end.task
+    step = (task.job_id, task.occurrence, task.step)
+    evidence.note_end(step, worker_id, end.kind is EndKind.DONE, now)
     is_doubted = evidence.is_doubted(worker_id)
     if is_doubted is not was_doubted:
         counts = evidence.failures.get(worker_id, Counter())
-        detail = f"{counts.total()} failed runs of {len(counts)} jobs since the last done one"
+        detail = f"{counts.total()} failed runs of {len(counts)} steps since the last done one"
         event, life = (
             "worker-doubted" if is_doubted else "worker-trusted"
         ), worker.listed.incarnation
         pool_state.on_event(PoolEvent(event, worker_id, detail=detail, life=life))
 
 
-def is_busy(pool_state: PoolState) -> bool:
-    """Return whether so much of a pool's capacity is in use that some is freed soon."""
-    workers = [worker for worker in pool_state.workers.values() if worker.present]
-    used = sum((worker.used for worker in workers), Amount())
-    capacity = sum((worker.listed.capacity for worker in workers), Amount())
-    return any(
-        total and in_use >= BUSY_FRACTION * total
-        for in_use, total in zip(attrs.astuple(used), attrs.astuple(capacity), strict=True)
-    )
+def is_busy(pool_state: PoolState, trusted: list[Worker]) -> bool:
+    """Return whether it is worth waiting for a trusted worker.
+
+    That is so if half of the pool is in use, and trusted workers by tasks that end by themselves,
+    so that capacity is freed there soon.
+
+    :param trusted: available workers that are not doubted
+    """
+    listed = [worker for worker in pool_state.workers.values() if worker.present]
+    used = sum(worker.used.cpu_millicores for worker in listed)
+    if used < BUSY_FRACTION * sum(worker.listed.capacity.cpu_millicores for worker in listed):
+        return False
+    ending = lasting = 0
+    for worker in trusted:
+        for run in worker.runs.values():
+            job = pool_state.jobs.get(run.task.job_id)
+            if job is not None and job.step_of(run.task).lasting:
+                lasting += run.charge.cpu_millicores
+            else:
+                ending += run.charge.cpu_millicores
+    capacity = sum(worker.listed.capacity.cpu_millicores for worker in trusted)
+    return ending > 0 and ending >= BUSY_FRACTION * (capacity - lasting)
--- a/limpetpulley/pool/planning.py
+++ b/limpetpulley/pool/planning.py
@@ -232,19 +232,40 @@
     if not waiting or not workers:
         return orders
     waiting.sort(key=rank)
-    doubted = [worker for worker in workers if pool_state.evidence.is_doubted(worker.worker_id)]
-    trusted = [worker for worker in workers if worker not in doubted] if doubted else workers
-    if trusted:
-        orders += _start_jobs(pool_state, waiting, trusted, shares, now)
-    if doubted:
+    is_doubted = pool_state.evidence.is_doubted
+    trusted = [worker for worker in workers if not is_doubted(worker.worker_id)] or workers
+    orders += _start_jobs(pool_state, waiting, trusted, shares, now)
+    if len(trusted) < len(workers):
         waiting = [job for job in waiting if job.key.job_id in pool_state.ready]
-        if is_busy(pool_state):
-            orders += _start_probes(pool_state, waiting, doubted, shares, now)
-        else:
-            orders += _start_jobs(pool_state, waiting, workers, shares, now)
+        orders += _start_on_doubted(pool_state, waiting, workers, trusted, shares, now)
     return orders
 
 
+def _start_on_doubted(
+    pool_state: PoolState,
+    waiting: list[Job],
+    workers: list[Worker],
+    trusted: list[Worker],
+    shares: Shares,
+    now: float,
+) -> list[StartOrder]:
+    """Start what fits on no trusted worker on those whose runs have failed.
+
+    :param workers: available workers, at least one of them not trusted
+    """
+    if not waiting:
+        return []
+    if not is_busy(pool_state, trusted):
+        return _start_jobs(pool_state, waiting, workers, shares, now)
+    # The failed runs of a lasting task are not limited, and no other worker may become free for it.
+    lasting = [job for job in waiting if job.spec.lasting]
+    orders = _start_jobs(pool_state, lasting, workers, shares, now) if lasting else []
+    others = [job for job in waiting if not job.spec.lasting]
+    # Jobs of which nothing runs come first.
+    others.sort(key=lambda job: job.key.job_id in pool_state.runs_by_job)
+    return orders + _start_probes(pool_state, others, workers, trusted, shares, now)
+
+
 def _start_jobs(
     pool_state: PoolState, waiting: list[Job], workers: list[Worker], shares: Shares, now: float
 ) -> list[StartOrder]:
@@ -273,23 +294,38 @@
 
 
 def _start_probes(
-    pool_state: PoolState, waiting: list[Job], doubted: list[Worker], shares: Shares, now: float
+    pool_state: PoolState,
+    waiting: list[Job],
+    workers: list[Worker],
+    trusted: list[Worker],
+    shares: Shares,
+    now: float,
 ) -> list[StartOrder]:
-    """Start one task on each doubted worker whose probe is due."""
+    """Start one task, or the part of a gang, on each doubted worker whose probe is due."""
     orders: list[StartOrder] = []
-    for worker in doubted:
-        if not pool_state.evidence.is_probe_due(worker.worker_id, now):
+    evidence, trusted_ids = pool_state.evidence, {worker.worker_id for worker in trusted}
+    due = {
+        worker.worker_id: worker
+        for worker in workers
+        if worker.worker_id not in trusted_ids and evidence.is_probe_due(worker.worker_id, now)
+    }
+    worker_index = None
+    for job in waiting:
+        if not due:
+            break
+        # A job that runs behind all others could hold the worker for long.
+        if job.behind or not pool_state.may_start(job):
+            continue
+        if worker_index is None:
+            worker_index = WorkerIndex([*trusted, *due.values()])
+        if not _may_fit(job, worker_index.max_free):
             continue
-        for job in waiting:
-            # A job that runs behind all others could hold the worker for long.
-            if job.behind or not pool_state.may_start(job):
-                continue
-            index = WorkerIndex([worker])
-            starts = _start_job(pool_state, job, index, shares, now, math.inf, is_probe=True)
-            if starts:
-                pool_state.evidence.probed_at[worker.worker_id] = now
-                orders += starts
-                break
+        starts = _start_job(pool_state, job, worker_index, shares, now, math.inf, is_probe=True)
+        for start in starts:
+            if due.pop(start.worker_id, None) is not None:
+                evidence.probed_at[start.worker_id] = now
+                worker_index = None
+        orders += starts
     return orders
 
 
@@ -349,7 +385,7 @@
     """Start the ready tasks of a job that fit.
 
     :param millicores_left: millicores that the job may still use
-    :param is_probe: whether to start one task at the most, and none where it has failed before
+    :param is_probe: whether to start one task or gang at the most
     """
     orders: list[StartOrder] = []
     tasks_per_worker: dict[tuple[int, int], Counter[str]] = {}
@@ -362,10 +398,8 @@
         if not pool_state.retries.is_due(job.attempt_unit(task), now):
             continue
         failed_on = pool_state.failed_on.get(task, ())
-        if is_probe and (
-            orders or any(each.worker_id in failed_on for each in worker_index.workers)
-        ):
-            continue
+        if is_probe and orders:
+            break
         running = pool_state.usage.get(job.team, Amount())
         if (
             not step.charge.fits(worker_index.max_free)
--- a/limpetpulley/pool/rejections.py
+++ b/limpetpulley/pool/rejections.py
@@ -28,10 +28,14 @@
     elif outcome is StartOutcome.NO_ROOM:
         worker.avoid_until = max(worker.avoid_until, now + NO_ROOM_PAUSE_SECONDS)
     elif outcome is StartOutcome.REFUSED:
-        # The worker does not understand this order; that says nothing about others.
-        pool_state.failed_on.setdefault(run.task, set()).add(worker.worker_id)
-        unit = pool_state.jobs[run.task.job_id].attempt_unit(run.task)
-        pool_state.retries.note_setback(unit, now)
+        # Either the task or the worker may be at fault.
+        task = run.task
+        step = (task.job_id, task.occurrence, task.step)
+        pool_state.evidence.note_end(step, worker.worker_id, False, now)
+        job = pool_state.jobs.get(task.job_id)
+        if job is not None and job.needs_run(task):
+            pool_state.failed_on.setdefault(task, set()).add(worker.worker_id)
+            pool_state.retries.note_setback(job.attempt_unit(task), run.number, now)
     elif outcome is not StartOutcome.LATE and now >= worker.avoid_until:
         pause, life = worker.note_rejection(now), worker.listed.incarnation
         detail = f"{pause:.2f} s: {outcome.name.lower()}"
--- a/limpetpulley/pool/replies.py
+++ b/limpetpulley/pool/replies.py
@@ -162,10 +162,11 @@
     pool_state.note_started(end.task)
     clear_suspect(pool_state, worker, end.task, end.number)
     weigh_end(pool_state, worker, end, now)
-    # The attempts of a task that ends by itself are limited; a lasting one may fail for ever.
-    if end.kind is EndKind.FAILED and job.step_of(end.task).lasting:
-        ran_seconds = now - run.started_at if run is not None and run.started_at else 0.0
-        pool_state.retries.note_setback(job.attempt_unit(end.task), now, ran_seconds)
+    if end.kind is EndKind.FAILED and job.needs_run(end.task):
+        pool_state.failed_on.setdefault(end.task, set()).add(worker.worker_id)
+        # The attempts of a task that ends by itself are limited; a lasting one may fail for ever.
+        if job.step_of(end.task).lasting:
+            pool_state.retries.note_setback(job.attempt_unit(end.task), end.number, now)
     if end.kind is not EndKind.DONE and end.checkpoint and job.needs_run(end.task):
         pool_state.checkpoints[job.attempt_unit(end.task)] = end.checkpoint
     if end.task in pool_state.runs:
--- a/limpetpulley/pool/retries.py
+++ b/limpetpulley/pool/retries.py
@@ -6,14 +6,16 @@
 
 from __future__ import annotations
 
+import math
+
 import attrs
 
 from ..batch import TaskId
 
 __all__ = ["CRASH_PACE", "FAILURE_PACE", "Pace", "RetryDelays"]
 
-#: time after which a run that fails is not counted with the failures before, in seconds
-SOUND_RUN_SECONDS = 10.0
+#: time after a start within which a setback is counted with those before, in seconds
+SERIES_SECONDS = 10.0
 
 
 @attrs.frozen
@@ -46,25 +48,29 @@
     def __init__(self) -> None:
         self.setbacks: dict[TaskId, int] = {}
         self.due_at: dict[TaskId, float] = {}
+        self.numbers: dict[TaskId, int] = {}
 
     def note_setback(
-        self, unit: TaskId, now: float, ran_seconds: float = 0.0, pace: Pace = FAILURE_PACE
+        self, unit: TaskId, number: int, now: float, pace: Pace = FAILURE_PACE
     ) -> None:
         """Delay the next start of a task.
 
+        :param number: number of the run; the members of a gang count once
         :param now: local time
-        :param ran_seconds: how long the run lasted, in seconds
         """
-        before = 0 if ran_seconds >= SOUND_RUN_SECONDS else self.setbacks.get(unit, 0)
-        self.setbacks[unit] = before + 1
-        self.due_at[unit] = now + pace.delay(before + 1)
+        if number <= self.numbers.get(unit, 0):
+            return
+        self.numbers[unit] = number
+        in_series = now - self.due_at.get(unit, -math.inf) < SERIES_SECONDS
+        self.setbacks[unit] = self.setbacks.get(unit, 0) + 1 if in_series else 1
+        self.due_at[unit] = now + pace.delay(self.setbacks[unit])
 
     def is_due(self, unit: TaskId, now: float) -> bool:
         """Return whether a task may be started again."""
         return self.due_at.get(unit, now) <= now
 
     def forget_job(self, job_id: str) -> None:
-        """Forget the tasks of a job that has ended."""
-        for by_task in (self.setbacks, self.due_at):
+        """Forget the tasks of a job that has ended or is removed."""
+        for by_task in (self.setbacks, self.due_at, self.numbers):
             for unit in [unit for unit in by_task if unit.job_id == job_id]:
                 del by_task[unit]
--- a/limpetpulley/pool/standstill.py
+++ b/limpetpulley/pool/standstill.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from ..batch import Job, TaskId
-from ..scheduling.placement import unavailability
+from ..scheduling.placement import max_free_capacity, unavailability
 from .crashes import is_suspect
 from .events import PoolEvent
 
@@ -18,6 +18,8 @@
 #: time without a run of a job that could run after which it is reported, in seconds; the interval
 #: to the next report is twice as long each time
 FIRST_REPORT_SECONDS = 1.0
+#: jobs that are reported at once; the others follow
+MAX_REPORTS = 10
 
 
 def report_standstills(pool_state: PoolState, now: float, max_reply_age_seconds: float) -> None:
@@ -26,14 +28,19 @@
     :param now: local time
     :param max_reply_age_seconds: age of a worker's last reply beyond which nothing starts there
     """
-    standing = {}
+    standing, reports = {}, 0
+    max_free = max_free_capacity(pool_state.workers.values())
     for job_id, tasks in pool_state.ready.items():
         if job_id in pool_state.runs_by_job:
             continue
         since, report_at = pool_state.standstills.get(job_id, (now, now + FIRST_REPORT_SECONDS))
-        if now >= report_at:
+        if now >= report_at and reports < MAX_REPORTS:
             report_at = now + (now - since)
             job = pool_state.jobs[job_id]
+            if not job.step_of(tasks[0]).charge.fits(max_free):
+                standing[job_id] = (since, report_at)
+                continue
+            reports += 1
             obstacles = _obstacles(pool_state, job, tasks[0], now, max_reply_age_seconds)
             if obstacles:
                 detail = f"{now - since:.1f} s without a run: {obstacles}"
--- a/limpetpulley/pool/state.py
+++ b/limpetpulley/pool/state.py
@@ -133,6 +133,7 @@
         self.jobs.pop(job_id, None)
         self.ready.pop(job_id, None)
         self.tasks_to_check.update(self.runs_by_job.get(job_id, ()))
+        self.retries.forget_job(job_id)
         self.progress.remove(job_id)
 
     def cancel(self, job: Job, now: float) -> bool:
--- a/limpetpulley/pool/tests/test_starvation.py
+++ b/limpetpulley/pool/tests/test_starvation.py
@@ -1,6 +1,7 @@
 """Sound jobs beside tasks that fail, are refused or reject: how long workers may stand idle."""
 
 import itertools
+import math
 
 import attrs
 import pytest
@@ -24,11 +25,13 @@
 
     :param outcome: how workers answer the start orders of bad jobs
     :param unhealthy_until: time until which all workers reject all orders
+    :param refusing: worker that does not understand any order
     """
 
     pool_state: object
     outcome: StartOutcome = StartOutcome.STARTED
     unhealthy_until: float = 0.0
+    refusing: str = ""
     positions: dict = attrs.field(factory=dict)
     started_at: dict = attrs.field(factory=dict)
     starts: list = attrs.field(factory=list)
@@ -39,6 +42,8 @@
         outcome = self.outcome if bad else StartOutcome.STARTED
         if now < self.unhealthy_until:
             outcome = StartOutcome.UNHEALTHY
+        if order.worker_id == self.refusing:
+            outcome = StartOutcome.REFUSED
         self.starts.append((now, order.task.job_id, order.worker_id, outcome))
         if outcome is StartOutcome.STARTED:
             self.started_at[order.task, order.number] = now
@@ -50,6 +55,8 @@
             for run in worker.runs.values():
                 bad = run.task.job_id.startswith("bad")
                 seconds = FAILED_RUN_SECONDS if bad else SOUND_RUN_SECONDS
+                if run.task.job_id == "lasting":
+                    seconds = math.inf
                 if now - self.started_at[run.task, run.number] < seconds:
                     rows.append(ListedRun(run.task, run.number))
                 else:
@@ -131,6 +138,40 @@
     assert workers.pool_state.jobs["sound0"].state is JobState.COMPLETED
 
 
+@pytest.mark.parametrize("count", [1, 2, 4])
+@pytest.mark.parametrize("use", [Amount(9000, 100), Amount(1000, 5000)], ids=["cores", "memory"])
+def test_sound_jobs_start_beside_failing_ones_where_lasting_tasks_use_half_of_the_pool(count, use):
+    workers = make_workers(count)
+    step = Step(count, use, lasting=True, max_per_worker=1)
+    add_job(workers.pool_state, "lasting", step, NOW)
+    numbers, next_at = itertools.count(), NOW + 0.5
+
+    def add_jobs(now):
+        nonlocal next_at
+        if now >= next_at:
+            number, next_at = next(numbers), next_at + SOUND_JOB_INTERVAL_SECONDS
+            add_job(workers.pool_state, f"sound{number}", Step(2, TASK), now)
+            if number in (1, 2, 6, 7):
+                add_job(workers.pool_state, f"bad{number}", Step(6, TASK), now)
+
+    assert workers.play(PLAY_SECONDS, add_jobs) <= MAX_IDLE_SECONDS
+
+
+def test_worker_that_refuses_all_orders_does_not_draw_the_queue():
+    workers = make_workers(2, refusing="w0")
+
+    def add_jobs(now):
+        if now == NOW:
+            for number in range(10):
+                add_job(workers.pool_state, f"sound{number}", Step(16, TASK), now)
+
+    workers.play(PLAY_SECONDS, add_jobs)
+    refused = [start for start in workers.starts if start[3] is StartOutcome.REFUSED]
+    assert len(refused) <= 16 + 2 * PLAY_SECONDS
+    states = {job.state for job in workers.pool_state.jobs.values()}
+    assert states == {JobState.COMPLETED}
+
+
 @pytest.mark.parametrize("count", [1, 2])
 def test_jobs_start_soon_after_all_workers_were_unhealthy_for_a_moment(count):
     workers = make_workers(count, unhealthy_until=NOW + 1.5)
