--- a/limpetpulley/pool/crashes.py
+++ b/limpetpulley/pool/crashes.py
@@ -9,10 +9,11 @@
 A worker that was being drained has ended as planned and has not crashed. If several workers crash
 at once, as a rack does, a common cause is likelier than a task; each task is excused for that once.
 
-A crash is known from the list of VMs or from the worker's next incarnation. A worker that is silent
-and not listed may live: when the leases have lapsed there, what had just started is started
-by itself, but nothing is held against it. A lasting job is never given up; a task of it that goes
-on crashing its workers is started at growing intervals.
+A crash is known from the list of VMs or from the worker's next incarnation, soon after the start
+that caused it, or by a connection lost then. A worker that is silent and not listed may live: when
+the leases have lapsed there, what had just started is started by itself, but nothing is held
+against it. A lasting job is never given up; a task of it that goes on crashing its workers is
+started at growing intervals.
 """
 
 from __future__ import annotations
@@ -35,6 +36,7 @@
     "has_outlived_start",
     "is_suspect",
     "may_start_suspect",
+    "note_heartbeat",
     "record_crash",
     "suspect_runs",
     "suspend_judgement",
@@ -45,6 +47,11 @@
 #: time after a run's start within which the loss of the connection to its worker may be due to it,
 #: in seconds; longer than the start-up, because the owner's own delays are added
 LOSS_SECONDS = 0.5
+#: longest time after which a heartbeat is seen, in seconds
+HEARTBEAT_DELAY_SECONDS = 2.0
+#: time of silence after which a crash is not attributed to a start before it, unless the connection
+#: was lost then, in seconds
+MAX_SILENCE_SECONDS = 2.5
 #: suspicion at which a task is given up: two crashes for which there was no other suspect
 MAX_SUSPICION = 2.0
 #: suspicion from which on the tasks of a job are started one at a time
@@ -56,8 +63,8 @@
 def has_outlived_start(worker: Worker, run: Run) -> bool:
     """Return whether a worker was alive some time after the start of a run on it.
 
-    It was if it has replied since. A crash also closes its connections, so that one which is lost
-    later was not caused by the start.
+    It was if it has replied or written a heartbeat since. A crash also closes its connections, so
+    that one which is lost later was not caused by the start.
     """
     if run.ordered_at is None:
         return True
@@ -65,9 +72,20 @@
         return False
     if worker.lost_at is not None and worker.lost_at >= run.started_at + LOSS_SECONDS:
         return True
+    if worker.heartbeat_at >= run.started_at + STARTUP_SECONDS + HEARTBEAT_DELAY_SECONDS:
+        return True
     return worker.last_reply_at >= run.started_at + STARTUP_SECONDS
 
 
+def note_heartbeat(worker: Worker, now: float) -> None:
+    """Note that a new heartbeat of a worker was seen: it has outlived what was lost before.
+
+    :param now: local time
+    """
+    worker.heartbeat_at = now
+    worker.lost_starts = []
+
+
 def suspect_runs(worker: Worker) -> list[Run]:
     """Return the runs that may be the cause if a worker has crashed now."""
     return [run for run in worker.runs.values() if not has_outlived_start(worker, run)]
@@ -117,6 +135,10 @@
         for unit in units.keys() - pool_state.suspects - pool_state.excused:
             pool_state.excused.add(unit)
             del units[unit]
+    now = max(pool_state.scanned_at, worker.last_reply_at)
+    if worker.lost_at is None and now - worker.last_reply_at > MAX_SILENCE_SECONDS:
+        pool_state.suspects.update(units)
+        units = {}
     share = 1 / max(1, len(units))
     for unit, (job, task, number) in units.items():
         pool_state.suspects.add(unit)
--- a/limpetpulley/pool/state.py
+++ b/limpetpulley/pool/state.py
@@ -14,7 +14,7 @@
 from ..batch import Amount, Job, TaskId
 from ..workers import ListedWorker, Run, RunPhase, StopOrder, Worker
 from ..workers.lease import MIN_CLOCK_RATE, EarlierLease
-from .crashes import has_crashed, record_crash, suspend_judgement
+from .crashes import has_crashed, note_heartbeat, record_crash, suspend_judgement
 from .ended_workers import report_sign_of_life
 from .events import EndPositions, PoolEvent
 from .evidence import FailureEvidence
@@ -210,6 +210,8 @@
         elif listed.incarnation == worker.listed.incarnation:
             if listed.heartbeat > worker.listed.heartbeat:
                 report_sign_of_life(self, worker, "entry", self.scanned_at)
+                if not worker.ended:
+                    note_heartbeat(worker, self.scanned_at)
             worker.listed = listed
         worker.present = True
         return worker
--- a/limpetpulley/pool/tests/test_crashes.py
+++ b/limpetpulley/pool/tests/test_crashes.py
@@ -217,3 +217,24 @@
         assert task(0) in pool_state.runs
     assert not pool_state.jobs[JOB].state.is_final
     assert pool_state.runs[task(1)].phase is not RunPhase.STOPPING
+
+
+# Guards against LOST where a worker falls silent after a start and its VM goes down much later.
+@pytest.mark.parametrize(
+    ("sign", "suspicion"),
+    [("none", 0.0), ("heartbeat", 0.0), ("connection-lost", 1.0), ("down-at-once", 1.0)],
+)
+def test_crash_is_attributed_to_a_start_only_if_it_followed_at_once(sign, suspicion):
+    pool_state = make_busy_pool_state(PLAIN)
+    (order,) = start(pool_state, NOW)
+    worker = pool_state.workers[order.worker_id]
+    worker.silent = True
+    if sign == "connection-lost":
+        worker.lost_at = NOW + 0.1
+    now = NOW + (0.3 if sign == "down-at-once" else 4.0)
+    pool_state.scanned_at = now
+    if sign == "heartbeat":
+        pool_state.update_listed_worker(attrs.evolve(worker.listed, heartbeat=7))
+    crash(pool_state, order.worker_id)
+    assert pool_state.jobs[JOB].suspicion(order.task) == suspicion
+    assert (order.task in pool_state.suspects) is (sign != "heartbeat")
--- a/limpetpulley/workers/state.py
+++ b/limpetpulley/workers/state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import math
 
 import attrs
 
@@ -194,6 +195,7 @@
     :param silent: whether its last call got no reply
     :param last_reply_at: local time of its last reply
     :param lost_at: local time at which a call failed without a timeout, None after a reply
+    :param heartbeat_at: local time at which a new heartbeat of it was last seen
     :param restarted_at: local time at which its incarnation was found to have started, until that
         incarnation replies; None for the first one
     :param processed_through: position of the last ended run that was processed
@@ -221,6 +223,7 @@
     silent: bool = False
     last_reply_at: float = 0.0
     lost_at: float | None = None
+    heartbeat_at: float = -math.inf
     restarted_at: float | None = None
     processed_through: int = 0
     stored_through: int = 0
