--- a/limpetpulley/routing/endpoints.py
+++ b/limpetpulley/routing/endpoints.py
@@ -73,6 +73,12 @@
 
     def takes_jobs(self, vm: str) -> bool:
         """Return whether a VM's endpoint takes jobs now."""
+        if not self._is_in_service(vm):
+            return False
+        return self.health.is_available(vm) or vm in self.in_pool(self.vms[vm].pool)
+
+    def _is_in_service(self, vm: str) -> bool:
+        """Return whether a VM has joined its pool, is listed and is not leaving."""
         configured = self.vms.get(vm)
         if configured is None or configured.phase is not VmPhase.JOINED:
             return False
@@ -80,13 +86,15 @@
             return False
         if self.listed and vm not in self.listed:
             return False
-        if self.leaving_until and self.leaving_until.get(vm, 0.0) > self.clock.now():
-            return False
-        return self.health.is_available(vm)
+        return not self.leaving_until or self.leaving_until.get(vm, 0.0) <= self.clock.now()
 
     def in_pool(self, pool: str) -> Iterable[str]:
-        """Return the VMs of a pool whose endpoints take jobs now."""
-        return [vm for vm in self.pools.get(pool, ()) if self.takes_jobs(vm)]
+        """Return the VMs of a pool whose endpoints take jobs now.
+
+        If all are ejected or on trial, for example because the others have left, these are used.
+        """
+        in_service = [vm for vm in self.pools.get(pool, ()) if self._is_in_service(vm)]
+        return [vm for vm in in_service if self.health.is_available(vm)] or in_service
 
     def is_near(self, vm: str) -> bool:
         """Return whether a VM is in this daemon's data centre."""
--- a/limpetpulley/routing/tests/test_routing.py
+++ b/limpetpulley/routing/tests/test_routing.py
@@ -74,3 +74,21 @@
     if answered:
         endpoints.mark_leaving("a")
     assert_that(endpoints.takes_jobs("a"), Is(takes_jobs))
+
+
+@pytest.mark.parametrize("others_leave", [True, False])
+def test_ejected_endpoint_takes_jobs_while_no_other_is_left(others_leave):
+    clock, replica = ManualClock(), ConfigReplica()
+    endpoints = EndpointSet("d", clock, EndpointHealth(clock))
+    for name in ("a", "b"):
+        vm = Vm(name, "p", "h:1", "r", "d", phase=VmPhase.JOINED)
+        replica.apply(Record("vm", name, 1, vm))
+    endpoints.update(replica)
+    endpoints.update_listed_vms([ListedVm(name, VmState.LIVE) for name in ("a", "b")])
+    for _ in range(3):
+        endpoints.health.record_failure("a", ("a", "b"))
+    assert list(endpoints.in_pool("p")) == ["b"]
+    if others_leave:
+        endpoints.mark_leaving("b")
+    assert list(endpoints.in_pool("p")) == (["a"] if others_leave else ["b"])
+    assert endpoints.takes_jobs("a") is others_leave
