--- a/limpetpulley/daemon/store_sync.py
+++ b/limpetpulley/daemon/store_sync.py
@@ -117,10 +117,11 @@
             backoff = min(2 * backoff, MAX_BACKOFF_SECONDS)
 
     async def load_config(self) -> None:
-        """Load the whole configuration.
+        """Load the whole configuration, which confirms it as of the time when the read was sent.
 
         :raises StoreError: if the store does not answer
         """
+        sent_at = self.clock.now()
         snapshot = await self.store.read(self.keyspace.config)
         records = []
         for entry in snapshot.entries:
@@ -129,6 +130,7 @@
             if record is not None:
                 records.append(record)
         self.replica.apply_snapshot(records, snapshot.revision)
+        self._confirm_config(sent_at)
         self.config_loaded = True
         self.on_config()
 
@@ -149,13 +151,17 @@
             logging.error("decision=config-skip reason=unreadable detail=%r", str(error))
             return None
 
+    def _confirm_config(self, at: float) -> None:
+        """Record that the replica includes all changes up to a local time."""
+        self.config_confirmed_at = max(self.config_confirmed_at, at)
+
     async def _check_config_head(self, revision: int) -> None:
         """Reload the configuration if the watch does not deliver the change at a head revision.
 
         :param revision: store revision of the last configuration change
         """
         if revision <= self.replica.revision:
-            self.config_confirmed_at = self.last_contact_at
+            self._confirm_config(self.last_contact_at)
             return
         await anyio.sleep(MAX_WATCH_LAG_SECONDS)
         if revision > self.replica.revision:
