--- a/limpetpulley/pool/planning.py
+++ b/limpetpulley/pool/planning.py
@@ -163,10 +163,13 @@
 
 
 def count_tasks_per_worker(pool_state: PoolState, task: TaskId) -> Counter[str]:
-    """Return the number of runs of a task's step and occurrence on each worker."""
+    """Return the number of runs of a task's step and occurrence on each worker.
+
+    A superseded run that is not known to have ended counts as well.
+    """
     return Counter(
         run.worker_id
-        for run in pool_state.runs_of(task.job_id)
+        for run in pool_state.all_runs_of(task.job_id)
         if (run.task.occurrence, run.task.step) == (task.occurrence, task.step)
     )
 
--- a/limpetpulley/pool/speculation.py
+++ b/limpetpulley/pool/speculation.py
@@ -2,8 +2,9 @@
 
 Such a worker may keep running until its lease expires, so most tasks wait until then. A task that
 allows speculative execution starts on another worker at once, and the first end counts. The
-superseded run on the silent worker keeps its capacity there and counts in its team's usage until it
-is known to be gone; only the newer run is the current run of the task in the pool state.
+superseded run on the silent worker keeps its capacity there, and counts in its team's usage and for
+its step's maximum on one worker, until it is known to be gone; only the newer run is the current
+run of the task in the pool state.
 """
 
 from __future__ import annotations
@@ -38,7 +39,7 @@
                 if run.task in pool_state.suspects:
                     continue
                 pool_state.suspects.add(run.task)
-            pool_state.unset_current_run(run)
+            pool_state.supersede_run(run)
             pool_state.on_event(
                 PoolEvent(
                     "run-copied",
--- a/limpetpulley/pool/state.py
+++ b/limpetpulley/pool/state.py
@@ -67,6 +67,8 @@
         self.workers: dict[str, Worker] = {}
         self.runs: dict[TaskId, Run] = {}
         self.runs_by_job: dict[str, dict[TaskId, Run]] = {}
+        # Runs on workers that are not the current ones of their tasks, by job.
+        self.superseded_runs: dict[str, list[Run]] = {}
         # Tasks whose run may have become unnecessary since the last planning round.
         self.tasks_to_check: set[TaskId] = set()
         self.scanned_at = -math.inf
@@ -449,8 +451,25 @@
         """Return the current runs of a job's tasks."""
         return self.runs_by_job.get(job_id, {}).values()
 
+    def all_runs_of(self, job_id: str) -> Iterable[Run]:
+        """Return all runs of a job's tasks on workers, superseded ones among them."""
+        return (*self.runs_of(job_id), *self.superseded_runs.get(job_id, ()))
+
+    def supersede_run(self, run: Run) -> None:
+        """Remove a run as the current run of its task; it counts until it is known to be gone."""
+        self.unset_current_run(run)
+        self.superseded_runs.setdefault(run.task.job_id, []).append(run)
+
+    def _forget_superseded_run(self, run: Run) -> None:
+        superseded = self.superseded_runs.get(run.task.job_id, [])
+        if run in superseded:
+            superseded.remove(run)
+            if not superseded:
+                del self.superseded_runs[run.task.job_id]
+
     def set_current_run(self, run: Run) -> None:
         """Make a run the current run of its task."""
+        self._forget_superseded_run(run)
         self.runs[run.task] = run
         self.runs_by_job.setdefault(run.task.job_id, {})[run.task] = run
 
@@ -479,7 +498,9 @@
 
     def remove_run(self, run: Run) -> None:
         """Remove a run from its worker and its team's usage, and as the current run of its task."""
-        if not is_superseded(self, run):
+        if is_superseded(self, run):
+            self._forget_superseded_run(run)
+        else:
             self.unset_current_run(run)
         self.workers[run.worker_id].remove(run)
         if run.unanswered_starts:
--- a/limpetpulley/pool/tests/test_indexes.py
+++ b/limpetpulley/pool/tests/test_indexes.py
@@ -126,6 +126,18 @@
         for task, run in pool_state.runs.items():
             by_job.setdefault(task.job_id, {})[task] = run
         assert_that(pool_state.runs_by_job, Equals(by_job))
+        on_workers = Counter(
+            (run.worker_id, run.task, run.number)
+            for worker in pool_state.workers.values()
+            for run in worker.runs.values()
+        )
+        job_ids = pool_state.runs_by_job.keys() | pool_state.superseded_runs.keys()
+        indexed = Counter(
+            (run.worker_id, run.task, run.number)
+            for job_id in job_ids
+            for run in pool_state.all_runs_of(job_id)
+        )
+        assert_that(indexed, Equals(on_workers))
         unstored = {
             job_id
             for job_id in pool_state.progress.newest
