--- a/limpetpulley/pool/planning.py
+++ b/limpetpulley/pool/planning.py
@@ -201,12 +201,14 @@
             run.sent_at = now
             orders.append(StopOrder.of(run))
         elif run.phase is RunPhase.STARTING and waited >= RESEND_START_SECONDS:
-            if run.ordered_at is None or now - run.ordered_at >= START_TIMEOUT_SECONDS:
+            job = pool_state.jobs.get(run.task.job_id)
+            timed_out = run.ordered_at is None or now - run.ordered_at >= START_TIMEOUT_SECONDS
+            if job is None or timed_out:
                 orders.append(stop_run(run, now))
             else:
                 run.sent_at = now
                 run.unanswered_starts += 1
-                orders.append(_start_order(pool_state.jobs[run.task.job_id], run))
+                orders.append(_start_order(job, run))
     return orders
 
 
--- a/limpetpulley/pool/tests/test_planning.py
+++ b/limpetpulley/pool/tests/test_planning.py
@@ -514,3 +514,11 @@
         orders = plan(pool_state, now=now)
     starts = [order.worker_id for order in orders if isinstance(order, StartOrder)]
     assert_that(starts, Equals([other] * restarted))
+
+
+def test_unanswered_start_of_a_removed_job_is_stopped_and_not_repeated():
+    pool_state = make_pool_state(Step(1, TASK))
+    start = plan(pool_state)[0]
+    pool_state.remove_job(JOB)
+    orders = plan(pool_state, now=NOW + 0.6)
+    assert_that(orders, Equals([StopOrder(start.worker_id, start.task, start.number)]))
