--- a/limpetpulley/pool/planning.py
+++ b/limpetpulley/pool/planning.py
@@ -379,7 +379,7 @@
         ):
             blocked_steps.add(step_key)
             continue
-        allowed_workers = pool_state.tickets.allowed_workers(job, task, worker_index.workers, now)
+        allowed_workers = _allowed_workers(pool_state, job, task, worker_index.workers, now)
         if step.gang:
             blocked_steps.add(step_key)
             orders += _start_gang(pool_state, job, task, allowed_workers, shares, now)
@@ -395,7 +395,8 @@
         else:
             worker = choose_worker(step, allowed_workers, tasks_per_worker[step_key], failed_on)
         if worker is None:
-            blocked_steps.add(step_key)
+            if not _superseded_on(pool_state, task):
+                blocked_steps.add(step_key)
             continue
         tasks_per_worker[step_key][worker.worker_id] += 1
         millicores_left -= step.charge.cpu_millicores
@@ -404,6 +405,23 @@
     return orders
 
 
+def _allowed_workers(
+    pool_state: PoolState, job: Job, task: TaskId, workers: list[Worker], now: float
+) -> list[Worker]:
+    """Return the workers that a task may start on: those with a ticket and without a run of it."""
+    allowed_workers = pool_state.tickets.allowed_workers(job, task, workers, now)
+    occupied = _superseded_on(pool_state, task)
+    if not occupied:
+        return allowed_workers
+    return [worker for worker in allowed_workers if worker.worker_id not in occupied]
+
+
+def _superseded_on(pool_state: PoolState, task: TaskId) -> set[str]:
+    """Return the workers with a superseded run of a task."""
+    superseded = pool_state.superseded_runs.get(task.job_id, ())
+    return {run.worker_id for run in superseded if run.task == task}
+
+
 def _start_suspects(
     pool_state: PoolState, shares: Shares, workers: list[Worker], now: float
 ) -> list[Order]:
@@ -440,7 +458,7 @@
     step = job.step_of(task)
     if not shares.allows(job.team, pool_state.usage.get(job.team, Amount()), step.charge):
         return []
-    allowed_workers = pool_state.tickets.allowed_workers(job, task, workers, now)
+    allowed_workers = _allowed_workers(pool_state, job, task, workers, now)
     candidates = trial_workers(pool_state, allowed_workers)
     counts: Counter[str] = Counter()
     if step.gang:
--- a/limpetpulley/pool/tests/test_indexes.py
+++ b/limpetpulley/pool/tests/test_indexes.py
@@ -10,7 +10,14 @@
 from ...batch import Amount, EndKind, Job, JobKey, JobSpec, Step
 from ...scheduling.placement import WorkerIndex
 from ...workers import EndedRun, HoldReply, ListedRun, ListedWorker, RunPhase, StartOutcome
-from .. import PlanningLimits, PoolState, plan_orders, process_hold_reply, process_start_reply
+from .. import (
+    PlanningLimits,
+    PoolState,
+    plan_orders,
+    process_hold_reply,
+    process_start_reply,
+    requeue_speculative_tasks,
+)
 from ..crashes import is_suspect, may_start_suspect, suspect_runs
 from ..planning import rank
 from .test_planning import Shares
@@ -104,6 +111,11 @@
         self.positions[worker.worker_id] = 0
         self.hold(worker.worker_id)
 
+    def silence(self):
+        worker = self.rng.choice(list(self.pool_state.workers.values()))
+        worker.silent = True
+        requeue_speculative_tasks(self.pool_state, worker)
+
     def store(self):
         newest = self.pool_state.progress.newest
         chosen = [job_id for job_id in newest if self.rng.random() < 0.5]
@@ -122,6 +134,8 @@
     pool_state = events.pool_state
     for _ in range(400):
         events.step()
+        if events.rng.random() < 0.1:
+            events.silence()
         by_job = {}
         for task, run in pool_state.runs.items():
             by_job.setdefault(task.job_id, {})[task] = run
@@ -146,6 +160,8 @@
         assert_that(set(pool_state.progress.unstored_jobs()), Equals(unstored))
         for worker in pool_state.workers.values():
             assert_that(worker.room, Equals(worker.listed.capacity - worker.used))
+            charged = sum((run.charge for run in worker.runs.values()), Amount())
+            assert_that(worker.used, Equals(charged))
 
 
 @pytest.mark.parametrize("seed", range(12))
--- a/limpetpulley/pool/tests/test_superseded_runs.py
+++ b/limpetpulley/pool/tests/test_superseded_runs.py
@@ -4,8 +4,8 @@
 from testtools.matchers import Equals
 
 from ...batch import Amount, EndKind, Step
-from ...workers import EndedRun, ListedRun, ListedWorker, StartOrder, StartOutcome
-from .. import process_start_reply, requeue_speculative_tasks
+from ...workers import EndedRun, HoldReply, ListedRun, ListedWorker, StartOrder, StartOutcome
+from .. import process_hold_reply, process_start_reply, requeue_speculative_tasks
 from .test_planning import NOW, TASK, hold, make_pool_state, plan, task
 
 CAPACITY = Amount(4000, 8000)
@@ -52,3 +52,16 @@
     end = EndedRun(1, task(0), superseded.number, EndKind.STOPPED)
     hold(pool_state, returned, ended=[end], clock=14.0, now=NOW + 1.3)
     assert_that(start_all(pool_state, NOW + 1.4), Equals({task(2): returned}))
+
+
+def test_task_is_not_started_again_on_the_worker_where_its_superseded_run_is_being_stopped():
+    pool_state = make_pool_state(Step(1, TASK, speculative=True), workers=("w1",))
+    start_all(pool_state)
+    worker = pool_state.workers["w1"]
+    worker.last_reply_at, worker.silent = NOW + 0.5, True
+    requeue_speculative_tasks(pool_state, worker)
+    process_hold_reply(pool_state, worker, HoldReply(1.0, 2), NOW + 1.0, NOW + 1.0)
+    started = start_all(pool_state, NOW + 1.1)
+    charged = sum((run.charge for run in worker.runs.values()), Amount())
+    assert_that((worker.used, pool_state.usage[""]), Equals((charged, charged)))
+    assert_that(started, Equals({}))
