--- a/limpetpulley/batch/job.py
+++ b/limpetpulley/batch/job.py
@@ -130,8 +130,10 @@
 
         :param now: wall-clock time, in seconds since 1970
         """
-        if self.state.is_final:
-            return
+        if not self.state.is_final:
+            yield from self._open_steps(now)
+
+    def _open_steps(self, now: float) -> Iterator[tuple[int, int]]:
         for (occurrence, number), remaining in self._remaining.items():
             if remaining and self.spec.start_time(occurrence) <= now:
                 step = self.spec.steps[number]
@@ -140,7 +142,12 @@
 
     def runnable_tasks(self, now: float) -> Iterator[TaskId]:
         """Yield the uncompleted tasks that may run, including those that are running."""
-        for occurrence, number in self.runnable_steps(now):
+        if not self.state.is_final:
+            yield from self.unfinished_tasks(now)
+
+    def unfinished_tasks(self, now: float) -> Iterator[TaskId]:
+        """Yield the uncompleted tasks that may run, or might if the job had not ended."""
+        for occurrence, number in self._open_steps(now):
             for position in range(self.spec.steps[number].count):
                 task = TaskId(self.key.job_id, occurrence, number, position)
                 if task not in self.done:
--- a/limpetpulley/ownership/owner.py
+++ b/limpetpulley/ownership/owner.py
@@ -202,7 +202,7 @@
             tasks.start_soon(self._read_roster)
             tasks.start_soon(self._read_jobs)
             tasks.start_soon(self.share_manager.load)
-        if self.pool_state.inherited:
+        if self.pool_state.started_by_others:
             unseen_seconds = MAX_UNRENEWED_CLAIM_SECONDS / MIN_CLOCK_RATE
             self.pool_state.unreconciled_workers = dict.fromkeys(
                 self.roster.inherited, started_at + unseen_seconds
--- a/limpetpulley/ownership/share_manager.py
+++ b/limpetpulley/ownership/share_manager.py
@@ -8,6 +8,7 @@
 from ..exception import RecordError, StoreError, StoreUnavailable
 from ..pool import PoolState
 from ..pool.queue_forecast import demand_by_team
+from ..pool.unseen_runs import team_usage, unseen_usage
 from ..quota.shares import ShareChange, ShareRecord, TeamShares
 from ..store import Compare, Put
 from .context import DaemonContext
@@ -56,9 +57,8 @@
         """Return whether a task is blocked by its team's share."""
         for job_id, tasks in self.pool_state.ready.items():
             job = self.pool_state.jobs[job_id]
-            team_usage = self.pool_state.usage.get(job.team)
             charge = job.step_of(tasks[0]).charge
-            if not self.shares.allows(job.team, team_usage or charge * 0, charge):
+            if not self.shares.allows(job.team, team_usage(self.pool_state, job.team), charge):
                 return True
         return False
 
@@ -111,7 +111,9 @@
             self._log_changes(changes)
 
     def _plan_changes(self) -> list[ShareChange]:
-        changes = self.shares.plan(self.pool_state.usage, demand_by_team(self.pool_state))
+        changes = self.shares.plan(
+            self.pool_state.usage, demand_by_team(self.pool_state), unseen_usage(self.pool_state)
+        )
         return changes[:PAIRS_PER_TRANSACTION]
 
     def _log_changes(self, changes: list[ShareChange]) -> None:
--- a/limpetpulley/pool/planning.py
+++ b/limpetpulley/pool/planning.py
@@ -28,6 +28,7 @@
 from .standstill import report_standstills
 from .state import PoolState
 from .trials import reserve_trial_worker, trial_workers, update_trials
+from .unseen_runs import team_usage, update_unseen_usage
 
 __all__ = ["Order", "PlanningLimits", "Shares", "plan_orders"]
 
@@ -82,6 +83,7 @@
         pool_state.scanned_at = now
         pool_state.expire_leases(now)
         pool_state.update_timed_jobs(wall_time)
+        update_unseen_usage(pool_state, wall_time)
         pool_state.tasks_to_check.update(pool_state.runs)
         orders += _stop_gangs_and_evacuate(pool_state, now, limits)
         orders += _resend_orders(pool_state, now)
@@ -371,7 +373,7 @@
             orders or any(each.worker_id in failed_on for each in worker_index.workers)
         ):
             continue
-        running = pool_state.usage.get(job.team, Amount())
+        running = team_usage(pool_state, job.team)
         if (
             not step.charge.fits(worker_index.max_free)
             or step.charge.cpu_millicores > millicores_left
@@ -456,7 +458,7 @@
     pool_state: PoolState, job: Job, task: TaskId, workers: list[Worker], shares: Shares, now: float
 ) -> list[StartOrder]:
     step = job.step_of(task)
-    if not shares.allows(job.team, pool_state.usage.get(job.team, Amount()), step.charge):
+    if not shares.allows(job.team, team_usage(pool_state, job.team), step.charge):
         return []
     allowed_workers = _allowed_workers(pool_state, job, task, workers, now)
     candidates = trial_workers(pool_state, allowed_workers)
@@ -481,7 +483,7 @@
 ) -> list[StartOrder]:
     """Start all tasks of a gang under one run number, or none."""
     step, tasks = job.step_of(task), gang_tasks(job, task)
-    running = pool_state.usage.get(job.team, Amount())
+    running = team_usage(pool_state, job.team)
     if any(gang_task in pool_state.runs for gang_task in tasks):
         return []
     if not shares.allows(job.team, running, step.charge * step.count):
--- a/limpetpulley/pool/queue_forecast.py
+++ b/limpetpulley/pool/queue_forecast.py
@@ -13,6 +13,7 @@
 from ..scheduling.placement import is_unconstrained
 from .planning import behind_capacity, rank
 from .state import PoolState
+from .unseen_runs import team_usage
 
 __all__ = [
     "QueueForecast",
@@ -168,7 +169,7 @@
         return None
     if not all(any(step.charge.fits(room) for room in free) for step in candidate.spec.steps):
         return None
-    if not shares.allows(candidate.team, pool_state.usage.get(candidate.team, Amount()), widest):
+    if not shares.allows(candidate.team, team_usage(pool_state, candidate.team), widest):
         return None
     seconds = pool_state.run_times.expected_seconds(candidate.key.queue, candidate.spec)
     return Prediction(
--- a/limpetpulley/pool/state.py
+++ b/limpetpulley/pool/state.py
@@ -23,6 +23,7 @@
 from .run_times import TaskRunTimes
 from .speculation import is_superseded, stop_superseded_runs
 from .tickets import TicketCache
+from .unseen_runs import add_inherited_job
 
 __all__ = ["PoolState"]
 
@@ -90,6 +91,10 @@
         self.late_acknowledgements: dict[str, tuple[int, float]] = {}
         self.unreconciled_workers: dict[str, float] = {}
         self.inherited: set[str] = set()
+        # Jobs of which an earlier owner may have started tasks; some have ended since.
+        self.started_by_others: set[str] = set()
+        # What such tasks may use on unreconciled workers, by team; see :mod:`.unseen_runs`.
+        self.unseen_usage: dict[str, Amount] = {}
         self.progress = ProgressLedger()
         self.next_run_number = token * RUN_NUMBERS_PER_OWNER + 1
         self.run_times = TaskRunTimes()
@@ -125,6 +130,8 @@
         """
         self.jobs[job.key.job_id] = job
         self.progress.add(job.key.job_id)
+        if inherited:
+            add_inherited_job(self, job, now)
         if inherited and not job.state.is_final:
             self.inherited.add(job.key.job_id)
             self.suspects.update(job.crashes)
@@ -133,6 +140,7 @@
     def remove_job(self, job_id: str) -> None:
         """Remove a job whose records were deleted from the store."""
         self.jobs.pop(job_id, None)
+        self.started_by_others.discard(job_id)
         self.ready.pop(job_id, None)
         self.tasks_to_check.update(self.runs_by_job.get(job_id, ()))
         self.progress.remove(job_id)
--- a/limpetpulley/quota/shares.py
+++ b/limpetpulley/quota/shares.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Mapping
+from types import MappingProxyType
 
 import attrs
 
@@ -136,18 +137,25 @@
         return max(0, limit.cpu_millicores - others) / 1000
 
     def plan(
-        self, running: Mapping[str, Amount], wanted: Mapping[str, Amount]
+        self,
+        running: Mapping[str, Amount],
+        wanted: Mapping[str, Amount],
+        unseen: Mapping[str, Amount] = MappingProxyType({}),
     ) -> list[ShareChange]:
         """Return the changes of records that this pool needs.
 
         :param running: what runs here, by team
         :param wanted: what runs and waits here, by team
+        :param unseen: what may run here besides within the present share, by team; it is kept
         """
         changes = []
         for team in self.limits:
             record = self.records.get(team, ShareRecord())
             old = record.pools.get(self.pool, (0, 0, 0))
-            new = self._target_share(team, record, old, running, wanted)
+            seen = running.get(team, Amount())
+            most = seen + unseen.get(team, Amount())
+            used = _larger(_triple(seen), _smaller(_triple(most), old))
+            new = self._target_share(team, record, old, used, wanted)
             if new != old or self._is_pending(team, record.revision):
                 pools = {**record.pools, self.pool: new}
                 if not any(new):
@@ -160,11 +168,10 @@
         team: str,
         record: ShareRecord,
         old: ResourceTriple,
-        running: Mapping[str, Amount],
+        used: ResourceTriple,
         wanted: Mapping[str, Amount],
     ) -> ResourceTriple:
         limit = _triple(self.limits[team])
-        used = _triple(running.get(team, Amount()))
         needed = _triple(wanted.get(team, Amount()))
         target = []
         for dimension in range(3):
@@ -192,3 +199,7 @@
 
 def _smaller(first: ResourceTriple, second: ResourceTriple) -> ResourceTriple:
     return min(first[0], second[0]), min(first[1], second[1]), min(first[2], second[2])
+
+
+def _larger(first: ResourceTriple, second: ResourceTriple) -> ResourceTriple:
+    return max(first[0], second[0]), max(first[1], second[1]), max(first[2], second[2])
--- a/limpetpulley/quota/tests/test_shares.py
+++ b/limpetpulley/quota/tests/test_shares.py
@@ -56,6 +56,20 @@
     assert_that(result, Equals(expected))
 
 
+@pytest.mark.parametrize(
+    ("running", "unseen", "expected"),
+    [(0, 5000, None), (1000, 3000, 4000), (3000, 9000, None), (0, 0, 0), (7000, 0, 7000)],
+)
+def test_share_in_which_runs_of_an_earlier_owner_may_go_on_is_not_returned(
+    running, unseen, expected
+):
+    """Another pool would take it, and the team would exceed its limit."""
+    usage = {"agents": Amount(running)}
+    changes = make_shares(desk=6000, tour=3000).plan(usage, usage, {"agents": Amount(unseen)})
+    result = changes[0].pools.get("desk", (0,))[0] if changes else None
+    assert_that(result, Equals(expected))
+
+
 @given(
     needs=st.lists(
         st.tuples(st.sampled_from(["desk", "tour", "film"]), st.integers(0, 15_000)), max_size=30
