Take advice for a step whose tickets were dropped during the call (49.5)

From reading: a worker that rejects a ticket drops the tickets of its step, and TicketCache.store_tickets then raised KeyError when the renewal that was under way returned. That ended the owner, which took its pool over again. Callers have not been seen to meet it.

The answer is now kept as a new entry: it was given by the advice service after the rejected ticket. Waiting for another call would take longer; if its tickets are rejected as well, they are dropped like others.

--- a/limpetpulley/pool/tests/test_planning.py
+++ b/limpetpulley/pool/tests/test_planning.py
@@ -522,3 +522,16 @@
     pool_state.remove_job(JOB)
     orders = plan(pool_state, now=NOW + 0.6)
     assert_that(orders, Equals([StopOrder(start.worker_id, start.task, start.number)]))
+
+
+def test_tickets_that_arrive_after_the_older_ones_were_dropped_are_used():
+    pool_state = make_pool_state(Step(1, TASK))
+    tickets = pool_state.tickets
+    tickets.advice_configs = {"quotes": AdviceConfig(0.02, 0.001, 3.0)}
+    waiting = [(pool_state.jobs[JOB], pool_state.ready[JOB])]
+    request = tickets.next_request(waiting, list(pool_state.workers.values()), NOW)
+    tickets.mark_requested(request, NOW)
+    tickets.drop(task())
+    tickets.store_tickets(request, {"w2": "t2"}, 3.0, NOW)
+    orders = plan(pool_state, now=NOW + 0.1)
+    assert_that([(order.worker_id, order.ticket) for order in orders], Equals([("w2", "t2")]))
--- a/limpetpulley/pool/tickets.py
+++ b/limpetpulley/pool/tickets.py
@@ -110,7 +110,9 @@
 
         :param now: local time when the request was sent: the tickets' lifetime may start then
         """
-        entry = self.entries[request.step]
+        # The step's earlier tickets may have been dropped while the call was under way.
+        new_entry = _StepTickets(now, frozenset(request.workers))
+        entry = self.entries.setdefault(request.step, new_entry)
         entry.tickets, entry.valid_until = tickets, now + valid_seconds
 
     def drop(self, task: TaskId) -> None:
