Reserve what a listed run uses that the owner stops because it is not needed (ROUTE, LIMIT, QUOTA after a handover)

What callers could see after a handover: a second task of a step with antiAffinity 1 beside a copy that the new owner has not adopted; starts on the capacity, and on the team's limit, of runs that it is still stopping (of a job that was cancelled just before, of a task whose copy is current elsewhere). Cause: such a run was only noted as a stop order to send.

If its job is known, the run is now added to its worker and its team's usage as a superseded run that is being stopped, and goes as others do: by its listed end, a list without it after its stop, or its lapsed lease. A run whose job's records are gone still isn't counted, since its size is not known.

--- a/limpetpulley/pool/reconcile.py
+++ b/limpetpulley/pool/reconcile.py
@@ -34,6 +34,8 @@
     if run is None or run.number != listed_run.number or run.worker_id != worker.worker_id:
         stop = StopOrder(worker.worker_id, listed_run.task, listed_run.number)
         pool_state.orphan_stops.setdefault(stop, 0.0)
+        if worker_run is None:
+            _add_orphan(pool_state, worker, listed_run)
         if (stop.task, stop.number) not in worker.reported_orphans:
             worker.reported_orphans.add((stop.task, stop.number))
             _report_orphan(pool_state, worker, listed_run, run)
@@ -92,6 +94,24 @@
     return run
 
 
+def _add_orphan(pool_state: PoolState, worker: Worker, listed_run: ListedRun) -> None:
+    """Reserve what an unneeded run uses until it is known to have ended, if its job is known."""
+    job = pool_state.jobs.get(listed_run.task.job_id)
+    if job is None or not job.has_task(listed_run.task):
+        return
+    run = Run(
+        listed_run.task,
+        listed_run.number,
+        worker.worker_id,
+        job.step_of(listed_run.task).charge,
+        job.team,
+        phase=RunPhase.STOPPING,
+        seen_running=True,
+    )
+    pool_state.add_superseded_run(run, worker)
+    worker.lease.assume_extended(pool_state.longest_hold_seconds)
+
+
 def _report_orphan(
     pool_state: PoolState, worker: Worker, listed_run: ListedRun, current: Run | None
 ) -> None:
--- a/limpetpulley/pool/state.py
+++ b/limpetpulley/pool/state.py
@@ -468,6 +468,11 @@
         self.unset_current_run(run)
         self.superseded_runs.setdefault(run.task.job_id, []).append(run)
 
+    def add_superseded_run(self, run: Run, worker: Worker) -> None:
+        """Add a run to its worker and its team's usage that is not the current run of its task."""
+        self.superseded_runs.setdefault(run.task.job_id, []).append(run)
+        self._charge_run(run, worker)
+
     def _forget_superseded_run(self, run: Run) -> None:
         superseded = self.superseded_runs.get(run.task.job_id, [])
         if run in superseded:
@@ -492,9 +497,12 @@
     def add_run(self, run: Run, worker: Worker) -> None:
         """Add a run to its worker and its team's usage, as the current run of its task."""
         self.set_current_run(run)
+        self._charge_run(run, worker)
+        self.remove_ready_task(run.task)
+
+    def _charge_run(self, run: Run, worker: Worker) -> None:
         worker.add(run)
         self.usage[run.team] = self.usage.get(run.team, Amount()) + run.charge
-        self.remove_ready_task(run.task)
 
     def remove_ready_task(self, task: TaskId) -> None:
         """Remove a task from the tasks that are ready to start."""
--- a/limpetpulley/pool/tests/test_unseen_runs.py
+++ b/limpetpulley/pool/tests/test_unseen_runs.py
@@ -1,12 +1,12 @@
-"""Runs of an earlier owner that no worker has listed yet count in their team's usage."""
+"""Runs of an earlier owner count until they have ended, unseen ones and unneeded ones too."""
 
 import pytest
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
 
 from ...batch import Amount, EndKind, Job, JobKey, JobSpec, Step
-from ...workers import EndedRun, ListedRun, ListedWorker, StartOrder
-from .. import PoolState
+from ...workers import EndedRun, ListedRun, ListedWorker, StartOrder, StartOutcome, StopOrder
+from .. import PoolState, process_start_reply, process_stop_reply
 from .test_planning import JOB, NOW, TASK, Shares, hold, plan, task
 
 NEW_JOB = "00000000000000bb"
@@ -35,6 +35,21 @@
     return pool_state
 
 
+def make_all_listed(inherited, listed_runs, cores=4):
+    """Return the state of an owner that has inherited a job; all workers have answered.
+
+    :param listed_runs: the run of the job that each worker lists, None for none
+    """
+    pool_state = PoolState("desk", 3, 0.2, 10.0, 5.0)
+    pool_state.add_job(inherited, NOW, inherited=True)
+    pool_state.unreconciled_workers = dict.fromkeys(listed_runs, NOW + WAIT_SECONDS)
+    for name, listed_run in listed_runs.items():
+        listed = ListedWorker(name, "desk", f"{name}:1", 1, Amount(cores * 1000, 8000))
+        pool_state.update_listed_worker(listed).in_roster = True
+        hold(pool_state, name, [listed_run] if listed_run else [])
+    return pool_state
+
+
 def count_starts(pool_state, now=NOW, job_id=NEW_JOB):
     """Return how many tasks of a job are started now."""
     orders = plan(pool_state, Shares(LIMIT_CORES), now=now)
@@ -98,3 +113,34 @@
     pool_state = make_successor(make_job(JOB, "t", 3))
     pool_state.cancel(pool_state.jobs[JOB], NOW)
     assert_that(start_new_job(pool_state, "t"), Equals(1))
+
+
+def test_copy_that_the_new_owner_stops_counts_for_the_maximum_on_its_worker():
+    step = Step(2, TASK, max_per_worker=1, speculative=True)
+    inherited = Job(JobKey("quotes", JOB), JobSpec("text", (step,)), "desk", "t")
+    listed_runs = {"new": ListedRun(task(), 9), "old": ListedRun(task(), 7)}
+    pool_state = make_all_listed(inherited, listed_runs)
+    assert_that(count_starts(pool_state, job_id=JOB), Equals(0))
+    hold(pool_state, "old", ended=[EndedRun(1, task(), 7, EndKind.STOPPED)], clock=11.0)
+    assert_that(count_starts(pool_state, NOW + 0.2, JOB), Equals(1))
+
+
+@pytest.mark.parametrize(
+    ("cores", "while_stopping", "afterwards"), [(1, 0, 1), (3, 2, 1), (4, 3, 1), (8, 3, 1)]
+)
+def test_run_of_a_cancelled_job_keeps_its_capacity_and_its_share_until_it_has_ended(
+    cores, while_stopping, afterwards
+):
+    inherited = make_job(JOB, "t", 1)
+    inherited.cancel(NOW - 1.0)
+    pool_state = make_all_listed(inherited, {"w1": ListedRun(task(), 7)}, cores)
+    stop = StopOrder("w1", task(), 7)
+    assert_that(start_new_job(pool_state, "t"), Equals(while_stopping))
+    process_stop_reply(pool_state, stop, 10.1, NOW + 0.1)
+    running = [ListedRun(key, run.number) for key, run in pool_state.workers["w1"].runs.items()]
+    hold(pool_state, "w1", running, clock=10.2, now=NOW + 0.2)
+    assert_that(count_starts(pool_state, NOW + 0.25), Equals(0))
+    for run in pool_state.runs.values():
+        process_start_reply(pool_state, run, StartOutcome.STARTED, 10.3, NOW + 0.3)
+    hold(pool_state, "w1", running[1:], clock=10.8, now=NOW + 0.8)
+    assert_that(count_starts(pool_state, NOW + 0.85), Equals(afterwards))
--- a/limpetpulley/pool/unseen_runs.py
+++ b/limpetpulley/pool/unseen_runs.py
@@ -74,8 +74,8 @@
     """Return the tasks of a job that may have a run that no worker has listed."""
     if not job.state.is_final:
         return pool_state.ready.get(job.key.job_id, ())
-    runs = pool_state.runs_by_job.get(job.key.job_id, {})
-    return [task for task in job.unfinished_tasks(wall_time) if task not in runs]
+    listed = {run.task for run in pool_state.all_runs_of(job.key.job_id)}
+    return [task for task in job.unfinished_tasks(wall_time) if task not in listed]
 
 
 def _unseen_room(pool_state: PoolState) -> Amount:
