--- a/limpetpulley/pool/planning.py
+++ b/limpetpulley/pool/planning.py
@@ -28,6 +28,7 @@
 from .standstill import report_standstills
 from .state import PoolState
 from .trials import reserve_trial_worker, trial_workers, update_trials
+from .unseen_runs import team_usage, update_unseen_usage
 
 __all__ = ["Order", "PlanningLimits", "Shares", "plan_orders"]
 
@@ -82,6 +83,7 @@
         pool_state.scanned_at = now
         pool_state.expire_leases(now)
         pool_state.update_timed_jobs(wall_time)
+        update_unseen_usage(pool_state, wall_time)
         pool_state.tasks_to_check.update(pool_state.runs)
         orders += _stop_gangs_and_evacuate(pool_state, now, limits)
         orders += _resend_orders(pool_state, now)
@@ -163,10 +165,13 @@
 
 
 def count_tasks_per_worker(pool_state: PoolState, task: TaskId) -> Counter[str]:
-    """Return the number of runs of a task's step and occurrence on each worker."""
+    """Return the number of runs of a task's step and occurrence on each worker.
+
+    A superseded run that is not known to have ended counts as well.
+    """
     return Counter(
         run.worker_id
-        for run in pool_state.runs_of(task.job_id)
+        for run in pool_state.all_runs_of(task.job_id)
         if (run.task.occurrence, run.task.step) == (task.occurrence, task.step)
     )
 
@@ -198,12 +203,14 @@
             run.sent_at = now
             orders.append(StopOrder.of(run))
         elif run.phase is RunPhase.STARTING and waited >= RESEND_START_SECONDS:
-            if run.ordered_at is None or now - run.ordered_at >= START_TIMEOUT_SECONDS:
+            job = pool_state.jobs.get(run.task.job_id)
+            timed_out = run.ordered_at is None or now - run.ordered_at >= START_TIMEOUT_SECONDS
+            if job is None or timed_out:
                 orders.append(stop_run(run, now))
             else:
                 run.sent_at = now
                 run.unanswered_starts += 1
-                orders.append(_start_order(pool_state.jobs[run.task.job_id], run))
+                orders.append(_start_order(job, run))
     return orders
 
 
@@ -400,7 +407,7 @@
         failed_on = pool_state.failed_on.get(task, ())
         if is_probe and orders:
             break
-        running = pool_state.usage.get(job.team, Amount())
+        running = team_usage(pool_state, job.team)
         if (
             not step.charge.fits(worker_index.max_free)
             or step.charge.cpu_millicores > millicores_left
@@ -408,7 +415,7 @@
         ):
             blocked_steps.add(step_key)
             continue
-        allowed_workers = pool_state.tickets.allowed_workers(job, task, worker_index.workers, now)
+        allowed_workers = _allowed_workers(pool_state, job, task, worker_index.workers, now)
         if step.gang:
             blocked_steps.add(step_key)
             orders += _start_gang(pool_state, job, task, allowed_workers, shares, now)
@@ -424,7 +431,8 @@
         else:
             worker = choose_worker(step, allowed_workers, tasks_per_worker[step_key], failed_on)
         if worker is None:
-            blocked_steps.add(step_key)
+            if not _superseded_on(pool_state, task):
+                blocked_steps.add(step_key)
             continue
         tasks_per_worker[step_key][worker.worker_id] += 1
         millicores_left -= step.charge.cpu_millicores
@@ -433,6 +441,23 @@
     return orders
 
 
+def _allowed_workers(
+    pool_state: PoolState, job: Job, task: TaskId, workers: list[Worker], now: float
+) -> list[Worker]:
+    """Return the workers that a task may start on: those with a ticket and without a run of it."""
+    allowed_workers = pool_state.tickets.allowed_workers(job, task, workers, now)
+    occupied = _superseded_on(pool_state, task)
+    if not occupied:
+        return allowed_workers
+    return [worker for worker in allowed_workers if worker.worker_id not in occupied]
+
+
+def _superseded_on(pool_state: PoolState, task: TaskId) -> set[str]:
+    """Return the workers with a superseded run of a task."""
+    superseded = pool_state.superseded_runs.get(task.job_id, ())
+    return {run.worker_id for run in superseded if run.task == task}
+
+
 def _start_suspects(
     pool_state: PoolState, shares: Shares, workers: list[Worker], now: float
 ) -> list[Order]:
@@ -467,9 +492,9 @@
     pool_state: PoolState, job: Job, task: TaskId, workers: list[Worker], shares: Shares, now: float
 ) -> list[StartOrder]:
     step = job.step_of(task)
-    if not shares.allows(job.team, pool_state.usage.get(job.team, Amount()), step.charge):
+    if not shares.allows(job.team, team_usage(pool_state, job.team), step.charge):
         return []
-    allowed_workers = pool_state.tickets.allowed_workers(job, task, workers, now)
+    allowed_workers = _allowed_workers(pool_state, job, task, workers, now)
     candidates = trial_workers(pool_state, allowed_workers)
     counts: Counter[str] = Counter()
     if step.gang:
@@ -492,7 +517,7 @@
 ) -> list[StartOrder]:
     """Start all tasks of a gang under one run number, or none."""
     step, tasks = job.step_of(task), gang_tasks(job, task)
-    running = pool_state.usage.get(job.team, Amount())
+    running = team_usage(pool_state, job.team)
     if any(gang_task in pool_state.runs for gang_task in tasks):
         return []
     if not shares.allows(job.team, running, step.charge * step.count):
--- a/limpetpulley/pool/state.py
+++ b/limpetpulley/pool/state.py
@@ -23,6 +23,7 @@
 from .run_times import TaskRunTimes
 from .speculation import is_superseded, stop_superseded_runs
 from .tickets import TicketCache
+from .unseen_runs import add_inherited_job
 
 __all__ = ["PoolState"]
 
@@ -67,6 +68,8 @@
         self.workers: dict[str, Worker] = {}
         self.runs: dict[TaskId, Run] = {}
         self.runs_by_job: dict[str, dict[TaskId, Run]] = {}
+        # Runs on workers that are not the current ones of their tasks, by job.
+        self.superseded_runs: dict[str, list[Run]] = {}
         # Tasks whose run may have become unnecessary since the last planning round.
         self.tasks_to_check: set[TaskId] = set()
         self.scanned_at = -math.inf
@@ -88,6 +91,10 @@
         self.late_acknowledgements: dict[str, tuple[int, float]] = {}
         self.unreconciled_workers: dict[str, float] = {}
         self.inherited: set[str] = set()
+        # Jobs of which an earlier owner may have started tasks; some have ended since.
+        self.started_by_others: set[str] = set()
+        # What such tasks may use on unreconciled workers, by team; see :mod:`.unseen_runs`.
+        self.unseen_usage: dict[str, Amount] = {}
         self.progress = ProgressLedger()
         self.next_run_number = token * RUN_NUMBERS_PER_OWNER + 1
         self.run_times = TaskRunTimes()
@@ -123,6 +130,8 @@
         """
         self.jobs[job.key.job_id] = job
         self.progress.add(job.key.job_id)
+        if inherited:
+            add_inherited_job(self, job, now)
         if inherited and not job.state.is_final:
             self.inherited.add(job.key.job_id)
             self.suspects.update(job.crashes)
@@ -131,6 +140,7 @@
     def remove_job(self, job_id: str) -> None:
         """Remove a job whose records were deleted from the store."""
         self.jobs.pop(job_id, None)
+        self.started_by_others.discard(job_id)
         self.ready.pop(job_id, None)
         self.tasks_to_check.update(self.runs_by_job.get(job_id, ()))
         self.retries.forget_job(job_id)
@@ -452,8 +462,30 @@
         """Return the current runs of a job's tasks."""
         return self.runs_by_job.get(job_id, {}).values()
 
+    def all_runs_of(self, job_id: str) -> Iterable[Run]:
+        """Return all runs of a job's tasks on workers, superseded ones among them."""
+        return (*self.runs_of(job_id), *self.superseded_runs.get(job_id, ()))
+
+    def supersede_run(self, run: Run) -> None:
+        """Remove a run as the current run of its task; it counts until it is known to be gone."""
+        self.unset_current_run(run)
+        self.superseded_runs.setdefault(run.task.job_id, []).append(run)
+
+    def add_superseded_run(self, run: Run, worker: Worker) -> None:
+        """Add a run to its worker and its team's usage that is not the current run of its task."""
+        self.superseded_runs.setdefault(run.task.job_id, []).append(run)
+        self._charge_run(run, worker)
+
+    def _forget_superseded_run(self, run: Run) -> None:
+        superseded = self.superseded_runs.get(run.task.job_id, [])
+        if run in superseded:
+            superseded.remove(run)
+            if not superseded:
+                del self.superseded_runs[run.task.job_id]
+
     def set_current_run(self, run: Run) -> None:
         """Make a run the current run of its task."""
+        self._forget_superseded_run(run)
         self.runs[run.task] = run
         self.runs_by_job.setdefault(run.task.job_id, {})[run.task] = run
 
@@ -468,9 +500,12 @@
     def add_run(self, run: Run, worker: Worker) -> None:
         """Add a run to its worker and its team's usage, as the current run of its task."""
         self.set_current_run(run)
+        self._charge_run(run, worker)
+        self.remove_ready_task(run.task)
+
+    def _charge_run(self, run: Run, worker: Worker) -> None:
         worker.add(run)
         self.usage[run.team] = self.usage.get(run.team, Amount()) + run.charge
-        self.remove_ready_task(run.task)
 
     def remove_ready_task(self, task: TaskId) -> None:
         """Remove a task from the tasks that are ready to start."""
@@ -482,7 +517,9 @@
 
     def remove_run(self, run: Run) -> None:
         """Remove a run from its worker and its team's usage, and as the current run of its task."""
-        if not is_superseded(self, run):
+        if is_superseded(self, run):
+            self._forget_superseded_run(run)
+        else:
             self.unset_current_run(run)
         self.workers[run.worker_id].remove(run)
         if run.unanswered_starts:
