--- a/limpetpulley/ownership/owner.py
+++ b/limpetpulley/ownership/owner.py
@@ -14,6 +14,7 @@
 from ..exception import NotOwnerError, RecordError, StoreError, StoreUnavailable, leaf_exceptions
 from ..peer import batch_pb2 as pb
 from ..pool import PlanningLimits, PoolEvent, PoolState, plan_orders
+from ..pool.late_starts import LATE_STOP_INTERVAL_SECONDS, awaits_next_incarnations
 from ..quota.shares import TeamShares
 from ..scheduling.arrivals import ArrivalEstimator
 from ..scheduling.batch_admission import Verdict
@@ -380,7 +381,10 @@
     async def _run_planning(self) -> None:
         self.planned_at = self.context.clock.now()
         while True:
-            with anyio.move_on_after(MAX_PLAN_INTERVAL_SECONDS):
+            waiting = awaits_next_incarnations(self.pool_state)
+            with anyio.move_on_after(
+                LATE_STOP_INTERVAL_SECONDS if waiting else MAX_PLAN_INTERVAL_SECONDS
+            ):
                 await self.planning_requested.wait()
             self.planning_requested = anyio.Event()
             await self._plan()
--- /dev/null
+++ b/limpetpulley/ownership/tests/test_late_starts.py
@@ -0,0 +1,57 @@
+"""Starts that workers carry out late, in their next incarnation, on virtual time."""
+
+import anyio
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Equals
+
+from ...batch import JobSpec, Step
+from .test_daemons import TASK, run_scenario
+
+#: time until the next incarnation's entry appears, in seconds
+ENTRY_SECONDS = 1.0
+
+
+@pytest.mark.parametrize("late_seconds", [0.2, 0.3, 0.6, 0.9])
+@pytest.mark.parametrize(("resent", "down_seconds"), [(False, 2.5), (False, 6.0), (True, 6.0)])
+def test_a_start_that_the_next_incarnation_carries_out_late_does_not_run(
+    late_seconds, resent, down_seconds
+):
+    """The task has been started elsewhere, or a repeated start has ended ``done``.
+
+    The next incarnation accepts orders for some time before its entry appears.
+    """
+
+    async def scenario(deployment):
+        fleet, orders = deployment.fleet, deployment.fleet.workers
+        start, late = orders.start, []
+
+        async def lose_first(listed, order, token, until):
+            if not late:
+                late.append((listed.worker_id, order, token, until))
+                await anyio.sleep_forever()
+            if not resent and listed.worker_id == late[0][0]:
+                await anyio.sleep_forever()
+            return await start(listed, order, token, until)
+
+        orders.start = lose_first
+        seconds = 0.4 if resent else 9.0
+        await deployment.submit("desk", JobSpec(str(seconds), (Step(1, TASK, seconds),)))
+        while not late:
+            await anyio.sleep(0.01)
+        worker_id, order, token, until = late[0]
+        await anyio.sleep(2.0 if resent else 0.3)
+        fleet.vms.crash(worker_id, down_seconds, 0.0, True)
+        fleet.vms.hide(worker_id)
+        await anyio.sleep(down_seconds + late_seconds)
+        before = len(fleet.runs)
+        orders.workers[worker_id].start(order, token, until)
+        started_late = len(fleet.runs) - before
+        await anyio.sleep(ENTRY_SECONDS - late_seconds)
+        fleet.vms.show(worker_id)
+        await anyio.sleep(12.0)
+        return before, started_late, set((await deployment.states()).values())
+
+    before, started_late, states = run_scenario(scenario, vms=3, moves=False)
+    assert_that((before, started_late), Equals((1, 0)))
+    assert_that({state.value for state in states}, Equals({"completed"}))
--- a/limpetpulley/ownership/worker_client.py
+++ b/limpetpulley/ownership/worker_client.py
@@ -190,10 +190,16 @@
                     if current is None or current.listed.incarnation == listed.incarnation:
                         now = self.context.clock.now()
                         process_stop_reply(self.pool_state, order, stop_time, now)
+                        if current is None or current.ended:
+                            self.on_change()
                 elif isinstance(order, PaceOrder):
                     await self.context.orders.pace(listed, order, token)
         except (WorkerError, TimeoutError) as error:
             self.failed_calls += 1
+            current = self.pool_state.workers.get(order.worker_id)
+            if isinstance(order, StopOrder) and (current is None or current.ended):
+                # Such a stop waits for the next incarnation, and is sent several times a second.
+                return
             self.context.log.write(
                 "order-unanswered",
                 worker=self.worker.worker_id,
--- a/limpetpulley/pool/planning.py
+++ b/limpetpulley/pool/planning.py
@@ -25,6 +25,7 @@
 from .crashes import fail_crashing_jobs, is_suspect, may_start_suspect
 from .evidence import is_busy
 from .gangs import find_broken_gang_runs, gang_tasks, place_gang
+from .late_starts import late_stop_orders
 from .standstill import report_standstills
 from .state import PoolState
 from .trials import reserve_trial_worker, trial_workers, update_trials
@@ -85,6 +86,7 @@
         pool_state.tasks_to_check.update(pool_state.runs)
         orders += _stop_gangs_and_evacuate(pool_state, now, limits)
         orders += _resend_orders(pool_state, now)
+        orders += late_stop_orders(pool_state, now)
     fail_crashing_jobs(pool_state, wall_time)
     orders = _stop_unneeded_runs(pool_state, now) + orders
     orders += _start_ready_jobs(pool_state, shares, now, limits)
--- a/limpetpulley/pool/replies.py
+++ b/limpetpulley/pool/replies.py
@@ -116,6 +116,8 @@
     """Apply a worker's reply to a stop order."""
     pool_state.orphan_stops.pop(order, None)
     worker = pool_state.workers.get(order.worker_id)
+    if worker is None or worker.ended:
+        pool_state.late_stops_answered_at[order.worker_id] = now
     run = worker.runs.get(order.task) if worker else None
     if worker is not None and run is not None and run.number == order.number:
         run.settled_at = worker_seconds + pool_state.stop_seconds + SETTLE_MARGIN_SECONDS
--- a/limpetpulley/pool/state.py
+++ b/limpetpulley/pool/state.py
@@ -81,6 +81,10 @@
         # had no answer, or the worker has ended without listing the run. With the local time at
         # which the run was removed.
         self.late_start_stops: dict[StopOrder, float] = {}
+        # When each of them was last sent to a worker that has ended, and when such a worker last
+        # answered one, by local time.
+        self.late_stops_sent_at: dict[StopOrder, float] = {}
+        self.late_stops_answered_at: dict[str, float] = {}
         # Leases that calls to earlier incarnations may give the current ones, by worker.
         self.earlier_leases: dict[str, EarlierLease] = {}
         # Incarnation to which a hold without an answer acknowledged ends, and the local time until
--- a/limpetpulley/pool/tests/test_planning.py
+++ b/limpetpulley/pool/tests/test_planning.py
@@ -278,7 +278,9 @@
         )
     end_worker(pool_state, order.worker_id)
     pool_state.workers[order.worker_id].cordoned = True
-    (restart,) = plan(pool_state, now=NOW + 0.1)
+    stop, restart = plan(pool_state, now=NOW + 0.1)
+    # The start may still be carried out on the worker's next incarnation.
+    assert_that(stop, Equals(StopOrder(order.worker_id, order.task, order.number)))
     assert isinstance(restart, StartOrder) and restart.worker_id != order.worker_id
 
 
