Split the starts of ready tasks out of pool/planning.py

pool/starts.py starts the tasks of one job, pool/ready_jobs.py decides whose turn it is and on which workers, planning.py keeps the round, stops and repeats. Functions moved as they were; those that other modules call have lost their underscore. pool and tests: all pass.

--- a/limpetpulley/ownership/ticket_fetcher.py
+++ b/limpetpulley/ownership/ticket_fetcher.py
@@ -8,7 +8,7 @@
 
 from ..exception import AdviceError
 from ..pool import PoolState
-from ..pool.planning import rank
+from ..pool.ready_jobs import rank
 from ..pool.tickets import TicketRequest
 from .context import DaemonContext
 
--- a/limpetpulley/pool/queue_forecast.py
+++ b/limpetpulley/pool/queue_forecast.py
@@ -11,7 +11,7 @@
 from ..scheduling.batch_admission import Prediction, objective_seconds
 from ..scheduling.forecast import ForecastJob, ForecastStep, simulate_queue
 from ..scheduling.placement import is_unconstrained
-from .planning import behind_capacity, rank
+from .ready_jobs import behind_capacity, rank
 from .state import PoolState
 from .unseen_runs import team_usage
 
--- a/limpetpulley/pool/tests/test_indexes.py
+++ b/limpetpulley/pool/tests/test_indexes.py
@@ -19,7 +19,7 @@
     requeue_speculative_tasks,
 )
 from ..crashes import is_suspect, may_start_suspect, suspect_runs
-from ..planning import rank
+from ..ready_jobs import rank
 from .test_planning import Shares
 
 WORKERS = ("w1", "w2", "w3", "w4")
--- a/measure/ablation.py
+++ b/measure/ablation.py
@@ -182,7 +182,7 @@
     ),
     Mechanism(
         "behind-part",
-        "pool/planning.py",
+        "pool/ready_jobs.py",
         "BEHIND_FRACTION = 0.5",
         "BEHIND_FRACTION = 1.0",
     ),
--- a/measure/turns.py
+++ b/measure/turns.py
@@ -24,7 +24,7 @@
 ROUNDING_SECONDS = 1e-6
 JUDGE = "limpetpulley.ownership.admission.judge"
 JUDGE_LATE = "limpetpulley.ownership.admission.judge_late"
-RANKS = ("limpetpulley.pool.planning.rank", "limpetpulley.pool.queue_forecast.rank")
+RANKS = ("limpetpulley.pool.ready_jobs.rank", "limpetpulley.pool.queue_forecast.rank")
 
 
 def first_come(job: Job) -> tuple:
