--- a/limpetpulley/ownership/owner.py
+++ b/limpetpulley/ownership/owner.py
@@ -24,6 +24,7 @@
 from ..workers.lease import MIN_CLOCK_RATE
 from .admission import AdmissionController, Submission
 from .context import DaemonContext
+from .predecessor import PredecessorFence
 from .reporting import PoolReporter, RefusedWork
 from .roster import WorkerRoster
 from .share_manager import ShareManager
@@ -140,6 +141,7 @@
                         self.admission.run_in_doubt_checks,
                         self.roster.run,
                         self.ticket_fetcher.run,
+                        PredecessorFence(self.context, self.pool_state, self.roster.inherited).run,
                         self._run_planning,
                         self._run_cleanup,
                     ):
--- a/limpetpulley/ownership/tests/test_late_starts.py
+++ b/limpetpulley/ownership/tests/test_late_starts.py
@@ -1,11 +1,14 @@
 """Starts that workers carry out late, in their next incarnation, on virtual time."""
 
+import contextlib
+
 import anyio
 import pytest
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
 
 from ...batch import JobSpec, Step
+from ...exception import NotOwnerError
 from .test_daemons import TASK, run_scenario
 
 #: time until the next incarnation's entry appears, in seconds
@@ -55,3 +58,40 @@
     before, started_late, states = run_scenario(scenario, vms=3, moves=False)
     assert_that((before, started_late), Equals((1, 0)))
     assert_that({state.value for state in states}, Equals({"completed"}))
+
+
+@pytest.mark.parametrize("late_seconds", [0.3, 0.6, 0.9])
+def test_a_late_start_of_an_earlier_owner_does_not_run_in_the_next_incarnation(late_seconds):
+    """Only the earlier owner knew of the start; the next one has seen no incarnation.
+
+    The start is 8 to 11 s late, the longest that the platform delays one is 12 s.
+    """
+
+    async def scenario(deployment):
+        fleet, orders = deployment.fleet, deployment.fleet.workers
+        start, late = orders.start, []
+
+        async def lose_first(listed, order, token, until):
+            if not late:
+                late.append((listed.worker_id, order, token, until))
+            if listed.worker_id == late[0][0] and token == late[0][2]:
+                await anyio.sleep_forever()
+            return await start(listed, order, token, until)
+
+        orders.start = lose_first
+        await deployment.submit("desk", JobSpec("15.0", (Step(1, TASK, 15.0),)))
+        while not late:
+            await anyio.sleep(0.01)
+        worker_id, order, token, until = late[0]
+        sent_at = fleet.clock.now()
+        fleet.kill(fleet.owner_of("desk"))
+        left_seconds = 8.0 - (fleet.clock.now() - sent_at)
+        fleet.vms.crash(worker_id, left_seconds, 0.0, True)
+        fleet.vms.hide(worker_id)
+        await anyio.sleep(left_seconds + late_seconds)
+        before = len(fleet.runs)
+        with contextlib.suppress(NotOwnerError):
+            orders.workers[worker_id].start(order, token, until)
+        return before, len(fleet.runs) - before
+
+    assert_that(run_scenario(scenario, vms=3, moves=False), Equals((1, 0)))
