--- a/limpetpulley/ownership/tests/test_late_starts.py
+++ b/limpetpulley/ownership/tests/test_late_starts.py
@@ -95,3 +95,46 @@
         return before, len(fleet.runs) - before
 
     assert_that(run_scenario(scenario, vms=3, moves=False), Equals((1, 0)))
+
+
+@pytest.mark.parametrize("takeover", [False, True])
+def test_calls_to_a_worker_that_has_ended_leave_connections_for_the_next_incarnation(takeover):
+    """A host that is down may swallow connections; 12 at a time are made to one address."""
+
+    async def scenario(deployment):
+        fleet, orders = deployment.fleet, deployment.fleet.workers
+        start, victims, pending, counts = orders.start, [], [0], [0]
+
+        async def lose_starts(listed, order, token, until):
+            victims.append(listed.worker_id)
+            if listed.worker_id == victims[0]:
+                await anyio.sleep_forever()
+            return await start(listed, order, token, until)
+
+        def hang(call):
+            async def hanging(listed, *args):
+                if not victims or listed.worker_id != victims[0] or listed.worker_id in up:
+                    return await call(listed, *args)
+                pending[0] += 1
+                counts.append(pending[0])
+                try:
+                    await anyio.sleep_forever()
+                finally:
+                    pending[0] -= 1
+
+            return hanging
+
+        up = set(orders.workers)
+        orders.start = lose_starts
+        orders.stop, orders.hold = hang(orders.stop), hang(orders.hold)
+        await deployment.submit("desk", JobSpec("9.0", (Step(1, TASK, 9.0),)))
+        while not victims:
+            await anyio.sleep(0.01)
+        if takeover:
+            fleet.kill(fleet.owner_of("desk"))
+        up.discard(victims[0])
+        fleet.vms.crash(victims[0], 9.0, 0.0, True)
+        await anyio.sleep(8.0)
+        return max(counts)
+
+    assert 1 <= run_scenario(scenario, vms=3, moves=False) <= 6
--- a/limpetpulley/ownership/worker_client.py
+++ b/limpetpulley/ownership/worker_client.py
@@ -33,6 +33,9 @@
 TRIAL_HOLD_WAIT_SECONDS = 0.25
 #: timeout of a call, in addition to the time that a hold waits, in seconds
 ANSWER_TIMEOUT_SECONDS = 1.0
+#: timeout of a call to a worker that has ended, in seconds: only the next incarnation answers, and
+#: calls that hang must leave connections for it
+ENDED_TIMEOUT_SECONDS = 0.5
 #: time beyond a hold's wait from which on its failure may be a timeout, in seconds
 MIN_TIMEOUT_MARGIN_SECONDS = 0.4
 #: longest time that the next hold is delayed until run ends are stored, in seconds
@@ -179,8 +182,9 @@
     async def send(self, order: Order) -> None:
         """Send one order to the worker."""
         listed, token = self.worker.listed, self.pool_state.token
+        awaits_next = isinstance(order, StopOrder) and self._has_ended()
         try:
-            with anyio.fail_after(ANSWER_TIMEOUT_SECONDS):
+            with anyio.fail_after(ENDED_TIMEOUT_SECONDS if awaits_next else ANSWER_TIMEOUT_SECONDS):
                 if isinstance(order, StartOrder):
                     await self._send_start(order)
                 elif isinstance(order, StopOrder):
@@ -190,15 +194,14 @@
                     if current is None or current.listed.incarnation == listed.incarnation:
                         now = self.context.clock.now()
                         process_stop_reply(self.pool_state, order, stop_time, now)
-                        if current is None or current.ended:
+                        if awaits_next:
                             self.on_change()
                 elif isinstance(order, PaceOrder):
                     await self.context.orders.pace(listed, order, token)
         except (WorkerError, TimeoutError) as error:
             self.failed_calls += 1
-            current = self.pool_state.workers.get(order.worker_id)
-            if isinstance(order, StopOrder) and (current is None or current.ended):
-                # Such a stop waits for the next incarnation, and is sent several times a second.
+            if awaits_next:
+                # Such a stop is sent several times a second.
                 return
             self.context.log.write(
                 "order-unanswered",
@@ -210,6 +213,10 @@
                 reason=str(error) or "timeout",
             )
 
+    def _has_ended(self) -> bool:
+        current = self.pool_state.workers.get(self.worker.worker_id)
+        return current is None or current.ended
+
     async def _send_start(self, order: StartOrder) -> None:
         run = self.pool_state.runs.get(order.task)
         if run is None or run.number != order.number or run.phase is not RunPhase.STARTING:
