--- a/limpetpulley/ownership/predecessor.py
+++ b/limpetpulley/ownership/predecessor.py
@@ -40,7 +40,7 @@
         self.pool_state = pool_state
         self.inherited = dict(inherited)
         self.calls = 0
-        # Workers of which a failed call was reported; the calls are repeated several times a second.
+        # Workers of which a failed call was reported; calls are repeated several times a second.
         self.reported: set[str] = set()
 
     async def run(self) -> None:
