--- a/limpetpulley/pool/evidence.py
+++ b/limpetpulley/pool/evidence.py
@@ -13,18 +13,18 @@
 
 import attrs
 
-from ..batch import EndKind
-from ..workers import EndedRun, Worker
+from ..batch import TaskId
+from ..workers import Worker
 from .events import PoolEvent
 
 if TYPE_CHECKING:
     from .state import PoolState
 
-__all__ = ["FailureEvidence", "is_busy", "weigh_end"]
+__all__ = ["FailureEvidence", "is_busy", "weigh_run"]
 
 #: number of failed runs that count against a worker from which on it is doubted
 MIN_DOUBT = 3.0
-#: failure rate on other workers that is assumed for a job that has not ended a run there
+#: failure rate on other workers that is assumed for a step of which no run has ended there
 UNKNOWN_FAILURE_RATE = 0.5
 #: time after which an end is no evidence any more, in seconds
 EVIDENCE_SECONDS = 10.0
@@ -33,7 +33,6 @@
 #: fraction of the capacity in use from which on a pool is busy
 BUSY_FRACTION = 0.5
 
-
 #: a step of a job, of one occurrence: runs of the same kind
 StepKey = tuple[str, int, int]
 
@@ -118,25 +117,22 @@
         return failed / (failed + done) if failed + done else UNKNOWN_FAILURE_RATE
 
 
-def weigh_end(pool_state: PoolState, worker: Worker, end: EndedRun, now: float) -> None:
-    """Weigh the end of a run as evidence on its job and its worker.
+def weigh_run(
+    pool_state: PoolState, worker: Worker, task: TaskId, is_done: bool, now: float
+) -> None:
+    """Weigh a run that was done, failed or refused as evidence on its step and its worker.
 
     :param now: local time
     """
-    if end.kind not in (EndKind.DONE, EndKind.FAILED):
-        return
     evidence, worker_id = pool_state.evidence, worker.worker_id
     was_doubted = evidence.is_doubted(worker_id)
-    task = end.task
-    step = (task.job_id, task.occurrence, task.step)
-    evidence.note_end(step, worker_id, end.kind is EndKind.DONE, now)
+    evidence.note_end((task.job_id, task.occurrence, task.step), worker_id, is_done, now)
     is_doubted = evidence.is_doubted(worker_id)
     if is_doubted is not was_doubted:
+        event = "worker-doubted" if is_doubted else "worker-trusted"
         counts = evidence.failures.get(worker_id, Counter())
         detail = f"{counts.total()} failed runs of {len(counts)} steps since the last done one"
-        event, life = (
-            "worker-doubted" if is_doubted else "worker-trusted"
-        ), worker.listed.incarnation
+        life = worker.listed.incarnation
         pool_state.on_event(PoolEvent(event, worker_id, detail=detail, life=life))
 
 
--- a/limpetpulley/pool/rejections.py
+++ b/limpetpulley/pool/rejections.py
@@ -6,6 +6,7 @@
 
 from ..workers import Run, StartOutcome, Worker
 from .events import PoolEvent
+from .evidence import weigh_run
 
 if TYPE_CHECKING:
     from .state import PoolState
@@ -29,13 +30,11 @@
         worker.avoid_until = max(worker.avoid_until, now + NO_ROOM_PAUSE_SECONDS)
     elif outcome is StartOutcome.REFUSED:
         # Either the task or the worker may be at fault.
-        task = run.task
-        step = (task.job_id, task.occurrence, task.step)
-        pool_state.evidence.note_end(step, worker.worker_id, False, now)
-        job = pool_state.jobs.get(task.job_id)
-        if job is not None and job.needs_run(task):
-            pool_state.failed_on.setdefault(task, set()).add(worker.worker_id)
-            pool_state.retries.note_setback(job.attempt_unit(task), run.number, now)
+        weigh_run(pool_state, worker, run.task, False, now)
+        job = pool_state.jobs.get(run.task.job_id)
+        if job is not None and job.needs_run(run.task):
+            pool_state.failed_on.setdefault(run.task, set()).add(worker.worker_id)
+            pool_state.retries.note_setback(job.attempt_unit(run.task), run.number, now)
     elif outcome is not StartOutcome.LATE and now >= worker.avoid_until:
         pause, life = worker.note_rejection(now), worker.listed.incarnation
         detail = f"{pause:.2f} s: {outcome.name.lower()}"
--- a/limpetpulley/pool/replies.py
+++ b/limpetpulley/pool/replies.py
@@ -10,7 +10,7 @@
 from .crashes import clear_survivors, clear_suspect
 from .ended_workers import report_sign_of_life
 from .events import PoolEvent
-from .evidence import weigh_end
+from .evidence import weigh_run
 from .reconcile import SETTLE_MARGIN_SECONDS, drop_unlisted_runs, reconcile_running
 from .rejections import handle_rejection
 from .state import PoolState
@@ -163,7 +163,8 @@
         return
     pool_state.note_started(end.task)
     clear_suspect(pool_state, worker, end.task, end.number)
-    weigh_end(pool_state, worker, end, now)
+    if end.kind in (EndKind.DONE, EndKind.FAILED):
+        weigh_run(pool_state, worker, end.task, end.kind is EndKind.DONE, now)
     if end.kind is EndKind.FAILED and job.needs_run(end.task):
         pool_state.failed_on.setdefault(end.task, set()).add(worker.worker_id)
         # The attempts of a task that ends by itself are limited; a lasting one may fail for ever.
--- a/limpetpulley/pool/standstill.py
+++ b/limpetpulley/pool/standstill.py
@@ -15,8 +15,8 @@
 
 __all__ = ["report_standstills"]
 
-#: time without a run of a job that could run after which it is reported, in seconds; the interval
-#: to the next report is twice as long each time
+#: time without a run of a job that could run after which it is reported, in seconds, and again
+#: after twice that time, four times, and so on
 FIRST_REPORT_SECONDS = 1.0
 #: jobs that are reported at once; the others follow
 MAX_REPORTS = 10
