--- a/limpetpulley/ownership/tests/test_load.py
+++ b/limpetpulley/ownership/tests/test_load.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from ...pool import planning, queue_forecast
+from ...pool import queue_forecast, ready_jobs
 from ...scheduling.batch_admission import Verdict
 from .. import admission
 from .load_simulation import TEAMS, Load, served_share, simulate_load
@@ -67,7 +67,7 @@
 
 def test_earliest_due_first_serves_more_than_first_come_first_served(simulated, monkeypatch):
     seed, results = simulated
-    monkeypatch.setattr(planning, "rank", rank_first_come)
+    monkeypatch.setattr(ready_jobs, "rank", rank_first_come)
     monkeypatch.setattr(queue_forecast, "rank", rank_first_come)
     monkeypatch.setattr(admission, "judge", lambda prediction: Verdict(True))
     assert served_share(results) > served_share(simulate_load(PEAK_LOAD, seed)) + MARGIN
