--- a/limpetpulley/pool/ready_jobs.py
+++ b/limpetpulley/pool/ready_jobs.py
@@ -44,6 +44,10 @@
 def start_ready_jobs(
     pool_state: PoolState, shares: Shares, now: float, limits: PlanningLimits
 ) -> list[StartOrder]:
+    """Return the start orders of a planning round.
+
+    :param now: local time
+    """
     orders: list[StartOrder] = []
     if not pool_state.ready:
         return orders
--- a/limpetpulley/pool/starts.py
+++ b/limpetpulley/pool/starts.py
@@ -137,12 +137,17 @@
     now: float,
     number: int | None = None,
 ) -> StartOrder:
+    """Create a run of a task on a worker; return its start order.
+
+    :param number: run number, None to allocate a new one
+    """
     run = pool_state.create_run(task, worker, now, number)
     run.sent_at = now
     return make_start_order(job, run)
 
 
 def make_start_order(job: Job, run: Run) -> StartOrder:
+    """Return the start order of a run."""
     return StartOrder(
         run.worker_id, run.task, run.number, job.spec.payload, run.checkpoint, run.ticket
     )
