--- a/limpetpulley/pool/crashes.py
+++ b/limpetpulley/pool/crashes.py
@@ -145,7 +145,7 @@
         if job.note_crash(task, number, share):
             pool_state.progress.mark_changed(job.key.job_id)
             if job.step_of(task).lasting:
-                _pace_lasting(pool_state, job, unit, number, worker)
+                _pace_lasting(pool_state, job, unit, number, now)
         pool_state.on_event(
             PoolEvent(
                 "task-suspected",
@@ -162,14 +162,11 @@
     pool_state.on_event(PoolEvent("worker-crashed", worker.worker_id, detail=detail, life=life))
 
 
-def _pace_lasting(
-    pool_state: PoolState, job: Job, unit: TaskId, number: int, worker: Worker
-) -> None:
+def _pace_lasting(pool_state: PoolState, job: Job, unit: TaskId, number: int, now: float) -> None:
     """Delay the next start of a lasting task, and keep no more of its crashes than count."""
     shares = job.crashes[unit]
     for earlier in sorted(shares)[:-MAX_CRASHES]:
         del shares[earlier]
-    now = max(pool_state.scanned_at, worker.last_reply_at)
     pool_state.retries.note_setback(unit, number, now, CRASH_PACE)
 
 
