--- a/limpetpulley/ownership/daemon.py
+++ b/limpetpulley/ownership/daemon.py
@@ -264,6 +264,7 @@
 
     def _update_gauges(self, instruments: Instruments) -> None:
         instruments.owned_pools.set(len(self.node.owned))
+        instruments.claim_age_seconds.set(self.node.session.age())
         config = self.context.config
         instruments.config_version.set(config.version if config else 0)
         instruments.config_age_seconds.set(self.context.freshness.age())
--- a/limpetpulley/ownership/node.py
+++ b/limpetpulley/ownership/node.py
@@ -276,7 +276,9 @@
                 self.context.log.write("claim-failed", pool=pool, reason=str(error))
                 return
             if token:
-                self.context.log.write("pool-claimed", pool=pool, token=token)
+                self.context.log.write(
+                    "pool-claimed", pool=pool, token=token, lease=self.session.lease
+                )
                 self._start_owner(pool, token)
 
     def _own_claims(self) -> list[str]:
--- a/limpetpulley/ownership/owner.py
+++ b/limpetpulley/ownership/owner.py
@@ -58,6 +58,10 @@
 #: size up to which a shard is small, in bytes
 SMALL_SHARD_BYTES = 16_384
 
+#: events that are logged with the time since the claim was last renewed: another owner may have
+#: extended leases or taken ends since then
+CLAIM_EVENTS = frozenset({"run-adopted", "run-dropped", "worker-given-up", "worker-restarted"})
+
 
 class PoolOwner:
     """Schedules one pool for as long as one claim on it is valid.
@@ -421,6 +425,7 @@
                     worker=order.worker_id,
                     life=client.worker.listed.incarnation,
                     pool=self.pool,
+                    claim_age=round(self.claim_age(), 2),
                 )
             self.tasks.start_soon(client.send, order)
 
@@ -458,4 +463,6 @@
             fields["position"] = change.position
         if change.ends is not None:
             fields |= attrs.asdict(change.ends)
+        if change.event in CLAIM_EVENTS:
+            fields["claim_age"] = round(self.claim_age(), 2)
         self.context.log.write(change.event, **fields, detail=change.detail)
--- a/limpetpulley/ownership/session.py
+++ b/limpetpulley/ownership/session.py
@@ -125,7 +125,7 @@
 
     def abandon(self, reason: str) -> None:
         """Abandon the lease and everything that was claimed under it."""
-        self.log.write("session-lost", lease=self.lease, reason=reason)
+        self.log.write("session-lost", lease=self.lease, reason=reason, age=round(self.age(), 2))
         self.lease = 0
         self.on_lost()
 
--- a/limpetpulley/telemetry/instruments.py
+++ b/limpetpulley/telemetry/instruments.py
@@ -54,6 +54,9 @@
             "loop_lag_seconds", "How late the event loop woke a task", FAST_BUCKETS
         )
         self.owned_pools = gauge("owned_pools", "Pools that this daemon owns")
+        self.claim_age_seconds = gauge(
+            "claim_age_seconds", "Time since the lease of this daemon's claims was last renewed"
+        )
         self.queue_depth = gauge("queue_depth", "Accepted jobs that have not begun", "queue")
         self.config_version = gauge("config_version", "Version of the configuration in force")
         self.config_age_seconds = gauge(
