--- a/limpetpulley/ownership/tests/runs_once_simulation.py
+++ b/limpetpulley/ownership/tests/runs_once_simulation.py
@@ -401,6 +401,15 @@
         play.fleet.vms.show(name)
 
 
+async def _partition(play: RunsOnceSimulation, rng: random.Random) -> None:
+    """Cut some daemons and workers off from the others and from the store."""
+    daemons = rng.sample(DAEMONS, rng.choice((1, 1, 2)))
+    workers = play.choose_workers(rng, rng.choice((0.3, 0.5)))
+    restore = play.fleet.partition(daemons, workers, play.order_faults)
+    await anyio.sleep(rng.choice((1.0, 3.0, 6.0, 9.0, 14.0)) * rng.uniform(0.8, 1.2))
+    restore()
+
+
 async def _crash_workers(play: RunsOnceSimulation, rng: random.Random) -> None:
     """Crash some workers, which come back with another identifier."""
     for name in play.choose_workers(rng, rng.choice((0.1, 0.3))):
@@ -469,6 +478,7 @@
     "late-orders": _delay_orders,
     "replies-lost": _lose_replies,
     "workers-silent": _silence_workers,
+    "partitions": _partition,
     "crashes": _crash_workers,
     "restarts": _restart_workers,
     "entries": _expire_entries,
--- a/limpetpulley/ownership/tests/test_runs_once.py
+++ b/limpetpulley/ownership/tests/test_runs_once.py
@@ -22,6 +22,7 @@
     "workers": ("crashes,entries,replies-lost,workers-silent", 0.5, [1]),
     "orders": ("crashes,daemons,late-orders,replies-lost", 1.0, [1]),
     "store": ("answers-lost,late-writes,store-silent,store-slow", 1.0, [1]),
+    "partitions": ("partitions", 0.4, [4, 10]),
     "daemons": ("daemons,pauses,store-silent", 1.0, [1]),
     "all": (",".join(FAULTS.keys() - {"restarts"}), 1.0, [1]),
     "same-identifier": ("restarts", 1.0, [3]),
--- a/limpetpulley/standin/batchfleet.py
+++ b/limpetpulley/standin/batchfleet.py
@@ -4,7 +4,7 @@
 
 import random
 from collections import Counter
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from typing import Any
 
 import anyio
@@ -22,10 +22,10 @@
 from ..workers import ListedWorker, StartOrder
 from .faults import Faults
 from .network import MemoryNetwork, MemoryPeerCaller
-from .store import FaultyStore
+from .store import STORE_HOST, FaultyStore
 from .virtual import HOST, pause_host, resume_host
 from .vms import MemoryVms
-from .workers import MemoryWorkers, RunPlan
+from .workers import MemoryWorkers, OrderFaults, RunPlan
 
 __all__ = ["BatchFleet", "StartedRun", "make_fleet", "plan_by_payload", "sample_config"]
 
@@ -177,6 +177,33 @@
         resume_host(name)
         self._update_workers(self.vms.visible_workers())
 
+    def partition(
+        self, daemons: Iterable[str], workers: Iterable[str], orders: OrderFaults
+    ) -> Callable[[], None]:
+        """Cut some daemons and workers off from all others and from the store.
+
+        :param orders: faults of the orders to workers, in use by :attr:`workers`
+        :returns: a function that ends the cut
+        """
+        daemons, workers = set(daemons), set(workers)
+        other_workers = self.workers.workers.keys() - workers
+        pairs = {frozenset((name, STORE_HOST)) for name in daemons}
+        pairs |= {
+            frozenset((name, other)) for name in daemons for other in self.daemons.keys() - daemons
+        }
+        order_pairs = {(name, worker) for name in daemons for worker in other_workers}
+        order_pairs |= {
+            (name, worker) for name in self.daemons.keys() - daemons for worker in workers
+        }
+        self.network.cut_pairs |= pairs
+        orders.cut_pairs |= order_pairs
+
+        def restore() -> None:
+            self.network.cut_pairs -= pairs
+            orders.cut_pairs -= order_pairs
+
+        return restore
+
     def order_wave(self, wave: WaveOrder) -> None:
         """Order a maintenance wave."""
         self.wave_registry.waves[wave.name] = wave
--- a/limpetpulley/standin/workers.py
+++ b/limpetpulley/standin/workers.py
@@ -258,6 +258,7 @@
     :param lost_reply_share: share of the orders that are carried out and not answered
     :param unreachable: workers that no order reaches
     :param mute: workers whose replies are lost
+    :param cut_pairs: hosts and workers between which nothing is carried
     """
 
     tasks: anyio.abc.TaskGroup
@@ -266,6 +267,15 @@
     lost_reply_share: float = 0.0
     unreachable: set[str] = attrs.field(factory=set)
     mute: set[str] = attrs.field(factory=set)
+    cut_pairs: set[tuple[str, str]] = attrs.field(factory=set)
+
+    def drops_order(self, host: str, worker_id: str) -> bool:
+        """Return whether an order from a host is lost on its way to a worker."""
+        return worker_id in self.unreachable or (host, worker_id) in self.cut_pairs
+
+    def drops_reply(self, host: str, worker_id: str) -> bool:
+        """Return whether a worker's reply is lost on its way to a host."""
+        return worker_id in self.mute or self.drops_order(host, worker_id)
 
 
 @attrs.define(eq=False)
@@ -365,7 +375,9 @@
         if late and order is not None:
             self.observer.delayed(order)
         delay_seconds = faults.rng.uniform(*LATE_SECONDS) if late else self.latency_seconds
-        faults.tasks.start_soon(self._deliver, faults, worker, call, delay_seconds, delivery)
+        faults.tasks.start_soon(
+            self._deliver, faults, HOST.get(), worker, call, delay_seconds, delivery
+        )
         await delivery.settled.wait()
         if delivery.error is not None:
             raise delivery.error
@@ -374,6 +386,7 @@
     async def _deliver(
         self,
         faults: OrderFaults,
+        host: str,
         worker: ListedWorker,
         call: Callable[[MemoryWorker], Awaitable[Any]],
         delay_seconds: float,
@@ -383,14 +396,14 @@
         await anyio.sleep(0.0)
         lost = faults.rng.random() < faults.lost_reply_share or delay_seconds >= LATE_SECONDS[0]
         await anyio.sleep(delay_seconds)
-        if worker.worker_id in faults.unreachable and delay_seconds < LATE_SECONDS[0]:
+        if faults.drops_order(host, worker.worker_id) and delay_seconds < LATE_SECONDS[0]:
             return
         try:
             found = self._find(worker)
             delivery.reply = await call(found)
         except (WorkerError, NotOwnerError) as error:
             delivery.error = error
-        if lost or faults.unreachable & {worker.worker_id} or faults.mute & {worker.worker_id}:
+        if lost or faults.drops_reply(host, worker.worker_id):
             return
         if isinstance(delivery.reply, HoldReply):
             self.observer.answered(found, delivery.reply)
