--- a/limpetpulley/ownership/session.py
+++ b/limpetpulley/ownership/session.py
@@ -145,6 +145,10 @@
                 [Compare(key, replaced)],
                 [Put(key, value, lease), Put(self.keys.last_owner(pool), value)],
             )
+            if result.ok and self.lease != lease:
+                # The claim went with the lease, and renewals of another one do not confirm it.
+                self.log.write("claim-failed", pool=pool, reason="the lease has ended meanwhile")
+                return 0
             return result.revision if result.ok else 0
         raise StoreUnavailable(f"claim of {pool} not answered, but a later call")
 
--- a/limpetpulley/ownership/tests/test_session.py
+++ b/limpetpulley/ownership/tests/test_session.py
@@ -182,3 +182,44 @@
     refused_count, age = run_virtual(run)
     assert refused_count <= 5.0 / MAX_REFUSED_DELAY_SECONDS + 3
     assert age <= RENEW_INTERVAL_SECONDS + 0.1
+
+
+class HangingClaims(MemoryStore):
+    """A store that applies claims at once and answers them after a delay, in seconds."""
+
+    claim_seconds = 0.0
+
+    async def commit(self, compares, writes):
+        result = await super().commit(compares, writes)
+        if compares:
+            await anyio.sleep(self.claim_seconds)
+        return result
+
+
+@pytest.mark.parametrize(("lease_ends", "claimed"), [(False, True), (True, False)])
+def test_a_claim_that_was_made_under_a_lease_that_has_ended_is_none(lease_ends, claimed):
+    """Renewals of the next lease do not tell that the claim is valid."""
+
+    async def run():
+        clock = VirtualClock()
+        store = HangingClaims(clock)
+        member = Member("entry-1", 1, "192.0.2.1:7000")
+        session = Session(store, BatchKeys("lp/"), member, clock, null_log("entry-1"), lambda: None)
+        tokens = []
+
+        async def claim():
+            tokens.append(await session.claim("desk", 0))
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(session.run)
+            await anyio.sleep(0.5)
+            store.claim_seconds = 2.0
+            tasks.start_soon(claim)
+            await anyio.sleep(0.1)
+            if lease_ends:
+                await store.revoke_lease(session.lease)
+            await anyio.sleep(3.0)
+            tasks.cancel_scope.cancel()
+        return bool(tokens[0]), session.lease > 0
+
+    assert run_virtual(run) == (claimed, True)
