--- a/limpetpulley/ownership/node.py
+++ b/limpetpulley/ownership/node.py
@@ -90,6 +90,7 @@
             context.log,
             self.stop_owners,
             context.store_contact,
+            self._confirm_claims,
         )
         self.directory_mirror = Mirror(
             context.store,
@@ -317,10 +318,22 @@
             )
             start_guarded(self.context.tasks, self._run_planner, self.planner)
         else:
-            owner = PoolOwner(self.context, pool, token, self.ask_planner, self.session.age)
+            owner = PoolOwner(
+                self.context,
+                pool,
+                token,
+                self.ask_planner,
+                self.session.age,
+                self.session.request_renewal,
+            )
             self.owned[pool] = owner
             start_guarded(self.context.tasks, self._run_owner, owner)
 
+    def _confirm_claims(self) -> None:
+        """Let the owners go on with what waits until their claims are confirmed."""
+        for owner in self.owned.values():
+            owner.confirm_claim()
+
     async def _run_planner(self, planner: VmPlanner) -> None:
         try:
             with anyio.CancelScope() as self.planner_scope:
--- a/limpetpulley/ownership/owner.py
+++ b/limpetpulley/ownership/owner.py
@@ -69,6 +69,7 @@
     :param token: revision of the claim, used as the fencing token for workers
     :param ask_planner: sends a report to the fleet planner and returns its plan
     :param claim_age: returns the time since the claim was last renewed, in seconds
+    :param request_renewal: has the claim renewed soon
     """
 
     def __init__(
@@ -78,8 +79,10 @@
         token: int,
         ask_planner: Callable[[pb.PoolReport], Awaitable[pb.PoolPlan | None]],
         claim_age: Callable[[], float],
+        request_renewal: Callable[[], None] = lambda: None,
     ):
         self.claim_age = claim_age
+        self.request_renewal = request_renewal
         self.context = context
         self.pool = pool
         self.token = token
@@ -92,6 +95,7 @@
             requested_lease_seconds(timing.longest_hold),
             self.log_change,
         )
+        self.pool_state.claim_guard.confirmed_at = context.clock.now() - claim_age()
         claim = Compare(context.keys.owner(pool), token)
         self.writer = OwnerWriter(context, self.pool_state, claim, self.notify_progress_stored)
         self.shares = TeamShares(pool)
@@ -384,6 +388,11 @@
         event, self.progress_stored_event = self.progress_stored_event, anyio.Event()
         event.set()
 
+    def confirm_claim(self) -> None:
+        """Go on with what waits until the claim is confirmed; called after a renewal."""
+        if self.pool_state.claim_guard.pending:
+            self.request_planning()
+
     async def _run_planning(self) -> None:
         self.planned_at = self.context.clock.now()
         while True:
@@ -406,8 +415,12 @@
             )
         self.planned_at = now
         self.share_manager.apply_config()
+        guard = self.pool_state.claim_guard
+        guard.confirmed_at = max(now - self.claim_age(), self.writer.confirmed_at)
         orders = plan_orders(self.pool_state, self.shares, now, wall_time, self.limits)
         orders += pace_fillers(self.pool_state, clock.now())
+        if guard.pending and self.pool_state.ready:
+            self.request_renewal()
         if self.pool_state.unstored_jobs():
             self.writer.flush_requested.set()
         self.share_manager.wake_on_shortage()
--- a/limpetpulley/ownership/session.py
+++ b/limpetpulley/ownership/session.py
@@ -21,6 +21,8 @@
 LEASE_SECONDS = 1.4
 #: longest interval between the answer to a renewal and the next one, in seconds
 RENEW_INTERVAL_SECONDS = 0.3
+#: shortest time between the requests of two renewals that are answered, in seconds
+MIN_RENEW_INTERVAL_SECONDS = 0.05
 #: time after the request of an answered renewal from which on the next one is not put off, in
 #: seconds, because the lease runs from the request
 RENEW_DUE_SECONDS = LEASE_SECONDS / 2
@@ -45,6 +47,7 @@
     :param member: this daemon
     :param on_lost: called when the lease was lost, so that all claims are abandoned
     :param contact: records the store's answers to renewals
+    :param on_renewed: called when the lease was renewed
     """
 
     def __init__(
@@ -56,7 +59,9 @@
         log: EventLog,
         on_lost: Callable[[], None],
         contact: StoreContact | None = None,
+        on_renewed: Callable[[], None] = lambda: None,
     ):
+        self.on_renewed = on_renewed
         self.contact = contact or StoreContact()
         self.store = store
         self.keys = keys
@@ -67,6 +72,7 @@
         self.lease = 0
         self.closed = False
         self.renewed_at = clock.now()
+        self.renewal_requested = anyio.Event()
 
     async def run(self) -> None:
         """Obtain and renew leases until the session is closed."""
@@ -90,8 +96,18 @@
                 await anyio.sleep(RETRY_DELAY_SECONDS)
                 continue
             if self.lease:
-                due_seconds = max(0.0, RENEW_DUE_SECONDS - self.age())
-                await anyio.sleep(min(RENEW_INTERVAL_SECONDS, due_seconds))
+                await self._wait_until_due()
+
+    def request_renewal(self) -> None:
+        """Renew the lease soon, because something waits until the claims are confirmed."""
+        self.renewal_requested.set()
+
+    async def _wait_until_due(self) -> None:
+        due_seconds = max(0.0, RENEW_DUE_SECONDS - self.age())
+        with anyio.move_on_after(min(RENEW_INTERVAL_SECONDS, due_seconds)):
+            await anyio.sleep(max(0.0, MIN_RENEW_INTERVAL_SECONDS - self.age()))
+            await self.renewal_requested.wait()
+        self.renewal_requested = anyio.Event()
 
     def _log_failure(self, error: Exception) -> None:
         self.log.write("lease-not-renewed", reason=str(error), age=round(self.age(), 2))
@@ -113,6 +129,7 @@
             self.contact.note_answer(requested_at, self.clock.now())
             if renewed:
                 self.renewed_at = requested_at
+                self.on_renewed()
             else:
                 self.abandon("lease-ended")
         else:
--- a/limpetpulley/ownership/tests/test_session.py
+++ b/limpetpulley/ownership/tests/test_session.py
@@ -223,3 +223,31 @@
         return bool(tokens[0]), session.lease > 0
 
     assert run_virtual(run) == (claimed, True)
+
+
+@pytest.mark.parametrize(("requests", "fewest", "most"), [(0, 3, 4), (1, 4, 5), (50, 18, 21)])
+def test_a_requested_renewal_comes_soon_and_requests_do_not_add_up(requests, fewest, most):
+    async def run():
+        clock = VirtualClock()
+        store = SlowStore(clock, lambda number: 0.002)
+        renewed = []
+        session = Session(
+            store,
+            BatchKeys("lp/"),
+            Member("entry-1", 1, "192.0.2.1:7000"),
+            clock,
+            null_log("entry-1"),
+            lambda: None,
+            on_renewed=lambda: renewed.append(clock.now()),
+        )
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(session.run)
+            await anyio.sleep(0.1)
+            for _ in range(requests):
+                session.request_renewal()
+                await anyio.sleep(0.02)
+            await anyio.sleep(1.0 - 0.02 * requests)
+            tasks.cancel_scope.cancel()
+        return len(renewed)
+
+    assert fewest <= run_virtual(run) <= most
--- a/limpetpulley/ownership/writer.py
+++ b/limpetpulley/ownership/writer.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable, Sequence
 
 import anyio
@@ -104,6 +105,8 @@
         self.failing = False
         self.stopped = False
         self.answer_timeout = ANSWER_TIMEOUT_SECONDS
+        # Latest local time at which the claim is known from a write to have been valid.
+        self.confirmed_at = -math.inf
         # Revisions of the jobs' progress records. Writes compare them, so that a write that the
         # store applies late, after a newer one, has no effect.
         self.progress_revisions: dict[str, int] = {}
@@ -264,6 +267,7 @@
         self.answer_timeout = ANSWER_TIMEOUT_SECONDS
         self.failing = False
         if result.ok:
+            self.confirmed_at = max(self.confirmed_at, called_at)
             return result.revision
         if not await self.is_claim_valid():
             raise NotOwnerError(f"claim of pool {self.pool_state.pool} is no longer valid")
--- a/limpetpulley/pool/planning.py
+++ b/limpetpulley/pool/planning.py
@@ -39,6 +39,7 @@
     :param wall_time: wall-clock time, in seconds since 1970
     """
     orders: list[Order] = []
+    pool_state.claim_guard.update(now)
     if not 0.0 < now - pool_state.scanned_at < SCAN_INTERVAL_SECONDS:
         pool_state.scanned_at = now
         pool_state.expire_leases(now)
--- a/limpetpulley/pool/ready_jobs.py
+++ b/limpetpulley/pool/ready_jobs.py
@@ -55,6 +55,7 @@
         worker
         for worker in pool_state.workers.values()
         if is_available(worker, now, limits.max_reply_age_seconds)
+        and pool_state.claim_guard.is_confirmed(worker.worker_id)
     ]
     orders += _start_suspects(pool_state, shares, workers, now)
     workers = [worker for worker in workers if worker.worker_id not in pool_state.trials]
@@ -227,6 +228,7 @@
             continue
         for task in list(pool_state.ready[job.key.job_id]):
             is_due = pool_state.retries.is_due(job.attempt_unit(task), now)
+            is_due = is_due and pool_state.may_start_task(job, task)
             if is_due and is_suspect(pool_state, job, task) and may_start_suspect(pool_state, job):
                 orders += _start_suspect(pool_state, job, task, workers, shares, now)
     return orders
--- a/limpetpulley/pool/reconcile.py
+++ b/limpetpulley/pool/reconcile.py
@@ -7,6 +7,7 @@
 from ..workers import HoldReply, ListedRun, Run, RunPhase, StopOrder, Worker
 from ..workers.state import FULL_SPEED
 from .events import PoolEvent
+from .proofs import Proof
 
 if TYPE_CHECKING:
     from .state import PoolState
@@ -61,7 +62,7 @@
     for run in list(worker.runs.values()):
         settled = run.settled_at is not None and reply.worker_seconds > run.settled_at
         if settled and run.task not in listed:
-            pool_state.drop_run(run, "not-listed")
+            pool_state.drop_run(run, Proof.NOT_LISTED)
 
 
 def _adopt(
--- a/limpetpulley/pool/replies.py
+++ b/limpetpulley/pool/replies.py
@@ -11,6 +11,7 @@
 from .ended_workers import report_sign_of_life
 from .events import PoolEvent
 from .evidence import weigh_run
+from .proofs import Proof
 from .reconcile import SETTLE_MARGIN_SECONDS, drop_unlisted_runs, reconcile_running
 from .rejections import handle_rejection
 from .state import PoolState
@@ -107,7 +108,7 @@
         run.phase, run.settled_at, run.sent_at = RunPhase.STOPPING, None, 0.0
         return
     handle_rejection(pool_state, worker, run, outcome, now)
-    pool_state.drop_run(run, f"rejected-{outcome.name.lower()}")
+    pool_state.drop_run(run, Proof.REJECTED, f"rejected-{outcome.name.lower()}")
 
 
 def process_stop_reply(
@@ -130,7 +131,7 @@
     Without another reply, the leases on its runs have expired after the longest lease.
     """
     if len(reply.ended) < MAX_LISTED_ENDS:
-        del pool_state.unreconciled_workers[worker.worker_id]
+        pool_state.reconcile_worker(worker.worker_id)
     else:
         until = now + pool_state.longest_hold_seconds / MIN_CLOCK_RATE
         known_until = pool_state.unreconciled_workers[worker.worker_id]
@@ -146,7 +147,7 @@
             pool_state.run_times.observe(
                 pool_state.jobs.get(end.task.job_id), end.task, now - run.ordered_at
             )
-        pool_state.remove_run(run)
+        pool_state.remove_run(run, Proof.LISTED_END)
     job = pool_state.jobs.get(end.task.job_id)
     pool_state.on_event(
         PoolEvent(
--- a/limpetpulley/pool/starts.py
+++ b/limpetpulley/pool/starts.py
@@ -55,6 +55,8 @@
             continue
         if not pool_state.retries.is_due(job.attempt_unit(task), now):
             continue
+        if not pool_state.may_start_task(job, task):
+            continue
         failed_on = pool_state.failed_on.get(task, ())
         if is_probe and orders:
             break
--- a/limpetpulley/pool/state.py
+++ b/limpetpulley/pool/state.py
@@ -19,6 +19,7 @@
 from .events import EndPositions, PoolEvent
 from .evidence import FailureEvidence
 from .progress import ProgressLedger
+from .proofs import INHERITED_RUNS, ClaimGuard, Proof
 from .retries import RetryDelays
 from .run_times import TaskRunTimes
 from .speculation import is_superseded, stop_superseded_runs
@@ -94,6 +95,8 @@
         # which it may be executed, by worker.
         self.late_acknowledgements: dict[str, tuple[int, float]] = {}
         self.unreconciled_workers: dict[str, float] = {}
+        # Proofs that count once the claim was confirmed after them.
+        self.claim_guard = ClaimGuard()
         self.inherited: set[str] = set()
         # Jobs of which an earlier owner may have started tasks; some have ended since.
         self.started_by_others: set[str] = set()
@@ -187,7 +190,31 @@
 
     def may_start(self, job: Job) -> bool:
         """Return whether no run of the job by an earlier owner can still be alive unseen."""
-        return not self.unreconciled_workers or job.key.job_id not in self.inherited
+        return job.key.job_id not in self.inherited or (
+            not self.unreconciled_workers and self.claim_guard.is_confirmed(INHERITED_RUNS)
+        )
+
+    def may_start_task(self, job: Job, task: TaskId) -> bool:
+        """Return whether the earlier runs of a ready task, or of its gang, are known to be over."""
+        if not self.claim_guard.pending:
+            return True
+        step = job.step_of(task)
+        positions = range(step.count) if step.gang else (task.position,)
+        return all(
+            self.claim_guard.is_confirmed(task._replace(position=position))
+            for position in positions
+        )
+
+    def reconcile_worker(self, worker_id: str, proof: Proof | None = None) -> None:
+        """Note that no run of an earlier owner is unseen on a worker.
+
+        :param proof: how these runs are known to be over, None if the worker has listed its runs:
+            it may do so in a later incarnation than the one on which they were started
+        """
+        if self.unreconciled_workers.pop(worker_id, None) is None:
+            return
+        if proof is None or not proof.is_conclusive:
+            self.claim_guard.require(INHERITED_RUNS)
 
     def unstored_jobs(self) -> list[Job]:
         """Return the jobs whose latest progress is not stored yet."""
@@ -215,6 +242,7 @@
             worker = None
         if worker is None:
             worker = self.workers[listed.worker_id] = Worker(listed)
+            self.claim_guard.require(listed.worker_id)
             self._avoid_late_acknowledgement(worker, listed.incarnation)
             del self.expected_join_times[:1]
             self._queue_late_start_stops(listed.worker_id)
@@ -295,19 +323,26 @@
         for worker_id, incarnation in incarnations:
             worker = self.workers.get(worker_id)
             if worker is None and not incarnation:
-                self.unreconciled_workers.pop(worker_id, None)
+                self.reconcile_worker(worker_id, Proof.VM_ENDED)
             elif worker is not None and incarnation == worker.listed.incarnation != 0:
-                self.unreconciled_workers.pop(worker_id, None)
+                self.reconcile_worker(worker_id, Proof.VM_ENDED)
                 if not worker.ended:
                     ended.append(worker)
         crashes = sum(map(has_crashed, ended))
         for worker in ended:
             worker.ended, worker.ended_at = True, self.scanned_at
-            self.handle_worker_restart(worker, reason, beside_others=crashes > 1)
+            self.handle_worker_restart(
+                worker, reason, beside_others=crashes > 1, proof=Proof.VM_ENDED
+            )
         return bool(ended)
 
     def handle_worker_restart(
-        self, worker: Worker, reason: str, beside_others: bool = False, next_life: int = 0
+        self,
+        worker: Worker,
+        reason: str,
+        beside_others: bool = False,
+        next_life: int = 0,
+        proof: Proof = Proof.NEXT_INCARNATION,
     ) -> None:
         """Drop the runs of the previous incarnation of a worker.
 
@@ -319,18 +354,21 @@
 
         :param beside_others: whether other workers have crashed at the same time
         :param next_life: the new incarnation, 0 if it is not known, for the log
+        :param proof: how the runs are known to be over
         """
         ends = self.end_positions(worker)
         record_crash(self, worker, reason, beside_others)
         for run in list(worker.runs.values()):
             may_return = run.unanswered_starts or not run.seen_running
             run.seen_running = False
+            # What the next incarnation says of the run does not tell how it ended before.
+            self.claim_guard.require(run.task)
             if may_return and not worker.ended:
                 run.phase, run.settled_at, run.sent_at = RunPhase.STOPPING, None, 0.0
                 continue
             if may_return:
                 self.late_start_stops[StopOrder.of(run)] = self.scanned_at
-            self.drop_run(run, "worker-restarted")
+            self.drop_run(run, proof, "worker-restarted")
         for orphan in [
             orphan for orphan in self.orphan_stops if orphan.worker_id == worker.worker_id
         ]:
@@ -338,6 +376,7 @@
         if not worker.ended:
             self._queue_late_start_stops(worker.worker_id)
         stop_superseded_runs(self, worker)
+        self.claim_guard.require(worker.worker_id)
         self._note_earlier_lease(worker)
         worker.lease.reset()
         worker.processed_through = worker.stored_through = 0
@@ -358,7 +397,11 @@
         )
 
     def expire_leases(self, now: float) -> None:
-        """Drop the runs whose leases must have expired, and the workers that no longer exist."""
+        """Drop the runs whose leases must have expired, and the workers that no longer exist.
+
+        A later owner may extend leases, so they are judged as of the last time at which there was
+        certainly none.
+        """
         self.evidence.expire(now)
         self.earlier_leases = {
             name: earlier
@@ -369,7 +412,7 @@
             if worker.runs and self._has_lapsed(worker, now):
                 suspend_judgement(self, worker)
                 for run in list(worker.runs.values()):
-                    self.drop_run(run, "lease-lapsed")
+                    self.drop_run(run, Proof.LEASE_LAPSED)
             expired = worker.ended or self._has_lapsed(worker, now)
             # A worker whose ends are not stored must stay on the roster for the next owner.
             is_stored = worker.stored_through >= worker.processed_through
@@ -392,9 +435,9 @@
         for worker_id in [
             name
             for name, until in self.unreconciled_workers.items()
-            if until <= now and not self._is_resuming(now)
+            if until <= self.claim_guard.known_time(now) and not self._is_resuming(now)
         ]:
-            del self.unreconciled_workers[worker_id]
+            self.reconcile_worker(worker_id, Proof.LEASE_LAPSED)
             self.on_event(
                 PoolEvent(
                     "worker-given-up", worker_id, detail="the leases on its runs have expired"
@@ -414,6 +457,7 @@
         """
         if self._is_resuming(now):
             return False
+        now = self.claim_guard.known_time(now)
         if worker.restarted_at is not None:
             return now - worker.restarted_at > self._longest_late_lease()
         earlier = self.earlier_leases.get(worker.worker_id)
@@ -519,8 +563,13 @@
             if not waiting:
                 del self.ready[task.job_id]
 
-    def remove_run(self, run: Run) -> None:
-        """Remove a run from its worker and its team's usage, and as the current run of its task."""
+    def remove_run(self, run: Run, proof: Proof) -> None:
+        """Remove a run from its worker and its team's usage, and as the current run of its task.
+
+        :param proof: how the run is known to be over
+        """
+        if not proof.is_conclusive:
+            self.claim_guard.require(run.task)
         if is_superseded(self, run):
             self._forget_superseded_run(run)
         else:
@@ -530,17 +579,21 @@
             self.late_start_stops[StopOrder.of(run)] = self.scanned_at
         self.usage[run.team] = self.usage[run.team] - run.charge
 
-    def drop_run(self, run: Run, reason: str) -> None:
-        """Remove a run that ended without a listed end, and requeue its task."""
+    def drop_run(self, run: Run, proof: Proof, detail: str = "") -> None:
+        """Remove a run that ended without a listed end, and requeue its task.
+
+        :param proof: how the run is known to be over
+        :param detail: the same for the log, empty for the proof's name
+        """
         worker = self.workers[run.worker_id]
-        self.remove_run(run)
+        self.remove_run(run, proof)
         self.on_event(
             PoolEvent(
                 "run-dropped",
                 run.worker_id,
                 run.task,
                 run.number,
-                reason,
+                detail or proof.value,
                 worker.listed.incarnation,
                 ends=self.end_positions(worker),
             )
--- a/limpetpulley/pool/tests/test_planning.py
+++ b/limpetpulley/pool/tests/test_planning.py
@@ -27,6 +27,7 @@
     process_start_reply,
     process_stop_reply,
 )
+from ..proofs import Proof
 from ..tickets import StepKey
 
 JOB = "00000000000000aa"
@@ -117,7 +118,7 @@
     for worker in list(pool_state.workers.values()):
         pool_state.handle_worker_restart(worker, "test")
         for run in list(worker.runs.values()):
-            pool_state.drop_run(run, "test")
+            pool_state.drop_run(run, Proof.NOT_LISTED)
         hold(pool_state, worker.worker_id)
     checkpoints = {order.checkpoint for order in plan(pool_state)}
     assert_that(checkpoints, HasLength(1))
--- /dev/null
+++ b/limpetpulley/pool/tests/test_proofs.py
@@ -0,0 +1,174 @@
+"""What an owner may start while its claim may have passed to another."""
+
+import math
+
+import attrs
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Equals
+
+from ...batch import EndKind, Step
+from ...workers import EndedRun, HoldReply, StartOutcome, StopOrder
+from .. import process_hold_reply, process_start_reply, process_stop_reply
+from ..proofs import ClaimGuard, Proof
+from .test_planning import NOW, TASK, hold, make_pool_state, plan, task
+
+#: time from the start of the run until it is known to be over, in seconds
+OVER_SECONDS = 6.0
+#: lease that the pool state requests, in seconds
+LEASE_SECONDS = 5.0
+
+
+def end_by_list(pool_state, run, now):
+    hold(pool_state, "w1", ended=[EndedRun(1, run.task, run.number, EndKind.STOPPED)], now=now)
+
+
+def leave_out_of_list(pool_state, run, now):
+    process_start_reply(pool_state, run, StartOutcome.STARTED, 10.0, NOW)
+    hold(pool_state, "w1", clock=10.0 + OVER_SECONDS, now=now)
+
+
+def reject(pool_state, run, now):
+    process_start_reply(pool_state, run, StartOutcome.NO_ROOM, 10.0, now)
+
+
+def restart(pool_state, run, now):
+    listed = attrs.evolve(pool_state.workers["w1"].listed, incarnation=2)
+    pool_state.update_listed_worker(listed)
+    pool_state.workers["w1"].runs[run.task].seen_running = True
+
+
+def restart_and_answer(pool_state, run, now):
+    """The next incarnation answers a stop of the run, and lists nothing of it."""
+    restart(pool_state, run, now)
+    stop = StopOrder("w1", run.task, run.number)
+    process_hold_reply(pool_state, pool_state.workers["w1"], HoldReply(1.0, 2), now, now)
+    process_stop_reply(pool_state, stop, 1.0, now)
+    process_hold_reply(pool_state, pool_state.workers["w1"], HoldReply(3.0, 2), now, now)
+
+
+def end_vm(pool_state, run, now):
+    pool_state.end_workers([("w1", 1)], "test")
+
+
+def start_on_first(confirmed_at=NOW):
+    """Return a pool state, and the run of its task on the first of two workers."""
+    pool_state = make_pool_state(Step(1, TASK))
+    pool_state.claim_guard.update(NOW)
+    pool_state.claim_guard.confirmed_at = NOW
+    pool_state.workers["w2"].avoid_until = math.inf
+    plan(pool_state)
+    pool_state.workers["w2"].avoid_until = 0.0
+    pool_state.claim_guard.confirmed_at = confirmed_at
+    run = pool_state.runs[task()]
+    assert_that(run.worker_id, Equals("w1"))
+    return pool_state, run
+
+
+@pytest.mark.parametrize(
+    ("conclude", "counts_at_once"),
+    [
+        (end_by_list, True),
+        (leave_out_of_list, True),
+        (reject, True),
+        (restart_and_answer, False),
+        (end_vm, False),
+    ],
+)
+@pytest.mark.parametrize("confirmed_after", [-3.0, -0.1, 0.1])
+def test_a_task_restarts_on_what_others_say_of_its_run_only_with_a_claim_confirmed_later(
+    conclude, counts_at_once, confirmed_after
+):
+    pool_state, run = start_on_first()
+    now = NOW + OVER_SECONDS
+    hold(pool_state, "w2", clock=10.0 + OVER_SECONDS, now=now)
+    conclude(pool_state, run, now)
+    plan(pool_state, now=now)
+    pool_state.claim_guard.confirmed_at = now + confirmed_after
+    later = now + 0.3
+    hold(pool_state, "w2", clock=10.3 + OVER_SECONDS, now=later)
+    plan(pool_state, now=later)
+    current = pool_state.runs.get(task())
+    is_confirmed = confirmed_after > 0
+    restarted = current is not None and current.number != run.number
+    assert_that(restarted, Equals(counts_at_once or is_confirmed))
+
+
+@pytest.mark.parametrize(("confirmed_after", "starts"), [(-1.0, 0), (0.1, 1)])
+def test_nothing_starts_on_a_new_incarnation_before_the_claim_is_confirmed(confirmed_after, starts):
+    """It has seen no token, and a later owner may know only the incarnation before."""
+    pool_state = make_pool_state(Step(1, TASK), workers=("w1",))
+    pool_state.claim_guard.update(NOW)
+    pool_state.claim_guard.confirmed_at = NOW - 1.0
+    listed = attrs.evolve(pool_state.workers["w1"].listed, incarnation=2)
+    pool_state.update_listed_worker(listed)
+    reply = HoldReply(1.0, 2)
+    process_hold_reply(pool_state, pool_state.workers["w1"], reply, NOW, NOW)
+    assert_that(plan(pool_state), Equals([]))
+    pool_state.claim_guard.confirmed_at = NOW + confirmed_after
+    assert_that(len(plan(pool_state, now=NOW + 0.2)), Equals(starts))
+
+
+@pytest.mark.parametrize("conclude", ["list", "vm"])
+@pytest.mark.parametrize(("confirmed_after", "starts"), [(-1.0, 0), (0.1, 1)])
+def test_inherited_tasks_wait_for_a_claim_confirmed_after_the_last_worker_is_accounted_for(
+    conclude, confirmed_after, starts
+):
+    """The worker may have answered in a later incarnation than that of the earlier owner's run."""
+    pool_state = make_pool_state(Step(1, TASK))
+    pool_state.claim_guard.update(NOW)
+    pool_state.claim_guard.confirmed_at = NOW - 1.0
+    pool_state.inherited.update(pool_state.jobs)
+    pool_state.unreconciled_workers = {"w1": NOW + 11.0}
+    if conclude == "list":
+        hold(pool_state, "w1")
+    else:
+        pool_state.end_workers([("w1", 1)], "test")
+    assert_that(plan(pool_state), Equals([]))
+    pool_state.claim_guard.confirmed_at = NOW + confirmed_after
+    assert_that(len(plan(pool_state, now=NOW + 0.2)), Equals(starts))
+
+
+def test_each_proof_says_whether_it_counts_at_once():
+    indirect = {proof for proof in Proof if not proof.is_conclusive}
+    assert_that(indirect, Equals({Proof.NEXT_INCARNATION, Proof.VM_ENDED}))
+
+
+@pytest.mark.parametrize(
+    ("confirmed_at", "found_at", "now", "confirmed"),
+    [
+        (math.inf, None, NOW, True),
+        (NOW - 0.1, None, NOW, False),
+        (NOW, NOW, NOW + 1.0, True),
+        (NOW, NOW + 0.1, NOW + 1.0, False),
+        (NOW + 0.1, NOW + 0.1, NOW + 1.0, True),
+    ],
+)
+def test_a_subject_is_confirmed_by_a_claim_that_was_valid_after_it(
+    confirmed_at, found_at, now, confirmed
+):
+    guard = ClaimGuard(NOW - 1.0)
+    guard.require("w1")
+    if found_at is not None:
+        guard.update(found_at)
+    guard.confirmed_at = confirmed_at
+    assert_that(guard.is_confirmed("w1"), Equals(confirmed))
+    guard.update(now)
+    assert_that("w1" not in guard.pending, Equals(confirmed))
+
+
+@pytest.mark.parametrize(
+    ("confirmed_after", "restarted"), [(0.0, False), (LEASE_SECONDS - 0.1, False), (5.3, True)]
+)
+def test_a_lease_has_lapsed_only_if_the_claim_was_confirmed_after_its_end(
+    confirmed_after, restarted
+):
+    """A later owner may have extended it since, and the run still uses what it used."""
+    pool_state, run = start_on_first()
+    now = NOW + 30.0
+    hold(pool_state, "w2", clock=40.0, now=now)
+    pool_state.claim_guard.confirmed_at = NOW + confirmed_after
+    usage = dict(pool_state.usage)
+    plan(pool_state, now=now)
+    assert_that(pool_state.runs[task()].number != run.number, Equals(restarted))
+    assert_that(pool_state.usage, Equals(usage))
--- a/limpetpulley/pool/tests/test_started_jobs.py
+++ b/limpetpulley/pool/tests/test_started_jobs.py
@@ -7,6 +7,7 @@
 from ...batch.records import decode_job, encode_description, encode_progress
 from ...workers import EndedRun, ListedRun, RunPhase, StartOutcome
 from .. import process_start_reply
+from ..proofs import Proof
 from ..tickets import StepKey
 from .test_planning import JOB, NOW, TASK, hold, make_pool_state, plan, task
 
@@ -97,7 +98,7 @@
 
 def answered_late(pool_state, order):
     run = pool_state.runs[order.task]
-    pool_state.drop_run(run, "test")
+    pool_state.drop_run(run, Proof.NOT_LISTED)
     process_start_reply(pool_state, run, StartOutcome.STARTED, 10.0, NOW)
 
 
--- a/limpetpulley/pool/tests/test_trials.py
+++ b/limpetpulley/pool/tests/test_trials.py
@@ -5,6 +5,7 @@
 
 from ...batch import Amount, Job, JobKey, JobSpec, Step
 from ...workers import RunPhase
+from ..proofs import Proof
 from .test_crashes import crash, keep_alive, start
 from .test_planning import JOB, NOW, make_pool_state
 
@@ -63,7 +64,7 @@
     start(pool_state, NOW + 0.5)
     for run in list(pool_state.runs_of(JOB)):
         if run.phase is RunPhase.STOPPING:
-            pool_state.remove_run(run)
+            pool_state.remove_run(run, Proof.LISTED_END)
             pool_state.requeue_task(run.task)
     add_job(pool_state, LATER, Step(1, LATER_TASK), NOW + 1.0)
     assert pool_state.suspects
@@ -100,7 +101,7 @@
     start(pool_state, NOW + 0.5)
     add_job(pool_state, LATER, Step(1, Amount(500, 100)), NOW + 0.6)
     pool_state.remove_job("0c")
-    pool_state.remove_run(pool_state.runs[busy.task])
+    pool_state.remove_run(pool_state.runs[busy.task], Proof.LISTED_END)
     keep_alive(pool_state, NOW + 0.8)
     assert [order.task.job_id for order in start(pool_state, NOW + 0.8)] == [JOB]
 
@@ -114,7 +115,7 @@
     for order in list(pool_state.runs_of(JOB)):
         job.note_crash(order.task, order.number, 1.0)
         pool_state.suspects.add(order.task)
-        pool_state.drop_run(order, "test")
+        pool_state.drop_run(order, Proof.NOT_LISTED)
     add_job(pool_state, LATER, Step(1, Amount(500, 100)), NOW + 1.0)
     times, now = [], NOW + 1.0
     while now < NOW + 1.0 + WATCH_SECONDS and not times:
