--- a/limpetpulley/batch/job.py
+++ b/limpetpulley/batch/job.py
@@ -140,6 +140,17 @@
                 if not any(self._remaining.get((occurrence, earlier)) for earlier in step.after):
                     yield occurrence, number
 
+    def blocked_steps(self, now: float) -> Iterator[tuple[int, int]]:
+        """Yield number and count of uncompleted tasks of each step that waits for earlier ones.
+
+        :param now: wall-clock time, in seconds since 1970
+        """
+        open_steps = set(self._open_steps(now))
+        for (occurrence, number), remaining in self._remaining.items():
+            is_due = self.spec.start_time(occurrence) <= now
+            if remaining and is_due and (occurrence, number) not in open_steps:
+                yield number, remaining
+
     def runnable_tasks(self, now: float) -> Iterator[TaskId]:
         """Yield the uncompleted tasks that may run, including those that are running."""
         if not self.state.is_final:
--- a/limpetpulley/ownership/tests/test_team_limit_after_handover.py
+++ b/limpetpulley/ownership/tests/test_team_limit_after_handover.py
@@ -55,3 +55,45 @@
     assert_that((busy, outcome), Equals((1, Outcome.ACCEPTED)))
     assert peak <= LIMIT_MILLICORES
     assert_that(states, Equals({JobState.COMPLETED}))
+
+
+@pytest.mark.parametrize("is_cut", [False, True])
+@pytest.mark.parametrize("cut_after_seconds", [0.02, 0.1, 0.3])
+def test_new_job_stays_within_the_limit_beside_later_steps_that_a_cut_off_owner_starts(
+    cut_after_seconds, is_cut
+):
+    """The successor has not seen the first step end, the owner that is cut off has."""
+    limit_millicores, first = 4000, Amount(500, 500)
+
+    async def scenario(deployment):
+        fleet, workers = deployment.fleet, deployment.fleet.workers.workers
+        faults = fleet.workers.faults = OrderFaults(fleet.tasks, random.Random(1))
+        steps = (Step(1, first, 3.0), Step(3, TASK, 3.0, after=(0,)))
+        first_id, _ = await deployment.submit("desk", JobSpec("3.0", steps))
+        await anyio.sleep(0.3)
+        busy = {run.worker_id for run in fleet.runs}
+        owner = fleet.owner_of("desk")
+        other_id, _ = await deployment.submit("desk", JobSpec("0.8", (Step(3, TASK, 0.8),)))
+        while await deployment.state(other_id) is not JobState.COMPLETED:
+            await anyio.sleep(0.02)
+        await anyio.sleep(cut_after_seconds)
+        if is_cut:
+            fleet.partition([owner], busy, faults)
+        await anyio.sleep(2.2)
+        successor = next(name for name in fleet.daemons if name != owner)
+        lasting = JobSpec("lasts", (Step(4, TASK, lasting=True),))
+        await deployment.submit("desk", lasting, at=successor)
+        peak = 0
+        for _ in range(100):
+            await anyio.sleep(0.05)
+            used = Amount()
+            for worker in filter(lambda worker: worker.alive, workers.values()):
+                worker.advance()
+                for run in worker.runs.values():
+                    is_first = run.task.job_id == first_id and run.task.step == 0
+                    used = used + (first if is_first else TASK)
+            peak = max(peak, used.cpu_millicores)
+        return peak
+
+    peak = run_scenario(scenario, make_config(Amount(limit_millicores, 0)), moves=False)
+    assert peak <= limit_millicores
--- a/limpetpulley/pool/tests/test_unseen_runs.py
+++ b/limpetpulley/pool/tests/test_unseen_runs.py
@@ -144,3 +144,13 @@
         process_start_reply(pool_state, run, StartOutcome.STARTED, 10.3, NOW + 0.3)
     hold(pool_state, "w1", running[1:], clock=10.8, now=NOW + 0.8)
     assert_that(count_starts(pool_state, NOW + 0.85), Equals(afterwards))
+
+
+@pytest.mark.parametrize(("later_count", "expected"), [(0, 3), (2, 1), (8, 0)])
+def test_new_job_starts_within_the_limit_beside_later_steps_that_an_earlier_owner_may_start(
+    later_count, expected
+):
+    later = [Step(later_count, TASK, after=(0,))] if later_count else []
+    spec = JobSpec("text", (Step(1, TASK), *later))
+    pool_state = make_successor(Job(JobKey("quotes", JOB), spec, "desk", "t"))
+    assert_that(start_new_job(pool_state, "t"), Equals(expected))
--- a/limpetpulley/pool/unseen_runs.py
+++ b/limpetpulley/pool/unseen_runs.py
@@ -50,6 +50,9 @@
         if job is None:
             continue
         counts = Counter(task.step for task in _unseen_tasks(pool_state, job, wall_time))
+        # The earlier owner may still see steps end there and start those that wait for them.
+        for number, count in job.blocked_steps(wall_time):
+            counts[number] += count
         for number, count in counts.items():
             charge = job.spec.steps[number].charge * count
             found[job.team] = found.get(job.team, Amount()) + charge
