--- a/limpetpulley/ownership/session.py
+++ b/limpetpulley/ownership/session.py
@@ -10,15 +10,15 @@
 from ..batch.keys import BatchKeys
 from ..clock import Clock
 from ..exception import StoreError, StoreRefused, StoreUnavailable
+from ..pool.proofs import CLAIM_SECONDS
 from ..store import Compare, Delete, Put, Store, StoreContact
 from ..telemetry import EventLog
 from .directory import Member, encode_member
 
 __all__ = ["LEASE_SECONDS", "Session"]
 
-#: duration of a daemon's lease, in seconds; it bounds the time until the pool of a failed owner is
-#: claimed, which must be below 1.5 s
-LEASE_SECONDS = 1.4
+#: duration of a daemon's lease, to which its claims are attached, in seconds
+LEASE_SECONDS = CLAIM_SECONDS
 #: longest interval between the answer to a renewal and the next one, in seconds
 RENEW_INTERVAL_SECONDS = 0.3
 #: shortest time between the requests of two renewals that are answered, in seconds
--- a/limpetpulley/ownership/tests/test_writer.py
+++ b/limpetpulley/ownership/tests/test_writer.py
@@ -217,3 +217,23 @@
         return clock.now() - listed_at
 
     assert run_scenario(scenario) < max_seconds
+
+
+@pytest.mark.parametrize("slow_seconds", [0.0, 0.3])
+def test_a_write_confirms_the_claim_as_of_its_request(slow_seconds):
+    """The claim may have passed to another owner before a slow answer arrives."""
+
+    async def scenario(clock, store, pool_state, writer):
+        commit = store.commit
+
+        async def answer_slowly(compares, writes):
+            result = await commit(compares, writes)
+            await anyio.sleep(slow_seconds)
+            return result
+
+        store.commit = answer_slowly
+        called_at = clock.now()
+        await writer.commit([], [Put("lp/other", b"")])
+        return writer.confirmed_at - called_at
+
+    assert run_scenario(scenario) == pytest.approx(0.0, abs=0.001)
--- a/limpetpulley/pool/proofs.py
+++ b/limpetpulley/pool/proofs.py
@@ -3,11 +3,12 @@
 A task that must run once starts again only on one of these proofs, and a worker of an earlier owner
 no longer holds the pool's tasks back only on one of them. No I/O.
 
-A worker that answers this owner has not been called by a later one, since it rejects the lower
-token from then on. What it says of its runs is therefore complete. All other proofs tell only that
-the run is gone: a later owner may have kept it alive meanwhile, or may have taken and acknowledged
-its end. They count once the claim was confirmed after they were found, because there was no later
-owner until then. A lease is judged as of the latest confirmation, so it has lapsed before that.
+A worker that carries out this owner's call has not been called by a later one, since it rejects the
+lower token from then on. An end that it lists is therefore known here first. All other proofs tell
+only that the run is gone: a later owner may have kept it alive meanwhile, or may have taken and
+acknowledged its end, also while a hold of this owner waited for its answer. They count once the
+claim was confirmed after they were found, because there was no later owner until then. A lease is
+judged as of the latest confirmation, so it has lapsed before that.
 
 The same holds for a new incarnation of a worker, which has seen no token yet: a later owner may
 know only the one before and may have started the tasks elsewhere.
@@ -22,7 +23,11 @@
 
 from ..batch import TaskId
 
-__all__ = ["INHERITED_RUNS", "ClaimGuard", "Proof", "Subject"]
+__all__ = ["CLAIM_SECONDS", "INHERITED_RUNS", "ClaimGuard", "Proof", "Subject"]
+
+#: time for which a claim is valid without a renewal, in seconds; it bounds the time until the pool
+#: of a failed owner is claimed, which must be below 1.5 s
+CLAIM_SECONDS = 1.4
 
 
 class Proof(enum.Enum):
@@ -46,7 +51,7 @@
     @property
     def is_conclusive(self) -> bool:
         """Return whether it counts without a further confirmation of the claim."""
-        return self not in (Proof.NEXT_INCARNATION, Proof.VM_ENDED)
+        return self in (Proof.LISTED_END, Proof.REJECTED, Proof.LEASE_LAPSED)
 
 
 @attrs.frozen
@@ -92,6 +97,13 @@
         """Return whether a subject may be relied on."""
         return self.pending.get(subject, -math.inf) <= self.confirmed_at
 
+    def is_valid(self, now: float) -> bool:
+        """Return whether the claim is certainly valid now.
+
+        :param now: local time
+        """
+        return now - self.confirmed_at < CLAIM_SECONDS
+
     def known_time(self, now: float) -> float:
         """Return the latest local time until which no other owner can have acted.
 
--- a/limpetpulley/pool/tests/test_proofs.py
+++ b/limpetpulley/pool/tests/test_proofs.py
@@ -8,7 +8,7 @@
 from testtools.matchers import Equals
 
 from ...batch import EndKind, Step
-from ...workers import EndedRun, HoldReply, StartOutcome, StopOrder
+from ...workers import EndedRun, HoldReply, ListedRun, StartOutcome, StopOrder
 from .. import process_hold_reply, process_start_reply, process_stop_reply
 from ..proofs import ClaimGuard, Proof
 from .test_planning import NOW, TASK, hold, make_pool_state, plan, task
@@ -69,7 +69,7 @@
     ("conclude", "counts_at_once"),
     [
         (end_by_list, True),
-        (leave_out_of_list, True),
+        (leave_out_of_list, False),
         (reject, True),
         (restart_and_answer, False),
         (end_vm, False),
@@ -130,8 +130,8 @@
 
 
 def test_each_proof_says_whether_it_counts_at_once():
-    indirect = {proof for proof in Proof if not proof.is_conclusive}
-    assert_that(indirect, Equals({Proof.NEXT_INCARNATION, Proof.VM_ENDED}))
+    conclusive = {proof for proof in Proof if proof.is_conclusive}
+    assert_that(conclusive, Equals({Proof.LISTED_END, Proof.REJECTED, Proof.LEASE_LAPSED}))
 
 
 @pytest.mark.parametrize(
@@ -172,3 +172,72 @@
     plan(pool_state, now=now)
     assert_that(pool_state.runs[task()].number != run.number, Equals(restarted))
     assert_that(pool_state.usage, Equals(usage))
+
+
+def make_confirmed(*steps, **options):
+    """Return a pool state whose workers were known when the claim was confirmed."""
+    pool_state = make_pool_state(*steps, **options)
+    pool_state.claim_guard.update(NOW)
+    pool_state.claim_guard.confirmed_at = NOW
+    return pool_state
+
+
+@pytest.mark.parametrize(("confirmed_after", "starts"), [(-0.1, 0), (0.2, 1)])
+def test_a_task_that_is_no_suspect_waits_for_the_claim(confirmed_after, starts):
+    pool_state = make_confirmed(Step(1, TASK))
+    order = plan(pool_state)[0]
+    process_start_reply(pool_state, pool_state.runs[order.task], StartOutcome.STARTED, 10.0, NOW)
+    now = NOW + 2.0
+    for name, worker in pool_state.workers.items():
+        listed = [ListedRun(run.task, run.number) for run in worker.runs.values()]
+        hold(pool_state, name, listed, clock=12.0, now=now)
+    pool_state.end_workers([(order.worker_id, 1)], "test")
+    assert_that(pool_state.suspects, Equals(set()))
+    plan(pool_state, now=now)
+    pool_state.claim_guard.confirmed_at = now + confirmed_after
+    assert_that(len(plan(pool_state, now=now + 0.3)), Equals(starts))
+
+
+@pytest.mark.parametrize(("confirmed_after", "given_up"), [(10.0, False), (11.5, True)])
+def test_a_worker_of_an_earlier_owner_is_given_up_as_of_the_last_confirmation(
+    confirmed_after, given_up
+):
+    pool_state = make_confirmed(Step(1, TASK), workers=("w1",))
+    pool_state.inherited.update(pool_state.jobs)
+    pool_state.unreconciled_workers = {"w9": NOW + 11.0}
+    pool_state.claim_guard.confirmed_at = NOW + confirmed_after
+    pool_state.expire_leases(NOW + 12.0)
+    assert_that(not pool_state.unreconciled_workers, Equals(given_up))
+
+
+def test_nothing_starts_on_a_worker_that_is_new_before_the_claim_is_confirmed():
+    pool_state = make_confirmed(Step(1, TASK), workers=("w1",))
+    pool_state.workers["w1"].avoid_until = math.inf
+    listed = attrs.evolve(pool_state.workers["w1"].listed, worker_id="w7")
+    pool_state.update_listed_worker(listed).in_roster = True
+    process_hold_reply(pool_state, pool_state.workers["w7"], HoldReply(1.0, 1), NOW, NOW)
+    assert_that(plan(pool_state, now=NOW + 0.2), Equals([]))
+    pool_state.claim_guard.confirmed_at = NOW + 0.3
+    assert_that(len(plan(pool_state, now=NOW + 0.4)), Equals(1))
+
+
+@pytest.mark.parametrize("position", [0, 1])
+def test_a_gang_waits_while_the_run_of_any_of_its_tasks_is_not_confirmed(position):
+    pool_state = make_confirmed(Step(2, TASK, gang=True))
+    pool_state.claim_guard.require(task(position=position))
+    pool_state.claim_guard.confirmed_at = NOW - 1.0
+    assert_that(plan(pool_state, now=NOW + 0.2), Equals([]))
+    pool_state.claim_guard.confirmed_at = NOW + 0.3
+    assert_that(len(plan(pool_state, now=NOW + 0.4)), Equals(2))
+
+
+@pytest.mark.parametrize(
+    ("confirmed_after", "orders"), [(0.0, ["StartOrder"]), (-0.7, ["StartOrder"]), (-0.9, [])]
+)
+def test_an_unanswered_start_is_repeated_only_while_the_claim_is_valid(confirmed_after, orders):
+    """The worker may have restarted since, and a later owner may have taken the run's end."""
+    pool_state = make_confirmed(Step(1, TASK))
+    assert_that(len(plan(pool_state)), Equals(1))
+    pool_state.claim_guard.confirmed_at = NOW + confirmed_after
+    sent = [type(order).__name__ for order in plan(pool_state, now=NOW + 0.6)]
+    assert_that(sent, Equals(orders))
