--- a/limpetpulley/pool/planning.py
+++ b/limpetpulley/pool/planning.py
@@ -105,7 +105,9 @@
     others = [
         other
         for other in pool_state.workers.values()
-        if other is not worker and is_available(other, now, limits.max_reply_age_seconds)
+        if other is not worker
+        and is_available(other, now, limits.max_reply_age_seconds)
+        and pool_state.is_known(other)
     ]
     for run in worker.runs.values():
         job = pool_state.jobs.get(run.task.job_id)
--- a/limpetpulley/pool/ready_jobs.py
+++ b/limpetpulley/pool/ready_jobs.py
@@ -54,8 +54,7 @@
     workers = [
         worker
         for worker in pool_state.workers.values()
-        if is_available(worker, now, limits.max_reply_age_seconds)
-        and pool_state.claim_guard.is_confirmed(worker.worker_id)
+        if is_available(worker, now, limits.max_reply_age_seconds) and pool_state.is_known(worker)
     ]
     orders += _start_suspects(pool_state, shares, workers, now)
     workers = [worker for worker in workers if worker.worker_id not in pool_state.trials]
--- a/limpetpulley/pool/standstill.py
+++ b/limpetpulley/pool/standstill.py
@@ -58,7 +58,8 @@
         (
             "reserved"
             if worker.worker_id in pool_state.trials
-            else unavailability(worker, now, max_reply_age_seconds) or "available"
+            else unavailability(worker, now, max_reply_age_seconds)
+            or ("available" if pool_state.is_known(worker) else "not confirmed")
         )
         for worker in pool_state.workers.values()
         if charge.fits(worker.room) and not worker.ended
@@ -66,8 +67,10 @@
     if not counts:
         return ""
     obstacles = [f"{count} workers {reason}" for reason, count in sorted(counts.items())]
-    if not pool_state.may_start(job):
+    if not pool_state.may_start(job) and pool_state.unreconciled_workers:
         obstacles.append(f"{len(pool_state.unreconciled_workers)} workers of earlier owners")
+    elif not (pool_state.may_start(job) and pool_state.may_start_task(job, task)):
+        obstacles.append("claim not confirmed")
     if is_suspect(pool_state, job, task):
         obstacles.append("suspect")
     if not pool_state.retries.is_due(job.attempt_unit(task), now):
--- a/limpetpulley/pool/state.py
+++ b/limpetpulley/pool/state.py
@@ -205,6 +205,10 @@
             for position in positions
         )
 
+    def is_known(self, worker: Worker) -> bool:
+        """Return whether no later owner can know only an earlier incarnation of a worker."""
+        return self.claim_guard.is_confirmed(worker.worker_id)
+
     def reconcile_worker(self, worker_id: str, proof: Proof | None = None) -> None:
         """Note that no run of an earlier owner is unseen on a worker.
 
--- a/limpetpulley/pool/tests/test_proofs.py
+++ b/limpetpulley/pool/tests/test_proofs.py
@@ -241,3 +241,32 @@
     pool_state.claim_guard.confirmed_at = NOW + confirmed_after
     sent = [type(order).__name__ for order in plan(pool_state, now=NOW + 0.6)]
     assert_that(sent, Equals(orders))
+
+
+def test_a_job_that_waits_for_the_claim_is_reported_with_the_reason():
+    pool_state, events = make_confirmed(Step(1, TASK)), []
+    pool_state.on_event = events.append
+    pool_state.claim_guard.confirmed_at = NOW - 1.0
+    pool_state.claim_guard.require(task())
+    for place in range(50):
+        now = NOW + 0.11 * place
+        for name in ("w1", "w2"):
+            hold(pool_state, name, now=now)
+        assert_that(plan(pool_state, now=now), Equals([]))
+    told = [event.detail for event in events if event.event == "job-stands-still"]
+    assert_that(bool(told), Equals(True))
+    assert_that([each for each in told if "claim not confirmed" not in each], Equals([]))
+
+
+def test_lasting_tasks_are_not_moved_off_a_drained_worker_to_one_that_is_not_known():
+    pool_state = make_confirmed(Step(1, TASK, lasting=True, may_miss=1))
+    order = plan(pool_state)[0]
+    run = pool_state.runs[order.task]
+    process_start_reply(pool_state, run, StartOutcome.STARTED, 10.0, NOW)
+    hold(pool_state, order.worker_id, [ListedRun(run.task, run.number)], clock=10.2)
+    other = next(name for name in pool_state.workers if name != order.worker_id)
+    pool_state.claim_guard.require(other)
+    pool_state.workers[order.worker_id].cordoned = True
+    assert_that(plan(pool_state, now=NOW + 0.2), Equals([]))
+    pool_state.claim_guard.confirmed_at = NOW + 0.3
+    assert_that([type(each) for each in plan(pool_state, now=NOW + 0.4)], Equals([StopOrder]))
