--- a/limpetpulley/ownership/node.py
+++ b/limpetpulley/ownership/node.py
@@ -197,15 +197,20 @@
         self.planner_scope.cancel()
 
     def handle_pool_report(self, report: pb.PoolReport) -> pb.PoolPlan:
-        """Answer a pool's report with a plan, or NOT_OWNER if this daemon is not the planner."""
-        if self.planner is None:
+        """Answer a pool's report with a plan.
+
+        The answer is NOT_OWNER if this daemon is not the planner, or if the report is from an owner
+        that was replaced: its workers may have runs that it does not know.
+        """
+        claim = self.directory.owners.get(report.pool)
+        if self.planner is None or (claim is not None and report.token < claim.token):
             return pb.PoolPlan(outcome=pb.NOT_OWNER)
         return self.planner.handle_report(report)
 
     async def ask_planner(self, report: pb.PoolReport) -> pb.PoolPlan | None:
         """Send a pool's report to the planner, in this or another daemon."""
         if self.planner is not None:
-            return self.planner.handle_report(report)
+            return self.handle_pool_report(report)
         planner_member = self.directory.owner_of(PLANNER)
         address = planner_member.address if planner_member else None
         return await ask_planner(self.peers, address, report, self.context)
--- a/limpetpulley/ownership/tests/test_reporting.py
+++ b/limpetpulley/ownership/tests/test_reporting.py
@@ -2,6 +2,7 @@
 
 import os
 
+import anyio
 import attrs
 import pytest
 from testtools.assertions import assert_that
@@ -11,6 +12,7 @@
 from ...batch.keys import BatchKeys
 from ...batch.records import RosterEntry
 from ...clock import ManualClock
+from ...peer import batch_pb2 as pb
 from ...pool import PoolState, process_hold_reply
 from ...scheduling.arrivals import ArrivalEstimator
 from ...store import MemoryStore
@@ -19,6 +21,7 @@
 from .. import DaemonContext, Timing
 from ..reporting import PoolReporter, RefusedWork
 from ..roster import WorkerRoster
+from .test_daemons import run_scenario
 
 
 def make_reporter():
@@ -145,3 +148,24 @@
         row = next(row for row in reporter.build_report().workers if row.worker == "listed")
         found.append(row.cordoned)
     assert_that(found, Equals([False, True]))
+
+
+@pytest.mark.parametrize(
+    ("token_offset", "outcome"), [(-1, pb.NOT_OWNER), (0, pb.ACCEPTED), (1, pb.ACCEPTED)]
+)
+def test_the_planner_heeds_no_report_of_an_owner_that_was_replaced(token_offset, outcome):
+    """Its workers may be reported as empty although its successor has started runs there."""
+
+    async def scenario(deployment):
+        while not (
+            nodes := [each.node for each in deployment.fleet.daemons.values() if each.node.planner]
+        ):
+            await anyio.sleep(0.1)
+        # The planner has just taken over, and the successor's reports don't reach it.
+        nodes[0].planner.reports.latest.clear()
+        token = nodes[0].directory.owners["desk"].token
+        report = pb.PoolReport(pool="desk", token=token + token_offset)
+        return (await nodes[0].ask_planner(report)).outcome, nodes[0].handle_pool_report(report)
+
+    asked, handled = run_scenario(scenario)
+    assert (asked, handled.outcome) == (outcome, outcome)
