--- a/limpetpulley/ownership/reporting.py
+++ b/limpetpulley/ownership/reporting.py
@@ -12,6 +12,7 @@
 from ..peer import PeerCaller
 from ..peer import batch_pb2 as pb
 from ..pool import PoolState
+from ..pool.ended_workers import may_live
 from ..pool.queue_forecast import least_workers, pool_capacity, ready_cores, remaining_work
 from ..scheduling.arrivals import ArrivalEstimator
 from .context import DaemonContext
@@ -77,6 +78,8 @@
         self.send_report = send_report
         self.on_change = on_change
         self.last_plan_at = context.clock.now()
+        # Workers that the last plan said have ended, and that may live.
+        self.doubted: set[tuple[str, int]] = set()
 
     async def run(self) -> None:
         """Report until cancelled."""
@@ -108,7 +111,7 @@
 
         :param ended: identifiers and incarnations of the workers that have ended
         """
-        if self.pool_state.end_workers(ended, "vm-ordered"):
+        if self.pool_state.end_workers(self._select_ended(ended), "vm-ordered"):
             self.on_change()
         for worker in self.pool_state.workers.values():
             cordoned = worker.worker_id in cordoned_ids or worker.ended
@@ -124,6 +127,27 @@
                     **attrs.asdict(self.pool_state.end_positions(worker)),
                 )
 
+    def _select_ended(self, listed: Iterable[tuple[str, int]]) -> list[tuple[str, int]]:
+        """Return those of the workers that are listed as ended that cannot live on."""
+        ended: list[tuple[str, int]] = []
+        doubted: set[tuple[str, int]] = set()
+        for worker_id, incarnation in listed:
+            worker = self.pool_state.workers.get(worker_id)
+            if worker is None or worker.ended or not may_live(worker):
+                ended.append((worker_id, incarnation))
+                continue
+            doubted.add((worker_id, incarnation))
+            if (worker_id, incarnation) not in self.doubted:
+                self.context.log.write(
+                    "worker-end-doubted",
+                    pool=self.pool_state.pool,
+                    worker=worker_id,
+                    life=incarnation,
+                    reason="silent" if worker.silent else "answers",
+                )
+        self.doubted = doubted
+        return ended
+
     def build_report(self) -> pb.PoolReport:
         """Return a report of the pool's current state."""
         pool_state = self.pool_state
--- a/limpetpulley/ownership/tests/test_reporting.py
+++ b/limpetpulley/ownership/tests/test_reporting.py
@@ -75,13 +75,19 @@
     assert_that(pool_state.may_start(pool_state.jobs["a"]), Equals(may_start))
 
 
-@pytest.mark.parametrize(("incarnation", "kept"), [(0, 1), (1, 1), (2, 0)])
-def test_runs_of_the_next_incarnation_are_kept_if_an_earlier_one_has_ended(incarnation, kept):
+@pytest.mark.parametrize(
+    ("incarnation", "lost_at", "kept"),
+    [(0, 102.0, 1), (1, 102.0, 1), (2, 102.0, 0), (2, None, 1)],
+)
+def test_runs_are_kept_if_an_earlier_incarnation_has_ended_or_no_connection_was_lost(
+    incarnation, lost_at, kept
+):
     pool_state, reporter = make_reporter()
     worker = pool_state.workers["listed"]
     pool_state.update_listed_worker(attrs.evolve(worker.listed, incarnation=2))
     running = (ListedRun(TaskId("a", 0, 0, 0), 1),)
     process_hold_reply(pool_state, worker, HoldReply(1.0, 2, running), 101.0, 101.0)
+    worker.lost_at = lost_at
     reporter.apply_plan(set(), [("listed", incarnation)])
     assert_that((len(pool_state.runs), worker.ended), Equals((kept, not kept)))
 
--- a/limpetpulley/pool/ended_workers.py
+++ b/limpetpulley/pool/ended_workers.py
@@ -1,4 +1,4 @@
-"""Signs of life of workers that were said to have ended: whoever said so was wrong or early."""
+"""Workers that are said to have ended: what confirms it, and signs of life that contradict it."""
 
 from __future__ import annotations
 
@@ -11,7 +11,17 @@
 if TYPE_CHECKING:
     from .state import PoolState
 
-__all__ = ["report_sign_of_life"]
+__all__ = ["may_live", "report_sign_of_life"]
+
+
+def may_live(worker: Worker) -> bool:
+    """Return whether a worker may live although a list shows its VM as down.
+
+    A VM that the platform does not reach may be listed so while its worker goes on. The connections
+    of a process that has ended are closed by its host; calls to one that is only cut off time out,
+    and its runs end with their lease.
+    """
+    return worker.reconciled and worker.lost_at is None
 
 
 def report_sign_of_life(
