--- /dev/null
+++ b/tests/integration/zone_clients.py
@@ -0,0 +1,185 @@
+"""Clients that submit jobs of steps to daemons of all zones and ask for their state."""
+
+from __future__ import annotations
+
+import itertools
+import json
+import random
+from collections.abc import Callable, Sequence
+from typing import Any
+
+import anyio
+import attrs
+import httpcore
+
+from .zone_daemons import PlatformDaemon
+from .zone_judge import TwiceJudge
+from .zone_workers import TASK_NEED
+
+__all__ = ["SECRET", "TEAM", "Clients", "Job", "make_config", "path_prefix"]
+
+TEAM, SECRET, HOST = "agents", "secret-agents", "jobs.example"
+#: mean time between two submissions of one client, in seconds
+SUBMIT_INTERVAL_SECONDS = 2.0
+#: shortest and longest time that a task takes, in seconds
+TASK_SECONDS = (0.5, 4.0)
+#: time that a client gives a daemon for an answer, in seconds, and how much longer it waits
+DEADLINE_SECONDS = 3.0
+MARGIN_SECONDS = 0.5
+#: time for which a client submits a job again that was not accepted, in seconds
+PERSISTENCE_SECONDS = 12.0
+RETRY_SECONDS = 0.3
+#: interval between two requests for a job's state, in seconds
+POLL_SECONDS = 1.0
+LOST = (OSError, httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException)
+
+
+@attrs.define(eq=False)
+class Job:
+    """A job as its client sees it.
+
+    :param accepted_at: when it was accepted, in seconds since the start of the test
+    :param completed_at: when it was shown as completed
+    :param state: last state that was shown
+    """
+
+    job_id: str
+    pool: str
+    body: dict[str, Any]
+    accepted_at: float | None = None
+    completed_at: float | None = None
+    state: str = ""
+
+    @property
+    def is_open(self) -> bool:
+        """Return whether it was accepted and not shown as completed."""
+        return self.accepted_at is not None and self.completed_at is None
+
+
+@attrs.define(eq=False)
+class Clients:
+    """The clients of all zones.
+
+    :param now: returns the time of the test, in seconds
+    """
+
+    daemons: Sequence[PlatformDaemon]
+    pools: Sequence[str]
+    judge: TwiceJudge
+    rng: random.Random
+    now: Callable[[], float]
+    jobs: list[Job] = attrs.field(factory=list)
+    numbers: itertools.count = attrs.field(factory=lambda: itertools.count(1))
+    http: httpcore.AsyncConnectionPool = attrs.field(
+        factory=lambda: httpcore.AsyncConnectionPool(max_connections=1000)
+    )
+
+    async def submit_jobs(self, zone: str, until: float) -> None:
+        """Submit jobs as one client of a zone, until a time."""
+        async with anyio.create_task_group() as tasks:
+            while self.now() < until:
+                await anyio.sleep(self.rng.expovariate(1 / SUBMIT_INTERVAL_SECONDS))
+                job = self._make_job()
+                self.jobs.append(job)
+                tasks.start_soon(self._submit, job, zone)
+
+    async def watch_jobs(self) -> None:
+        """Ask for the states of the accepted jobs until cancelled."""
+        while True:
+            await anyio.sleep(POLL_SECONDS)
+            async with anyio.create_task_group() as tasks:
+                for job in self.jobs:
+                    if job.is_open:
+                        tasks.start_soon(self._ask, job)
+
+    def unfinished(self) -> list[Job]:
+        """Return the accepted jobs that were not shown as completed."""
+        return [job for job in self.jobs if job.is_open]
+
+    def _make_job(self) -> Job:
+        durations = [self.rng.uniform(*TASK_SECONDS) for _ in range(2)]
+        phases = []
+        for number, seconds in enumerate(durations):
+            phase = {
+                "count": self.rng.randint(1, 3),
+                "cpu": TASK_NEED.cpu_millicores,
+                "memMb": TASK_NEED.memory_mb,
+                "estimateMs": int(seconds * 1000),
+            }
+            phases.append({**phase, "after": [number - 1]} if number else phase)
+        spec = " ".join(f"{seconds:.2f}" for seconds in durations)
+        pool = self.rng.choice(self.pools)
+        return Job(f"{next(self.numbers):016x}", pool, {"spec": spec, "phases": phases})
+
+    async def _submit(self, job: Job, zone: str) -> None:
+        near = [daemon for daemon in self.daemons if daemon.zone == zone]
+        until, attempts = self.now() + PERSISTENCE_SECONDS, 0
+        while self.now() < until and job.accepted_at is None:
+            daemon = self.rng.choice(near if attempts < 2 else self.daemons)
+            attempts += 1
+            status, _ = await self._request(daemon, "POST", job, job.body)
+            if status == 200:
+                job.accepted_at = self.now()
+            else:
+                await anyio.sleep(RETRY_SECONDS)
+
+    async def _ask(self, job: Job) -> None:
+        status, document = await self._request(self.rng.choice(self.daemons), "GET", job)
+        if status == 200:
+            job.state = document["state"]
+        elif status == 410:
+            job.state = "unknown"
+        if job.state == "completed" and job.completed_at is None:
+            job.completed_at = self.now()
+            self.judge.show_completed(job.job_id)
+
+    async def _request(
+        self, daemon: PlatformDaemon, method: str, job: Job, body: dict[str, Any] | None = None
+    ) -> tuple[int, dict[str, Any]]:
+        """Return status and document of a response, status 0 if there is none."""
+        seconds = DEADLINE_SECONDS + MARGIN_SECONDS
+        headers = {
+            "Host": HOST,
+            "Authorization": f"Bearer {SECRET}",
+            "Deadline-Ms": str(int(DEADLINE_SECONDS * 1000)),
+            "Content-Type": "application/json",
+        }
+        try:
+            response = await self.http.request(
+                method,
+                f"http://{daemon.host}:{daemon.caller_port}{path_prefix(job.pool)}{job.job_id}",
+                headers=list(headers.items()),
+                content=b"" if body is None else json.dumps(body).encode(),
+                extensions={"timeout": {"read": seconds, "connect": 1.0, "pool": seconds}},
+            )
+            return response.status, json.loads(response.content or b"{}")
+        except LOST:
+            return 0, {}
+
+
+def path_prefix(pool: str) -> str:
+    """Return the prefix of the paths of a pool's queue."""
+    return f"/{pool}-jobs/"
+
+
+def make_config(pools: Sequence[str]) -> dict[str, Any]:
+    """Return a configuration with one queue for each pool, and one team."""
+    routes = [
+        {
+            "name": f"{pool}-jobs",
+            "host": HOST,
+            "pathPrefix": path_prefix(pool),
+            "timeoutMs": 3000,
+            "targetLatencyMs": 60_000,
+            "priority": 0,
+            "service": pool,
+            "maxAttempts": 5,
+            "stretch": 20.0,
+            "public": False,
+        }
+        for pool in pools
+    ]
+    services = [{"name": pool, "standby": False, "admissionCheck": True} for pool in pools]
+    limit = {"cpu": 0, "memMb": 0, "gpu": 0}
+    team = {"name": TEAM, "apiKeys": [SECRET], "weight": 1000, "upperBound": limit}
+    return {"version": 7, "routes": routes, "services": services, "tenants": [team], "limits": {}}
--- /dev/null
+++ b/tests/integration/zone_faults.py
@@ -0,0 +1,198 @@
+"""Random faults of a deployment in zones, drawn from a seed, several at once."""
+
+from __future__ import annotations
+
+import contextlib
+import random
+import signal
+from collections.abc import Awaitable, Callable, Iterator, Sequence
+
+import anyio
+import attrs
+
+from .zone_daemons import PlatformDaemon
+from .zone_links import STORE, Links, Pair, pairs_around
+from .zone_store import PlatformService
+from .zone_workers import Machine
+
+__all__ = ["FAULT_SERIES", "ZoneFaults"]
+
+#: number of series of faults that run at once
+FAULT_SERIES = 3
+#: pause between two faults of one series, in seconds
+GAP_SECONDS = (0.2, 3.0)
+#: how long links are cut, in seconds
+CUT_SECONDS = (1.0, 20.0)
+#: how long daemons are paused, down before they start again, and workers down, in seconds
+PAUSE_SECONDS = (0.5, 10.0)
+KILL_SECONDS = (0.2, 4.0)
+CRASH_SECONDS = (0.3, 6.0)
+#: share of the faults of one daemon that hit an owner of a pool
+OWNER_SHARE = 0.7
+#: share of the workers that return under the identifier that they had
+SAME_ID_SHARE = 0.4
+
+
+@attrs.define(eq=False)
+class ZoneFaults:
+    """Injects faults.
+
+    :param now: returns the time of the test, in seconds
+    :param log: what was done, one line each
+    :param busy: daemons and machines that a fault of their own disturbs
+    """
+
+    daemons: Sequence[PlatformDaemon]
+    machines: Sequence[Machine]
+    pools: Sequence[str]
+    links: Links
+    platform: PlatformService
+    now: Callable[[], float]
+    log: list[str] = attrs.field(factory=list)
+    busy: set[str] = attrs.field(factory=set)
+
+    async def inject(self, rng: random.Random, until: float) -> None:
+        """Inject one series of faults until a time; all have ended then."""
+        faults: list[Callable[[random.Random, float], Awaitable[None]]] = [
+            self.cut_zone,
+            self.cut_zone,
+            self.cut_part_of_zone,
+            self.cut_part_of_zone,
+            self.cut_daemon_and_workers,
+            self.cut_daemon_and_workers,
+            self.cut_pairs,
+            self.cut_pairs,
+            self.pause,
+            self.pause,
+            self.kill,
+            self.crash_workers,
+            self.crash_workers,
+            self.return_zone,
+        ]
+        while True:
+            await anyio.sleep(rng.uniform(*GAP_SECONDS))
+            left = until - self.now()
+            if left < CUT_SECONDS[0]:
+                return
+            await rng.choice(faults)(rng, left)
+
+    async def cut_zone(self, rng: random.Random, left: float) -> None:
+        """Cut a zone off from the others and the store."""
+        zone = rng.choice(self._zones())
+        await self._cut_around(rng, left, f"zone {zone}", self._nodes_of(zone))
+
+    async def cut_part_of_zone(self, rng: random.Random, left: float) -> None:
+        """Cut some daemons and workers of a zone off."""
+        zone = rng.choice(self._zones())
+        nodes = [node for node in self._nodes_of(zone) if rng.random() < 0.5]
+        await self._cut_around(rng, left, f"part of {zone}", nodes)
+
+    async def cut_daemon_and_workers(self, rng: random.Random, left: float) -> None:
+        """Cut a daemon off together with half of the workers."""
+        names = [machine.name for machine in self.machines]
+        nodes = [self._pick_daemon(rng).name, *rng.sample(names, len(names) // 2)]
+        await self._cut_around(rng, left, "daemon and workers", nodes)
+
+    async def cut_pairs(self, rng: random.Random, left: float) -> None:
+        """Cut single pairs of a daemon and another machine, in one direction or both."""
+        others = [STORE, *self._names()]
+        pairs: list[Pair] = []
+        for _ in range(rng.randint(1, 6)):
+            daemon = self._pick_daemon(rng).name
+            other = rng.choice([name for name in others if name != daemon])
+            pairs += rng.choice(
+                [[(daemon, other)], [(other, daemon)], [(daemon, other), (other, daemon)]]
+            )
+        text = " ".join(f"{source}>{target}" for source, target in pairs)
+        await self._cut(rng, left, f"pairs {text}", pairs)
+
+    async def pause(self, rng: random.Random, left: float) -> None:
+        """Suspend a daemon's process."""
+        daemon = self._pick_daemon(rng)
+        with self._reserve([daemon.name]) as names:
+            if names:
+                seconds = self._note(rng, PAUSE_SECONDS, left, f"pause {daemon.name}")
+                daemon.signal(signal.SIGSTOP)
+                await anyio.sleep(seconds)
+                daemon.signal(signal.SIGCONT)
+
+    async def kill(self, rng: random.Random, left: float) -> None:
+        """Kill a daemon's process and start it again."""
+        daemon = self._pick_daemon(rng)
+        with self._reserve([daemon.name]) as names:
+            if names:
+                seconds = self._note(rng, KILL_SECONDS, left, f"kill {daemon.name}")
+                await daemon.kill()
+                await anyio.sleep(seconds)
+                daemon.start()
+
+    async def crash_workers(self, rng: random.Random, left: float) -> None:
+        """Crash one to three workers; each returns with a new identifier or the one it had."""
+        names = rng.sample([machine.name for machine in self.machines], rng.randint(1, 3))
+        await self._crash(rng, left, names)
+
+    async def return_zone(self, rng: random.Random, left: float) -> None:
+        """Crash all workers of a zone; all come back at once."""
+        zone = rng.choice(self._zones())
+        names = [machine.name for machine in self.machines if machine.zone == zone]
+        await self._crash(rng, left, names)
+
+    async def _crash(self, rng: random.Random, left: float, machines: Sequence[str]) -> None:
+        with self._reserve(machines) as names:
+            crashed = [machine for machine in self.machines if machine.name in names]
+            same = [rng.random() < SAME_ID_SHARE for _ in crashed]
+            text = " ".join(
+                machine.name + "(same id)" * each
+                for machine, each in zip(crashed, same, strict=True)
+            )
+            seconds = self._note(rng, CRASH_SECONDS, left, f"crash {text}")
+            for machine in crashed:
+                machine.crash()
+            await anyio.sleep(seconds)
+            for machine, each in zip(crashed, same, strict=True):
+                machine.start(each)
+
+    async def _cut_around(
+        self, rng: random.Random, left: float, text: str, nodes: Sequence[str]
+    ) -> None:
+        pairs = pairs_around(nodes, [STORE, *self._names()])
+        await self._cut(rng, left, f"{text}: {' '.join(nodes)}", pairs)
+
+    async def _cut(self, rng: random.Random, left: float, text: str, pairs: list[Pair]) -> None:
+        seconds = self._note(rng, CUT_SECONDS, left, f"cut {text}")
+        self.links.cut(pairs)
+        await anyio.sleep(seconds)
+        self.links.restore(pairs)
+
+    @contextlib.contextmanager
+    def _reserve(self, names: Sequence[str]) -> Iterator[list[str]]:
+        """Reserve those that no other fault of their own disturbs."""
+        reserved = [name for name in names if name not in self.busy]
+        self.busy.update(reserved)
+        try:
+            yield reserved
+        finally:
+            self.busy.difference_update(reserved)
+
+    def _note(
+        self, rng: random.Random, seconds_range: tuple[float, float], left: float, text: str
+    ) -> float:
+        """Return how long a fault lasts, and write it down."""
+        seconds = min(rng.uniform(*seconds_range), left)
+        self.log.append(f"{self.now():.3f} for {seconds:.2f} s: {text}")
+        return seconds
+
+    def _pick_daemon(self, rng: random.Random) -> PlatformDaemon:
+        owners = {self.platform.owner_of(pool) for pool in self.pools}
+        owning = [daemon for daemon in self.daemons if daemon.name in owners]
+        prefers_owner = rng.random() < OWNER_SHARE
+        return rng.choice(owning if owning and prefers_owner else self.daemons)
+
+    def _zones(self) -> list[str]:
+        return sorted({daemon.zone for daemon in self.daemons})
+
+    def _nodes_of(self, zone: str) -> list[str]:
+        return [node.name for node in (*self.daemons, *self.machines) if node.zone == zone]
+
+    def _names(self) -> list[str]:
+        return [node.name for node in (*self.daemons, *self.machines)]
--- /dev/null
+++ b/tests/integration/zones.py
@@ -0,0 +1,235 @@
+"""A deployment in zones with random cuts between its machines: does any task run twice?
+
+Real daemon processes and the wall clock; the store, the workers and the links are in the test's
+own process. ``python -m tests.integration.zones --seeds 20`` runs new seeds; ``--first N`` sets the
+first one. Rule TWICE is judged from the workers' side: see :class:`.zone_judge.TwiceJudge`.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import pathlib
+import random
+import sys
+import tempfile
+import time
+
+import anyio
+import attrs
+
+from limpetpulley.clock import SystemClock
+
+from .zone_clients import Clients, Job, make_config
+from .zone_daemons import PlatformDaemon
+from .zone_faults import FAULT_SERIES, ZoneFaults
+from .zone_http import LinkedService
+from .zone_judge import Finding, TwiceJudge
+from .zone_links import STORE, Links
+from .zone_store import PlatformService
+from .zone_workers import Machine
+
+__all__ = ["Outcome", "run"]
+
+ZONES = ("zone-1", "zone-2", "zone-3")
+POOLS = ("desk", "lab", "shop", "yard")
+WORKERS_PER_POOL_AND_ZONE = 2
+CLIENTS_PER_ZONE = 2
+#: speeds of the workers' clocks, which may be 2 % slow
+CLOCK_RATES = (1.0, 0.99, 0.98)
+#: time in which the daemons must have claimed all pools, in seconds
+START_SECONDS = 30.0
+#: time without faults after that, in seconds
+CALM_SECONDS = 3.0
+#: time in which all accepted jobs complete once the faults have ended, in seconds
+FINISH_SECONDS = 45.0
+#: time after the last job is shown as completed in which late starts are still seen, in seconds
+AFTERMATH_SECONDS = 3.0
+LAG_SAMPLE_SECONDS = 0.05
+
+
+@attrs.frozen
+class Outcome:
+    """What one run has shown.
+
+    :param findings: starts that break the rule
+    :param takeovers: claims of pools by another daemon than the one before
+    :param unfinished: accepted jobs not shown as completed in time after the last fault
+    :param faults: what was done, one line each
+    :param lag_seconds: longest delay of the test's own event loop, in seconds
+    """
+
+    findings: list[Finding]
+    starts: int
+    takeovers: int
+    submitted: int
+    accepted: int
+    unfinished: list[Job]
+    faults: list[str]
+    lag_seconds: float
+
+    def __str__(self) -> str:
+        by_owners = sum(finding.replaced_at is None for finding in self.findings)
+        return (
+            f"{len(self.findings)} findings, {by_owners} by owners that were not replaced; "
+            f"{self.starts} starts, {self.takeovers} takeovers, "
+            f"{self.accepted} of {self.submitted} jobs accepted, {len(self.unfinished)} unfinished,"
+            f" {len(self.faults)} faults, longest lag {self.lag_seconds:.2f} s"
+        )
+
+
+class ZonesRun:
+    """One run of a seed.
+
+    :param folder: directory of the daemons' logs
+    """
+
+    def __init__(self, seed: int, seconds: float, daemon_count: int, folder: pathlib.Path):
+        self.seed, self.seconds = seed, seconds
+        self.clock = SystemClock()
+        self.started_at = self.clock.now()
+        self.links = Links()
+        self.platform = PlatformService(lambda: [each.list() for each in self.machines], self.now)
+        self.judge = TwiceJudge(self.now, self.platform.find_replacement)
+        self.store = LinkedService(STORE, self.links, self.platform.handle)
+        rng = random.Random(seed)
+        self.machines = [
+            Machine(
+                f"{pool}-{zone[-1]}{number}",
+                pool,
+                zone,
+                rng.choice(CLOCK_RATES),
+                self.links,
+                self.platform,
+                self.judge,
+                self.now,
+            )
+            for pool in POOLS
+            for zone in ZONES
+            for number in range(1, WORKERS_PER_POOL_AND_ZONE + 1)
+        ]
+        self.daemons = []
+        for index in range(daemon_count):
+            zone = ZONES[index % len(ZONES)]
+            name = f"daemon-{zone[-1]}-{index // len(ZONES) + 1}"
+            daemon = PlatformDaemon.create(name, zone, index, self.links, self.store, folder)
+            self.daemons.append(daemon)
+        self.clients = Clients(self.daemons, POOLS, self.judge, rng, self.now)
+        self.faults = ZoneFaults(
+            self.daemons, self.machines, POOLS, self.links, self.platform, self.now
+        )
+        self.lag_seconds = 0.0
+
+    def now(self) -> float:
+        """Return the time since the start of the run, in seconds."""
+        return self.clock.now() - self.started_at
+
+    async def run(self) -> Outcome:
+        """Run load and faults, and wait until the accepted jobs are completed."""
+        async with anyio.create_task_group() as tasks:
+            try:
+                await self._start(tasks)
+                await self._disturb()
+                with anyio.move_on_after(FINISH_SECONDS):
+                    while self.clients.unfinished():
+                        await anyio.sleep(LAG_SAMPLE_SECONDS)
+                await anyio.sleep(AFTERMATH_SECONDS)
+            finally:
+                for daemon in self.daemons:
+                    daemon.end()
+                tasks.cancel_scope.cancel()
+        return self._summarize()
+
+    async def _start(self, tasks: anyio.abc.TaskGroup) -> None:
+        await tasks.start(self.store.serve)
+        tasks.start_soon(self.platform.expire_leases)
+        tasks.start_soon(self._measure_lag)
+        self.platform.put("op/config", make_config(POOLS))
+        for machine in self.machines:
+            await tasks.start(machine.service.serve)
+            machine.start()
+            tasks.start_soon(machine.keep_entries)
+        for daemon in self.daemons:
+            await tasks.start(daemon.proxy.serve)
+            self.platform.proxies[daemon.name] = daemon.proxy.address
+            daemon.start()
+        with anyio.fail_after(START_SECONDS):
+            while not all(self.platform.owner_of(pool) for pool in POOLS):
+                await anyio.sleep(LAG_SAMPLE_SECONDS)
+        tasks.start_soon(self.clients.watch_jobs)
+
+    async def _disturb(self) -> None:
+        until = self.now() + CALM_SECONDS + self.seconds
+        async with anyio.create_task_group() as tasks:
+            for zone in ZONES * CLIENTS_PER_ZONE:
+                tasks.start_soon(self.clients.submit_jobs, zone, until)
+            await anyio.sleep(CALM_SECONDS)
+            for series in range(FAULT_SERIES):
+                rng = random.Random(f"{self.seed}-{series}")
+                tasks.start_soon(self.faults.inject, rng, until)
+
+    async def _measure_lag(self) -> None:
+        while True:
+            before = self.now()
+            await anyio.sleep(LAG_SAMPLE_SECONDS)
+            self.lag_seconds = max(self.lag_seconds, self.now() - before - LAG_SAMPLE_SECONDS)
+
+    def _summarize(self) -> Outcome:
+        owners: dict[str, str] = {}
+        takeovers = 0
+        for claim in self.platform.claims:
+            takeovers += owners.get(claim.pool, claim.daemon) != claim.daemon
+            owners[claim.pool] = claim.daemon
+        jobs = self.clients.jobs
+        return Outcome(
+            self.judge.findings,
+            self.judge.starts,
+            takeovers,
+            len(jobs),
+            sum(job.accepted_at is not None for job in jobs),
+            self.clients.unfinished(),
+            self.faults.log,
+            self.lag_seconds,
+        )
+
+
+async def run(seed: int, seconds: float, folder: pathlib.Path, daemon_count: int = 9) -> Outcome:
+    """Run a seed; write faults, claims and findings to the directory beside the daemons' logs.
+
+    :param seconds: duration of the faults, in seconds
+    :param folder: directory of the daemons' logs
+    """
+    zones_run = ZonesRun(seed, seconds, daemon_count, folder)
+    try:
+        return await zones_run.run()
+    finally:
+        claims = [json.dumps(attrs.asdict(claim)) for claim in zones_run.platform.claims]
+        (folder / "claims").write_text("\n".join(claims))
+        (folder / "faults").write_text("\n".join(zones_run.faults.log))
+        (folder / "findings").write_text("\n".join(map(str, zones_run.judge.findings)))
+
+
+def main() -> None:
+    """Run seeds; print what was found and where the logs are."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seeds", type=int, default=5, help="number of seeds to run")
+    parser.add_argument("--first", type=int, default=int(time.time()), help="first seed")
+    parser.add_argument("--seconds", type=float, default=60.0, help="duration of the faults")
+    parser.add_argument("--daemons", type=int, default=9, help="number of daemons")
+    parser.add_argument("--logs", type=pathlib.Path, help="directory for the logs of each seed")
+    arguments = parser.parse_args()
+    logs = arguments.logs or pathlib.Path(tempfile.mkdtemp(prefix="zones-"))
+    failed = 0
+    for seed in range(arguments.first, arguments.first + arguments.seeds):
+        folder = logs / f"seed-{seed}"
+        folder.mkdir(parents=True, exist_ok=True)
+        outcome = anyio.run(run, seed, arguments.seconds, folder, arguments.daemons)
+        print(f"seed {seed}: {outcome}; logs: {folder}", flush=True)
+        for line in (*outcome.findings, *outcome.unfinished):
+            print(line, flush=True)
+        failed += bool(outcome.findings or outcome.unfinished)
+    sys.exit(1 if failed else 0)
+
+
+if __name__ == "__main__":
+    main()
