--- a/tests/integration/zone_links.py
+++ b/tests/integration/zone_links.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+import random
 from collections import Counter
 from collections.abc import Iterable
 
@@ -13,6 +14,9 @@
 
 #: name of the machine that serves the store and the list of machines
 STORE = "store"
+#: longest time for which a cut link holds what was sent, in seconds: daemons close connections
+#: whose bytes are not acknowledged for as long
+HELD_SECONDS = 3.0
 
 Pair = tuple[str, str]
 
@@ -21,10 +25,13 @@
 class Links:
     """Which machines are down, and which directed pairs of machines carry nothing.
 
+    :param late_share: share of the calls that meet a cut which are delivered when it ends
     :param names: names of the machines by the address that their connections come from
     :param cuts: number of faults that cut each pair, from the first to the second
     """
 
+    late_share: float = 0.0
+    rng: random.Random = attrs.field(factory=lambda: random.Random(0))
     names: dict[str, str] = attrs.field(factory=dict)
     cuts: Counter[Pair] = attrs.field(factory=Counter)
     down: set[str] = attrs.field(factory=set)
@@ -48,6 +55,15 @@
         self.down.discard(machine)
         self._notify()
 
+    async def wait_late(self, source: str, target: str) -> bool:
+        """Wait until what was sent over a cut link arrives; return whether it does."""
+        if self.rng.random() >= self.late_share:
+            return False
+        with anyio.move_on_after(HELD_SECONDS):
+            await self.wait_restored(source, target)
+            return True
+        return False
+
     async def wait_restored(self, one: str, other: str) -> None:
         """Wait until bytes are carried between two machines in both directions."""
         while self.is_cut(one, other) or self.is_cut(other, one):
