--- a/tests/integration/test_zone_judge.py
+++ b/tests/integration/test_zone_judge.py
@@ -61,7 +61,7 @@
     bench.clock.advance(1.5)
     bench.start(1, 2, 1)
     assert bench.verdicts() == [Verdict.OVERLAP]
-    assert bench.judge.findings[0].replaced_at == 1.0
+    assert bench.judge.findings[0].has_replaced_owner
 
 
 def test_a_run_that_ended_unnoticed_or_on_a_worker_that_is_down_does_not_overlap(bench):
@@ -113,4 +113,4 @@
     bench.clock.advance(RUN_SECONDS + 0.1)
     bench.start(0, 2, 2)
     assert bench.verdicts() == [Verdict.AFTER_COMPLETED]
-    assert bench.judge.findings[0].replaced_at is None
+    assert not bench.judge.findings[0].has_replaced_owner
--- a/tests/integration/zone_judge.py
+++ b/tests/integration/zone_judge.py
@@ -51,6 +51,8 @@
     """A run as its worker saw it; times in seconds since the start of the test.
 
     :param order: the order that started it
+    :param replaced_at: when the store had accepted a later claim of the pool than that of the
+        order's sender; None if it had not before the start
     :param lapsed_at: when the worker's lease lapsed first after its end
     :param acknowledgement: the call whose ``ackedThrough`` reached its end first
     :param later_starts: starts of the task after its end ``done``
@@ -60,6 +62,7 @@
     number: int
     order: Call
     started_at: float
+    replaced_at: float | None = None
     ended_at: float | None = None
     kind: EndKind | None = None
     position: int = 0
@@ -75,9 +78,11 @@
 
     def __str__(self) -> str:
         listed = self.worker.listed
+        replaced = "" if self.replaced_at is None else f" replaced {self.replaced_at:.3f}"
         parts = [
             f"run {self.number} on {listed.worker_id} ({listed.vm}, {listed.data_centre})",
-            f"ordered {self.order.arrived_at:.3f} by {self.order.sender} token {self.order.token}",
+            f"ordered {self.order.arrived_at:.3f} by {self.order.sender} token {self.order.token}"
+            + replaced,
             f"started {self.started_at:.3f}" + ", held up by a cut" * self.order.late,
         ]
         if self.ended_at is not None:
@@ -96,8 +101,6 @@
 
     :param earlier: the earlier run; None if the job was shown as completed
     :param shown_at: when that was, in seconds
-    :param replaced_at: when the store accepted the claim that replaced the sender's, in seconds;
-        None if the sender still owned the pool when the run was started
     """
 
     verdict: Verdict
@@ -106,15 +109,17 @@
     run: RunRecord
     earlier: RunRecord | None = None
     shown_at: float = 0.0
-    replaced_at: float | None = None
+
+    @property
+    def has_replaced_owner(self) -> bool:
+        """Return whether one of the runs was started by an owner that had been replaced."""
+        runs = [self.run, self.earlier] if self.earlier else [self.run]
+        return any(run.replaced_at is not None for run in runs)
 
     def __str__(self) -> str:
         name = ".".join(map(str, self.task))
         before = self.earlier or f"shown as completed {self.shown_at:.3f}"
-        sender = "the owner"
-        if self.replaced_at is not None:
-            sender = f"an owner that was replaced at {self.replaced_at:.3f}"
-        return f"{self.verdict}, by {sender}: {name} of {self.pool}\n  {before}\n  {self.run}"
+        return f"{self.verdict}: {name} of {self.pool}\n  {before}\n  {self.run}"
 
 
 @attrs.define(eq=False)
@@ -123,7 +128,7 @@
 
     :param now: returns the time of the test, in seconds
     :param find_replacement: returns when the claim of a pool with a token was replaced, in seconds;
-        None if it stands or has only lapsed
+        None if it was not
     """
 
     now: Callable[[], float]
@@ -140,7 +145,9 @@
 
     def started(self, worker: MemoryWorker, order: StartOrder) -> None:
         """Judge a start against the earlier runs of its task."""
-        run = RunRecord(worker, order.number, CALL.get(), self.now())
+        call = CALL.get()
+        replaced_at = self.find_replacement(worker.listed.pool, call.token)
+        run = RunRecord(worker, order.number, call, self.now(), replaced_at)
         self.starts += 1
         earlier_runs = self.runs.setdefault(order.task, [])
         for earlier in earlier_runs:
@@ -201,10 +208,7 @@
         shown_at: float = 0.0,
     ) -> None:
         pool = run.worker.listed.pool
-        replaced_at = self.find_replacement(pool, run.order.token)
-        if replaced_at is not None and replaced_at > run.started_at:
-            replaced_at = None
-        self.findings.append(Finding(verdict, task, pool, run, earlier, shown_at, replaced_at))
+        self.findings.append(Finding(verdict, task, pool, run, earlier, shown_at))
 
     def _convert(self, worker: MemoryWorker, worker_seconds: float) -> float:
         return self.now() - (worker.time() - worker_seconds)
--- a/tests/integration/zones.py
+++ b/tests/integration/zones.py
@@ -11,6 +11,7 @@
 import json
 import pathlib
 import random
+import signal
 import sys
 import tempfile
 import time
@@ -32,6 +33,7 @@
 
 __all__ = ["Outcome", "run"]
 
+EXIT_ENDED = 143
 ZONES = ("zone-1", "zone-2", "zone-3")
 #: number of daemons, unless told otherwise
 DAEMONS = 9
@@ -81,9 +83,9 @@
     lag_seconds: float
 
     def __str__(self) -> str:
-        by_owners = sum(finding.replaced_at is None for finding in self.findings)
+        by_owners = sum(not finding.has_replaced_owner for finding in self.findings)
         return (
-            f"{len(self.findings)} findings, {by_owners} by owners that were not replaced; "
+            f"{len(self.findings)} findings, {by_owners} without a replaced owner; "
             f"{self.starts} starts, {self.takeovers} takeovers, {self.accepted} of "
             f"{self.submitted} jobs accepted, {len(self.unfinished)} unfinished, "
             f"{len(self.failed)} failed, {len(self.unexpected)} unexpected, "
@@ -280,6 +282,8 @@
     kinds = [name for name in arguments.faults.split(",") if name]
     if unknown := set(kinds) - set(FAULT_KINDS):
         parser.error(f"unknown faults: {', '.join(sorted(unknown))}")
+    # The daemons have to be ended also if this process is asked to end.
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(EXIT_ENDED))
     logs = arguments.logs or pathlib.Path(tempfile.mkdtemp(prefix="zones-"))
     failed = 0
     for seed in range(arguments.first, arguments.first + arguments.seeds):
