Take a connection that is lost while a stream is opened for a lost reply, not for an error of ours

A client got 500: grpclib raised AttributeError ('Connection' object has no attribute '_transport') in PeerClient.call when the connection to another daemon was lost just then, which nothing caught. It is now a PeerError, so that the call is made again as after any lost reply; any other AttributeError still surfaces.

--- a/limpetpulley/peer/client.py
+++ b/limpetpulley/peer/client.py
@@ -20,6 +20,8 @@
 #: time without any reply after which a channel is closed if a call on it times out, in seconds;
 #: replies take milliseconds, and the takeover of a pool must be noticed within a second
 NO_REPLY_SECONDS = 0.8
+#: attribute that a connection of grpclib lacks once it is lost
+LOST_CONNECTION_ATTRIBUTE = "_transport"
 
 
 class PeerCaller(Protocol):
@@ -117,6 +119,11 @@
             raise PeerUnreachable(f"{address}: {error}") from None
         except (GRPCError, StreamTerminatedError, OSError) as error:
             raise PeerError(f"{address}: {method} failed: {error}") from None
+        except AttributeError as error:
+            # Raised by grpclib if the connection is lost while a stream is opened on it.
+            if error.name != LOST_CONNECTION_ATTRIBUTE:
+                raise
+            raise PeerError(f"{address}: connection lost in {method}") from None
         finally:
             peer.pending -= 1
 
--- a/limpetpulley/peer/tests/test_client.py
+++ b/limpetpulley/peer/tests/test_client.py
@@ -90,3 +90,31 @@
         client.close()
 
     anyio.run(run)
+
+
+class LostConnection:
+    """A connection without its transport."""
+
+
+@pytest.mark.parametrize(
+    ("attribute", "error"), [("_transport", PeerError), ("_unknown", AttributeError)]
+)
+def test_a_connection_that_is_lost_while_a_stream_is_opened_is_no_reply(attribute, error):
+    """A programming error is not mistaken for it."""
+
+    class Stub:
+        def __init__(self, channel):
+            pass
+
+        async def Report(self, message):  # noqa: N802
+            getattr(LostConnection(), attribute)
+
+    async def call():
+        client = PeerClient(lambda channel: Stub(channel))
+        try:
+            await client.call("127.0.0.1:1", "Report", pb.Done())
+        finally:
+            client.close()
+
+    with pytest.raises(error):
+        anyio.run(call)
