--- a/limpetpulley/ownership/planner.py
+++ b/limpetpulley/ownership/planner.py
@@ -117,12 +117,18 @@
     def handle_report(self, message: pb.PoolReport) -> pb.PoolPlan:
         """Record a pool's report; return which of its workers to cordon and which have ended.
 
-        A report of an owner that was replaced is ignored.
+        A report of an owner that was replaced is ignored. The answer is ``UNKNOWN``, and tells of
+        ended workers only, until it is known which workers the previous planner has ordered away.
         """
         if not self.reports.record(message):
             return pb.PoolPlan(outcome=pb.NOT_OWNER)
         reported = {row.worker for row in message.workers}
-        ended = self.reports.judge_ended(message, self.token)
+        ended = [
+            pb.WorkerIncarnation(worker=row.worker, incarnation=row.incarnation)
+            for row in self.reports.judge_ended(message, self.token)
+        ]
+        if not self.restored:
+            return pb.PoolPlan(outcome=pb.UNKNOWN, ended_incarnations=ended)
         vms, draining = self.inventory.vms, self.inventory.draining
         for name in draining:
             vm = vms.get(name)
@@ -134,10 +140,7 @@
         return pb.PoolPlan(
             outcome=pb.ACCEPTED,
             cordoned_workers=sorted(reported & cordoned),
-            ended_incarnations=[
-                pb.WorkerIncarnation(worker=row.worker, incarnation=row.incarnation)
-                for row in ended
-            ],
+            ended_incarnations=ended,
             coming_seconds=self.dispatcher.arrival_seconds(message.pool),
         )
 
--- a/limpetpulley/ownership/reporting.py
+++ b/limpetpulley/ownership/reporting.py
@@ -83,19 +83,7 @@
         while True:
             report = self.build_report()
             plan = await self.send_report(report)
-            now = self.context.clock.now()
-            if plan is not None and plan.outcome == pb.ACCEPTED:
-                self.last_plan_at = now
-                self.pool_state.expected_join_times = [
-                    now + seconds for seconds in plan.coming_seconds
-                ]
-                self.apply_plan(
-                    set(plan.cordoned_workers),
-                    [(row.worker, row.incarnation) for row in plan.ended_incarnations],
-                )
-            elif now - self.last_plan_at > PLAN_TIMEOUT_SECONDS:
-                self.pool_state.expected_join_times = []
-                self.apply_plan(set(), ())
+            self._handle_plan(plan)
             demand = max(report.running_cores, report.lasting_cores + report.arriving_cores)
             changing = self.pool_state.expected_join_times or any(
                 worker.cordoned for worker in self.pool_state.workers.values()
@@ -103,13 +91,36 @@
             busy = plan is None or changing or demand > BUSY_FRACTION * report.room_cores
             await anyio.sleep(BUSY_INTERVAL_SECONDS if busy else IDLE_INTERVAL_SECONDS)
 
+    def _handle_plan(self, plan: pb.PoolPlan | None) -> None:
+        """Apply the planner's answer, None if there was none.
+
+        A planner that does not know yet which workers its predecessor has ordered away tells of
+        ended workers only: the cordons stay, as while there is no planner.
+        """
+        now = self.context.clock.now()
+        ended = []
+        if plan is not None and plan.outcome in (pb.ACCEPTED, pb.UNKNOWN):
+            ended = [(row.worker, row.incarnation) for row in plan.ended_incarnations]
+        if plan is not None and plan.outcome == pb.ACCEPTED:
+            self.last_plan_at = now
+            self.pool_state.expected_join_times = [now + each for each in plan.coming_seconds]
+            self.apply_plan(set(plan.cordoned_workers), ended)
+        elif now - self.last_plan_at > PLAN_TIMEOUT_SECONDS:
+            self.pool_state.expected_join_times = []
+            self.apply_plan(set(), ended)
+        else:
+            self._end_workers(ended)
+
+    def _end_workers(self, ended: Iterable[tuple[str, int]]) -> None:
+        if self.pool_state.end_workers(ended, "vm-ordered"):
+            self.on_change()
+
     def apply_plan(self, cordoned_ids: set[str], ended: Iterable[tuple[str, int]]) -> None:
         """Apply a plan: cordon the workers that are to be drained, drop the runs of ended ones.
 
         :param ended: identifiers and incarnations of the workers that have ended
         """
-        if self.pool_state.end_workers(ended, "vm-ordered"):
-            self.on_change()
+        self._end_workers(ended)
         for worker in self.pool_state.workers.values():
             cordoned = worker.worker_id in cordoned_ids or worker.ended
             if cordoned != worker.cordoned:
--- a/limpetpulley/ownership/tests/test_planner.py
+++ b/limpetpulley/ownership/tests/test_planner.py
@@ -10,9 +10,10 @@
 from ...batch import BatchConfig, PoolConfig
 from ...batch.keys import BatchKeys
 from ...clock import ManualClock
+from ...fleet.planner_record import OrderIntent, PlannerRecord, encode_planner_record
 from ...fleet.vms import FleetVm, Phase
 from ...peer import batch_pb2 as pb
-from ...store import MemoryStore
+from ...store import MemoryStore, Put
 from ...telemetry import EventLog
 from .. import DaemonContext, Timing, WaveRegistry
 from ..planner import VmPlanner
@@ -29,7 +30,8 @@
         return self.vms
 
 
-def make_planner(clock, vms):
+def make_planner(clock, vms, restored=True):
+    """Return a planner that knows the orders of the one before, or has yet to read them."""
     config = BatchConfig(1, {}, {"desk": PoolConfig("desk"), "off": PoolConfig("off", True)})
     log = EventLog("entry-1", os.open(os.devnull, os.O_WRONLY))
     context = DaemonContext(
@@ -37,7 +39,9 @@
     )
     context.config = config
     registry = WaveRegistry(lambda name: name, lambda name, completed: b"")
-    return VmPlanner(context, vms, registry, "entry-1", 1, lambda: 0.0)
+    planner = VmPlanner(context, vms, registry, "entry-1", 1, lambda: 0.0)
+    planner.restored = restored
+    return planner
 
 
 def make_report(*workers, incarnation=1, token=5, unreconciled=False):
@@ -315,3 +319,33 @@
         return planner.reports.may_remove(listed(worker="old")[0])
 
     assert_that(anyio.run(scenario), Equals(may_remove))
+
+
+# Guards against runs that start, and end at once, on a worker that the planner before has just
+# ordered away: with its cordon lifted, it takes tasks until its move or maintenance is seen.
+@pytest.mark.parametrize(
+    ("known", "outcome", "cordoned"),
+    [
+        ("nothing", pb.UNKNOWN, []),
+        ("orders", pb.UNKNOWN, []),
+        ("orders-and-list", pb.ACCEPTED, ["w"]),
+    ],
+)
+def test_new_planner_lifts_no_cordon_before_it_knows_the_orders_of_the_planner_before(
+    known, outcome, cordoned
+):
+    async def scenario():
+        clock, vms = ManualClock(100.0), FakeVmList()
+        planner = make_planner(clock, vms, restored=False)
+        record = PlannerRecord(1, (OrderIntent("m-1", "w", "off", wait=3.0),))
+        store, key = planner.context.store, planner.context.keys.succession
+        await store.commit([], [Put(key, encode_planner_record(record))])
+        vms.vms = listed(worker="w")
+        if known != "nothing":
+            await planner.intents._load()
+        if known == "orders-and-list":
+            await planner._plan_once()
+        plan = planner.handle_report(make_report("w"))
+        return plan.outcome, list(plan.cordoned_workers)
+
+    assert_that(anyio.run(scenario), Equals((outcome, cordoned)))
--- a/limpetpulley/ownership/tests/test_reporting.py
+++ b/limpetpulley/ownership/tests/test_reporting.py
@@ -2,6 +2,7 @@
 
 import os
 
+import anyio
 import attrs
 import pytest
 from testtools.assertions import assert_that
@@ -11,6 +12,7 @@
 from ...batch.keys import BatchKeys
 from ...batch.records import RosterEntry
 from ...clock import ManualClock
+from ...peer import batch_pb2 as pb
 from ...pool import PoolState, process_hold_reply
 from ...scheduling.arrivals import ArrivalEstimator
 from ...store import MemoryStore
@@ -145,3 +147,40 @@
         row = next(row for row in reporter.build_report().workers if row.worker == "listed")
         found.append(row.cordoned)
     assert_that(found, Equals([False, True]))
+
+
+# Guards against tasks on a worker that is about to end, while its planner is being replaced.
+@pytest.mark.parametrize(
+    ("outcome", "seconds", "cordoned", "ended"),
+    [
+        (pb.ACCEPTED, 0.1, False, True),
+        (pb.UNKNOWN, 0.1, True, True),
+        (pb.UNKNOWN, 3.1, False, True),
+        (pb.NOT_OWNER, 0.1, True, False),
+        (pb.NOT_OWNER, 3.1, False, False),
+    ],
+)
+def test_cordons_stay_while_the_planner_does_not_know_which_workers_to_cordon(
+    outcome, seconds, cordoned, ended
+):
+    pool_state, reporter = make_reporter()
+    reporter.apply_plan({"listed"}, ())
+    reporter.context.clock.advance(seconds)
+    incarnation = pb.WorkerIncarnation(worker="left", incarnation=1)
+    plans = [pb.PoolPlan(outcome=outcome, ended_incarnations=[incarnation])]
+
+    async def run():
+        async with anyio.create_task_group() as tasks:
+
+            async def send_report(report):
+                if not plans:
+                    tasks.cancel_scope.cancel()
+                    await anyio.sleep_forever()
+                return plans.pop()
+
+            reporter.send_report = send_report
+            await reporter.run()
+
+    anyio.run(run)
+    listed, left = pool_state.workers["listed"], pool_state.workers["left"]
+    assert_that((listed.cordoned, left.ended), Equals((cordoned, ended)))
