--- a/limpetpulley/ownership/reporting.py
+++ b/limpetpulley/ownership/reporting.py
@@ -12,6 +12,7 @@
 from ..peer import PeerCaller
 from ..peer import batch_pb2 as pb
 from ..pool import PoolState
+from ..pool.needed_workers import needed_workers
 from ..pool.queue_forecast import least_workers, pool_capacity, ready_cores, remaining_work
 from ..scheduling.arrivals import ArrivalEstimator
 from .context import DaemonContext
@@ -118,11 +119,15 @@
     def apply_plan(self, cordoned_ids: set[str], ended: Iterable[tuple[str, int]]) -> None:
         """Apply a plan: cordon the workers that are to be drained, drop the runs of ended ones.
 
+        Workers that lasting tasks need for their label are not cordoned.
+
         :param ended: identifiers and incarnations of the workers that have ended
         """
         self._end_workers(ended)
+        needed = needed_workers(self.pool_state, cordoned_ids)
         for worker in self.pool_state.workers.values():
-            cordoned = worker.worker_id in cordoned_ids or worker.ended
+            asked = worker.worker_id in cordoned_ids and worker.worker_id not in needed
+            cordoned = asked or worker.ended
             if cordoned != worker.cordoned:
                 worker.cordoned = cordoned
                 self.context.log.write(
@@ -138,6 +143,7 @@
     def build_report(self) -> pb.PoolReport:
         """Return a report of the pool's current state."""
         pool_state = self.pool_state
+        needed = needed_workers(pool_state, pool_state.workers)
         waiting = sum(
             remaining_work(pool_state, pool_state.jobs[job_id])
             for job_id in pool_state.ready
@@ -153,7 +159,11 @@
                     vm=worker.listed.vm,
                     worker=worker.worker_id,
                     timed_runs=sum(1 for run in worker.runs.values() if not self._is_lasting(run)),
-                    lasting_runs=sum(1 for run in worker.runs.values() if self._is_lasting(run)),
+                    # A worker that lasting tasks need counts as one with such a task.
+                    lasting_runs=max(
+                        sum(1 for run in worker.runs.values() if self._is_lasting(run)),
+                        int(worker.worker_id in needed),
+                    ),
                     # A VM may be taken from a cordoned worker without runs. Until its first hold
                     # is answered, the owner does not know the worker's runs; until their ends are
                     # stored, the next owner can learn them only from the worker.
--- a/limpetpulley/ownership/tests/test_reporting.py
+++ b/limpetpulley/ownership/tests/test_reporting.py
@@ -184,3 +184,38 @@
     anyio.run(run)
     listed, left = pool_state.workers["listed"], pool_state.workers["left"]
     assert_that((listed.cordoned, left.ended), Equals((cordoned, ended)))
+
+
+def make_labelled_reporter():
+    """Return a pool's reporter; only one of its two workers has a lasting task's label."""
+    pool_state, reporter = make_reporter()
+    pool_state.unreconciled_workers = {}
+    for name, labels in (("listed", {"kind-2"}), ("left", set())):
+        listed = attrs.evolve(pool_state.workers[name].listed, labels=frozenset(labels))
+        pool_state.update_listed_worker(listed)
+    step = Step(1, Amount(1000), lasting=True, label="kind-2")
+    pool_state.add_job(Job(JobKey("q", "b"), JobSpec("", (step,)), "desk"), 0.0)
+    return pool_state, reporter
+
+
+# Guards against LOST where the only worker that a lasting task may run on is moved to another pool.
+def test_worker_that_a_lasting_task_needs_for_its_label_is_not_cordoned():
+    pool_state, reporter = make_labelled_reporter()
+    reporter.apply_plan({"listed", "left"}, ())
+    cordoned = {name for name, worker in pool_state.workers.items() if worker.cordoned}
+    assert_that(cordoned, Equals({"left"}))
+
+
+def test_worker_stays_cordoned_although_a_lasting_task_needs_it_by_now():
+    """Its VM may have been ordered away already."""
+    pool_state, reporter = make_labelled_reporter()
+    pool_state.workers["listed"].cordoned = True
+    reporter.apply_plan({"listed"}, ())
+    assert_that(pool_state.workers["listed"].cordoned, Equals(True))
+
+
+def test_planner_is_told_that_a_worker_is_needed_for_a_lasting_task():
+    """It drains the workers with the fewest lasting tasks first, and takes none that has any."""
+    _, reporter = make_labelled_reporter()
+    rows = {row.worker: row.lasting_runs for row in reporter.build_report().workers}
+    assert_that(rows, Equals({"listed": 1, "left": 0}))
