--- a/limpetpulley/pool/starts.py
+++ b/limpetpulley/pool/starts.py
@@ -95,11 +95,16 @@
 def available_to(
     pool_state: PoolState, job: Job, task: TaskId, workers: list[Worker], now: float
 ) -> list[Worker]:
-    """Return the workers that a task may start on: those with a ticket and without a run of it."""
+    """Return the workers that a task may start on: those with a ticket and without a run of it.
+
+    While a superseded run of it is not known to have ended, only a copy may start.
+    """
     allowed_workers = pool_state.tickets.allowed_workers(job, task, workers, now)
     occupied = _superseded_on(pool_state, task)
     if not occupied:
         return allowed_workers
+    if not job.step_of(task).speculative:
+        return []
     return [worker for worker in allowed_workers if worker.worker_id not in occupied]
 
 
@@ -115,7 +120,7 @@
     """Start all tasks of a gang under one run number, or none."""
     step, tasks = job.step_of(task), gang_tasks(job, task)
     running = team_usage(pool_state, job.team)
-    if any(gang_task in pool_state.runs for gang_task in tasks):
+    if any(each in pool_state.runs or _superseded_on(pool_state, each) for each in tasks):
         return []
     if not shares.allows(job.team, running, step.charge * step.count):
         return []
--- a/limpetpulley/pool/tests/test_superseded_runs.py
+++ b/limpetpulley/pool/tests/test_superseded_runs.py
@@ -1,5 +1,6 @@
 """Runs that are no longer their tasks' current ones count until their workers have ended them."""
 
+import pytest
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
 
@@ -65,3 +66,45 @@
     charged = sum((run.charge for run in worker.runs.values()), Amount())
     assert_that((worker.used, pool_state.usage[""]), Equals((charged, charged)))
     assert_that(started, Equals({}))
+
+
+def list_second_run(pool_state, step_tasks, now):
+    """Let w1 list runs of an earlier owner of tasks that have current runs elsewhere."""
+    rows = [ListedRun(each, 1) for each in step_tasks]
+    own = [ListedRun(run.task, run.number) for run in pool_state.workers["w1"].runs.values()]
+    hold(pool_state, "w1", own + rows, clock=11.0, now=now)
+
+
+# Guards against TWICE: the run that was taken for the task's only one was rejected, and the other
+# one, which is being stopped, still runs.
+@pytest.mark.parametrize(
+    ("step", "copies"),
+    [
+        (Step(1, TASK), 0),
+        (Step(2, TASK, gang=True, max_per_worker=1), 0),
+        (Step(1, TASK, speculative=True), 1),
+    ],
+    ids=["plain", "gang", "speculative"],
+)
+def test_task_is_not_started_again_while_another_run_of_it_is_being_stopped(step, copies):
+    workers = ("w1", "w2", "w3", "w4")
+    pool_state = make_pool_state(step, workers=workers)
+    pool_state.workers["w1"].avoid_until = NOW + 1.0
+    orders = [order for order in plan(pool_state) if isinstance(order, StartOrder)]
+    assert_that(len(orders), Equals(step.count))
+    list_second_run(pool_state, [task(0)], NOW + 0.05)
+    for order in orders:
+        run = pool_state.runs[order.task]
+        process_start_reply(pool_state, run, StartOutcome.NO_ROOM, 10.0, NOW + 0.1)
+    now = NOW + 0.5
+    for name in workers[1:]:
+        hold(pool_state, name, clock=11.0, now=now)
+    started = start_all(pool_state, now)
+    assert_that(len(started), Equals(copies))
+    # Once its end is listed, the task starts.
+    end = EndedRun(1, task(0), 1, EndKind.STOPPED)
+    rows = [ListedRun(run.task, run.number) for run in pool_state.workers["w1"].runs.values()]
+    rows = [row for row in rows if row.task != task(0)]
+    hold(pool_state, "w1", rows, [end], clock=12.0, now=now + 0.1)
+    started |= start_all(pool_state, now + 0.3)
+    assert_that(len(started), Equals(step.count))
