--- a/limpetpulley/pool/ready_jobs.py
+++ b/limpetpulley/pool/ready_jobs.py
@@ -191,12 +191,13 @@
 
 
 def _behind_usage(pool_state: PoolState) -> int:
-    """Return the millicores that jobs running behind all others use."""
+    """Return the millicores that jobs running behind all others use, with superseded runs."""
     used = 0
-    for run in pool_state.runs.values():
-        job = pool_state.jobs.get(run.task.job_id)
-        if job is not None and job.behind:
-            used += run.charge.cpu_millicores
+    for worker in pool_state.workers.values():
+        for run in worker.runs.values():
+            job = pool_state.jobs.get(run.task.job_id)
+            if job is not None and job.behind:
+                used += run.charge.cpu_millicores
     return used
 
 
--- a/limpetpulley/pool/tests/test_superseded_runs.py
+++ b/limpetpulley/pool/tests/test_superseded_runs.py
@@ -7,7 +7,8 @@
 from ...batch import Amount, EndKind, Step
 from ...workers import EndedRun, HoldReply, ListedRun, ListedWorker, StartOrder, StartOutcome
 from .. import process_hold_reply, process_start_reply, requeue_speculative_tasks
-from .test_planning import NOW, TASK, hold, make_pool_state, plan, task
+from ..ready_jobs import behind_capacity
+from .test_planning import JOB, NOW, TASK, hold, make_pool_state, plan, task
 
 CAPACITY = Amount(4000, 8000)
 
@@ -108,3 +109,16 @@
     hold(pool_state, "w1", rows, [end], clock=12.0, now=now + 0.1)
     started |= start_all(pool_state, now + 0.3)
     assert_that(len(started), Equals(step.count))
+
+
+# Guards against jobs that run behind all others on capacity that is kept for jobs in time.
+def test_superseded_runs_count_for_what_jobs_behind_all_others_may_use():
+    pool_state = make_pool_state(Step(2, TASK, speculative=True), workers=("w1", "w2"))
+    pool_state.jobs[JOB].behind = True
+    start_all(pool_state)
+    before = behind_capacity(pool_state)
+    (name,) = {run.worker_id for run in pool_state.runs.values()}
+    worker = pool_state.workers[name]
+    worker.last_reply_at, worker.silent = NOW + 0.5, True
+    requeue_speculative_tasks(pool_state, worker)
+    assert_that((before, behind_capacity(pool_state)), Equals((2000, 2000)))
