--- a/limpetpulley/ownership/reporting.py
+++ b/limpetpulley/ownership/reporting.py
@@ -13,6 +13,7 @@
 from ..peer import batch_pb2 as pb
 from ..pool import PoolState
 from ..pool.ended_workers import may_live
+from ..pool.needed_workers import needed_workers
 from ..pool.queue_forecast import least_workers, pool_capacity, ready_cores, remaining_work
 from ..scheduling.arrivals import ArrivalEstimator
 from .context import DaemonContext
@@ -86,19 +87,7 @@
         while True:
             report = self.build_report()
             plan = await self.send_report(report)
-            now = self.context.clock.now()
-            if plan is not None and plan.outcome == pb.ACCEPTED:
-                self.last_plan_at = now
-                self.pool_state.expected_join_times = [
-                    now + seconds for seconds in plan.coming_seconds
-                ]
-                self.apply_plan(
-                    set(plan.cordoned_workers),
-                    [(row.worker, row.incarnation) for row in plan.ended_incarnations],
-                )
-            elif now - self.last_plan_at > PLAN_TIMEOUT_SECONDS:
-                self.pool_state.expected_join_times = []
-                self.apply_plan(set(), ())
+            self._handle_plan(plan)
             demand = max(report.running_cores, report.lasting_cores + report.arriving_cores)
             changing = self.pool_state.expected_join_times or any(
                 worker.cordoned for worker in self.pool_state.workers.values()
@@ -106,15 +95,42 @@
             busy = plan is None or changing or demand > BUSY_FRACTION * report.room_cores
             await anyio.sleep(BUSY_INTERVAL_SECONDS if busy else IDLE_INTERVAL_SECONDS)
 
+    def _handle_plan(self, plan: pb.PoolPlan | None) -> None:
+        """Apply the planner's answer, None if there was none.
+
+        A planner that does not know yet which workers its predecessor has ordered away tells of
+        ended workers only: the cordons stay, as while there is no planner.
+        """
+        now = self.context.clock.now()
+        ended = []
+        if plan is not None and plan.outcome in (pb.ACCEPTED, pb.UNKNOWN):
+            ended = [(row.worker, row.incarnation) for row in plan.ended_incarnations]
+        if plan is not None and plan.outcome == pb.ACCEPTED:
+            self.last_plan_at = now
+            self.pool_state.expected_join_times = [now + each for each in plan.coming_seconds]
+            self.apply_plan(set(plan.cordoned_workers), ended)
+        elif now - self.last_plan_at > PLAN_TIMEOUT_SECONDS:
+            self.pool_state.expected_join_times = []
+            self.apply_plan(set(), ended)
+        else:
+            self._end_workers(ended)
+
+    def _end_workers(self, ended: Iterable[tuple[str, int]]) -> None:
+        if self.pool_state.end_workers(self._select_ended(ended), "vm-ordered"):
+            self.on_change()
+
     def apply_plan(self, cordoned_ids: set[str], ended: Iterable[tuple[str, int]]) -> None:
         """Apply a plan: cordon the workers that are to be drained, drop the runs of ended ones.
 
+        Workers that lasting tasks need for their label are not cordoned.
+
         :param ended: identifiers and incarnations of the workers that have ended
         """
-        if self.pool_state.end_workers(self._select_ended(ended), "vm-ordered"):
-            self.on_change()
+        self._end_workers(ended)
+        needed = needed_workers(self.pool_state, cordoned_ids)
         for worker in self.pool_state.workers.values():
-            cordoned = worker.worker_id in cordoned_ids or worker.ended
+            asked = worker.worker_id in cordoned_ids and worker.worker_id not in needed
+            cordoned = asked or worker.ended
             if cordoned != worker.cordoned:
                 worker.cordoned = cordoned
                 self.context.log.write(
@@ -151,6 +167,7 @@
     def build_report(self) -> pb.PoolReport:
         """Return a report of the pool's current state."""
         pool_state = self.pool_state
+        needed = needed_workers(pool_state, pool_state.workers)
         waiting = sum(
             remaining_work(pool_state, pool_state.jobs[job_id])
             for job_id in pool_state.ready
@@ -166,7 +183,11 @@
                     vm=worker.listed.vm,
                     worker=worker.worker_id,
                     timed_runs=sum(1 for run in worker.runs.values() if not self._is_lasting(run)),
-                    lasting_runs=sum(1 for run in worker.runs.values() if self._is_lasting(run)),
+                    # A worker that lasting tasks need counts as one with such a task.
+                    lasting_runs=max(
+                        sum(1 for run in worker.runs.values() if self._is_lasting(run)),
+                        int(worker.worker_id in needed),
+                    ),
                     # A VM may be taken from a cordoned worker without runs. Until its first hold
                     # is answered, the owner does not know the worker's runs; until their ends are
                     # stored, the next owner can learn them only from the worker.
