--- a/limpetpulley/batch/job.py
+++ b/limpetpulley/batch/job.py
@@ -58,7 +58,7 @@
     :param done: completed tasks
     :param failures: numbers of the failed runs by task, those of a gang by its first task
     :param crashes: crashes of workers that a task may have caused, those of a gang by its first
-        task: by run number, the reciprocal of the number of tasks that may have caused it
+        task: by run number, how much of the crash is attributed to the task, at most 1
     :param cancelled: whether it was cancelled
     :param failed: whether a task reached the maximum number of failed runs, or crashed its workers
     :param started: whether a worker has told of the start of any task
@@ -181,7 +181,7 @@
         """Record a crash of the worker of a task's run; return whether it was not recorded yet.
 
         :param number: number of the run
-        :param share: reciprocal of the number of tasks that may have caused the crash
+        :param share: how much of the crash is attributed to the task, at most 1
         """
         shares = self.crashes.setdefault(self.attempt_unit(task), {})
         if number in shares:
--- a/limpetpulley/ownership/tests/test_crashing_tasks.py
+++ b/limpetpulley/ownership/tests/test_crashing_tasks.py
@@ -19,6 +19,13 @@
 LONGEST_PAUSE_SECONDS = 9.0
 #: time after the load until every job has ended, in seconds
 SETTLE_SECONDS = 15.0
+#: interval between two pairs of crashes for other reasons, and between the crashes of a pair, in
+#: seconds
+PAIR_INTERVAL_SECONDS, PAIR_GAP_SECONDS = 1.2, 0.15
+#: time for which a crashed worker is still listed, and its VM down, in seconds
+DARK_SECONDS = 4.5
+#: innocent jobs that may be given up in four plays in which a worker crashes every 0.6 s
+MAX_GIVEN_UP = 3
 
 
 @attrs.define
@@ -182,3 +189,36 @@
     others = {culprit._replace(position=0)}
     others |= {TaskId("0000000000000010", 0, 0, position) for position in range(2)}
     assert others <= runs.keys()
+
+
+async def crash_pairs_often(deployment, rng):
+    """Crash two workers of the pool, one soon after the other, again and again."""
+    vms, workers = deployment.fleet.vms, deployment.fleet.workers.workers
+    while True:
+        await anyio.sleep(rng.uniform(0.9, 1.1) * PAIR_INTERVAL_SECONDS)
+        for _ in range(2):
+            alive = [
+                name
+                for name, worker in vms.listed_workers.items()
+                if worker.pool == "desk" and name in workers
+            ]
+            if alive:
+                vms.crash(rng.choice(alive), DARK_SECONDS, DARK_SECONDS)
+            await anyio.sleep(PAIR_GAP_SECONDS)
+
+
+# Guards against LOST where workers crash so often that two crashes follow starts of one task.
+@pytest.mark.parametrize("kind", ["plain", "gang"])
+def test_few_innocent_jobs_are_given_up_where_workers_crash_often(kind):
+    states = []
+    for seed in range(2, 6):
+        guilty, innocent, _ = run_scenario(
+            lambda deployment, seed=seed: play(deployment, seed, STEPS[kind], [crash_pairs_often]),
+            seed=seed,
+            vms=8,
+            moves=False,
+        )
+        assert set(guilty.values()) == {JobState.FAILED}
+        states += innocent.values()
+    assert states.count(JobState.FAILED) <= MAX_GIVEN_UP
+    assert set(states) <= {JobState.COMPLETED, JobState.FAILED}
--- a/limpetpulley/pool/crashes.py
+++ b/limpetpulley/pool/crashes.py
@@ -8,6 +8,8 @@
 
 A worker that was being drained has ended as planned and has not crashed. If several workers crash
 at once, as a rack does, a common cause is likelier than a task; each task is excused for that once.
+Where workers crash often without any start as the cause, a crash counts for less; see
+:mod:`.crash_history`.
 
 A crash is known from the list of VMs or from the worker's next incarnation, soon after the start
 that caused it, or by a connection lost then. A worker that is silent and not listed may live: when
@@ -52,7 +54,8 @@
 #: time of silence after which a crash is not attributed to a start before it, unless the connection
 #: was lost then, in seconds
 MAX_SILENCE_SECONDS = 2.5
-#: suspicion at which a task is given up: two crashes for which there was no other suspect
+#: suspicion at which a task is given up: two crashes for which there was no other suspect, more
+#: where workers crash often for other reasons
 MAX_SUSPICION = 2.0
 #: suspicion from which on the tasks of a job are started one at a time
 LIKELY_SUSPICION = 1.0
@@ -131,17 +134,21 @@
         job = pool_state.jobs.get(task.job_id)
         if job is not None and job.needs_run(task):
             units[job.attempt_unit(task)] = (job, task, number)
+    now = max(pool_state.scanned_at, worker.last_reply_at)
+    if units or not lost:
+        # What had just started of jobs that have ended may be the cause, and is not cleared.
+        suspects = {unit: number for unit, (_, _, number) in units.items()}
+        pool_state.crash_history.note_crash(suspects, now)
     if beside_others:
         for unit in units.keys() - pool_state.suspects - pool_state.excused:
             pool_state.excused.add(unit)
             del units[unit]
-    now = max(pool_state.scanned_at, worker.last_reply_at)
     if worker.lost_at is None and now - worker.last_reply_at > MAX_SILENCE_SECONDS:
         pool_state.suspects.update(units)
         units = {}
-    share = 1 / max(1, len(units))
     for unit, (job, task, number) in units.items():
         pool_state.suspects.add(unit)
+        share = _evidence(pool_state, job, unit, now) / len(units)
         if job.note_crash(task, number, share):
             pool_state.progress.mark_changed(job.key.job_id)
             if job.step_of(task).lasting:
@@ -162,6 +169,17 @@
     pool_state.on_event(PoolEvent("worker-crashed", worker.worker_id, detail=detail, life=life))
 
 
+def _evidence(pool_state: PoolState, job: Job, unit: TaskId, now: float) -> float:
+    """Return how much a crash says about a task, or a gang, that had just started, from 0 to 1."""
+    workers = sum(worker.present for worker in pool_state.workers.values())
+    starts = {
+        run.worker_id
+        for run in pool_state.runs_of(job.key.job_id)
+        if job.attempt_unit(run.task) == unit
+    }
+    return pool_state.crash_history.evidence(workers, max(1, len(starts)), now)
+
+
 def _pace_lasting(pool_state: PoolState, job: Job, unit: TaskId, number: int, now: float) -> None:
     """Delay the next start of a lasting task, and keep no more of its crashes than count."""
     shares = job.crashes[unit]
@@ -173,7 +191,7 @@
 def clear_survivors(pool_state: PoolState, worker: Worker) -> None:
     """Clear the suspects whose start a worker has outlived."""
     worker.lost_starts = []
-    if pool_state.suspects:
+    if pool_state.suspects or pool_state.crash_history.has_suspects(worker.last_reply_at):
         for run in worker.runs.values():
             if has_outlived_start(worker, run):
                 clear_suspect(pool_state, worker, run.task, run.number)
@@ -185,9 +203,12 @@
     :param number: number of the run; those of before the last crash prove nothing
     """
     job = pool_state.jobs.get(task.job_id)
-    if job is None or not is_suspect(pool_state, job, task):
+    if job is None:
         return
     unit = job.attempt_unit(task)
+    pool_state.crash_history.clear(unit, number)
+    if not is_suspect(pool_state, job, task):
+        return
     if number <= max(job.crashes.get(unit, ()), default=0):
         return
     pool_state.suspects.discard(unit)
--- a/limpetpulley/pool/state.py
+++ b/limpetpulley/pool/state.py
@@ -14,6 +14,7 @@
 from ..batch import Amount, Job, TaskId
 from ..workers import ListedWorker, Run, RunPhase, StopOrder, Worker
 from ..workers.lease import MIN_CLOCK_RATE, EarlierLease
+from .crash_history import CrashHistory
 from .crashes import has_crashed, note_heartbeat, record_crash, suspend_judgement
 from .ended_workers import report_sign_of_life
 from .events import EndPositions, PoolEvent
@@ -116,6 +117,7 @@
         self.trial_pauses: dict[str, float] = {}
         # Workers whose suspect was cleared since the last planning round.
         self.ended_trials: set[str] = set()
+        self.crash_history = CrashHistory()
         # VMs whose worker has crashed, with the local time of its last reply.
         self.crashed_vms: dict[str, float] = {}
         # Jobs of which nothing runs although tasks are ready: the local times since when, and of
--- a/limpetpulley/pool/tests/test_crashes.py
+++ b/limpetpulley/pool/tests/test_crashes.py
@@ -238,3 +238,42 @@
     crash(pool_state, order.worker_id)
     assert pool_state.jobs[JOB].suspicion(order.task) == suspicion
     assert (order.task in pool_state.suspects) is (sign != "heartbeat")
+
+
+def crash_others(pool_state, count, now):
+    """End workers with which nothing had just started, one after another."""
+    for number in range(count):
+        pool_state.scanned_at = now + number / 10
+        crash(pool_state, f"w{15 - number}")
+
+
+# Guards against LOST where workers crash often for other reasons, two of them at once after a start
+# of the same task.
+@pytest.mark.parametrize(("others", "crashes"), [(0, 2), (1, 2), (4, 3), (10, 4)])
+def test_task_is_given_up_later_where_workers_crash_for_other_reasons(others, crashes):
+    pool_state = make_busy_pool_state(PLAIN, workers=16)
+    crash_others(pool_state, others, NOW)
+    for number in range(1, crashes + 1):
+        keep_alive(pool_state, NOW + number)
+        (order,) = start(pool_state, NOW + number)
+        crash(pool_state, order.worker_id)
+        pool_state.mark_stored(dict(pool_state.progress.newest))
+    assert start(pool_state, NOW + crashes + 1) == []
+    assert pool_state.jobs[JOB].state is JobState.FAILED
+
+
+# Guards against LOST where something has just started on most workers that crash for other reasons.
+def test_crashes_whose_suspects_are_cleared_count_as_crashes_for_other_reasons():
+    pool_state = make_busy_pool_state(Step(4, TASK, max_per_worker=1), workers=16)
+    for order in start(pool_state, NOW):
+        pool_state.scanned_at = NOW + order.task.position / 10
+        crash(pool_state, order.worker_id)
+    history = pool_state.crash_history
+    assert history.evidence(8, 1, NOW + 1.0) == 1.0
+    for number in range(4):
+        now = NOW + 1.0 + number
+        pool_state.mark_stored(dict(pool_state.progress.newest))
+        keep_alive(pool_state, now)
+        assert len(start(pool_state, now)) == 1
+        keep_alive(pool_state, now + 0.3)
+    assert history.evidence(8, 1, NOW + 5.0) < 1.0
