Let an owner of the model know only the roster that it has stored itself

Cause: the first owner counted its successor's write of the roster as its own, so a trial with a worker that returns under another identifier broke TWICE (74870 states). The code does not: WorkerRoster.surely_stored counts its own writes, which compare the claim.

--- a/limpetpulley/pool/tests/proof_model.py
+++ b/limpetpulley/pool/tests/proof_model.py
@@ -192,6 +192,7 @@
     second = Owner(
         views,
         is_done=state.is_stored,
+        rostered=state.roster,
         unreconciled=frozenset() if state.is_stored else unreconciled,
         wait=0 if state.is_stored or not unreconciled else rules.wait_ticks,
         lives=tuple(worker.life for worker in state.workers) if unreconciled else NO_LIVES,
@@ -212,9 +213,10 @@
         known = evolve(confirmed, is_unstored=False)
         yield ("progress stored", number, -1), change_owner(stored, number, known), None
     known_workers = {worker for worker, view in enumerate(owner.views) if view.life >= 0}
-    if not known_workers <= state.roster:
+    if not known_workers <= owner.rostered:
         stored = evolve(state, roster=state.roster | known_workers)
-        yield ("roster stored", number, -1), change_owner(stored, number, confirmed), None
+        known = evolve(confirmed, rostered=stored.roster)
+        yield ("roster stored", number, -1), change_owner(stored, number, known), None
 
 
 def _send_start(state: State, owner_number: int, rules: Rules, scope: Scope) -> Iterator[Step]:
--- a/limpetpulley/pool/tests/proof_model_owners.py
+++ b/limpetpulley/pool/tests/proof_model_owners.py
@@ -97,7 +97,7 @@
             continue
         if rules.incarnations_confirmed and str(number) not in confirmed:
             continue
-        if rules.starts_on_roster_only and number not in state.roster:
+        if rules.starts_on_roster_only and number not in owner.rostered:
             continue
         run = HIGHEST_RUNS[owner_number] - owner.starts_left
         call = StartCall(run, may_lease, view.life, state.workers[number].life)
--- a/limpetpulley/pool/tests/proof_model_state.py
+++ b/limpetpulley/pool/tests/proof_model_state.py
@@ -1,7 +1,7 @@
 """State of the model of the proofs: workers, what two owners know of them, and calls under way.
 
-Times are in ticks and relative to the present, so that the state space is finite. What an owner has
-found is dated by its order to the confirmations of its claim.
+Times are in ticks, relative to the present. What an owner has found is
+dated by its order to the confirmations of its claim.
 """
 
 from __future__ import annotations
@@ -262,6 +262,7 @@
     :param unreconciled: workers that may have unseen runs of earlier owners
     :param wait: ticks until these can have no runs any more; see :attr:`View.lease`
     :param starts_left: number of runs that it may still start
+    :param rostered: workers that it knows the stored roster to name
     :param lives: incarnations of the workers at the takeover
     """
 
@@ -276,6 +277,7 @@
     unreconciled: frozenset[int] = frozenset()
     wait: int = 0
     starts_left: int = 1
+    rostered: frozenset[int] = frozenset({0, 1})
     lives: tuple[int, ...] = NO_LIVES
 
     @property
@@ -289,8 +291,7 @@
 
     def awaits_confirmation(self) -> bool:
         """Return whether a confirmation of the claim would change what may be relied on."""
-        lapsed = self.wait < 0 or any(view.lease < 0 for view in self.views)
-        return lapsed or bool(self.pending())
+        return self.wait < 0 or any(view.lease < 0 for view in self.views) or bool(self.pending())
 
     def pending(self) -> dict[Subject, float]:
         """Return what needs a confirmation, and when it was found."""
