Say what the proof by a list of VMs depends on

Found by the model: a list from before this owner's first report of the incarnation proves nothing (PoolReports.known_since excludes it).

--- a/limpetpulley/pool/proofs.py
+++ b/limpetpulley/pool/proofs.py
@@ -37,8 +37,9 @@
     effect, and a later list of its worker contains neither the run nor its end. ``REJECTED``: its
     worker has rejected all its start orders. ``LEASE_LAPSED``: the latest lease that any call may
     have given its worker has expired. ``NEXT_INCARNATION``: its worker has started anew.
-    ``VM_ENDED``: a list of VMs that is newer than the worker's incarnation shows its VM as down,
-    ordered away, or with another worker.
+    ``VM_ENDED``: a list of VMs that is newer than this owner's first report of the incarnation
+    shows its VM as down, ordered away, or with another worker, and its host has closed a
+    connection since its last reply to this owner, if there was one.
     """
 
     LISTED_END = "listed-end"
