--- a/measure/ablation.py
+++ b/measure/ablation.py
@@ -171,8 +171,8 @@
     Mechanism(
         "joining-vms",
         "ownership/reporting.py",
-        "                    now + seconds for seconds in plan.coming_seconds\n",
-        "                    now + seconds for seconds in ()\n",
+        "expected_join_times = [now + each for each in plan.coming_seconds]\n",
+        "expected_join_times = [now + each for each in ()]\n",
     ),
     Mechanism(
         "packing",
