--- a/limpetpulley/ownership/admission.py
+++ b/limpetpulley/ownership/admission.py
@@ -305,6 +305,9 @@
         if outcome.stored and is_new and job.pool == self.pool_state.pool:
             wall_time = self.context.wall_time()
             self.pool_state.add_job(job, wall_time)
+            if outcome.may_be_stored:
+                # A later owner may have stored the record, and started the job's tasks.
+                self.pool_state.claim_guard.require(job.key)
             if outcome.cancelled:
                 self.pool_state.cancel(job, wall_time)
 
--- a/limpetpulley/ownership/tests/test_partitions.py
+++ b/limpetpulley/ownership/tests/test_partitions.py
@@ -62,3 +62,34 @@
     run_scenario(scenario, moves=False)
     assert_that((len(times["run-dropped"]), len(times["run-ordered"])), Equals((1, 2)))
     assert times["run-ordered"][1] - times["run-dropped"][0] < 0.1
+
+
+@pytest.mark.parametrize("cut_seconds", [5.0, 5.1, 5.2, 5.3, 6.0, 7.0])
+def test_an_owner_in_doubt_of_a_job_does_not_start_what_its_successor_has_stored(cut_seconds):
+    """The record that settles its doubt may be the successor's, and tasks of the job may run."""
+    spec, job_id = JobSpec("9.0", (Step(1, TASK, 9.0),)), "00000000000000d0"
+
+    async def scenario(deployment):
+        fleet = deployment.fleet
+        faults = fleet.workers.faults = OrderFaults(fleet.tasks, random.Random(1))
+        owner = fleet.owner_of("desk")
+        names = sorted(name for name in fleet.workers.workers if name.startswith("desk"))
+        restore = fleet.partition([owner], names[:2], faults)
+
+        async def submit_at_owner():
+            await deployment.submit("desk", spec, at=owner, job_id=job_id)
+
+        fleet.tasks.start_soon(submit_at_owner)
+        started_at = fleet.clock.now()
+        await anyio.sleep(3.2)
+        successor = next(name for name in fleet.daemons if name != owner)
+        await deployment.submit("desk", spec, at=successor, job_id=job_id)
+        await anyio.sleep(cut_seconds - (fleet.clock.now() - started_at))
+        before = len(fleet.runs)
+        # The watch tells of the successor's claim later than the read that settles the doubt.
+        fleet.faults.silent_watch = True
+        restore()
+        await anyio.sleep(3.0)
+        return before, len(fleet.runs)
+
+    assert_that(run_scenario(scenario, moves=False), Equals((1, 1)))
--- a/limpetpulley/pool/proofs.py
+++ b/limpetpulley/pool/proofs.py
@@ -11,7 +11,8 @@
 judged as of the latest confirmation, so it has lapsed before that.
 
 The same holds for a new incarnation of a worker, which has seen no token yet: a later owner may
-know only the one before and may have started the tasks elsewhere.
+know only the one before and may have started the tasks elsewhere. It holds for a job of which this
+owner has read that it is stored: a later owner may have stored it.
 """
 
 from __future__ import annotations
@@ -21,7 +22,7 @@
 
 import attrs
 
-from ..batch import TaskId
+from ..batch import JobKey, TaskId
 
 __all__ = ["CLAIM_SECONDS", "INHERITED_RUNS", "ClaimGuard", "Proof", "Subject"]
 
@@ -62,9 +63,9 @@
 
 INHERITED_RUNS = _InheritedRuns()
 
-#: what must be confirmed: that a task's run is over, that a worker's incarnation is its latest, or
-#: that the runs of earlier owners are accounted for
-Subject = TaskId | str | _InheritedRuns
+#: what must be confirmed: that a task's run is over, that a worker's incarnation is its latest,
+#: that the runs of earlier owners are accounted for, or that this owner has stored a job's record
+Subject = TaskId | str | _InheritedRuns | JobKey
 
 
 @attrs.define
--- a/limpetpulley/pool/state.py
+++ b/limpetpulley/pool/state.py
@@ -191,7 +191,9 @@
                 self.update_ready_tasks(job, now)
 
     def may_start(self, job: Job) -> bool:
-        """Return whether no run of the job by an earlier owner can still be alive unseen."""
+        """Return whether no run of the job by another owner can be alive unseen."""
+        if not self.claim_guard.is_confirmed(job.key):
+            return False
         return job.key.job_id not in self.inherited or (
             not self.unreconciled_workers and self.claim_guard.is_confirmed(INHERITED_RUNS)
         )
