Review: accepted jobs never start while a planner holds idle executors back

Case 8: after a burst, the planner cordons all but two executors of an idle pool for moves that nothing can receive. A work item with a label, and a gang that needs executors of its own, are accepted and never start (rule LOST). The stand-ins move machines and know gangs.

--- a/review/local_platform.py
+++ b/review/local_platform.py
@@ -10,9 +10,9 @@
 import asyncio
 import base64
 import contextlib
-import heapq
 import itertools
 import json
+import math
 import os
 import pathlib
 import signal
@@ -74,6 +74,9 @@
 MAX_ITEMS = 500
 READY_TIMEOUT_SECONDS = 30.0
 KEPT, REJECTED, NOT_RUN = 0, 1, 2
+#: first ports of the rows that are tried: a process has a range of its own
+PORTS = itertools.count(12_000 + os.getpid() % 450 * 40, 4)
+MAX_PORT_ATTEMPTS = 500
 
 
 class NoAnswerError(Exception):
@@ -101,15 +104,20 @@
         self.file.flush()
 
 
-def free_ports(count: int) -> list[int]:
-    """Return ports of the loopback address that nothing listens on."""
-    sockets = [socket.socket() for _ in range(count)]
-    for each in sockets:
-        each.bind((HOST, 0))
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
-    return ports
+def find_ports(count: int) -> list[int]:
+    """Return ports in a row that nothing listens on, below those of outgoing connections."""
+    for first in itertools.islice(PORTS, MAX_PORT_ATTEMPTS):
+        sockets = [socket.socket() for _ in range(count)]
+        try:
+            for port, each in enumerate(sockets, first):
+                each.bind((HOST, port))
+        except OSError:
+            continue
+        finally:
+            for each in sockets:
+                each.close()
+        return list(range(first, first + count))
+    raise CannotRunError("no free ports")
 
 
 Handler = Callable[[str, str, dict[str, str], dict[str, str], Any], Awaitable[tuple[int, Any]]]
@@ -160,8 +168,7 @@
                 answer = json.dumps(document).encode()
                 writer.write(
                     f"HTTP/1.1 {status} -\r\nContent-Type: application/json\r\n"
-                    f"Content-Length: {len(answer)}\r\n\r\n".encode()
-                    + answer
+                    f"Content-Length: {len(answer)}\r\n\r\n".encode() + answer
                 )
                 await writer.drain()
         except (NoAnswerError, OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
@@ -320,7 +327,9 @@
     """A machine of a pool; each life of it is an executor with an identifier of its own.
 
     A work item runs for the seconds that the job's ``spec`` lists for its step and ends ``done``.
+    Those of a gang run so long from the moment at which all of one run are present.
 
+    :param gangs: the members of each gang's runs that are present, shared by all machines
     :param on_start: called with the machine, the work item's name and the run that has begun
     """
 
@@ -331,16 +340,20 @@
         zone: str,
         store: Store,
         record: Record,
+        gangs: dict[tuple[str, int], dict[str, Machine]] | None = None,
         cpu: int = 16_000,
+        kind: str = "a",
         on_start: Callable[[Machine, str, int], None] = lambda machine, task, run: None,
     ):
         self.name, self.pool, self.zone = name, pool, zone
         self.store, self.record, self.on_start = store, record, on_start
+        self.gangs = {} if gangs is None else gangs
         self.capacity = {"cpu": cpu, "memMb": 65_536, "gpu": 0}
-        self.labels = ["a", f"r1-{name}"]
+        self.labels = [kind, f"r1-{name}"]
         self.http = HttpService(self._handle)
         self.lives = 0
         self.up = False
+        self.state = "down"
         self.worker_id = ""
 
     async def start(self) -> None:
@@ -355,15 +368,25 @@
         self.finished: list[list[Any]] = []
         self.changed = asyncio.Event()
         await self.http.open()
-        self.up = True
+        self.up, self.state = True, "up"
         self.beat()
 
     def crash(self) -> None:
         """End the life with all that runs in it; the host resets its channels."""
         lost = [f"{task} run {run['run']}" for task, run in self.running.items()]
         self.record.write(f"{self.worker_id}: crashes with {lost}")
-        self.up = False
+        self._break_gangs()
+        self.up, self.state = False, "down"
+        self.http.close()
+
+    def leave(self, state: str) -> None:
+        """End the life with all that runs in it, because its machine was ordered away."""
+        lost = [f"{task} run {run['run']}" for task, run in self.running.items()]
+        self.record.write(f"{self.worker_id}: leaves {self.pool} with {lost}")
+        self._break_gangs()
+        self.up, self.state = False, state
         self.http.close()
+        self.store.delete(f"servers/{self.worker_id}")
 
     def clock_ms(self) -> int:
         """Return the executor's clock."""
@@ -412,7 +435,7 @@
         return {
             "machine": self.name,
             "pool": self.pool,
-            "state": "up" if self.up else "down",
+            "state": self.state,
             "zone": self.zone,
             "labels": self.labels,
             "capacity": self.capacity,
@@ -422,16 +445,34 @@
     def _advance(self) -> None:
         """End the runs whose time has come, or whose lease has lapsed."""
         now = time.monotonic()
-        due = [(run["ends_at"], task) for task, run in self.running.items() if run["ends_at"] <= now]
-        heapq.heapify(due)
-        while due:
-            _, task = heapq.heappop(due)
-            self._end(task, "done")
-        if self.running and self.clock_ms() > self.until_ms:
-            for task in list(self.running):
-                self._end(task, "lapsed")
-
-    def _end(self, task: str, how: str) -> None:
+        lapsed = self.clock_ms() > self.until_ms
+        for task, run in list(self.running.items()):
+            if task not in self.running:
+                continue
+            if run["ends_at"] <= now:
+                self._end_unit(task, "done", "done")
+            elif now >= run["alone_at"] and run["ends_at"] == math.inf:
+                self._end_unit(task, "alone", "alone")
+            elif lapsed:
+                self._end_unit(task, "lapsed", "broken")
+
+    def _end_unit(self, task: str, how: str, how_others: str) -> None:
+        """End a run, and with one of a gang the runs of its other members."""
+        run = self.running[task]["run"]
+        members = self.gangs.pop(_gang_key(task, run), {task: self})
+        for member, machine in members.items():
+            if machine.up and machine.running.get(member, {}).get("run") == run:
+                machine.end(member, how if member == task else how_others)
+
+    def _break_gangs(self) -> None:
+        """End the other members of the gangs that have one here, which is lost."""
+        for task, run in self.running.items():
+            for member, machine in self.gangs.pop(_gang_key(task, run["run"]), {}).items():
+                if machine is not self and machine.up and member in machine.running:
+                    machine.end(member, "broken")
+
+    def end(self, task: str, how: str) -> None:
+        """End a run and list its end."""
         run = self.running.pop(task)["run"]
         self.ended_runs[task] = max(run, self.ended_runs.get(task, 0))
         self.ends_total += 1
@@ -463,7 +504,7 @@
             task, run = body["task"], body["run"]
             self.ended_runs[task] = max(run, self.ended_runs.get(task, 0))
             if task in self.running and self.running[task]["run"] <= run:
-                self._end(task, "stopped")
+                self._end_unit(task, "stopped", "broken")
         return 200, {"clockMs": self.clock_ms()}
 
     def _start_run(self, body: dict[str, Any]) -> tuple[int, Any]:
@@ -477,15 +518,25 @@
             return 409, {"clockMs": self.clock_ms(), "reason": "old"}
         if body["untilMs"] <= self.clock_ms():
             return 409, {"clockMs": self.clock_ms(), "reason": "late"}
-        spec = json.loads(body["spec"])
+        plan = json.loads(body["spec"])[int(task.split(".")[2])]
         used = sum(each["cpu"] for each in self.running.values())
         self._extend(body["untilMs"])
-        if used + spec["cpu"] > self.capacity["cpu"]:
+        if used + plan["cpu"] > self.capacity["cpu"]:
             return 409, {"clockMs": self.clock_ms(), "reason": "room"}
-        seconds = spec["seconds"][int(task.split(".")[2])]
-        ends_at = time.monotonic() + seconds
-        self.running[task] = {"run": run, "ends_at": ends_at, "cpu": spec["cpu"]}
+        now = time.monotonic()
+        self.running[task] = {
+            "run": run,
+            "cpu": plan["cpu"],
+            "ends_at": now + plan["seconds"] if plan["members"] == 1 else math.inf,
+            "alone_at": now + BOUNDS["gangTimeoutMs"] / 1000,
+        }
         self.record.write(f"{self.worker_id}: {task} run {run} begins")
+        if plan["members"] > 1:
+            members = self.gangs.setdefault(_gang_key(task, run), {})
+            members[task] = self
+            if len(members) == plan["members"]:
+                for member, machine in members.items():
+                    machine.running[member]["ends_at"] = now + plan["seconds"]
         self.on_start(self, task, run)
         return 200, {"clockMs": self.clock_ms()}
 
@@ -506,30 +557,21 @@
         }
 
 
+def _gang_key(task: str, run: int) -> tuple[str, int]:
+    """Return the key of a gang's run: its job, occurrence and step, and the run's number."""
+    return task.rpartition(".")[0], run
+
+
 class Daemon:
     """A daemon process, started with the command of the deploy file."""
 
     def __init__(self, name: str, zone: str, deployment: Deployment):
         self.name, self.zone, self.deployment = name, zone, deployment
-        self.callers_port, self.readiness_port = free_ports(2)
-        self.peers_port = self._find_pair()
+        # The metrics are served at the port after that for other daemons.
+        self.callers_port, self.readiness_port, self.peers_port, _ = find_ports(4)
         self.process: asyncio.subprocess.Process | None = None
         self.log = deployment.folder / f"{name}.log"
 
-    def _find_pair(self) -> int:
-        """Return a free port whose next one is free as well, for the metrics."""
-        for port in range(21_000 + os.getpid() % 400 * 40, 60_000, 2):
-            with socket.socket() as first, socket.socket() as second:
-                try:
-                    first.bind((HOST, port))
-                    second.bind((HOST, port + 1))
-                except OSError:
-                    continue
-            if port not in self.deployment.taken_ports:
-                self.deployment.taken_ports.add(port)
-                return port
-        raise CannotRunError("no free ports")
-
     async def start(self) -> None:
         """Start the process."""
         path = self.deployment.folder / f"{self.name}.json"
@@ -624,22 +666,24 @@
 
     def __init__(self, record: Record, pools: tuple[str, ...], max_attempts: int = 3):
         self.record, self.pools, self.max_attempts = record, pools, max_attempts
+        self.version = 0
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="case-"))
         self.store = Store(record)
         self.machines: list[Machine] = []
+        self.gangs: dict[tuple[str, int], dict[str, Machine]] = {}
         self.daemons: list[Daemon] = []
-        self.taken_ports: set[int] = set()
         self.cloud = HttpService(self._handle_cloud)
         self.tasks: list[asyncio.Task] = []
 
-    async def start(self, daemon_names: dict[str, str]) -> None:
-        """Start the stand-ins, then the daemons, and wait until all pools have an owner.
+    async def start(self, daemon_names: dict[str, str], limit_cpu: int = 0) -> None:
+        """Start the stand-ins, then the daemons.
 
         :param daemon_names: zone of each daemon by its name
+        :param limit_cpu: the team's upper limit at first, in thousandths of a core, 0 for none
         """
         await self.store.http.open()
         await self.cloud.open()
-        self.store.put("op/config", self.config(1))
+        self.configure(limit_cpu)
         self.tasks.append(asyncio.create_task(self.store.run_expiry()))
         for machine in self.machines:
             await machine.start()
@@ -648,10 +692,21 @@
         for daemon in self.daemons:
             await daemon.start()
 
-    def config(self, version: int) -> dict[str, Any]:
-        """Return the operator's configuration."""
+    def configure(self, limit_cpu: int) -> None:
+        """Write the next version of the operator's configuration.
+
+        :param limit_cpu: the team's upper limit, in thousandths of a core, 0 for none
+        """
+        self.version += 1
+        self.record.write(f"operator: version {self.version}, upper limit {limit_cpu}")
+        team = {"name": TEAM, "apiKeys": [SECRET], "weight": 1.0}
+        if limit_cpu:
+            team["upperBound"] = {"cpu": limit_cpu, "memMb": 0, "gpu": 0}
+        self.store.put("op/config", self._make_config(team))
+
+    def _make_config(self, team: dict[str, Any]) -> dict[str, Any]:
         return {
-            "version": version,
+            "version": self.version,
             "routes": [
                 {
                     "name": f"{pool}-jobs",
@@ -669,7 +724,7 @@
                 for pool in self.pools
             ],
             "services": [{"name": pool, "admissionCheck": True} for pool in self.pools],
-            "tenants": [{"name": TEAM, "apiKeys": [SECRET], "weight": 1.0}],
+            "tenants": [team],
             "limits": {},
         }
 
@@ -739,22 +794,53 @@
     ) -> tuple[int, Any]:
         if path == "/api/machines":
             return 200, {"machines": [each.row() for each in self.machines], "nextToken": None}
-        # No pool is in standby, so that the system has no reason for a move, and there is no wave.
-        self.record.write(f"machines: {path} {body}")
-        return 409, {"reason": "busy"}
+        status, answer = self._order_machine(path, body)
+        token = headers.get("fencing-token")
+        self.record.write(f"machines: {path} {body} with token {token}: {status} {answer}")
+        return status, answer
+
+    def _order_machine(self, path: str, body: Any) -> tuple[int, Any]:
+        machine = next((each for each in self.machines if each.name == body["machine"]), None)
+        if machine is None or body.get("pool", machine.pool) not in self.pools:
+            return 400, {}
+        if path != "/api/machine-move":
+            # No case orders a wave.
+            return 409, {"reason": "wave"}
+        if machine.pool == body["pool"]:
+            return 200, {}
+        if not machine.up:
+            return 409, {"reason": "busy"}
+        machine.leave("moving")
+        machine.pool = body["pool"]
+        self.tasks.append(asyncio.create_task(self._join(machine)))
+        return 200, {}
 
+    async def _join(self, machine: Machine) -> None:
+        await asyncio.sleep(BOUNDS["moveS"])
+        await machine.start()
+        self.record.write(f"{machine.worker_id}: joins {machine.pool}")
 
-def make_job(seconds: list[float], count: int = 1, cpu: int = 1000) -> dict[str, Any]:
+
+def make_job(*steps: dict[str, Any]) -> dict[str, Any]:
     """Return the body of a job whose steps follow one another.
 
-    :param seconds: duration of the work items of each step
+    :param steps: ``seconds`` of the work items of each step, and optionally their ``count``,
+        ``cpu`` and further fields of a step
     """
-    spec = json.dumps({"cpu": cpu, "seconds": seconds})
-    phases = []
-    for number, each in enumerate(seconds):
-        phase = {"count": count, "cpu": cpu, "memMb": 64, "estimateMs": int(each * 1000)}
+    phases, plans = [], []
+    for number, step in enumerate(steps):
+        fields = {name: value for name, value in step.items() if name != "seconds"}
+        phase = {
+            "count": 1,
+            "cpu": 1000,
+            "memMb": 64,
+            "estimateMs": int(step["seconds"] * 1000),
+            **fields,
+        }
         phases.append({**phase, "after": [number - 1]} if number else phase)
-    return {"spec": spec, "phases": phases}
+        members = phase["count"] if phase.get("gang") else 1
+        plans.append({"seconds": step["seconds"], "cpu": phase["cpu"], "members": members})
+    return {"spec": json.dumps(plans), "phases": phases}
 
 
 def run_case(main: Callable[[Record, bool], Awaitable[bool]], folder: pathlib.Path) -> None:
