--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,7 +1,7 @@
 """An accepted job never starts, because idle services keep parts of its team's upper limit.
 
-The operator raises the limit. Then the team has a small job run in each of three services, one after
-the other, and some seconds later, when nothing runs, it hands in a job for the fourth service. Its
+The operator raises the limit. Then the team has a small job run in each of three services, one by
+one, and some seconds later, when nothing runs, it hands in a job for the fourth service. Its
 only work item takes six tenths of the limit. With ``TROUBLE=0`` the limit stays as it was, and the
 last job takes six tenths of that.
 """
