Review: two accepted jobs of one team wait for each other for good

Case 9 is now the plainer fault of the same place: each of two pools keeps its part of a team's upper limit and waits for the rest, and neither job starts (rule LOST).

--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,9 +1,9 @@
-"""An accepted job never starts, because idle services keep parts of its team's upper limit.
+"""Two accepted jobs of one team wait for each other for good: each service keeps half of its limit.
 
-The operator raises the limit. Then the team has a small job run in each of three services, one by
-one, and some seconds later, when nothing runs, it hands in a job for the fourth service. Its
-only work item takes six tenths of the limit. With ``TROUBLE=0`` the limit stays as it was, and the
-last job takes six tenths of that.
+The team has a job run in each of two services, five work items of a core each: all that its
+upper limit allows. Meanwhile it hands in two larger jobs, one for each service; the work item of
+each takes six tenths of the limit, so that one after the other could run. With ``TROUBLE=0`` it
+hands in only one of them.
 """
 
 from __future__ import annotations
@@ -16,18 +16,17 @@
 
 from local_platform import Deployment, Machine, Record, make_job, run_case  # noqa: E402
 
-POOLS = ("desk", "lab", "shop", "yard")
+POOLS = ("desk", "lab")
 MACHINES = 3
 DAEMONS = {"entry-1": "baltic-a", "entry-2": "baltic-b", "entry-3": "baltic-c"}
-#: upper limits of the team, at first and after the change, in thousandths of a core
-FIRST_LIMIT, RAISED_LIMIT = 5_000, 10_000
-#: fraction of the limit that the last job's work item takes
-WIDE_FRACTION = 0.6
-SMALL_STEP = {"seconds": 0.5, "cpu": 1_000}
-#: time of calm before the change, after it, and before the last job, in seconds
-CALM_SECONDS = 4.0
-#: time after the last job in which accepted jobs must be completed
-FINISH_SECONDS = 14.0
+#: upper limit of the team, in thousandths of a core
+LIMIT = 10_000
+USUAL_STEP = {"seconds": 3.0, "cpu": 1_000, "count": 5}
+LARGE_STEP = {"seconds": 1.0, "cpu": 6_000}
+#: time of calm before the first jobs, and between them and the large ones, in seconds
+CALM_SECONDS, LARGE_AT_SECONDS = 4.0, 1.0
+#: time in which the usual jobs, and after it the large ones must be completed, in seconds
+USUAL_SECONDS, FINISH_SECONDS = 8.0, 14.0
 
 
 async def main(record: Record, trouble: bool) -> bool:
@@ -39,23 +38,16 @@
             machine = Machine(f"{pool}-{number}", pool, zone, deployment.store, record)
             deployment.machines.append(machine)
     try:
-        await deployment.start(DAEMONS, FIRST_LIMIT)
+        await deployment.start(DAEMONS, LIMIT)
         await deployment.wait_until_owned()
         await asyncio.sleep(CALM_SECONDS)
-        limit = FIRST_LIMIT
-        if trouble:
-            limit = RAISED_LIMIT
-            deployment.configure(limit)
-        await asyncio.sleep(CALM_SECONDS)
         states: dict[str, str] = {}
-        for number, pool in enumerate(POOLS[1:], 1):
-            await submit(deployment, f"/{pool}/{number:016x}", SMALL_STEP, states)
-            await ask(deployment, states, record.now() + FINISH_SECONDS)
-        await asyncio.sleep(CALM_SECONDS)
-        record.write(f"shares: {deployment.store.value('lp/share/team')}")
-        wide_step = {"seconds": 0.5, "cpu": int(limit * WIDE_FRACTION)}
-        await submit(deployment, f"/{POOLS[0]}/00000000000000e1", wide_step, states)
-        await ask(deployment, states, record.now() + FINISH_SECONDS)
+        for number, pool in enumerate(POOLS, 1):
+            await submit(deployment, f"/{pool}/{number:016x}", USUAL_STEP, states)
+        await asyncio.sleep(LARGE_AT_SECONDS)
+        for number, pool in enumerate(POOLS if trouble else POOLS[:1], 0xE1):
+            await submit(deployment, f"/{pool}/{number:016x}", LARGE_STEP, states)
+        await ask(deployment, states, record.now() + USUAL_SECONDS + FINISH_SECONDS)
         record.write(f"shares: {deployment.store.value('lp/share/team')}")
         running = [task for machine in deployment.machines for task in machine.running]
         record.write(f"running: {running}; states: {states}")
