--- a/review/local_platform.py
+++ b/review/local_platform.py
@@ -15,6 +15,7 @@
 import math
 import os
 import pathlib
+import shutil
 import signal
 import socket
 import sys
@@ -760,6 +761,7 @@
             task.cancel()
         for service in (self.store.http, self.cloud, *(each.http for each in self.machines)):
             service.close()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
     async def request(
         self, daemon: Daemon, method: str, path: str, body: Any = None, timeout: float = 3.5
