--- a/limpetpulley/ownership/owner.py
+++ b/limpetpulley/ownership/owner.py
@@ -638,6 +638,10 @@
             fields["position"] = change.position
         if change.ends is not None:
             fields |= attrs.asdict(change.ends)
+        if change.lease is not None:
+            fields |= attrs.asdict(change.lease)
+        if change.reason:
+            fields["reason"] = change.reason
         if change.event in CLAIM_EVENTS:
             fields["claim_age"] = round(self.claim_age(), 2)
         self.context.log.write(change.event, **fields, detail=change.detail)
--- a/limpetpulley/ownership/tests/test_log_lines.py
+++ b/limpetpulley/ownership/tests/test_log_lines.py
@@ -4,6 +4,7 @@
 import pytest
 
 from ...fleet.vms import WaveOrder
+from ...pool.proofs import Proof
 from ...telemetry import EventLog
 from .test_daemons import run_scenario, two_step_spec
 
@@ -42,3 +43,8 @@
     assert [event for event, fields in about if not fields.get("life")] == []
     told_ends = {event for event, fields in about if "unstored" in fields}
     assert told_ends == {"run-dropped", "worker-cordoned", "worker-restarted"}
+    dropped = [fields for event, fields in about if event == "run-dropped"]
+    assert {fields["reason"] for fields in dropped} <= {proof.value for proof in Proof}
+    assert [fields for fields in dropped if fields["known_seconds"] is None] == []
+    [reconciled, *_] = [fields for event, fields in lines if event == "worker-reconciled"]
+    assert reconciled["worker_seconds"] > 0 == reconciled["known_seconds"]
--- a/limpetpulley/pool/events.py
+++ b/limpetpulley/pool/events.py
@@ -6,7 +6,7 @@
 
 from ..batch import TaskId
 
-__all__ = ["EndPositions", "PoolEvent"]
+__all__ = ["EndPositions", "LeaseFigures", "PoolEvent"]
 
 
 @attrs.frozen
@@ -23,6 +23,21 @@
     unstored: int
 
 
+@attrs.frozen
+class LeaseFigures:
+    """What an owner counts with of the lease of a worker, by the worker's clock.
+
+    :param worker_seconds: the worker's time in its last reply, None before the first
+    :param lease_seconds: lease after that reply, in seconds
+    :param known_seconds: time from the incarnation's first list for this owner to that reply, in
+        seconds, None before the first list
+    """
+
+    worker_seconds: float | None
+    lease_seconds: float | None
+    known_seconds: float | None
+
+
 @attrs.frozen
 class PoolEvent:
     """Event of a worker or one of its runs, for the log.
@@ -33,6 +48,8 @@
     :param next_life: incarnation that has replaced it, 0 if none has or it is not known
     :param position: position of an end in the worker's list, 0 for other events
     :param ends: the worker's ends before it was removed or a run on it was dropped
+    :param reason: the proof that the run is over, for a run that was dropped
+    :param lease: the worker's lease as it is counted, for a run that was dropped
     """
 
     event: str
@@ -44,3 +61,5 @@
     next_life: int = attrs.field(default=0, kw_only=True)
     position: int = 0
     ends: EndPositions | None = None
+    reason: str = attrs.field(default="", kw_only=True)
+    lease: LeaseFigures | None = attrs.field(default=None, kw_only=True)
--- a/limpetpulley/pool/replies.py
+++ b/limpetpulley/pool/replies.py
@@ -14,7 +14,7 @@
 from .proofs import Proof
 from .reconcile import SETTLE_MARGIN_SECONDS, drop_unlisted_runs, reconcile_running
 from .rejections import handle_rejection
-from .state import PoolState
+from .state import PoolState, lease_figures
 from .state_changes import changes_state
 
 __all__ = ["process_hold_reply", "process_start_reply", "process_stop_reply"]
@@ -51,8 +51,8 @@
     worker.lost_at = worker.restarted_at = None
     worker.silent = False
     if not worker.reconciled:
+        worker.reconciled, worker.reconciled_at = True, now
         _report_first_list(pool_state, worker, reply)
-    worker.reconciled = True
     if worker.runs and not worker.lease.until_seconds:
         worker.lease.assume_extended(pool_state.longest_hold_seconds)
     for end in sorted(reply.ended, key=lambda end: end.position):
@@ -78,6 +78,7 @@
             worker.worker_id,
             detail=f"{len(reply.running)} runs, ends up to position {last}",
             life=worker.listed.incarnation,
+            lease=lease_figures(worker),
         )
     )
 
--- a/limpetpulley/pool/state.py
+++ b/limpetpulley/pool/state.py
@@ -18,7 +18,7 @@
 from .crash_history import CrashHistory
 from .crashes import has_crashed, note_heartbeat, record_crash, suspend_judgement
 from .ended_workers import report_sign_of_life
-from .events import EndPositions, PoolEvent
+from .events import EndPositions, LeaseFigures, PoolEvent
 from .evidence import FailureEvidence
 from .progress import ProgressLedger
 from .proofs import INHERITED_RUNS, ClaimGuard, Proof
@@ -29,7 +29,7 @@
 from .tickets import TicketCache
 from .unseen_runs import add_inherited_job
 
-__all__ = ["PoolState"]
+__all__ = ["PoolState", "lease_figures"]
 
 #: run numbers reserved for one owner; a new owner's numbers start above them
 RUN_NUMBERS_PER_OWNER = 1 << 20
@@ -430,7 +430,7 @@
         self._note_earlier_lease(worker)
         worker.lease.reset()
         worker.processed_through = worker.stored_through = 0
-        worker.reconciled = False
+        worker.reconciled, worker.reconciled_at = False, None
         next_incarnation = next_life or worker.listed.incarnation + 1
         self._avoid_late_acknowledgement(worker, next_incarnation)
         worker.restarted_at = max(self.scanned_at, worker.last_reply_at)
@@ -646,6 +646,8 @@
                 detail or proof.value,
                 worker.listed.incarnation,
                 ends=self.end_positions(worker),
+                reason=proof.value,
+                lease=lease_figures(worker),
             )
         )
         self.requeue_task(run.task)
@@ -671,3 +673,14 @@
         worker.stored_through = self.progress.stored_through(
             worker.worker_id, worker.processed_through
         )
+
+
+def lease_figures(worker: Worker) -> LeaseFigures:
+    """Return what is counted with of a worker's lease, for the log."""
+    lease, listed_at = worker.lease, worker.reconciled_at
+    worker_seconds = lease.worker_seconds
+    return LeaseFigures(
+        worker_seconds,
+        None if worker_seconds is None else round(lease.until_seconds - worker_seconds, 2),
+        None if listed_at is None else round(worker.last_reply_at - listed_at, 2),
+    )
--- a/limpetpulley/workers/state.py
+++ b/limpetpulley/workers/state.py
@@ -190,6 +190,7 @@
     :param listed: its last description by the platform
     :param present: whether the platform currently lists it
     :param reconciled: whether it has replied to a hold with this owner's token
+    :param reconciled_at: local time of its incarnation's first reply to one, None before it
     :param in_roster: whether the stored roster names it as a worker that may have runs of the pool
     :param cordoned: whether no more runs may be started on it
     :param ended: whether its VM is down or was moved or taken for maintenance, so that all its runs
@@ -221,6 +222,7 @@
     listed: ListedWorker
     present: bool = True
     reconciled: bool = False
+    reconciled_at: float | None = None
     in_roster: bool = False
     cordoned: bool = False
     ended: bool = False
