--- /dev/null
+++ b/limpetpulley/ownership/tests/test_inherited_leases.py
@@ -0,0 +1,79 @@
+"""Leases that an earlier owner's calls gave an incarnation for which they were not meant."""
+
+import random
+
+import anyio
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Equals
+
+from ...batch import JobSpec, JobState, Step
+from ...standin.run_monitor import RunMonitor
+from ...standin.workers import OrderFaults
+from .test_daemons import TASK, run_scenario
+
+#: time by which the clock of a worker's first incarnation is ahead of that of its next one; longer
+#: than the longest lease, in seconds
+FIRST_LIFE_SECONDS = 15.0
+#: run time of a task that outlasts every lease, in seconds
+RUN_SECONDS = 20.0
+#: time from a start until its worker is cut off, in seconds
+CUT_AFTER_SECONDS = 0.1
+
+
+async def wait_until(condition):
+    while not condition():
+        await anyio.sleep(0.002)
+
+
+def observe(fleet):
+    """Return a monitor of all runs of a fleet."""
+    monitor = RunMonitor(fleet.clock, lambda task: True, lambda task: False)
+    fleet.workers.observer = monitor
+    for worker in fleet.workers.workers.values():
+        worker.observer = monitor
+    return monitor
+
+
+async def kill(fleet, name):
+    fleet.kill(name)
+
+
+async def leave(fleet, name):
+    await fleet.leave(name)
+
+
+@pytest.mark.parametrize("end_owner", [kill, leave])
+def test_the_lease_of_a_start_for_an_earlier_incarnation_counts_after_a_handover(end_owner):
+    """That start's run is stopped; the worker is idle for the next owner, and lost soon after."""
+
+    async def scenario(deployment):
+        fleet = deployment.fleet
+        faults = fleet.workers.faults = OrderFaults(fleet.tasks, random.Random(1))
+        monitor, start, sent = observe(fleet), fleet.workers.start, []
+        await anyio.sleep(FIRST_LIFE_SECONDS)
+        [(name, worker)] = [
+            item for item in fleet.workers.workers.items() if item[0].startswith("desk")
+        ]
+
+        async def restart_first(listed, order, token, until):
+            if not sent:
+                worker.restart()
+            sent.append(token)
+            return await start(listed, order, token, until)
+
+        fleet.workers.start = restart_first
+        spec = JobSpec(str(RUN_SECONDS), (Step(1, TASK, RUN_SECONDS),))
+        job_id, _ = await deployment.submit("desk", spec)
+        await wait_until(lambda: worker.highest_ended)
+        await end_owner(fleet, fleet.owner_of("desk"))
+        await wait_until(lambda: worker.runs)
+        await anyio.sleep(CUT_AFTER_SECONDS)
+        faults.unreachable.add(name)
+        fleet.vms.add("desk-1", "desk", "r1")
+        await anyio.sleep(RUN_SECONDS + FIRST_LIFE_SECONDS)
+        findings = [str(finding) for finding in monitor.findings]
+        return findings, await deployment.state(job_id)
+
+    result = run_scenario(scenario, vms=1, moves=False)
+    assert_that(result, Equals(([], JobState.COMPLETED)))
