--- a/limpetpulley/ownership/tests/test_inherited_leases.py
+++ b/limpetpulley/ownership/tests/test_inherited_leases.py
@@ -1,4 +1,4 @@
-"""Leases that an earlier owner's calls gave an incarnation for which they were not meant."""
+"""Leases that calls gave an incarnation of a worker for which they were not meant."""
 
 import random
 
@@ -77,3 +77,38 @@
 
     result = run_scenario(scenario, vms=1, moves=False)
     assert_that(result, Equals(([], JobState.COMPLETED)))
+
+
+@pytest.mark.parametrize("cut_after_seconds", [0.002, 0.1, 1.0])
+def test_the_lease_of_a_start_that_an_unseen_incarnation_answers_counts(cut_after_seconds):
+    """The worker is cut off before a hold or an entry tells of its next incarnation."""
+
+    async def scenario(deployment):
+        fleet = deployment.fleet
+        faults = fleet.workers.faults = OrderFaults(fleet.tasks, random.Random(1))
+        monitor, start, answered = observe(fleet), fleet.workers.start, []
+        await anyio.sleep(FIRST_LIFE_SECONDS)
+        [(name, worker)] = [
+            item for item in fleet.workers.workers.items() if item[0].startswith("desk")
+        ]
+
+        async def restart_first(listed, order, token, until):
+            if not answered:
+                worker.restart()
+            reply = await start(listed, order, token, until)
+            answered.append(reply)
+            return reply
+
+        fleet.workers.start = restart_first
+        spec = JobSpec(str(RUN_SECONDS), (Step(1, TASK, RUN_SECONDS),))
+        job_id, _ = await deployment.submit("desk", spec)
+        await wait_until(lambda: answered)
+        await anyio.sleep(cut_after_seconds)
+        faults.unreachable.add(name)
+        fleet.vms.add("desk-1", "desk", "r1")
+        await anyio.sleep(RUN_SECONDS + FIRST_LIFE_SECONDS)
+        findings = [str(finding) for finding in monitor.findings]
+        return findings, await deployment.state(job_id)
+
+    result = run_scenario(scenario, vms=1, moves=False)
+    assert_that(result, Equals(([], JobState.COMPLETED)))
