--- a/limpetpulley/ownership/owner.py
+++ b/limpetpulley/ownership/owner.py
@@ -23,6 +23,7 @@
 from ..peer import batch_pb2 as pb
 from ..pool import Order, PlanningLimits, PoolEvent, PoolState, plan_orders
 from ..pool.late_starts import LATE_STOP_INTERVAL_SECONDS, awaits_next_incarnations
+from ..pool.state import MAX_ORDER_DELAY_SECONDS
 from ..quota.shares import TeamShares
 from ..scheduling.arrivals import ArrivalEstimator
 from ..scheduling.batch_admission import Verdict
@@ -77,6 +78,10 @@
 #: ends in a row of a loop without which nothing is stored or started that end the owner
 MAX_NEEDED_LOOP_ENDS = 4
 
+#: longest time after a claim for which a worker may carry out a call of an earlier owner that
+#: extends a lease, in seconds
+EARLIER_CALLS_SECONDS = MAX_UNRENEWED_CLAIM_SECONDS / MIN_CLOCK_RATE + MAX_ORDER_DELAY_SECONDS
+
 #: events that are logged with the time since the claim was last renewed: another owner may have
 #: extended leases or taken ends since then
 CLAIM_EVENTS = frozenset({"run-adopted", "run-dropped", "worker-given-up", "worker-restarted"})
@@ -129,6 +134,7 @@
             self.log_change,
         )
         self.pool_state.claim_guard.confirmed_at = context.clock.now() - claim_age()
+        self.pool_state.earlier_calls_until = context.clock.now() + EARLIER_CALLS_SECONDS
         self.pool_state.on_failure = self._fail
         claim = Compare(context.keys.owner(pool), token)
         self.writer = OwnerWriter(context, self.pool_state, claim, self.notify_progress_stored)
--- a/limpetpulley/pool/replies.py
+++ b/limpetpulley/pool/replies.py
@@ -52,9 +52,9 @@
     worker.silent = False
     if not worker.reconciled:
         worker.reconciled, worker.reconciled_at = True, now
+        if worker.runs or now < pool_state.earlier_calls_until:
+            worker.lease.assume_extended(pool_state.longest_hold_seconds)
         _report_first_list(pool_state, worker, reply)
-    if worker.runs and not worker.lease.until_seconds:
-        worker.lease.assume_extended(pool_state.longest_hold_seconds)
     for end in sorted(reply.ended, key=lambda end: end.position):
         if end.position > worker.processed_through:
             _process_end(pool_state, worker, end, now, wall_time)
--- a/limpetpulley/pool/state.py
+++ b/limpetpulley/pool/state.py
@@ -101,6 +101,9 @@
         # which it may be executed, by worker.
         self.late_acknowledgements: dict[str, tuple[int, float]] = {}
         self.unreconciled_workers: dict[str, float] = {}
+        # Local time until which calls of earlier owners may be carried out. These may be meant for
+        # an earlier incarnation, on whose clock the time that they request was near.
+        self.earlier_calls_until = -math.inf
         # Proofs that count once the claim was confirmed after them.
         self.claim_guard = ClaimGuard()
         self.inherited: set[str] = set()
