--- a/limpetpulley/ownership/worker_client.py
+++ b/limpetpulley/ownership/worker_client.py
@@ -258,13 +258,19 @@
             return
         lease, now = self.worker.lease, self.context.clock.now()
         lease_until = lease.until_seconds if self.failing else lease.extend(now, lease_seconds)
+        min_worker_seconds = lease.min_worker_time(now)
         async with self._check_refusals():
             reply = await self.context.orders.start(
                 self.worker.listed, order, self.pool_state.token, lease_until
             )
         self.worker.faults = 0
         process_start_reply(
-            self.pool_state, run, reply.outcome, reply.worker_seconds, self.context.clock.now()
+            self.pool_state,
+            run,
+            reply.outcome,
+            reply.worker_seconds,
+            self.context.clock.now(),
+            min_worker_seconds,
         )
         self.on_change()
 
--- a/limpetpulley/pool/replies.py
+++ b/limpetpulley/pool/replies.py
@@ -19,6 +19,8 @@
 
 __all__ = ["process_hold_reply", "process_start_reply", "process_stop_reply"]
 
+#: outcomes of a start order that extend the worker's lease
+LEASING_OUTCOMES = frozenset({StartOutcome.STARTED, StartOutcome.OLD_RUN, StartOutcome.NO_ROOM})
 #: maximum number of ends in one reply of a worker; a longer list may be truncated
 MAX_LISTED_ENDS = 500
 
@@ -85,10 +87,23 @@
 
 @changes_state
 def process_start_reply(
-    pool_state: PoolState, run: Run, outcome: StartOutcome, worker_seconds: float, now: float
+    pool_state: PoolState,
+    run: Run,
+    outcome: StartOutcome,
+    worker_seconds: float,
+    now: float,
+    min_worker_seconds: float = 0.0,
 ) -> None:
-    """Apply a worker's reply to a start order."""
+    """Apply a worker's reply to a start order.
+
+    :param min_worker_seconds: lower bound of the worker's time when the order was sent
+    """
     worker = pool_state.workers.get(run.worker_id)
+    is_unseen = (
+        outcome in LEASING_OUTCOMES and worker_seconds < min_worker_seconds - SETTLE_MARGIN_SECONDS
+    )
+    if worker is not None and is_unseen:
+        _note_unseen_incarnation(pool_state, worker, worker_seconds, min_worker_seconds, now)
     if worker is not None and outcome is not StartOutcome.OTHER_WORKER:
         report_sign_of_life(pool_state, worker, "start", now, outcome.name.lower())
     if outcome is StartOutcome.STARTED:
@@ -102,8 +117,9 @@
     if outcome is StartOutcome.STARTED:
         worker.rejections = 0
     if outcome in (StartOutcome.STARTED, StartOutcome.OLD_RUN):
-        # An OLD_RUN has ended on the worker; if it ever started, its end is listed.
-        run.settled_at = worker_seconds + SETTLE_MARGIN_SECONDS
+        # An OLD_RUN has ended on the worker; if it ever started, its end is listed. Lists of the
+        # incarnation before, which may arrive later, do not tell of it.
+        run.settled_at = None if is_unseen else worker_seconds + SETTLE_MARGIN_SECONDS
         if run.started_at is None:
             run.started_at = now
         return
@@ -115,6 +131,25 @@
     pool_state.drop_run(run, Proof.REJECTED, f"rejected-{outcome.name.lower()}")
 
 
+def _note_unseen_incarnation(
+    pool_state: PoolState,
+    worker: Worker,
+    worker_seconds: float,
+    min_worker_seconds: float,
+    now: float,
+) -> None:
+    """Note a reply by a clock that has started anew; the next list tells of the incarnation."""
+    worker.lease.note_unseen(now, pool_state.longest_hold_seconds)
+    pool_state.on_event(
+        PoolEvent(
+            "worker-clock-behind",
+            worker.worker_id,
+            detail=f"{worker_seconds:.3f} s, expected at least {min_worker_seconds:.3f} s",
+            life=worker.listed.incarnation,
+        )
+    )
+
+
 @changes_state
 def process_stop_reply(
     pool_state: PoolState, order: StopOrder, worker_seconds: float, now: float
--- a/limpetpulley/pool/tests/test_earlier_leases.py
+++ b/limpetpulley/pool/tests/test_earlier_leases.py
@@ -5,9 +5,10 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
 
-from ...batch import Step
-from ...workers import HoldReply, ListedRun
-from ..replies import process_hold_reply
+from ...batch import Amount, Step
+from ...workers import HoldReply, ListedRun, ListedWorker, StartOutcome
+from ...workers.lease import MIN_CLOCK_RATE
+from ..replies import process_hold_reply, process_start_reply
 from ..state import MAX_ORDER_DELAY_SECONDS
 from .test_planning import NOW, TASK, hold, make_pool_state, plan
 
@@ -15,6 +16,8 @@
 LONGEST_HOLD_SECONDS = 10.0
 #: time at which the next incarnation replies, and the time by its clock
 REPLY_AT, REPLY_SECONDS = NOW + 0.5, 0.25
+#: time by the clock of the earlier incarnation
+CLOCK_SECONDS = 500.0
 
 
 def answer(pool_state):
@@ -72,3 +75,58 @@
     assert_that(list(worker.runs), Equals([order.task]))
     pool_state.expire_leases(NOW + kept_seconds + 1.5)
     assert_that(list(worker.runs), Equals([]))
+
+
+@pytest.mark.parametrize(
+    ("outcome", "worker_seconds", "kept_seconds"),
+    [
+        (StartOutcome.STARTED, REPLY_SECONDS, LONGEST_HOLD_SECONDS / MIN_CLOCK_RATE),
+        (StartOutcome.OLD_RUN, REPLY_SECONDS, LONGEST_HOLD_SECONDS / MIN_CLOCK_RATE),
+        (StartOutcome.STARTED, CLOCK_SECONDS, LEASE_SECONDS / MIN_CLOCK_RATE),
+    ],
+)
+def test_a_start_that_a_younger_clock_answers_gives_the_longest_lease(
+    outcome, worker_seconds, kept_seconds
+):
+    pool_state = make_pool_state(Step(1, TASK), workers=("w1",))
+    worker = pool_state.workers["w1"]
+    worker.lease.reset()
+    hold(pool_state, "w1", clock=CLOCK_SECONDS)
+    worker.lease.extend(NOW, LEASE_SECONDS)
+    [order] = plan(pool_state)
+    run = pool_state.runs[order.task]
+    process_start_reply(pool_state, run, outcome, worker_seconds, NOW, CLOCK_SECONDS)
+    pool_state.expire_leases(NOW + kept_seconds - 0.1)
+    assert_that(list(worker.runs), Equals([order.task]))
+    pool_state.expire_leases(NOW + kept_seconds + 1.5)
+    assert_that(list(worker.runs), Equals([]))
+
+
+def test_a_late_list_of_an_incarnation_does_not_tell_of_a_run_that_its_successor_has_started():
+    pool_state = make_pool_state(Step(1, TASK), workers=("w1",))
+    worker = pool_state.workers["w1"]
+    worker.lease.reset()
+    hold(pool_state, "w1", clock=CLOCK_SECONDS)
+    [order] = plan(pool_state)
+    run = pool_state.runs[order.task]
+    outcome = StartOutcome.STARTED
+    process_start_reply(pool_state, run, outcome, REPLY_SECONDS, NOW, CLOCK_SECONDS)
+    hold(pool_state, "w1", clock=CLOCK_SECONDS + 0.3, now=NOW + 0.3)
+    assert_that(list(worker.runs), Equals([order.task]))
+
+
+@pytest.mark.parametrize(("is_early", "kept_seconds"), [(True, 10.0), (False, LEASE_SECONDS)])
+def test_the_first_list_after_a_takeover_counts_as_the_longest_lease(is_early, kept_seconds):
+    """An idle worker's lease from an earlier owner is not listed."""
+    pool_state = make_pool_state(Step(1, TASK), workers=())
+    pool_state.earlier_calls_until = NOW + (1.0 if is_early else -1.0)
+    listed = ListedWorker("w1", "desk", "w1:1", 1, Amount(4000, 8000))
+    worker = pool_state.update_listed_worker(listed)
+    worker.in_roster = True
+    hold(pool_state, "w1")
+    worker.lease.extend(NOW, LEASE_SECONDS)
+    [order] = plan(pool_state)
+    pool_state.expire_leases(NOW + kept_seconds / MIN_CLOCK_RATE - 0.1)
+    assert_that(list(worker.runs), Equals([order.task]))
+    pool_state.expire_leases(NOW + kept_seconds / MIN_CLOCK_RATE + 1.5)
+    assert_that(list(worker.runs), Equals([]))
--- a/limpetpulley/telemetry/trace.py
+++ b/limpetpulley/telemetry/trace.py
@@ -37,6 +37,7 @@
     {
         "ended-worker-answers",
         "worker-avoided",
+        "worker-clock-behind",
         "worker-cordoned",
         "worker-crashed",
         "worker-ended",
--- a/limpetpulley/workers/lease.py
+++ b/limpetpulley/workers/lease.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 import attrs
 
 __all__ = ["MIN_CLOCK_RATE", "EarlierLease", "WorkerLease"]
@@ -20,11 +22,14 @@
     :param worker_seconds: the worker's time in its last reply, None before the first
     :param received_at: local time when that reply arrived
     :param until_seconds: latest worker time until which any lease has allowed runs to live
+    :param unseen_until: local time until which a call may have allowed runs to live on an
+        incarnation whose clock is not known
     """
 
     worker_seconds: float | None = None
     received_at: float = 0.0
     until_seconds: float = 0.0
+    unseen_until: float = -math.inf
 
     def record_reply(self, worker_seconds: float, now: float) -> None:
         """Record the worker's time in a reply that has just arrived.
@@ -59,9 +64,18 @@
         assert self.worker_seconds is not None, "lease assumed before the worker's clock is known"
         self.until_seconds = max(self.until_seconds, self.worker_seconds + length_seconds)
 
+    def note_unseen(self, now: float, length_seconds: float) -> None:
+        """Note that a call has reached an incarnation whose clock is not known.
+
+        :param length_seconds: longest lease that a worker grants, in seconds
+        """
+        self.unseen_until = max(self.unseen_until, now + length_seconds / MIN_CLOCK_RATE)
+
     def has_lapsed(self, now: float) -> bool:
         """Return whether the lease has certainly expired, so that all runs have been killed."""
-        return self.worker_seconds is not None and self.min_worker_time(now) >= self.until_seconds
+        if self.worker_seconds is None or now < self.unseen_until:
+            return False
+        return self.min_worker_time(now) >= self.until_seconds
 
     def reset(self) -> None:
         """Discard the worker's time and lease, because its new incarnation has a new clock."""
