--- a/limpetpulley/ownership/owner.py
+++ b/limpetpulley/ownership/owner.py
@@ -134,7 +134,6 @@
             self.log_change,
         )
         self.pool_state.claim_guard.confirmed_at = context.clock.now() - claim_age()
-        self.pool_state.earlier_calls_until = context.clock.now() + EARLIER_CALLS_SECONDS
         self.pool_state.on_failure = self._fail
         claim = Compare(context.keys.owner(pool), token)
         self.writer = OwnerWriter(context, self.pool_state, claim, self.notify_progress_stored)
@@ -322,6 +321,9 @@
             tasks.start_soon(self._read_roster)
             tasks.start_soon(self._read_jobs)
             tasks.start_soon(self.share_manager.load)
+        if self.roster.revision:
+            # Earlier owners have extended leases only since the roster was stored.
+            self.pool_state.earlier_calls_until = started_at + EARLIER_CALLS_SECONDS
         if self.pool_state.started_by_others:
             unseen_seconds = MAX_UNRENEWED_CLAIM_SECONDS / MIN_CLOCK_RATE
             self.pool_state.unreconciled_workers = dict.fromkeys(
--- a/limpetpulley/ownership/worker_client.py
+++ b/limpetpulley/ownership/worker_client.py
@@ -129,6 +129,8 @@
         lease_until = None
         lease_seconds = self.allowed_lease_seconds()
         lease_known = worker.reconciled and worker.lease.worker_seconds is not None
+        # A worker that the stored roster does not name has no runs, and no lease of any owner.
+        lease_known = lease_known and (worker.in_roster or bool(worker.runs))
         # After a call without an answer, the worker may be lost, or may receive calls while its
         # answers do not arrive. Its lease must then lapse, so the hold neither extends the lease
         # nor waits for a run to end.
