--- a/limpetpulley/batch/records.py
+++ b/limpetpulley/batch/records.py
@@ -185,10 +185,13 @@
 
     :param address: address for its orders as it was stored, None if that cannot be read
     :param vm: its VM
+    :param settled_incarnation: the incarnation that no call meant for another one, by any owner so
+        far, can reach or has given a lease; 0 if this is not known of any
     """
 
     address: str | None
     vm: str
+    settled_incarnation: int = 0
 
     @property
     def callable_address(self) -> Address | None:
@@ -206,7 +209,12 @@
 
 def encode_roster(workers: dict[str, RosterEntry]) -> bytes:
     """Return the record of the workers that may hold runs of a pool."""
-    return _dump({name: [entry.address, entry.vm] for name, entry in workers.items()})
+    return _dump(
+        {
+            name: [entry.address, entry.vm, entry.settled_incarnation]
+            for name, entry in workers.items()
+        }
+    )
 
 
 def decode_roster(value: bytes) -> dict[str, RosterEntry]:
@@ -222,8 +230,13 @@
 
 def _decode_roster_row(row: Any) -> RosterEntry:
     fields = row if isinstance(row, list) else []
-    address, vm = (*fields, None, None)[:2]
-    return RosterEntry(address if _is_text(address) else None, vm if _is_text(vm) else "")
+    address, vm, settled = (*fields, None, None, None)[:3]
+    is_number = isinstance(settled, int) and not isinstance(settled, bool)
+    return RosterEntry(
+        address if _is_text(address) else None,
+        vm if _is_text(vm) else "",
+        settled if is_number else 0,
+    )
 
 
 def _is_text(value: Any) -> bool:
--- a/limpetpulley/ownership/roster.py
+++ b/limpetpulley/ownership/roster.py
@@ -47,6 +47,8 @@
         # Workers that the stored roster named when it was last known, and those of them that every
         # later write names too: one without an answer may have been applied, or may still be.
         self.stored: set[str] = set()
+        # The settled incarnations that it names.
+        self.stored_incarnations: dict[str, int] = {}
         self.surely_stored: set[str] = set()
         # Whether the last write has no answer yet, or got none.
         self.in_doubt = False
@@ -72,6 +74,8 @@
             if not entry.was_never_reachable:
                 self.inherited[name] = entry
         self.stored = self.surely_stored = set(roster) if is_stored else set()
+        self.stored_incarnations = settled_incarnations(roster) if is_stored else {}
+        self.pool_state.settled_incarnations |= self.stored_incarnations
 
     def _report_uncallable(self, name: str, entry: RosterEntry) -> None:
         self.context.log.write(
@@ -98,8 +102,8 @@
             with anyio.move_on_after(PRUNE_INTERVAL_SECONDS):
                 await self.write_needed.wait()
             self.write_needed = anyio.Event()
-            current = self._names()
-            if self.in_doubt or current != self.stored:
+            current = self._entries()
+            if self.in_doubt or not self._is_stored(current):
                 await self._store(current)
 
     def _names(self) -> set[str]:
@@ -110,11 +114,24 @@
         }
         return answered | self.pool_state.unreconciled_workers.keys()
 
-    async def _store(self, current: set[str]) -> None:
-        entries = {name: entry for name, entry in self.inherited.items() if name in current}
+    def _entries(self) -> dict[str, RosterEntry]:
+        """Return the roster as it should be stored."""
+        names = self._names()
+        entries = {name: entry for name, entry in self.inherited.items() if name in names}
+        settled = self.pool_state.settled_incarnations
         for name, worker in self.pool_state.workers.items():
-            if name in current:
-                entries[name] = RosterEntry(worker.listed.address, worker.listed.vm)
+            if name in names:
+                address, vm = worker.listed.address, worker.listed.vm
+                entries[name] = RosterEntry(address, vm, settled.get(name, 0))
+        return entries
+
+    def _is_stored(self, entries: dict[str, RosterEntry]) -> bool:
+        return (
+            entries.keys() == self.stored
+            and settled_incarnations(entries) == self.stored_incarnations
+        )
+
+    async def _store(self, entries: dict[str, RosterEntry]) -> None:
         key = self.context.keys.roster(self.pool_state.pool)
         put = Put(key, encode_roster(entries))
         self.surely_stored, self.in_doubt = self.surely_stored & entries.keys(), True
@@ -129,7 +146,7 @@
             )
             await anyio.sleep(RETRY_DELAY_SECONDS)
             return
-        self._set_stored(set(entries), revision)
+        self._set_stored(entries, revision)
 
     async def _reload(self) -> None:
         """Read the stored roster again after a conflict.
@@ -138,14 +155,24 @@
         """
         entry = await self.context.store.get(self.context.keys.roster(self.pool_state.pool))
         try:
-            names = set(decode_roster(entry.value)) if entry else set()
+            entries = decode_roster(entry.value) if entry else {}
         except RecordError:
-            names = set()
-        self._set_stored(names, entry.revision if entry else 0)
+            entries = {}
+        self._set_stored(entries, entry.revision if entry else 0)
 
-    def _set_stored(self, names: set[str], revision: int) -> None:
+    def _set_stored(self, entries: dict[str, RosterEntry], revision: int) -> None:
         """Record the stored roster; writes that compared an earlier revision have no effect."""
-        self.stored, self.revision = names, revision
-        self.surely_stored, self.in_doubt = names, False
+        self.stored, self.revision = set(entries), revision
+        self.surely_stored, self.in_doubt = self.stored, False
+        self.stored_incarnations = settled_incarnations(entries)
         self.update_rostered()
         self.on_stored()
+
+
+def settled_incarnations(roster: dict[str, RosterEntry]) -> dict[str, int]:
+    """Return the settled incarnations that a roster names, by worker."""
+    return {
+        name: entry.settled_incarnation
+        for name, entry in roster.items()
+        if entry.settled_incarnation
+    }
--- a/limpetpulley/ownership/tests/test_inherited_leases.py
+++ b/limpetpulley/ownership/tests/test_inherited_leases.py
@@ -10,6 +10,7 @@
 from ...batch import JobSpec, JobState, Step
 from ...standin.run_monitor import RunMonitor
 from ...standin.workers import OrderFaults
+from ..worker_client import MAX_LEASE_SECONDS
 from .test_daemons import TASK, run_scenario
 
 #: time by which the clock of a worker's first incarnation is ahead of that of its next one; longer
@@ -17,6 +18,10 @@
 FIRST_LIFE_SECONDS = 15.0
 #: run time of a task that outlasts every lease, in seconds
 RUN_SECONDS = 20.0
+#: longest lease that a worker grants, in seconds
+LONGEST_HOLD_SECONDS = 10.0
+#: tolerance for the worker's slowest clock and for one planning round, in seconds
+TOLERANCE_SECONDS = 0.4
 #: time from a start until its worker is cut off, in seconds
 CUT_AFTER_SECONDS = 0.1
 
@@ -112,3 +117,36 @@
 
     result = run_scenario(scenario, vms=1, moves=False)
     assert_that(result, Equals(([], JobState.COMPLETED)))
+
+
+@pytest.mark.parametrize(
+    ("restarts", "max_seconds"), [(False, MAX_LEASE_SECONDS * 1.03), (True, LONGEST_HOLD_SECONDS)]
+)
+def test_a_task_waits_for_a_lost_worker_no_longer_than_for_leases_that_may_have_been_given(
+    restarts, max_seconds
+):
+    """The worker is lost right after a handover; its incarnation is settled unless it is new."""
+
+    async def scenario(deployment):
+        fleet = deployment.fleet
+        faults = fleet.workers.faults = OrderFaults(fleet.tasks, random.Random(1))
+        await anyio.sleep(FIRST_LIFE_SECONDS)
+        [(name, worker)] = [
+            item for item in fleet.workers.workers.items() if item[0].startswith("desk")
+        ]
+        if restarts:
+            worker.restart()
+            await anyio.sleep(1.0)
+        fleet.kill(fleet.owner_of("desk"))
+        await wait_until(lambda: fleet.owner_of("desk"))
+        spec = JobSpec(str(RUN_SECONDS), (Step(1, TASK, RUN_SECONDS),))
+        await deployment.submit("desk", spec)
+        await wait_until(lambda: worker.runs)
+        faults.unreachable.add(name)
+        lost_at = fleet.clock.now()
+        fleet.vms.add("desk-1", "desk", "r1")
+        await wait_until(lambda: len(fleet.runs) == 2)
+        return fleet.clock.now() - lost_at
+
+    seconds = run_scenario(scenario, vms=1, moves=False)
+    assert seconds <= max_seconds + TOLERANCE_SECONDS
--- a/limpetpulley/platform/tests/test_decoded_values.py
+++ b/limpetpulley/platform/tests/test_decoded_values.py
@@ -23,6 +23,7 @@
 )
 from ...batch.keys import BatchKeys
 from ...batch.records import (
+    RosterEntry,
     decode_job,
     decode_roster,
     decode_shares,
@@ -268,9 +269,9 @@
 
     def prepare(pool):
         pool.add_worker(listed)
-        entries = {listed.worker_id: listed}
+        entries = {listed.worker_id: RosterEntry(listed.address, listed.vm, listed.incarnation)}
         pool.roster.adopt(decode_roster(b"{}"))
-        encode_roster(entries)
+        assert decode_roster(encode_roster(entries)) == entries
 
     use_pool(prepare)
     order = StartOrder(listed.worker_id, TASKS[0], 1, "x")
--- a/limpetpulley/pool/reconcile.py
+++ b/limpetpulley/pool/reconcile.py
@@ -7,6 +7,7 @@
 from ..workers import HoldReply, ListedRun, Run, RunPhase, StopOrder, Worker
 from ..workers.state import FULL_SPEED
 from .events import PoolEvent
+from .inherited_leases import inherited_lease_seconds
 from .proofs import Proof
 
 if TYPE_CHECKING:
@@ -82,7 +83,7 @@
         seen_running=True,
     )
     pool_state.add_run(run, worker)
-    worker.lease.assume_extended(pool_state.longest_hold_seconds)
+    worker.lease.assume_extended(inherited_lease_seconds(pool_state, worker))
     pool_state.on_event(
         PoolEvent(
             "run-adopted",
@@ -110,7 +111,7 @@
         seen_running=True,
     )
     pool_state.add_superseded_run(run, worker)
-    worker.lease.assume_extended(pool_state.longest_hold_seconds)
+    worker.lease.assume_extended(inherited_lease_seconds(pool_state, worker))
 
 
 def _report_orphan(
--- a/limpetpulley/pool/state.py
+++ b/limpetpulley/pool/state.py
@@ -20,6 +20,7 @@
 from .ended_workers import report_sign_of_life
 from .events import EndPositions, LeaseFigures, PoolEvent
 from .evidence import FailureEvidence
+from .inherited_leases import settle_incarnations
 from .progress import ProgressLedger
 from .proofs import INHERITED_RUNS, ClaimGuard, Proof
 from .retries import RetryDelays
@@ -104,6 +105,8 @@
         # Local time until which calls of earlier owners may be carried out. These may be meant for
         # an earlier incarnation, on whose clock the time that they request was near.
         self.earlier_calls_until = -math.inf
+        # Settled incarnations, by worker; see :mod:`.inherited_leases`.
+        self.settled_incarnations: dict[str, int] = {}
         # Proofs that count once the claim was confirmed after them.
         self.claim_guard = ClaimGuard()
         self.inherited: set[str] = set()
@@ -461,6 +464,7 @@
             for name, earlier in self.earlier_leases.items()
             if earlier.expired_at > now
         }
+        settle_incarnations(self, now)
         for worker in list(self.workers.values()):
             if worker.runs and self._has_lapsed(worker, now):
                 suspend_judgement(self, worker)
--- a/limpetpulley/workers/lease.py
+++ b/limpetpulley/workers/lease.py
@@ -49,10 +49,13 @@
     def extend(self, now: float, length_seconds: float) -> float:
         """Extend the lease; return the worker time until which runs may now live.
 
+        No more than the length is requested by the worker's clock, so that the next owner knows how
+        long it lasts at the most.
+
         :param length_seconds: length of the lease, in seconds
         """
         assert self.worker_seconds is not None, "lease extended before the worker's clock is known"
-        until = self.worker_seconds + (now - self.received_at) + length_seconds
+        until = self.min_worker_time(now) + length_seconds
         self.until_seconds = max(self.until_seconds, until)
         return until
 
