--- a/limpetpulley/ownership/tests/test_worker_client.py
+++ b/limpetpulley/ownership/tests/test_worker_client.py
@@ -248,6 +248,31 @@
     assert len(anyio.run(scenario)) == starts
 
 
+@pytest.mark.parametrize("number", [-1, 1, 2, 3])
+@pytest.mark.parametrize("listed", [True, False])
+def test_a_reply_tells_the_current_incarnation_unless_another_was_listed_meanwhile(listed, number):
+    async def scenario():
+        reply = HoldReply(0.5, number)
+        client = make_client(orders := ScriptedOrders([EMPTY_REPLY, reply, reply]))
+        await client.hold()
+        answer, found = orders.answer, []
+
+        def enlist_and_answer():
+            if listed and not found:
+                next_listed = attrs.evolve(client.worker.listed, incarnation=2)
+                client.pool_state.update_listed_worker(next_listed)
+            return answer()
+
+        orders.answer = enlist_and_answer
+        for _ in range(2):
+            await client.hold()
+            found.append((client.worker.listed.incarnation, client.worker.reconciled))
+        return found
+
+    before = (2, False) if listed else (number, True)
+    assert anyio.run(scenario) == [before, (number, True)]
+
+
 @pytest.mark.parametrize(("restarted", "settled"), [(False, 500.0), (True, None)])
 def test_late_answer_to_a_stop_does_not_settle_the_run_of_the_next_incarnation(restarted, settled):
     """The next incarnation's clock starts anew."""
--- a/limpetpulley/ownership/worker_client.py
+++ b/limpetpulley/ownership/worker_client.py
@@ -170,7 +170,12 @@
                 "worker-answers", worker=worker.worker_id, life=worker.listed.incarnation
             )
         process_hold_reply(
-            self.pool_state, worker, reply, self.context.clock.now(), self.context.wall_time()
+            self.pool_state,
+            worker,
+            reply,
+            self.context.clock.now(),
+            self.context.wall_time(),
+            incarnation,
         )
         self.on_change()
         if worker.stored_through < worker.processed_through:
--- a/limpetpulley/pool/replies.py
+++ b/limpetpulley/pool/replies.py
@@ -27,15 +27,24 @@
 
 @changes_state
 def process_hold_reply(
-    pool_state: PoolState, worker: Worker, reply: HoldReply, now: float, wall_time: float
+    pool_state: PoolState,
+    worker: Worker,
+    reply: HoldReply,
+    now: float,
+    wall_time: float,
+    sent_to: int | None = None,
 ) -> None:
     """Apply a worker's list of running and ended runs.
 
     Nothing is done for a worker that was removed or replaced since the hold was sent: its next
-    entry, if it returns, is a new worker, which lists everything again.
+    entry, if it returns, is a new worker, which lists everything again. The incarnation that has
+    replied lives after the hold was sent, so it is a later one than that which was known then,
+    whatever their numbers. If another one has been listed meanwhile, the reply does not tell which
+    of them is later; the reply to the next hold does.
 
     :param now: local time of the reply
     :param wall_time: wall-clock time, in seconds since 1970
+    :param sent_to: incarnation that was known when the hold was sent, None if it is still that
     """
     if worker.ended and reply.incarnation in (0, worker.listed.incarnation):
         last = max((end.position for end in reply.ended), default=0)
@@ -43,11 +52,12 @@
         report_sign_of_life(pool_state, worker, "hold", now, listed)
     if pool_state.workers.get(worker.worker_id) is not worker:
         return
-    if worker.ended or (reply.incarnation and reply.incarnation < worker.listed.incarnation):
+    known = worker.listed.incarnation
+    if worker.ended or sent_to not in (None, known):
         return
-    if reply.incarnation > worker.listed.incarnation:
-        pool_state.handle_worker_restart(worker, "answered", next_life=reply.incarnation)
-        worker.listed = attrs.evolve(worker.listed, incarnation=reply.incarnation)
+    if reply.incarnation not in (0, known):
+        current = attrs.evolve(worker.listed, incarnation=reply.incarnation)
+        pool_state.replace_incarnation(worker, current, "answered")
     worker.lease.record_reply(reply.worker_seconds, now)
     worker.last_reply_at = now
     worker.lost_at = worker.restarted_at = None
--- a/limpetpulley/pool/state.py
+++ b/limpetpulley/pool/state.py
@@ -40,6 +40,8 @@
 #: time after a pause of the process for which no lease counts as lapsed, in seconds: holds that
 #: were sent before it fail, and are repeated and answered
 RESUME_SECONDS = 1.5
+#: maximum number of replaced incarnations that are remembered of a worker
+MAX_REPLACED_INCARNATIONS = 8
 
 
 class PoolState:
@@ -73,6 +75,8 @@
         self.on_failure: Callable[[PoolStateError], None] = lambda failure: None
         self.jobs: dict[str, Job] = {}
         self.workers: dict[str, Worker] = {}
+        # Incarnations that were taken for the current ones before, by worker.
+        self.replaced_incarnations: dict[str, tuple[int, ...]] = {}
         self.runs: dict[TaskId, Run] = {}
         self.runs_by_job: dict[str, dict[TaskId, Run]] = {}
         # Runs on workers that are not the current ones of their tasks, by job.
@@ -287,8 +291,10 @@
     def update_listed_worker(self, listed: ListedWorker) -> Worker:
         """Add or update a worker of this pool from the platform's list."""
         worker = self.workers.get(listed.worker_id)
-        if worker is not None and worker.ended and listed.incarnation > worker.listed.incarnation:
+        is_next = worker is not None and self._tells_of_next(worker, listed.incarnation)
+        if worker is not None and worker.ended and is_next:
             self._remove_worker(worker)
+            self._note_replaced(worker, listed.incarnation)
             worker = None
         if worker is None:
             worker = self.workers[listed.worker_id] = Worker(listed)
@@ -296,9 +302,8 @@
             self._avoid_late_acknowledgement(worker, listed.incarnation)
             del self.expected_join_times[:1]
             self._queue_late_start_stops(listed.worker_id)
-        elif listed.incarnation > worker.listed.incarnation:
-            self.handle_worker_restart(worker, "listed", next_life=listed.incarnation)
-            worker.listed = listed
+        elif is_next:
+            self.replace_incarnation(worker, listed, "listed")
         elif listed.incarnation == worker.listed.incarnation:
             if listed.heartbeat > worker.listed.heartbeat:
                 report_sign_of_life(self, worker, "entry", self.scanned_at)
@@ -308,6 +313,43 @@
         worker.present = True
         return worker
 
+    def _tells_of_next(self, worker: Worker, incarnation: int) -> bool:
+        """Return whether an entry's incarnation is to be taken for a worker's current one.
+
+        Entries may be late, and their numbers are no order: the time of day may have been set back.
+        An incarnation is over that was replaced by one that has replied. One with a lower number is
+        taken for the current one only where no run is dropped for it; otherwise replies tell.
+        """
+        known = worker.listed.incarnation
+        if incarnation in (0, known):
+            return False
+        needs_reply = worker.silent and not worker.ended
+        if incarnation in self.replaced_incarnations.get(worker.worker_id, ()):
+            return needs_reply and not worker.reconciled
+        if incarnation > known or worker.ended:
+            return True
+        return needs_reply and not (worker.reconciled and worker.runs)
+
+    def replace_incarnation(self, worker: Worker, listed: ListedWorker, reason: str) -> None:
+        """Take another incarnation for a worker's current one.
+
+        :param listed: description of that incarnation
+        :param reason: what has told of it, for the log
+        """
+        self.handle_worker_restart(worker, reason, next_life=listed.incarnation)
+        self._note_replaced(worker, listed.incarnation)
+        worker.listed = listed
+
+    def _note_replaced(self, worker: Worker, current: int) -> None:
+        """Note that another incarnation of a worker than the known one is the current one."""
+        earlier = worker.listed.incarnation
+        known = self.replaced_incarnations.get(worker.worker_id, ())
+        kept = [each for each in known if each not in (earlier, current)]
+        self.replaced_incarnations[worker.worker_id] = (
+            *kept[1 - MAX_REPLACED_INCARNATIONS :],
+            earlier,
+        )
+
     def _queue_late_start_stops(self, worker_id: str) -> None:
         """Queue stops for the start orders that may reach a worker's next incarnation."""
         for stop in self.late_start_stops:
@@ -350,10 +392,10 @@
     def _avoid_late_acknowledgement(self, worker: Worker, incarnation: int) -> None:
         """Start no run whose end may be acknowledged unseen by a call to an earlier incarnation.
 
-        :param incarnation: the worker's newest incarnation
+        :param incarnation: the worker's current incarnation
         """
         earlier, until = self.late_acknowledgements.get(worker.worker_id, (incarnation, 0.0))
-        if earlier < incarnation:
+        if earlier != incarnation:
             worker.avoid_until = max(worker.avoid_until, until)
 
     @changes_state
@@ -434,8 +476,7 @@
         worker.lease.reset()
         worker.processed_through = worker.stored_through = 0
         worker.reconciled, worker.reconciled_at = False, None
-        next_incarnation = next_life or worker.listed.incarnation + 1
-        self._avoid_late_acknowledgement(worker, next_incarnation)
+        self._avoid_late_acknowledgement(worker, next_life)
         worker.restarted_at = max(self.scanned_at, worker.last_reply_at)
         self.progress.remove_worker(worker.worker_id)
         self.on_event(
@@ -472,6 +513,7 @@
             if not worker.present and expired and is_stored and not worker.runs:
                 life, ends = worker.listed.incarnation, self.end_positions(worker)
                 self._remove_worker(worker)
+                self.replaced_incarnations.pop(worker.worker_id, None)
                 starts = ", ".join(".".join(map(str, task)) for task, _ in worker.lost_starts)
                 detail = f"just started before its silence: {starts}" if starts else ""
                 self.on_event(
--- a/limpetpulley/workers/state.py
+++ b/limpetpulley/workers/state.py
@@ -40,7 +40,8 @@
 
     :param worker_id: identifier of the worker; a VM gets a new one each time that it comes up
     :param address: address on which it accepts orders
-    :param incarnation: number of its process start; a higher one knows no runs of a lower one
+    :param incarnation: number of its process start. It names the incarnation, but a later one may
+        have a lower number: the time of day that makes it may be set back
     :param vm: VM that it runs on
     :param labels: labels that steps may require, including its rack
     :param draining: whether it is being drained
