--- a/limpetpulley/ownership/owner.py
+++ b/limpetpulley/ownership/owner.py
@@ -497,6 +497,9 @@
             client = self.worker_clients.get(name)
             if client is None or client.worker is not worker:
                 self._start_worker_client(worker)
+            elif worker.suspected is not None and not client.checking:
+                client.checking = True
+                self.tasks.start_soon(self._run_contained, client.check_restart)
         self.request_planning()
 
     def _start_worker_client(self, worker: Worker) -> None:
--- a/limpetpulley/ownership/tests/test_incarnations.py
+++ b/limpetpulley/ownership/tests/test_incarnations.py
@@ -9,6 +9,7 @@
 from testtools.matchers import Equals
 
 from ...batch import JobSpec, JobState, Step
+from ...exception import WorkerError
 from ...standin.run_monitor import RunMonitor
 from ...standin.workers import MemoryWorker, OrderFaults
 from .test_daemons import TASK, run_scenario
@@ -24,6 +25,9 @@
 ENTRY_SECONDS = 1.0
 #: the same where the owner is lost meanwhile, in seconds
 TAKEOVER_SECONDS = 4.0
+#: longest time from an entry that tells of a restart until the lost run is started again, while a
+#: hold to the incarnation before hangs, in seconds
+MAX_RESTART_SECONDS = 0.5
 #: run times of a task that outlasts a lease, and of one that does not, in seconds
 LONG_SECONDS, SHORT_SECONDS = 20.0, 0.2
 
@@ -125,6 +129,79 @@
     assert_that(result, Equals((11, {JobState.COMPLETED}, [])))
 
 
+@pytest.mark.parametrize("incarnation", [SET_BACK, AHEAD + 1])
+def test_a_restart_that_only_an_entry_tells_is_confirmed_soon(incarnation):
+    """The hold to the incarnation before hangs."""
+
+    async def scenario(deployment):
+        fleet = deployment.fleet
+        name, send_hold = find_worker(fleet), fleet.workers.hold
+        restart(fleet, name, AHEAD)
+        enlist(fleet, name)
+        await anyio.sleep(ENTRY_SECONDS)
+
+        async def hold(listed_worker, *args):
+            try:
+                reply = await send_hold(listed_worker, *args)
+            except WorkerError:
+                await anyio.sleep_forever()
+            if listed_worker.incarnation == AHEAD and is_over:
+                await anyio.sleep_forever()
+            return reply
+
+        fleet.workers.hold, is_over = hold, []
+        spec = JobSpec(str(LONG_SECONDS), (Step(1, TASK, LONG_SECONDS),))
+        await deployment.submit("desk", spec)
+        await anyio.sleep(ENTRY_SECONDS)
+        fleet.vms.add("desk-1", "desk", "r1")
+        await anyio.sleep(ENTRY_SECONDS)
+        is_over.append(True)
+        restart(fleet, name, incarnation)
+        await anyio.sleep(UPDATE_SECONDS)
+        before, listed_at = len(fleet.runs), fleet.clock.now()
+        enlist(fleet, name)
+        while len(fleet.runs) == before:
+            await anyio.sleep(0.01)
+        return before, fleet.clock.now() - listed_at
+
+    before, seconds = run_scenario(scenario, vms=1, moves=False)
+    assert before == 1 and seconds < MAX_RESTART_SECONDS
+
+
+@pytest.mark.parametrize("is_cut", [False, True])
+def test_a_late_entry_of_an_incarnation_before_the_current_one_drops_no_run(is_cut):
+    """Its number is the highest; the worker may be cut off when it is read."""
+
+    async def scenario(deployment):
+        fleet = deployment.fleet
+        faults = fleet.workers.faults = OrderFaults(fleet.tasks, random.Random(1))
+        monitor, name = observe(fleet), find_worker(fleet)
+        middle = restart(fleet, name, AHEAD).listed
+        restart(fleet, name, SET_BACK)
+        spec = JobSpec(str(LONG_SECONDS), (Step(1, TASK, LONG_SECONDS),))
+        job_id, _ = await deployment.submit("desk", spec)
+        while not fleet.workers.workers[name].runs:
+            await anyio.sleep(0.01)
+        fleet.vms.add("desk-1", "desk", "r1")
+        await anyio.sleep(TAKEOVER_SECONDS)
+        if is_cut:
+            faults.unreachable.add(name)
+            await anyio.sleep(ENTRY_SECONDS)
+        fleet.vms.listed_workers[name] = middle
+        await update_entries(fleet, ENTRY_SECONDS)
+        enlist(fleet, name)
+        await update_entries(fleet, 2 * LONG_SECONDS)
+        starts = len(fleet.runs)
+        return (
+            [str(finding) for finding in monitor.findings],
+            await deployment.state(job_id),
+            starts,
+        )
+
+    result = run_scenario(scenario, vms=1, moves=False)
+    assert_that(result, Equals(([], JobState.COMPLETED, 1 + is_cut)))
+
+
 @pytest.mark.parametrize("listed", [True, False])
 @pytest.mark.parametrize("cut_after_seconds", [0.6, 1.1, 1.6])
 def test_no_run_outlives_its_lease_where_the_time_of_day_was_set_back(cut_after_seconds, listed):
--- a/limpetpulley/ownership/tests/test_worker_client.py
+++ b/limpetpulley/ownership/tests/test_worker_client.py
@@ -273,6 +273,31 @@
     assert anyio.run(scenario) == [before, (number, True)]
 
 
+@pytest.mark.parametrize("reply", [REPLY, NEXT_REPLY, HoldReply(0.5, 3, (), ENDED)])
+@pytest.mark.parametrize("failures", [0, 2])
+def test_a_suspected_restart_is_checked_until_an_incarnation_answers(failures, reply):
+    """The hold that is under way may hang, and the entry may have another address."""
+
+    async def scenario():
+        calls = [REPLY, *[WorkerError("refused")] * failures, reply]
+        client = make_client(orders := ScriptedOrders(calls))
+        worker = client.worker
+        await client.hold()
+        run = Run(STOP.task, STOP.number, "w", Amount(), seen_running=True)
+        client.pool_state.add_run(run, worker)
+        entry = attrs.evolve(worker.listed, incarnation=2, address="w:2")
+        client.pool_state.update_listed_worker(entry)
+        await client.check_restart()
+        is_over = reply.incarnation != 1
+        assert (worker.suspected, not worker.runs, client.checking) == (None, is_over, False)
+        assert worker.listed.incarnation == reply.incarnation
+        return orders.acknowledged[1:], worker.processed_through
+
+    acknowledged, position = anyio.run(scenario)
+    assert acknowledged == [0] * (failures + 1)
+    assert position == (2 if reply.incarnation == 1 else 0)
+
+
 @pytest.mark.parametrize(("restarted", "settled"), [(False, 500.0), (True, None)])
 def test_late_answer_to_a_stop_does_not_settle_the_run_of_the_next_incarnation(restarted, settled):
     """The next incarnation's clock starts anew."""
--- a/limpetpulley/ownership/worker_client.py
+++ b/limpetpulley/ownership/worker_client.py
@@ -98,6 +98,10 @@
         self.failed_before_reply = 0
         # Whether that reply has listed ends; the worker forgets those that are acknowledged.
         self.has_listed_ends = False
+        # Whether a suspected restart is being checked, and of which incarnation a failed check was
+        # reported.
+        self.checking = False
+        self.reported_suspect = 0
         # Whether a stop without an answer was reported since the worker has ended.
         self.reported_ended = False
 
@@ -123,6 +127,48 @@
                 is_fault = isinstance(error, WorkerFault)
                 delay = min(2 * delay, MAX_RETRY_DELAY_SECONDS) if is_fault else RETRY_DELAY_SECONDS
 
+    async def check_restart(self) -> None:
+        """Ask which incarnation answers while an entry tells of another one than the known one.
+
+        Its holds do not wait for the one that is under way, whose connection may be cut, and are
+        sent to the address in that entry. They neither extend the lease nor acknowledge ends.
+        """
+        self.checking = True
+        try:
+            while self._is_suspected():
+                await self._ask_incarnation()
+                if self._is_suspected():
+                    await anyio.sleep(RETRY_DELAY_SECONDS)
+        finally:
+            self.checking = False
+
+    def _is_suspected(self) -> bool:
+        is_current = self.pool_state.workers.get(self.worker.worker_id) is self.worker
+        return is_current and not self.worker.ended and self.worker.suspected is not None
+
+    async def _ask_incarnation(self) -> None:
+        suspected, sent_to = self.worker.suspected, self.worker.listed.incarnation
+        assert suspected is not None, "no restart is suspected"
+        try:
+            with anyio.fail_after(ANSWER_TIMEOUT_SECONDS):
+                async with self._check_refusals():
+                    reply = await self.context.orders.hold(
+                        suspected, self.pool_state.token, 0, None, 0.0
+                    )
+        except (WorkerError, TimeoutError) as error:
+            if self.reported_suspect != suspected.incarnation:
+                self.reported_suspect = suspected.incarnation
+                self.context.log.write(
+                    "restart-unconfirmed",
+                    worker=self.worker.worker_id,
+                    life=sent_to,
+                    next_life=suspected.incarnation,
+                    reason=str(error) or "timeout",
+                )
+            return
+        self.pool_state.settle_suspicion(self.worker, suspected, reply.incarnation, sent_to)
+        self.on_change()
+
     async def hold(self) -> None:
         """Extend the lease and apply the worker's reply to the pool state."""
         worker, now = self.worker, self.context.clock.now()
@@ -140,7 +186,7 @@
         # acknowledged again without need.
         failed_calls = self.failed_calls
         confirmed = failed_calls == self.failed_before_reply
-        incarnation = worker.listed.incarnation
+        incarnation, suspected = worker.listed.incarnation, worker.suspected
         acknowledged = worker.stored_through if confirmed and self.has_listed_ends else 0
         try:
             with anyio.fail_after(wait + ANSWER_TIMEOUT_SECONDS):
@@ -177,6 +223,8 @@
             self.context.wall_time(),
             incarnation,
         )
+        if suspected is not None:
+            self.pool_state.settle_suspicion(worker, suspected, reply.incarnation, incarnation)
         self.on_change()
         if worker.stored_through < worker.processed_through:
             with anyio.move_on_after(STORE_WAIT_SECONDS):
--- a/limpetpulley/pool/proofs.py
+++ b/limpetpulley/pool/proofs.py
@@ -37,7 +37,8 @@
     ``LISTED_END``: its worker has listed its end. ``NOT_LISTED``: the last order for it has taken
     effect, and a later list of its worker contains neither the run nor its end. ``REJECTED``: its
     worker has rejected all its start orders. ``LEASE_LAPSED``: the latest lease that any call may
-    have given its worker has expired. ``NEXT_INCARNATION``: its worker has started anew.
+    have given its worker has expired. ``NEXT_INCARNATION``: another incarnation of its worker
+    has answered a call that was sent while this one was known.
     ``VM_ENDED``: a list of VMs that is newer than this owner's first report of the incarnation
     shows its VM as down, ordered away, or with another worker, and its host has closed a
     connection since its last reply to this owner, if there was one.
--- a/limpetpulley/pool/state.py
+++ b/limpetpulley/pool/state.py
@@ -11,6 +11,8 @@
 import math
 from collections.abc import Callable, Iterable
 
+import attrs
+
 from ..batch import Amount, Job, TaskId
 from ..exception import PoolStateError
 from ..workers import EndedRun, ListedWorker, Run, RunPhase, StopOrder, Worker
@@ -294,7 +296,7 @@
         is_next = worker is not None and self._tells_of_next(worker, listed.incarnation)
         if worker is not None and worker.ended and is_next:
             self._remove_worker(worker)
-            self._note_replaced(worker, listed.incarnation)
+            self._note_replaced(worker, worker.listed.incarnation, listed.incarnation)
             worker = None
         if worker is None:
             worker = self.workers[listed.worker_id] = Worker(listed)
@@ -302,6 +304,8 @@
             self._avoid_late_acknowledgement(worker, listed.incarnation)
             del self.expected_join_times[:1]
             self._queue_late_start_stops(listed.worker_id)
+        elif is_next and worker.reconciled and worker.runs:
+            self._suspect_restart(worker, listed)
         elif is_next:
             self.replace_incarnation(worker, listed, "listed")
         elif listed.incarnation == worker.listed.incarnation:
@@ -314,11 +318,12 @@
         return worker
 
     def _tells_of_next(self, worker: Worker, incarnation: int) -> bool:
-        """Return whether an entry's incarnation is to be taken for a worker's current one.
+        """Return whether an entry's incarnation may be a worker's current one.
 
         Entries may be late, and their numbers are no order: the time of day may have been set back.
-        An incarnation is over that was replaced by one that has replied. One with a lower number is
-        taken for the current one only where no run is dropped for it; otherwise replies tell.
+        An incarnation is over that was replaced by one that has replied. Where no run depends on
+        it, one with a higher number is believed at once, and one with a lower number if the worker
+        is silent; otherwise replies tell.
         """
         known = worker.listed.incarnation
         if incarnation in (0, known):
@@ -326,23 +331,67 @@
         needs_reply = worker.silent and not worker.ended
         if incarnation in self.replaced_incarnations.get(worker.worker_id, ()):
             return needs_reply and not worker.reconciled
-        if incarnation > known or worker.ended:
+        if incarnation > known or worker.ended or (worker.reconciled and worker.runs):
             return True
-        return needs_reply and not (worker.reconciled and worker.runs)
+        return needs_reply
+
+    def _suspect_restart(self, worker: Worker, listed: ListedWorker) -> None:
+        """Note that an entry tells of another incarnation, which a reply must confirm.
+
+        The entry may be late, and the runs of the known incarnation may live.
+        """
+        if worker.suspected is None:
+            worker.suspected_at = self.scanned_at
+            life, next_life = worker.listed.incarnation, listed.incarnation
+            self.on_event(
+                PoolEvent("worker-suspected", worker.worker_id, life=life, next_life=next_life)
+            )
+        worker.suspected = listed
+
+    @changes_state
+    def settle_suspicion(
+        self, worker: Worker, suspected: ListedWorker, incarnation: int, sent_to: int
+    ) -> None:
+        """Apply the incarnation that has replied to a hold that was sent under a suspicion.
+
+        It lives after the hold was sent, so the other one of those that were known then is over.
+
+        :param suspected: entry that was suspected when the hold was sent
+        :param sent_to: incarnation that was known then
+        """
+        if self.workers.get(worker.worker_id) is not worker or worker.suspected is None:
+            return
+        is_same = worker.suspected.incarnation == suspected.incarnation
+        if not is_same or worker.listed.incarnation != sent_to or not incarnation:
+            return
+        if incarnation == sent_to:
+            self._note_replaced(worker, suspected.incarnation, incarnation)
+            worker.suspected = None
+            return
+        current = worker.suspected
+        if incarnation != current.incarnation:
+            current = attrs.evolve(worker.listed, incarnation=incarnation)
+        self.replace_incarnation(worker, current, "answered")
 
-    def replace_incarnation(self, worker: Worker, listed: ListedWorker, reason: str) -> None:
+    def replace_incarnation(
+        self,
+        worker: Worker,
+        listed: ListedWorker,
+        reason: str,
+        proof: Proof = Proof.NEXT_INCARNATION,
+    ) -> None:
         """Take another incarnation for a worker's current one.
 
         :param listed: description of that incarnation
         :param reason: what has told of it, for the log
+        :param proof: how the runs of the known one are known to be over
         """
-        self.handle_worker_restart(worker, reason, next_life=listed.incarnation)
-        self._note_replaced(worker, listed.incarnation)
+        self.handle_worker_restart(worker, reason, next_life=listed.incarnation, proof=proof)
+        self._note_replaced(worker, worker.listed.incarnation, listed.incarnation)
         worker.listed = listed
 
-    def _note_replaced(self, worker: Worker, current: int) -> None:
-        """Note that another incarnation of a worker than the known one is the current one."""
-        earlier = worker.listed.incarnation
+    def _note_replaced(self, worker: Worker, earlier: int, current: int) -> None:
+        """Note that an incarnation of a worker is over."""
         known = self.replaced_incarnations.get(worker.worker_id, ())
         kept = [each for each in known if each not in (earlier, current)]
         self.replaced_incarnations[worker.worker_id] = (
@@ -350,6 +399,20 @@
             earlier,
         )
 
+    def _drop_lapsed_runs(self, worker: Worker) -> None:
+        """Drop the runs on a worker whose lease has lapsed.
+
+        If an entry tells of another incarnation, that one may carry out late what has no answer.
+        """
+        if worker.suspected is None:
+            suspend_judgement(self, worker)
+            for run in list(worker.runs.values()):
+                self.drop_run(run, Proof.LEASE_LAPSED)
+            return
+        sent_at = max(worker.suspected_at, *(run.sent_at for run in worker.runs.values()))
+        self.replace_incarnation(worker, worker.suspected, "listed", Proof.LEASE_LAPSED)
+        worker.restarted_at = sent_at
+
     def _queue_late_start_stops(self, worker_id: str) -> None:
         """Queue stops for the start orders that may reach a worker's next incarnation."""
         for stop in self.late_start_stops:
@@ -478,6 +541,7 @@
         worker.reconciled, worker.reconciled_at = False, None
         self._avoid_late_acknowledgement(worker, next_life)
         worker.restarted_at = max(self.scanned_at, worker.last_reply_at)
+        worker.suspected = None
         self.progress.remove_worker(worker.worker_id)
         self.on_event(
             PoolEvent(
@@ -504,9 +568,7 @@
         }
         for worker in list(self.workers.values()):
             if worker.runs and self._has_lapsed(worker, now):
-                suspend_judgement(self, worker)
-                for run in list(worker.runs.values()):
-                    self.drop_run(run, Proof.LEASE_LAPSED)
+                self._drop_lapsed_runs(worker)
             expired = worker.ended or self._has_lapsed(worker, now)
             # A worker whose ends are not stored must stay on the roster for the next owner.
             is_stored = worker.stored_through >= worker.processed_through
--- a/limpetpulley/pool/tests/test_events.py
+++ b/limpetpulley/pool/tests/test_events.py
@@ -67,6 +67,8 @@
 
 def restart_by_entry(pool_state, worker):
     list_worker(pool_state, SECOND_LIFE)
+    # A reply confirms it.
+    pool_state.settle_suspicion(worker, worker.suspected, SECOND_LIFE, FIRST_LIFE)
 
 
 def restart_by_answer(pool_state, worker):
--- a/limpetpulley/pool/tests/test_incarnations.py
+++ b/limpetpulley/pool/tests/test_incarnations.py
@@ -6,6 +6,7 @@
 from testtools.matchers import Equals, HasLength
 
 from ...batch import Step
+from ...scheduling.placement import unavailability
 from ...workers import HoldReply, ListedRun, StartOrder, StartOutcome, StopOrder
 from ..replies import process_hold_reply, process_start_reply
 from ..state import MAX_REPLACED_INCARNATIONS
@@ -38,6 +39,11 @@
     return pool_state.update_listed_worker(listed)
 
 
+def settle(pool_state, incarnation, sent_to=FIRST):
+    worker = pool_state.workers["w1"]
+    pool_state.settle_suspicion(worker, worker.suspected, incarnation, sent_to)
+
+
 def start(pool_state):
     """Start the job's task, which its worker confirms; return the row that lists its run."""
     [order] = plan(pool_state)
@@ -82,6 +88,7 @@
     pool_state, worker = make_worker()
     row = start(pool_state)
     enlist(pool_state, HIGHER)
+    settle(pool_state, HIGHER)
     answer(pool_state, incarnation, sent_to=FIRST)
     assert_that((worker.listed.incarnation, worker.reconciled), Equals((HIGHER, False)))
     assert_that(list(worker.runs), Equals([row.task]))
@@ -132,11 +139,82 @@
     pool_state, worker = make_worker()
     row = start(pool_state)
     enlist(pool_state, HIGHER)
+    settle(pool_state, HIGHER)
     worker.silent = True
     enlist(pool_state, LOWER)
     assert_that((worker.listed.incarnation, list(worker.runs)), Equals((LOWER, [row.task])))
 
 
+@pytest.mark.parametrize("entry", [LOWER, HIGHER])
+@pytest.mark.parametrize("silent", [True, False])
+@pytest.mark.parametrize("answering", [None, FIRST, "entry", "third"])
+def test_an_entry_drops_no_run_until_a_reply_confirms_it(answering, silent, entry):
+    """The entry may be that of an incarnation before the one whose number is lower."""
+    pool_state, worker = make_worker()
+    row = start(pool_state)
+    answer(pool_state, FIRST, [row])
+    worker.silent = silent
+    for _ in range(2):
+        enlist(pool_state, entry)
+    assert_that((worker.listed.incarnation, list(worker.runs)), Equals((FIRST, [row.task])))
+    worker.silent = False
+    assert_that(unavailability(worker, NOW, 1.0), Equals("joining"))
+    current = {"entry": entry, "third": entry + 1}.get(answering, FIRST)
+    if answering is not None:
+        settle(pool_state, current)
+        enlist(pool_state, entry)
+    is_kept = answering in (None, FIRST)
+    assert_that((worker.listed.incarnation, bool(worker.runs)), Equals((current, is_kept)))
+    is_free = unavailability(worker, NOW, 1.0) == ""
+    assert_that(is_free, Equals(answering == FIRST))
+    pool_state.expire_leases(NOW + 1.0)
+    assert_that(bool(worker.runs), Equals(is_kept))
+
+
+@pytest.mark.parametrize(
+    ("suspected", "incarnation", "sent_to"),
+    [
+        # Another entry was suspected when the hold was sent.
+        (LOWER, LOWER, FIRST),
+        (LOWER, FIRST, FIRST),
+        # Another incarnation was known then.
+        (HIGHER, HIGHER, LOWER),
+        # The reply has no incarnation.
+        (HIGHER, 0, FIRST),
+    ],
+)
+def test_a_reply_to_a_hold_from_before_a_suspicion_does_not_settle_it(
+    suspected, incarnation, sent_to
+):
+    pool_state, worker = make_worker()
+    row = start(pool_state)
+    enlist(pool_state, HIGHER)
+    entry = attrs.evolve(worker.listed, incarnation=suspected)
+    pool_state.settle_suspicion(worker, entry, incarnation, sent_to)
+    found = (worker.suspected.incarnation, worker.listed.incarnation, list(worker.runs))
+    assert_that(found, Equals((HIGHER, FIRST, [row.task])))
+
+
+@pytest.mark.parametrize("entry", [LOWER, HIGHER])
+@pytest.mark.parametrize(("listed", "kept_seconds"), [(True, 5.2), (False, 25.0)])
+def test_a_run_is_over_when_its_lease_has_lapsed_although_a_restart_is_not_confirmed(
+    listed, kept_seconds, entry
+):
+    """One that was not listed may still be started late by the next incarnation."""
+    pool_state, worker = make_worker()
+    row = start(pool_state)
+    if listed:
+        answer(pool_state, FIRST, [row])
+    enlist(pool_state, entry)
+    worker.silent = True
+    for seconds in (1.0, 4.0, 6.0, 24.0):
+        pool_state.scanned_at = NOW + seconds
+        pool_state.expire_leases(NOW + seconds)
+        assert_that(bool(worker.runs), Equals(seconds < kept_seconds))
+    pool_state.expire_leases(NOW + 26.0)
+    assert_that((worker.listed.incarnation, list(worker.runs)), Equals((entry, [])))
+
+
 def test_entries_are_followed_while_no_incarnation_answers():
     """The first one may be the current one, whose entry the next one's late write replaced."""
     pool_state, worker = make_worker(answers=False)
--- a/limpetpulley/pool/tests/test_planning.py
+++ b/limpetpulley/pool/tests/test_planning.py
@@ -377,7 +377,9 @@
     if listed:
         hold(pool_state, name, [row], clock=10.3)
     if seen_by == "list":
-        next_incarnation(pool_state, name)
+        worker = next_incarnation(pool_state, name)
+        assert pool_state.runs[run.task] is run and worker.listed.incarnation == 1
+        pool_state.settle_suspicion(worker, worker.suspected, 2, 1)
         (order,) = plan(pool_state, now=NOW + 0.1)
     else:
         rows = (row,) if answered and not listed else ()
--- a/limpetpulley/scheduling/placement.py
+++ b/limpetpulley/scheduling/placement.py
@@ -49,7 +49,7 @@
         return "silent"
     if worker.cordoned or worker.listed.draining:
         return "draining"
-    if not worker.reconciled or not worker.in_roster:
+    if not worker.reconciled or not worker.in_roster or worker.suspected is not None:
         return "joining"
     return "avoided" if now < worker.avoid_until else ""
 
--- a/limpetpulley/workers/state.py
+++ b/limpetpulley/workers/state.py
@@ -203,6 +203,9 @@
     :param last_reply_at: local time of its last reply
     :param lost_at: local time at which a call failed without a timeout, None after a reply
     :param heartbeat_at: local time at which a new heartbeat of it was last seen
+    :param suspected: entry of another incarnation that no reply has confirmed or refuted, None if
+        there is none
+    :param suspected_at: local time of the last scan of all runs before it was read
     :param restarted_at: local time at which its incarnation was found to have started, until that
         incarnation replies; None for the first one
     :param processed_through: position of the last ended run that was processed
@@ -234,6 +237,8 @@
     last_reply_at: float = 0.0
     lost_at: float | None = None
     heartbeat_at: float = -math.inf
+    suspected: ListedWorker | None = None
+    suspected_at: float = 0.0
     restarted_at: float | None = None
     processed_through: int = 0
     stored_through: int = 0
