--- a/limpetpulley/workers/state.py
+++ b/limpetpulley/workers/state.py
@@ -40,7 +40,8 @@
 
     :param worker_id: identifier of the worker; a VM gets a new one each time that it comes up
     :param address: address on which it accepts orders
-    :param incarnation: number of its process start; a higher one knows no runs of a lower one
+    :param incarnation: number of its process start. It names the incarnation, but a later one may
+        have a lower number: the time of day that makes it may be set back
     :param vm: VM that it runs on
     :param labels: labels that steps may require, including its rack
     :param draining: whether it is being drained
@@ -202,6 +203,9 @@
     :param last_reply_at: local time of its last reply
     :param lost_at: local time at which a call failed without a timeout, None after a reply
     :param heartbeat_at: local time at which a new heartbeat of it was last seen
+    :param suspected: entry of another incarnation that no reply has confirmed or refuted, None if
+        there is none
+    :param suspected_at: local time of the last scan of all runs before it was read
     :param restarted_at: local time at which its incarnation was found to have started, until that
         incarnation replies; None for the first one
     :param processed_through: position of the last ended run that was processed
@@ -233,6 +237,8 @@
     last_reply_at: float = 0.0
     lost_at: float | None = None
     heartbeat_at: float = -math.inf
+    suspected: ListedWorker | None = None
+    suspected_at: float = 0.0
     restarted_at: float | None = None
     processed_through: int = 0
     stored_through: int = 0
