--- a/limpetpulley/pool/tests/proof_model.py
+++ b/limpetpulley/pool/tests/proof_model.py
@@ -27,6 +27,7 @@
 from .proof_model_state import (
     FIRST,
     LEASE_TICKS,
+    LONGEST_LEASE_TICKS,
     NO_LIVES,
     NOW,
     REQUESTED_AT,
@@ -50,9 +51,11 @@
     end_runs,
     execute_hold,
     execute_start,
+    in_next_life,
     pass_time,
     reaches,
     restart_workers,
+    stop_run,
 )
 
 __all__ = ["Finding", "Rules", "Scope", "explore", "inherited_task", "running_task", "waiting_task"]
@@ -97,9 +100,10 @@
         (View(0), View(0, answered=True), View()),
         unreconciled=frozenset({0}),
         wait=UNRENEWED_TICKS,
+        inherits=True,
         starts_left=scope.starts,
     )
-    return _initial(scope, first, WorkerTruth(run=EARLIER_RUN, lease=LEASE_TICKS))
+    return _initial(scope, first, WorkerTruth(run=EARLIER_RUN, lease=LONGEST_LEASE_TICKS))
 
 
 def _initial(scope: Scope, first: Owner, worker: WorkerTruth) -> State:
@@ -187,6 +191,8 @@
         if scope.late_renewals:
             requested = evolve(first, renewal_age=0)
             yield ("renewal handled", FIRST, -1), change_owner(state, FIRST, requested), None
+    if not scope.passes:
+        return
     unreconciled = state.roster if rules.waits_for_workers else frozenset[int]()
     views = tuple(View(0 if number in state.roster else -1) for number in range(len(state.workers)))
     second = Owner(
@@ -195,6 +201,8 @@
         rostered=state.roster,
         unreconciled=frozenset() if state.is_stored else unreconciled,
         wait=0 if state.is_stored or not unreconciled else rules.wait_ticks,
+        inherits=True,
+        starts_left=scope.second_starts,
         lives=tuple(worker.life for worker in state.workers) if unreconciled else NO_LIVES,
     )
     passed = evolve(change_owner(state, SECOND, second), has_passed=True)
@@ -222,6 +230,8 @@
 def _send_start(state: State, owner_number: int, rules: Rules, scope: Scope) -> Iterator[Step]:
     """Send a start, which is carried out at once, at any later time, or never."""
     for number, call, started in start_calls(state, owner_number, rules):
+        if scope.starts_in_next_life and owner_number == FIRST and not state.has_passed:
+            yield from _start_in_next_life(state, number, call, started)
         sent = change_owner(state, owner_number, started)
         if scope.late_starts:
             yield ("start sent", owner_number, number), sent, None
@@ -231,6 +241,20 @@
         yield ("start lost", owner_number, number), change_owner(state, owner_number, lost), None
 
 
+def _start_in_next_life(
+    state: State, number: int, call: StartCall, started: Owner
+) -> Iterator[Step]:
+    """Let an incarnation after the one that is meant carry out a start, and a stop; no answers."""
+    if not state.workers[number].up or call.life >= state.workers[number].life:
+        return
+    sent = change_owner(
+        state, FIRST, change_view(started, number, evolve(started.views[number], start=None))
+    )
+    changed, _, violation = execute_start(sent, FIRST, number, call)
+    event = ("start carried out by the next incarnation, stopped", FIRST, number)
+    yield event, stop_run(changed, number), violation
+
+
 def _start(
     state: State, owner_number: int, number: int, call: StartCall, rules: Rules
 ) -> Iterator[Step]:
@@ -259,8 +283,10 @@
     owner = state.owners[owner_number]
     for number, call, assumed in hold_calls(owner, owner_number, rules):
         worker = state.workers[number]
-        if not worker.up or call.life != worker.life:
+        is_for_earlier = scope.holds_in_next_life and call.life < worker.life
+        if not worker.up or not (call.life == worker.life or is_for_earlier):
             continue
+        call = in_next_life(call, worker.life) if is_for_earlier else call
         changed, answer, violation = execute_hold(state, owner_number, number, call)
         lost = change_owner(changed, owner_number, assumed)
         yield ("hold carried out, answer lost", owner_number, number), lost, violation
--- a/limpetpulley/pool/tests/proof_model_owners.py
+++ b/limpetpulley/pool/tests/proof_model_owners.py
@@ -11,6 +11,7 @@
 from .proof_model_state import (
     CONFIRMED_AT,
     LEASE_TICKS,
+    LONGEST_LEASE_TICKS,
     NO_LIVES,
     NOW,
     SECOND,
@@ -101,7 +102,8 @@
             continue
         run = HIGHEST_RUNS[owner_number] - owner.starts_left
         call = StartCall(run, may_lease, view.life, state.workers[number].life)
-        started = evolve(view, lease=LEASE_TICKS, run=run, is_settled=False, start=call)
+        lease = max(LEASE_TICKS, view.earlier_lease)
+        started = evolve(view, lease=lease, run=run, is_settled=False, start=call)
         changed = evolve(change_view(owner, number, started), starts_left=owner.starts_left - 1)
         yield number, call, changed
 
@@ -179,7 +181,10 @@
     if owner.views[number].run:
         owner = _drop(owner, number, Proof.NEXT_INCARNATION, rules)
     view = owner.views[number]
-    owner = change_view(owner, number, View(life, answer=view.answer, start=view.start))
+    known = View(life, answer=view.answer, start=view.start)
+    if view.answered and rules.earlier_calls_as_longest:
+        known = evolve(known, earlier_lease=LONGEST_LEASE_TICKS)
+    owner = change_view(owner, number, known)
     return _require(owner, str(number))
 
 
@@ -189,7 +194,9 @@
     if owner.views[number].run:
         owner = _drop(owner, number, Proof.VM_ENDED, rules)
     view = owner.views[number]
-    ended = View(view.life, has_ended=True, answer=view.answer, start=view.start)
+    ended = View(
+        view.life, has_ended=True, answered=view.answered, answer=view.answer, start=view.start
+    )
     return change_view(owner, number, ended)
 
 
@@ -216,19 +223,36 @@
         return owner
     if answer.life > view.life:
         owner = _note_life(owner, number, answer.life, rules)
-    owner = change_view(owner, number, evolve(owner.views[number], answered=True))
+    owner = _note_first_list(owner, number, rules)
     for position, run, is_done in answer.ends:
         if position > owner.views[number].processed:
             owner = _note_end(owner, number, position, run, is_done, rules)
     if answer.run and not owner.is_done and not owner.has_run():
-        adopted = evolve(owner.views[number], run=answer.run, lease=LEASE_TICKS)
-        owner = change_view(owner, number, adopted)
+        owner = _adopt(owner, number, answer.run)
     view = owner.views[number]
     if view.run != answer.run and view.is_settled and view.run <= answer.highest:
         owner = _drop(owner, number, Proof.NOT_LISTED, rules)
     return _reconcile(owner, number, None, rules)
 
 
+def _note_first_list(owner: Owner, number: int, rules: Rules) -> Owner:
+    """Take note that a worker's incarnation has answered a hold."""
+    view = owner.views[number]
+    if view.answered:
+        return owner
+    view = evolve(view, answered=True)
+    if owner.inherits and rules.first_lists_as_longest:
+        lease = max(view.lease, LONGEST_LEASE_TICKS) if view.run else view.lease
+        view = evolve(view, lease=lease, earlier_lease=LONGEST_LEASE_TICKS)
+    return change_view(owner, number, view)
+
+
+def _adopt(owner: Owner, number: int, run: int) -> Owner:
+    """Adopt a run that an earlier owner started."""
+    view = evolve(owner.views[number], run=run, lease=LONGEST_LEASE_TICKS)
+    return change_view(owner, number, view)
+
+
 def _note_end(
     owner: Owner, number: int, position: int, run: int, is_done: bool, rules: Rules
 ) -> Owner:
--- a/limpetpulley/pool/tests/proof_model_state.py
+++ b/limpetpulley/pool/tests/proof_model_state.py
@@ -19,6 +19,7 @@
     "CONFIRMED_AT",
     "FIRST",
     "LEASE_TICKS",
+    "LONGEST_LEASE_TICKS",
     "NOW",
     "NO_LIVES",
     "REQUESTED_AT",
@@ -42,8 +43,10 @@
 
 #: the owners: the claim passes from the first to the second
 FIRST, SECOND = 0, 1
-#: longest lease that a worker grants, and that an owner requests, in ticks
+#: lease that an owner requests, in ticks
 LEASE_TICKS = 2
+#: longest lease that a worker grants, in ticks
+LONGEST_LEASE_TICKS = 3
 #: incarnations at a takeover, where these matter to nothing
 NO_LIVES = (0, 0, -1)
 #: longest time after the last confirmation of its claim that an owner's leases may run, in ticks
@@ -88,6 +91,10 @@
     :param lists_after_takeover: a list of VMs accounts for an inherited worker only if it is newer
         than the takeover (``PoolReports``): an earlier owner may have started runs on a later
         incarnation than its successor knows
+    :param first_lists_as_longest: the first list of each incarnation counts as the longest lease
+        for a successor: calls of the owner before may have given one that is longer than requested
+    :param earlier_calls_as_longest: the next incarnation of a worker counts as having the longest
+        lease, which calls of the same owner to the one before may have given it
     :param late_in_next_life: whether a start may be carried out by the incarnation after the one
         that was there when it was sent (a known hole, KNOWN-RED.txt)
     :param unnoticed_next_life: whether a start may be carried out by an incarnation that was there
@@ -104,6 +111,8 @@
     leases_end_with_claim: bool = True
     starts_on_roster_only: bool = True
     lists_after_takeover: bool = True
+    first_lists_as_longest: bool = True
+    earlier_calls_as_longest: bool = True
     late_in_next_life: bool = False
     unnoticed_next_life: bool = False
 
@@ -116,8 +125,10 @@
 class Scope:
     """What may happen.
 
-    :param starts: number of runs that the first owner may start; the second may start one
+    :param starts: number of runs that the first owner may start
+    :param second_starts: number of runs that the second owner may start
     :param crashes: number of crashes
+    :param passes: whether the claim may pass to the second owner
     :param replaces: whether a worker that has crashed returns under another identifier, and not
         under its own
     :param failures: whether a run may end `failed`
@@ -127,15 +138,23 @@
         the second
     :param late_renewals: whether an answer to a renewal may reach the first owner late, up to a
         tick after the store has handled it
+    :param holds_in_next_life: whether a hold for the incarnation before may be carried out by a
+        worker's next one, on whose clock it gives the longest lease
+    :param starts_in_next_life: the same for a start of the first owner while it has the claim; its
+        run is stopped at once
     """
 
     starts: int = 1
+    second_starts: int = 1
     crashes: int = 0
+    passes: bool = True
     replaces: bool = False
     failures: bool = False
     late_starts: bool = False
     late_answers: bool = False
     late_renewals: bool = False
+    holds_in_next_life: bool = False
+    starts_in_next_life: bool = False
 
 
 class Outcome(enum.Enum):
@@ -229,6 +248,8 @@
     :param unconfirmed_at: when the incarnation was found, 0 once that is confirmed
     :param lease: ticks until the longest lease ends that a call may have given; where it has ended,
         minus the local time of that
+    :param earlier_lease: the same for the calls of others, and for those to earlier incarnations,
+        while that is longer than a start requests, otherwise 0
     :param run: number of the run that is taken to be there, 0 for none
     :param is_settled: whether its start was answered
     :param processed: position of the last end that was processed
@@ -241,6 +262,7 @@
     answered: bool = False
     unconfirmed_at: int = 0
     lease: int = 0
+    earlier_lease: int = 0
     run: int = 0
     is_settled: bool = False
     processed: int = 0
@@ -261,6 +283,7 @@
     :param inherited_unconfirmed_at: the same for the runs of earlier owners
     :param unreconciled: workers that may have unseen runs of earlier owners
     :param wait: ticks until these can have no runs any more; see :attr:`View.lease`
+    :param inherits: whether calls of the owner before it may still extend leases
     :param starts_left: number of runs that it may still start
     :param rostered: workers that it knows the stored roster to name
     :param lives: incarnations of the workers at the takeover
@@ -276,6 +299,7 @@
     inherited_unconfirmed_at: int = 0
     unreconciled: frozenset[int] = frozenset()
     wait: int = 0
+    inherits: bool = False
     starts_left: int = 1
     rostered: frozenset[int] = frozenset({0, 1})
     lives: tuple[int, ...] = NO_LIVES
@@ -347,8 +371,8 @@
         """Return an owner that starts nothing any more without what only matters to starts."""
         views = tuple(
             (
-                evolve(view, unconfirmed_at=0, lease=0, run=0, is_settled=False)
-                if view.run or view.lease or view.unconfirmed_at
+                evolve(view, unconfirmed_at=0, lease=0, earlier_lease=0, run=0, is_settled=False)
+                if view.run or view.lease or view.earlier_lease or view.unconfirmed_at
                 else view
             )
             for view in self.views
--- a/limpetpulley/pool/tests/proof_model_workers.py
+++ b/limpetpulley/pool/tests/proof_model_workers.py
@@ -8,6 +8,7 @@
 from .proof_model_state import (
     FIRST,
     LEASE_TICKS,
+    LONGEST_LEASE_TICKS,
     SECOND,
     UNRENEWED_TICKS,
     End,
@@ -33,9 +34,11 @@
     "end_runs",
     "execute_hold",
     "execute_start",
+    "in_next_life",
     "pass_time",
     "reaches",
     "restart_workers",
+    "stop_run",
 ]
 
 #: the worker as which a crashed one returns under another identifier
@@ -50,18 +53,24 @@
 
 
 def change_worker(state: State, number: int, worker: WorkerTruth) -> State:
-    """Return the state with another state of a worker.
-
-    Its lease is left out while it matters to nothing: every start requests at least as much as any
-    earlier call of the same owner has left.
-    """
-    is_needed = worker.run or any(end.is_done and not end.has_lapsed for end in worker.ends)
-    if worker.lease and not is_needed:
-        worker = evolve(worker, lease=0)
+    """Return the state with another state of a worker."""
+    worker = _without_unneeded_lease(worker)
     workers = (*state.workers[:number], worker, *state.workers[number + 1 :])
     return evolve(state, workers=workers)
 
 
+def _without_unneeded_lease(worker: WorkerTruth) -> WorkerTruth:
+    """Return the worker without a lease that matters to nothing.
+
+    A lease matters to no run and no end if an owner counts at least as much at each start.
+    """
+    if not worker.lease or worker.lease > LEASE_TICKS or worker.run:
+        return worker
+    if any(end.is_done and not end.has_lapsed for end in worker.ends):
+        return worker
+    return evolve(worker, lease=0)
+
+
 def change_owner(state: State, number: int, owner: Owner) -> State:
     """Return the state with another state of an owner."""
     owners = (owner, state.owners[1]) if number == 0 else (state.owners[0], owner)
@@ -79,6 +88,17 @@
     return rules.late_in_next_life
 
 
+def in_next_life(call: HoldCall, life: int) -> HoldCall:
+    """Return what a hold for an earlier incarnation is to a later one, whose clock is younger."""
+    return HoldCall(life, LONGEST_LEASE_TICKS if call.until else 0, 0)
+
+
+def stop_run(state: State, number: int) -> State:
+    """Return the state after a worker's run, if there is one, was stopped."""
+    worker = state.workers[number]
+    return change_worker(state, number, _end_run(worker, False)) if worker.run else state
+
+
 def execute_hold(
     state: State, owner: int, number: int, call: HoldCall
 ) -> tuple[State, HoldAnswer, Outcome | None]:
@@ -109,7 +129,7 @@
         return state, StartOutcome.STALE_OWNER, None
     worker = evolve(worker, is_fenced=owner == SECOND)
     # The next incarnation's clock starts anew, so that it takes the requested time for later.
-    until = call.until if call.life == worker.life else LEASE_TICKS
+    until = call.until if call.life == worker.life else LONGEST_LEASE_TICKS
     if until <= 0:
         return change_worker(state, number, worker), StartOutcome.LATE, None
     worker = evolve(worker, lease=max(worker.lease, until))
@@ -196,7 +216,7 @@
     if not worker.lease:
         return worker
     if worker.lease > 1:
-        return evolve(worker, lease=worker.lease - 1)
+        return _without_unneeded_lease(evolve(worker, lease=worker.lease - 1))
     if worker.run:
         worker = _end_run(worker, False)
     ends = tuple(evolve(end, has_lapsed=True) if end.is_done else end for end in worker.ends)
@@ -224,6 +244,9 @@
     changes: dict[str, object] = {}
     if view.lease > 0:
         changes["lease"] = view.lease - 1 or lapsed_at
+    if view.earlier_lease:
+        left = view.earlier_lease - 1
+        changes["earlier_lease"] = left if left > LEASE_TICKS else 0
     if view.start is not None and view.start.until:
         changes["start"] = evolve(view.start, until=view.start.until - 1)
     return evolve(view, **changes) if changes else view
--- a/limpetpulley/pool/tests/test_proof_model.py
+++ b/limpetpulley/pool/tests/test_proof_model.py
@@ -10,6 +10,13 @@
 
 CRASH = Scope(crashes=1)
 REPLACEMENT = Scope(crashes=1, replaces=True)
+#: calls to the incarnation before give a worker's next one the longest lease
+HOLD_BEFORE_TAKEOVER = Scope(starts=0, second_starts=2, crashes=1, holds_in_next_life=True)
+START_BEFORE_TAKEOVER = Scope(second_starts=2, crashes=1, starts_in_next_life=True)
+INHERITED_RUN_ENDS = Scope(starts=2, failures=True, passes=False)
+CALLS_OF_SAME_OWNER = Scope(
+    starts=3, crashes=1, passes=False, holds_in_next_life=True, starts_in_next_life=True
+)
 
 
 @pytest.mark.parametrize(
@@ -23,6 +30,10 @@
             "running-late-answers": (running_task, Scope(late_answers=True), 35_000),
             "running-late-renewals": (running_task, Scope(late_renewals=True), 5_000),
             "inherited-late-starts": (inherited_task, Scope(late_starts=True), 10_000),
+            "hold-in-next-life-before-takeover": (waiting_task, HOLD_BEFORE_TAKEOVER, 22_000),
+            "start-in-next-life-before-takeover": (waiting_task, START_BEFORE_TAKEOVER, 60_000),
+            "inherited-run-ends": (inherited_task, INHERITED_RUN_ENDS, 3_000),
+            "calls-in-next-life": (waiting_task, CALLS_OF_SAME_OWNER, 25_000),
         }.items()
     ],
 )
@@ -91,6 +102,26 @@
                 CRASH,
                 Rules(lists_after_takeover=False),
             ),
+            "first-list-as-requested-after-hold": (
+                waiting_task,
+                HOLD_BEFORE_TAKEOVER,
+                Rules(first_lists_as_longest=False),
+            ),
+            "first-list-as-requested-after-start": (
+                waiting_task,
+                START_BEFORE_TAKEOVER,
+                Rules(first_lists_as_longest=False),
+            ),
+            "next-incarnation-as-requested": (
+                waiting_task,
+                CALLS_OF_SAME_OWNER,
+                Rules(earlier_calls_as_longest=False),
+            ),
+            "first-list-as-requested-after-inherited-run": (
+                inherited_task,
+                INHERITED_RUN_ENDS,
+                Rules(first_lists_as_longest=False),
+            ),
         }.items()
     ],
 )
