--- a/limpetpulley/ownership/tests/runs_once_simulation.py
+++ b/limpetpulley/ownership/tests/runs_once_simulation.py
@@ -37,6 +37,7 @@
 from ...standin.virtual import VirtualClock, run_virtual
 from ...standin.workers import OrderFaults, RunPlan
 from ...telemetry import EventLog
+from ...workers import ListedWorker
 from .. import Outcome, Submission
 
 __all__ = ["FAULTS", "Result", "RunsOnceSimulation", "simulate"]
@@ -63,6 +64,12 @@
 #: time after which the entry of a worker that the store does not hear of expires, in seconds
 ENTRY_SECONDS = 1.2
 MIN_CLOCK_RATE = 0.98
+#: longest time for a step of the fault `restarts-before-handovers`, in seconds
+HANDOVER_STEP_SECONDS = 4.0
+#: tasks that outlast a requested lease, and their run time, in seconds
+LONG_TASKS, LONG_SECONDS = 8, 9.0
+#: time for which a worker that is cut off after a handover stays so, in seconds
+CUT_SECONDS = 9.0
 #: time around a disturbance within which anything is near it, in seconds
 NEAR_SECONDS = 2.0
 NULL_DESCRIPTOR = os.open(os.devnull, os.O_WRONLY)
@@ -275,6 +282,36 @@
         names = [name for name in self.fleet.daemons if name not in self.fleet.paused]
         return rng.choice(names) if names else None
 
+    def submit_long_job(self, pool: str, rng: random.Random) -> None:
+        """Submit a job to a pool whose tasks outlast a requested lease."""
+        job_id = f"{len(self.specs) + 1:016x}"
+        steps = (Step(LONG_TASKS, TASK, LONG_SECONDS),)
+        self.specs[job_id] = JobSpec(str(LONG_SECONDS), steps)
+        self.tasks.start_soon(self._submit, pool, job_id, rng)
+
+    async def wait_for_call(self, kind: str, is_awaited: Callable[[str], bool]) -> str | None:
+        """Return the worker of the next call of a kind before it is sent, None if none follows.
+
+        :param kind: `start` or `hold`
+        :param is_awaited: returns whether to wait for a call to a worker
+        """
+        workers, found = self.fleet.workers, anyio.Event()
+        names: list[str] = []
+        send = getattr(workers, kind)
+
+        async def observe(listed: ListedWorker, *args: Any) -> Any:
+            if not names and is_awaited(listed.worker_id):
+                names.append(listed.worker_id)
+                found.set()
+                await anyio.sleep(0.0)
+            return await send(listed, *args)
+
+        setattr(workers, kind, observe)
+        with anyio.move_on_after(HANDOVER_STEP_SECONDS):
+            await found.wait()
+        setattr(workers, kind, send)
+        return names[0] if names else None
+
     def choose_workers(self, rng: random.Random, share: float = 0.2) -> list[str]:
         """Return some of the workers that are up."""
         return [name for name in sorted(self.fleet.workers.workers) if rng.random() < share]
@@ -425,6 +462,45 @@
     await anyio.sleep(rng.uniform(0.5, 2.0))
 
 
+async def _restart_before_handover(play: RunsOnceSimulation, rng: random.Random) -> None:
+    """Restart a worker right before a call to it, end its owner, and cut it off from the next one.
+
+    Its connections go silent, and its entry tells of the restart a moment later.
+    """
+    fleet, workers = play.fleet, play.fleet.workers
+    pool = rng.choice(POOLS)
+    owner = fleet.owner_of(pool)
+    if owner is None or owner in fleet.paused:
+        return
+
+    def is_in_pool(name: str) -> bool:
+        return name in workers.workers and workers.workers[name].listed.pool == pool
+
+    play.submit_long_job(pool, rng)
+    name = await play.wait_for_call(rng.choice(("start", "start", "hold")), is_in_pool)
+    if name is None:
+        return
+    is_audible = name not in play.order_faults.mute
+    play.order_faults.mute.add(name)
+    fleet.vms.restart(name, rng.choice((0.02, 0.1, 0.4)))
+    await anyio.sleep(rng.choice((0.0, 0.002, 0.01)))
+    if is_audible:
+        play.order_faults.mute.discard(name)
+    await anyio.sleep(rng.choice((0.1, 0.3, 0.6, 1.5)))
+    if owner in fleet.daemons and owner not in fleet.paused:
+        if rng.random() < 0.5:
+            fleet.kill(owner)
+        else:
+            await fleet.leave(owner)
+        play.submit_long_job(pool, rng)
+        if await play.wait_for_call("start", lambda each: each == name) is not None:
+            await anyio.sleep(rng.choice((0.02, 0.1, 0.3)))
+            play.order_faults.unreachable.add(name)
+            await anyio.sleep(CUT_SECONDS)
+            play.order_faults.unreachable.discard(name)
+        fleet.start_daemon(owner)
+
+
 async def _expire_entries(play: RunsOnceSimulation, rng: random.Random) -> None:
     """Let entries of live workers expire for a while."""
     names = play.choose_workers(rng, rng.choice((0.2, 0.5, 1.0)))
@@ -481,6 +557,7 @@
     "partitions": _partition,
     "crashes": _crash_workers,
     "restarts": _restart_workers,
+    "restarts-before-handovers": _restart_before_handover,
     "entries": _expire_entries,
     "list-lag": _lag_lists,
     "waves": _order_wave,
--- a/limpetpulley/ownership/tests/test_runs_once.py
+++ b/limpetpulley/ownership/tests/test_runs_once.py
@@ -24,8 +24,9 @@
     "store": ("answers-lost,late-writes,store-silent,store-slow", 1.0, [1]),
     "partitions": ("partitions", 0.4, [4, 10]),
     "daemons": ("daemons,pauses,store-silent", 1.0, [1]),
-    "all": (",".join(FAULTS.keys() - {"restarts"}), 1.0, [1]),
+    "all": (",".join(FAULTS.keys() - {"restarts", "restarts-before-handovers"}), 1.0, [1]),
     "same-identifier": ("restarts", 1.0, [3]),
+    "same-identifier-before-handovers": ("restarts-before-handovers", 1.0, [7, 12]),
     "same-identifier-late-orders": ("late-orders,restarts", 1.0, [2]),
     "unstored-ends": ("daemons,late-writes,store-silent,waves", 0.15, [734]),
 }
--- a/limpetpulley/standin/vms.py
+++ b/limpetpulley/standin/vms.py
@@ -164,6 +164,25 @@
                 old = self.workers.workers[worker_id].listed if same_identifier else None
                 self._take_down(vm, Phase.DOWN, down_seconds, entry_seconds, old)
 
+    def restart(self, worker_id: str, entry_seconds: float) -> None:
+        """Restart a worker at once under its identifier, as a new incarnation.
+
+        :param entry_seconds: time until its entry tells of the new incarnation, in seconds
+        """
+        old = self.workers.workers[worker_id]
+        old.advance()
+        old.crash()
+        listed = attrs.evolve(old.listed, incarnation=old.listed.incarnation + 1)
+        self._add_worker(listed)
+        self.tasks.start_soon(self._list_later, listed, entry_seconds)
+
+    async def _list_later(self, listed: ListedWorker, seconds: float) -> None:
+        await anyio.sleep(seconds)
+        worker = self.workers.workers.get(listed.worker_id)
+        if worker is not None and worker.listed.incarnation == listed.incarnation:
+            self.listed_workers[listed.worker_id] = worker.listed
+            self.on_workers_changed(self.visible_workers())
+
     def drain(self, worker_id: str, seconds: float, down_seconds: float) -> None:
         """Drain a worker, which leaves after a time in seconds; its VM comes up again later."""
         listed = attrs.evolve(self.listed_workers[worker_id], draining=True)
@@ -238,12 +257,16 @@
                 worker_id, vm.pool, self._make_address(), 1, self.capacity, vm.name, vm.rack
             )
         vm.worker_id = listed.worker_id
-        worker = MemoryWorker(listed, self.make_worker_clock(), self.plan_run, self.on_run_started)
-        self.workers.add(worker)
+        self._add_worker(listed)
         self.listed_workers[vm.worker_id] = listed
         self._record_list()
         self.on_workers_changed(self.visible_workers())
 
+    def _add_worker(self, listed: ListedWorker) -> None:
+        self.workers.add(
+            MemoryWorker(listed, self.make_worker_clock(), self.plan_run, self.on_run_started)
+        )
+
     def _make_address(self) -> Address:
         """Return an address that no other worker has; nothing listens on it."""
         return Address(f"127.0.0.1:{next(self.ports)}")
