--- a/limpetpulley/ownership/tests/test_lease_assumptions.py
+++ b/limpetpulley/ownership/tests/test_lease_assumptions.py
@@ -6,7 +6,9 @@
 """
 
 import math
+import random
 
+import anyio
 import attrs
 import pytest
 from testtools.assertions import assert_that
@@ -25,11 +27,14 @@
 from ...pool.proofs import CLAIM_SECONDS
 from ...pool.state import MAX_ORDER_DELAY_SECONDS
 from ...pool.tests.test_planning import JOB, TASK, Shares, task
-from ...standin.workers import MemoryWorker, RunPlan
+from ...standin.workers import MemoryWorker, OrderFaults, RunPlan
 from ...workers import HoldReply, ListedWorker, StartOrder, lease
 from ...workers.lease import MIN_CLOCK_RATE, EarlierLease, WorkerLease
 from ..owner import EARLIER_CALLS_SECONDS
 from ..worker_client import MAX_UNRENEWED_CLAIM_SECONDS
+from .test_daemons import run_scenario
+from .test_inherited_leases import FIRST_LIFE_SECONDS as YOUNG_CLOCK_SECONDS
+from .test_inherited_leases import RUN_SECONDS, observe, wait_until
 
 EARLIER_TOKEN, TOKEN = 2, 3
 LEASE_SECONDS, LONGEST_LEASE_SECONDS = 4.2, 10.0
@@ -146,7 +151,7 @@
     scene.truth.start(order, EARLIER_TOKEN, math.inf)
     scene.enlist()
     scene.hold()
-    scene.pass_time(0.1)
+    scene.pass_time(1.0)
     scene.hold()
 
 
@@ -285,6 +290,18 @@
     monkeypatch.setattr(lease, "MIN_CLOCK_RATE", 1.0)
 
 
+def keep_first_arrival(monkeypatch):
+    """Each reply arrives when the first one did."""
+    original = WorkerLease.record_reply
+
+    def record_reply(self, worker_seconds, now):
+        known, arrived_at = self.worker_seconds is not None, self.received_at
+        original(self, worker_seconds, now)
+        self.received_at = arrived_at if known else now
+
+    monkeypatch.setattr(WorkerLease, "record_reply", record_reply)
+
+
 def take_late_lease_for_exact(monkeypatch):
     """Late calls give no slow clock a longer lease."""
     monkeypatch.setattr(state, "MIN_CLOCK_RATE", 1.0)
@@ -320,7 +337,7 @@
 SCENARIOS = {
     inherit_idle_worker: 1.0,
     inherit_on_slow_clock: MIN_CLOCK_RATE,
-    inherit_run: 1.0,
+    inherit_run: MIN_CLOCK_RATE,
     lose_worker: MIN_CLOCK_RATE,
     answer_unseen: 1.0,
     answer_unseen_on_slow_clock: MIN_CLOCK_RATE,
@@ -344,6 +361,7 @@
     (take_clock_for_exact, lose_worker),
     (take_clock_for_exact, inherit_on_slow_clock),
     (take_clock_for_exact, answer_unseen_on_slow_clock),
+    (keep_first_arrival, inherit_run),
     (take_late_lease_for_exact, start_late_on_next_incarnation),
     (forget_earlier, call_next_incarnation),
     (take_earlier_for_lapsed, call_next_incarnation),
@@ -370,6 +388,37 @@
     assert_that(runs_twice(scenario), Equals(True))
 
 
+def test_the_lease_of_a_start_that_an_unseen_incarnation_leaves_unanswered_counts():
+    """The start is not late; the worker is cut off before anything tells of its restart."""
+
+    async def scenario(deployment):
+        fleet = deployment.fleet
+        faults = fleet.workers.faults = OrderFaults(fleet.tasks, random.Random(1))
+        monitor, start, sent = observe(fleet), fleet.workers.start, []
+        await anyio.sleep(YOUNG_CLOCK_SECONDS)
+        [(name, worker)] = [
+            item for item in fleet.workers.workers.items() if item[0].startswith("desk")
+        ]
+
+        async def restart_first(listed, order, token, until):
+            if not sent:
+                worker.restart()
+                faults.mute.add(name)
+            sent.append(token)
+            return await start(listed, order, token, until)
+
+        fleet.workers.start = restart_first
+        spec = JobSpec(str(RUN_SECONDS), (Step(1, TASK, RUN_SECONDS),))
+        await deployment.submit("desk", spec)
+        await wait_until(lambda: worker.runs)
+        faults.unreachable.add(name)
+        fleet.vms.add("desk-1", "desk", "r1")
+        await anyio.sleep(WATCHED_SECONDS)
+        return [str(finding) for finding in monitor.findings]
+
+    assert_that(run_scenario(scenario, vms=1, moves=False), Equals([]))
+
+
 def test_a_lease_that_the_last_late_call_of_an_earlier_owner_gives_counts():
     """The worker first answers its new owner after the time for which such calls may be late."""
     scene = Scene()
