--- a/limpetpulley/batch/model.py
+++ b/limpetpulley/batch/model.py
@@ -119,6 +119,11 @@
             return self.need
         return attrs.evolve(self.need, cpu_millicores=0)
 
+    @property
+    def start_charge(self) -> Amount:
+        """Return the resources that must be free at once for a task to start, with its gang."""
+        return self.charge * self.count if self.gang else self.charge
+
 
 @attrs.frozen
 class JobSpec:
--- a/limpetpulley/ownership/admission.py
+++ b/limpetpulley/ownership/admission.py
@@ -354,8 +354,7 @@
 
     def _fits_empty_pool(self, step: Step, team: str, workers: list[Worker]) -> bool:
         """Return whether a step could run if nothing else did: a gang all at once."""
-        together = step.charge * (step.count if step.gang else 1)
-        if not self.shares.fits_limit(team, together):
+        if not self.shares.fits_limit(team, step.start_charge):
             return False
         if step.gang:
             return fits_empty_pool(step, [worker.listed for worker in workers])
--- a/limpetpulley/ownership/share_manager.py
+++ b/limpetpulley/ownership/share_manager.py
@@ -54,16 +54,21 @@
             self.shares.set_limits({team.name: team.limit for team in config.teams.values()})
 
     def wake_on_shortage(self) -> None:
-        """Trigger an early check if a task is blocked by its team's share."""
+        """Trigger an early check if a task or a gang is blocked by its team's share."""
         if self.has_shortage():
             self.shortage_found.set()
 
     def has_shortage(self) -> bool:
-        """Return whether a task is blocked by its team's share."""
+        """Return whether a task, or a gang as a whole, is blocked by its team's share."""
         for job_id, tasks in self.pool_state.ready.items():
             job = self.pool_state.jobs[job_id]
-            charge = job.step_of(tasks[0]).charge
-            if not self.shares.allows(job.team, team_usage(self.pool_state, job.team), charge):
+            usage = team_usage(self.pool_state, job.team)
+            # A job's first ready task may fit while a gang of another step does not.
+            numbers = {task.step for task in tasks}
+            if not all(
+                self.shares.allows(job.team, usage, job.spec.steps[number].start_charge)
+                for number in numbers
+            ):
                 return True
         return False
 
--- a/limpetpulley/pool/starts.py
+++ b/limpetpulley/pool/starts.py
@@ -124,7 +124,7 @@
     running = team_usage(pool_state, job.team)
     if any(each in pool_state.runs or _superseded_on(pool_state, each) for each in tasks):
         return []
-    if not shares.allows(job.team, running, step.charge * step.count):
+    if not shares.allows(job.team, running, step.start_charge):
         return []
     placement = place_gang(step, tasks, workers)
     if placement is None:
