--- a/limpetpulley/batch/keys.py
+++ b/limpetpulley/batch/keys.py
@@ -6,11 +6,12 @@
 
 from .model import JobKey
 
-__all__ = ["SHARDS", "BatchKeys"]
+__all__ = ["SHARDS", "SHARE_QUEUE_SUFFIX", "BatchKeys"]
 
 #: shards of the jobs' records; they are read separately so that no single read occupies a slow
 #: link for longer than an owner's lease
 SHARDS = "0123456789abcdef"
+SHARE_QUEUE_SUFFIX = "/waiting"
 
 
 class BatchKeys:
@@ -67,6 +68,14 @@
         """Return the key of the division of a team's limit among pools."""
         return self.shares + team
 
+    def share_queue(self, team: str) -> str:
+        """Return the key of the queue of pools that wait for a larger part of a team's limit.
+
+        It is read along with the divisions; a build that knows no queues takes it for a division of
+        a team that is not configured.
+        """
+        return self.shares + team + SHARE_QUEUE_SUFFIX
+
     def roster(self, pool: str) -> str:
         """Return the key of the roster of workers that may hold runs of a pool."""
         return self.rosters + pool
--- a/limpetpulley/ownership/share_manager.py
+++ b/limpetpulley/ownership/share_manager.py
@@ -2,17 +2,22 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 
 import anyio
+import attrs
 
+from ..batch.keys import SHARE_QUEUE_SUFFIX
 from ..batch.records import decode_shares, encode_shares
 from ..exception import RecordError, StoreError, StoreUnavailable
 from ..pool import PoolState
 from ..pool.queue_forecast import demand_by_team
+from ..pool.queued_work import queued_work
 from ..pool.unseen_runs import team_usage, unseen_usage
-from ..quota.shares import ShareChange, ShareRecord, TeamShares
-from ..store import Compare, Put
+from ..quota.share_queue import ShareQueue
+from ..quota.share_records import QueueChange, QueuedWork, ResourceTriple, ShareChange, ShareRecord
+from ..quota.shares import TeamShares
+from ..store import Compare, Entry, Put
 from .context import DaemonContext
 from .record_retries import concerns_record
 from .writer import PAIRS_PER_TRANSACTION, OwnerWriter
@@ -41,6 +46,7 @@
         self.context = context
         self.pool_state = pool_state
         self.shares = shares
+        self.queue = ShareQueue(shares)
         self.writer = writer
         self.config_version = -1
         self.loaded_at = 0.0
@@ -103,21 +109,40 @@
     async def _read(self) -> None:
         self.apply_config()
         self.loaded_at = self.context.clock.now()
-        keys = self.context.keys
+        prefix = self.context.keys.shares
+        entries = {
+            entry.key.removeprefix(prefix): entry
+            for entry in (await self.context.store.read(prefix)).entries
+        }
         loaded: dict[str, ShareRecord] = {}
-        for entry in (await self.context.store.read(keys.shares)).entries:
-            team = entry.key.removeprefix(keys.shares)
-            rows: dict[str, tuple[int, int, int] | None] = {self.pool_state.pool: None}
-            try:
-                rows = decode_shares(entry.value)
-            except RecordError as error:
-                self.context.log.write("record-unreadable", key=entry.key, reason=str(error))
-            loaded[team] = self._make_record(entry.revision, rows)
+        for team in {name.removesuffix(SHARE_QUEUE_SUFFIX) for name in entries}:
+            division, queue = entries.get(team), entries.get(team + SHARE_QUEUE_SUFFIX)
+            record = ShareRecord()
+            if division is not None:
+                rows = self._decode(division, {self.pool_state.pool: None})
+                record = self._make_record(division.revision, rows)
+            if queue is not None:
+                waiting = {
+                    pool: row for pool, row in self._decode(queue, {}).items() if row is not None
+                }
+                record = attrs.evolve(record, waiting=waiting, waiting_revision=queue.revision)
+            loaded[team] = record
         self.shares.records = loaded
 
-    def _make_record(
-        self, revision: int, rows: Mapping[str, tuple[int, int, int] | None]
-    ) -> ShareRecord:
+    def _decode(
+        self, entry: Entry, rows: dict[str, ResourceTriple | None]
+    ) -> dict[str, ResourceTriple | None]:
+        """Return the rows of a record; log it if it cannot be read.
+
+        :param rows: what stands for an unreadable record
+        """
+        try:
+            return decode_shares(entry.value)
+        except RecordError as error:
+            self.context.log.write("record-unreadable", key=entry.key, reason=str(error))
+        return rows
+
+    def _make_record(self, revision: int, rows: Mapping[str, ResourceTriple | None]) -> ShareRecord:
         """Return the record that rows describe.
 
         If one row is unknown, others may be missing that were there: then each pool of the
@@ -134,27 +159,24 @@
         self.apply_config()
         # Shares that other pools returned since the last read show only in the store.
         age = self.context.clock.now() - self.loaded_at
-        if not self._plan_changes() and not (
-            self.has_shortage() and age >= RELOAD_INTERVAL_SECONDS
-        ):
+        is_reload_due = self.has_shortage() and age >= RELOAD_INTERVAL_SECONDS
+        work = self._queued_work()
+        if not is_reload_due and not self._plan_changes(work) and not self._plan_queues(work):
             return
         await self._read()
-        changes = self._plan_changes()
-        if changes:
-            await self._store(changes)
+        for plan in (self._plan_changes, self._plan_queues):
+            changes = plan(self._queued_work())
+            if changes:
+                await self._store(changes)
 
-    async def _store(self, changes: list[ShareChange]) -> None:
+    async def _store(self, changes: Sequence[ShareChange | QueueChange]) -> None:
         """Store changes; if one record of several fails, store each alone."""
-        keys = self.context.keys
-        compares = [Compare(keys.share(change.team), change.revision) for change in changes]
-        writes = [
-            Put(
-                keys.share(change.team),
-                encode_shares({**change.pools, **dict.fromkeys(change.unknown)}),
-            )
-            for change in changes
+        writes = [self._encode(change) for change in changes]
+        compares = [
+            Compare(write.key, change.revision)
+            for write, change in zip(writes, changes, strict=True)
         ]
-        self.shares.mark_pending(changes)
+        self.shares.mark_pending(each for each in changes if isinstance(each, ShareChange))
         try:
             stored = await self.writer.commit(compares, writes)
         except (StoreUnavailable, StoreError) as error:
@@ -176,18 +198,36 @@
             await self._read()
             self._log_changes(changes)
 
-    def _plan_changes(self) -> list[ShareChange]:
+    def _encode(self, change: ShareChange | QueueChange) -> Put:
+        keys = self.context.keys
+        if isinstance(change, QueueChange):
+            return Put(keys.share_queue(change.team), encode_shares(change.waiting))
+        rows = {**change.pools, **dict.fromkeys(change.unknown)}
+        return Put(keys.share(change.team), encode_shares(rows))
+
+    def _plan_changes(self, work: Mapping[str, QueuedWork]) -> list[ShareChange]:
         changes = self.shares.plan(
-            self.pool_state.usage, demand_by_team(self.pool_state), unseen_usage(self.pool_state)
+            self.pool_state.usage,
+            demand_by_team(self.pool_state),
+            unseen_usage(self.pool_state),
+            work,
         )
         return changes[:PAIRS_PER_TRANSACTION]
 
-    def _log_changes(self, changes: list[ShareChange]) -> None:
+    def _plan_queues(self, work: Mapping[str, QueuedWork]) -> list[QueueChange]:
+        usage = {team: team_usage(self.pool_state, team) for team in self.shares.limits}
+        changes = self.queue.plan(usage, work, self.context.clock.now())
+        return changes[:PAIRS_PER_TRANSACTION]
+
+    def _queued_work(self) -> dict[str, QueuedWork]:
+        return queued_work(self.pool_state, self.shares.limits, self.context.clock.now())
+
+    def _log_changes(self, changes: Sequence[ShareChange | QueueChange]) -> None:
         for change in changes:
-            self.context.log.write(
-                "share-changed",
-                pool=self.pool_state.pool,
-                team=change.team,
-                shares=change.pools,
-                config=self.config_version,
-            )
+            fields = {"pool": self.pool_state.pool, "team": change.team}
+            if isinstance(change, QueueChange):
+                self.context.log.write("share-queue-changed", **fields, waiting=change.waiting)
+            else:
+                self.context.log.write(
+                    "share-changed", **fields, shares=change.pools, config=self.config_version
+                )
--- a/limpetpulley/ownership/tests/test_odd_records.py
+++ b/limpetpulley/ownership/tests/test_odd_records.py
@@ -145,6 +145,7 @@
     "job_id": (job_id_puts, [b"a.b", b"", b"a b"]),
     "progress": (progress_puts, ODD_PROGRESS),
     "shares": (lambda keys, value: [Put(keys.share("agents"), value)], ODD_SHARES),
+    "share_queue": (lambda keys, value: [Put(keys.share_queue("agents"), value)], ODD_SHARES),
     "roster": (lambda keys, value: [Put(keys.roster("desk"), value)], ODD_ROSTERS),
     "planner": (lambda keys, value: [Put(keys.succession, value)], ODD_PLANNER_RECORDS),
     "homes": (lambda keys, value: [Put(keys.homes, value)], ODD_HOMES),
--- a/limpetpulley/ownership/tests/test_team_limit_turns.py
+++ b/limpetpulley/ownership/tests/test_team_limit_turns.py
@@ -1,12 +1,13 @@
 """Pools that share a team's upper limit take turns: no task that fits the limit waits for good."""
 
 import anyio
+import pytest
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
 
-from ...batch import Amount, JobSpec, Step
+from ...batch import Amount, JobSpec, JobState, Step
 from .. import Outcome
-from .test_daemons import TASK, make_config, run_scenario
+from .test_daemons import POOLS, TASK, make_config, run_scenario
 
 LIMIT = Amount(10_000, 0, 0)
 #: time in calm after which a task whose limit is free must run, in seconds
@@ -30,3 +31,31 @@
 
     played = run_scenario(scenario, make_config(LIMIT), moves=False)
     assert_that(played, Equals((Outcome.ACCEPTED, 0, 4)))
+
+
+@pytest.mark.parametrize(
+    "large",
+    [
+        JobSpec("1.0", (Step(1, Amount(3500, 1000), 1.0),)),
+        JobSpec("1.0", (Step(3, Amount(1200, 1000), 1.0, gang=True),)),
+    ],
+    ids=["task", "gang"],
+)
+@pytest.mark.parametrize("rounds", [1, 3])
+def test_jobs_of_two_pools_that_fit_the_limit_only_alone_run_one_after_the_other(large, rounds):
+    async def scenario(deployment):
+        usual = JobSpec("2.0", (Step(2, TASK, 2.0),))
+        for pool in POOLS:
+            await deployment.submit(pool, usual)
+        await anyio.sleep(0.5)
+        outcomes = [
+            (await deployment.submit(pool, large))[1].outcome
+            for _ in range(rounds)
+            for pool in POOLS
+        ]
+        await anyio.sleep(2.0 + outcomes.count(Outcome.ACCEPTED) * (1.0 + 0.5) + TURN_SECONDS)
+        return outcomes[:2], set((await deployment.states()).values())
+
+    outcomes, states = run_scenario(scenario, make_config(Amount(5000, 0, 0)), moves=False)
+    assert_that(outcomes, Equals([Outcome.ACCEPTED] * 2))
+    assert_that(states, Equals({JobState.COMPLETED}))
--- a/limpetpulley/pool/queue_forecast.py
+++ b/limpetpulley/pool/queue_forecast.py
@@ -4,6 +4,7 @@
 
 import bisect
 import math
+from collections import Counter
 from collections.abc import Iterable
 
 from ..batch import Amount, Job, JobSpec, QueueConfig
@@ -11,12 +12,14 @@
 from ..scheduling.batch_admission import Prediction, objective_seconds
 from ..scheduling.forecast import ForecastJob, ForecastStep, simulate_queue
 from ..scheduling.placement import is_unconstrained
+from ..workers import Worker
 from .ready_jobs import behind_capacity, rank
 from .state import PoolState
 from .unseen_runs import team_usage
 
 __all__ = [
     "QueueForecast",
+    "available_workers",
     "demand_by_team",
     "expected_objective",
     "least_workers",
@@ -40,7 +43,7 @@
 def pool_capacity(pool_state: PoolState) -> Amount:
     """Return the total capacity of all workers that accept tasks."""
     capacity = Amount()
-    for worker in _available_workers(pool_state):
+    for worker in available_workers(pool_state):
         capacity = capacity + worker.listed.capacity
     return capacity
 
@@ -162,7 +165,7 @@
         return None
     widest = max((step.charge * step.count for step in candidate.spec.steps), key=_millicores)
     is_constrained = not all(is_unconstrained(step) for step in candidate.spec.steps)
-    free = [worker.room for worker in _available_workers(pool_state)]
+    free = [worker.room for worker in available_workers(pool_state)]
     cores = sum(room.cpu_millicores for room in free) * PACKABLE_FRACTION
     memory = sum(room.memory_mb for room in free) * PACKABLE_FRACTION
     if is_constrained or widest.cpu_millicores > cores or widest.memory_mb > memory:
@@ -237,13 +240,14 @@
     demand = dict(pool_state.usage)
     for job_id, tasks in pool_state.ready.items():
         job = pool_state.jobs[job_id]
-        for task in tasks:
-            charge = job.step_of(task).charge
+        for number, count in Counter(task.step for task in tasks).items():
+            charge = job.spec.steps[number].charge * count
             demand[job.team] = demand.get(job.team, Amount()) + charge
     return demand
 
 
-def _available_workers(pool_state: PoolState):
+def available_workers(pool_state: PoolState) -> list[Worker]:
+    """Return the workers that accept tasks."""
     return [
         worker
         for worker in pool_state.workers.values()
@@ -280,7 +284,7 @@
 
 def _free_capacity(pool_state: PoolState, worker_size: Amount) -> float:
     free = 0.0
-    for worker in _available_workers(pool_state):
+    for worker in available_workers(pool_state):
         used = sum(fraction_of_worker(run.charge, worker_size) for run in worker.runs.values())
         free += PACKABLE_FRACTION * fraction_of_worker(worker.listed.capacity, worker_size) - used
     return free
--- a/limpetpulley/quota/shares.py
+++ b/limpetpulley/quota/shares.py
@@ -4,6 +4,10 @@
 only its own pool's share, by compare-and-swap on the record's revision, and never so that the sum
 exceeds the limit; so the limit holds through takeovers and lost replies. Designed for bursts of one
 team that reach its limit before they fill a pool.
+
+A pool keeps nothing into which none of its waiting tasks fits, and leaves to the first pool of the
+team's queue what that one needs; see :mod:`.share_queue`. Only the first may hold a part that is
+still too small for its task.
 """
 
 from __future__ import annotations
@@ -11,49 +15,27 @@
 from collections.abc import Iterable, Mapping
 from types import MappingProxyType
 
-import attrs
-
 from ..batch import Amount
+from .share_records import (
+    NOTHING,
+    QueuedWork,
+    ResourceTriple,
+    ShareChange,
+    ShareRecord,
+    fits_limited,
+    larger,
+    smaller,
+    triple,
+)
 
 __all__ = ["ShareChange", "ShareRecord", "TeamShares"]
 
 #: fraction of the limit that is held beyond the need, so that small changes need no write
 HEADROOM_FRACTION = 0.04
-#: excess over the need, as a fraction of the limit, above which a share is reduced
+#: excess over the need, as a fraction of the limit, above which a share is reduced though no other
+#: pool waits
 EXCESS_FRACTION = 0.15
 
-ResourceTriple = tuple[int, int, int]
-
-
-@attrs.frozen
-class ShareRecord:
-    """Division of a team's limit among pools.
-
-    :param revision: revision of the record, 0 if there is none
-    :param pools: processors, memory and accelerators by pool
-    :param unknown: pools whose share cannot be read; each may run what the others don't, until its
-        owner has written what it uses
-    """
-
-    revision: int = 0
-    pools: Mapping[str, ResourceTriple] = attrs.field(factory=dict)
-    unknown: frozenset[str] = frozenset()
-
-
-@attrs.frozen
-class ShareChange:
-    """A new division of one team's limit.
-
-    :param revision: revision that the record must still have for the change to apply
-    :param pools: processors, memory and accelerators by pool
-    :param unknown: other pools whose share is not known
-    """
-
-    team: str
-    revision: int
-    pools: dict[str, ResourceTriple]
-    unknown: frozenset[str] = frozenset()
-
 
 class TeamShares:
     """Shares of the teams in one pool: what each may have running there.
@@ -68,10 +50,13 @@
         # The smallest share of this pool in changes that may have been applied, or may still be,
         # with the revision that the record then had.
         self.pending: dict[str, ShareRecord] = {}
+        # Teams of which this pool has just received its part: the next pool's turn does not take it
+        # back before a task can start.
+        self.granted: set[str] = set()
 
     def set_limits(self, limits: Mapping[str, Amount]) -> None:
         """Set the teams' upper limits; a dimension of 0 is unlimited."""
-        self.limits = {team: limit for team, limit in limits.items() if any(_triple(limit))}
+        self.limits = {team: limit for team, limit in limits.items() if any(triple(limit))}
 
     def mark_pending(self, changes: Iterable[ShareChange]) -> None:
         """Note changes that are about to be written.
@@ -82,7 +67,7 @@
         for change in changes:
             share = change.pools.get(self.pool, (0, 0, 0))
             if self._is_pending(change.team, change.revision):
-                share = _smaller(share, self.pending[change.team].pools[self.pool])
+                share = smaller(share, self.pending[change.team].pools[self.pool])
             self.pending[change.team] = ShareRecord(change.revision, {self.pool: share})
 
     def _is_pending(self, team: str, revision: int) -> bool:
@@ -98,28 +83,20 @@
         limit = self.limits.get(team)
         if limit is None:
             return True
-        share = self.share(team)
-        total = _triple(running + more)
-        return all(
-            not maximum or needed <= allowed
-            for maximum, needed, allowed in zip(_triple(limit), total, share, strict=True)
-        )
+        return fits_limited(triple(running + more), self.usable(team), triple(limit))
 
     def fits_limit(self, team: str, amount: Amount) -> bool:
         """Return whether an amount is within a team's limit over all pools."""
-        limit = self.limits.get(team, Amount())
-        return all(
-            not maximum or needed <= maximum
-            for maximum, needed in zip(_triple(limit), _triple(amount), strict=True)
-        )
+        limit = triple(self.limits.get(team, Amount()))
+        return fits_limited(triple(amount), limit, limit)
 
     def share(self, team: str) -> ResourceTriple:
         """Return what a team may run here, scaled down while the shares exceed a lowered limit."""
         record = self.records.get(team, ShareRecord())
         own_share = record.pools.get(self.pool, (0, 0, 0))
         if self._is_pending(team, record.revision):
-            own_share = _smaller(own_share, self.pending[team].pools[self.pool])
-        limit = _triple(self.limits[team])
+            own_share = smaller(own_share, self.pending[team].pools[self.pool])
+        limit = triple(self.limits[team])
         sums = [sum(row[dimension] for row in record.pools.values()) for dimension in range(3)]
         scaled = [
             own if total <= maximum or not maximum else int(own * maximum / total)
@@ -127,6 +104,38 @@
         ]
         return scaled[0], scaled[1], scaled[2]
 
+    def usable(self, team: str) -> ResourceTriple:
+        """Return what a team may run here, less what the first pool of its queue still needs."""
+        share, record = self.share(team), self.records.get(team, ShareRecord())
+        if team in self.granted or record.unknown - {self.pool}:
+            return share
+        if not any(self._reserved(team, record)):
+            return share
+        return smaller(share, self.attainable(team))
+
+    def attainable(self, team: str) -> ResourceTriple:
+        """Return the largest share that this pool can have now.
+
+        The other pools keep theirs, and the first of the queue gets what it still needs.
+        """
+        record, limit = self.records.get(team, ShareRecord()), triple(self.limits[team])
+        held, reserved = self._held_by_others(record, limit), self._reserved(team, record)
+        left = [
+            maximum - others - first
+            for maximum, others, first in zip(limit, held, reserved, strict=True)
+        ]
+        return larger((left[0], left[1], left[2]), NOTHING)
+
+    def _reserved(self, team: str, record: ShareRecord) -> ResourceTriple:
+        """Return what another pool that is first in the queue needs beyond its share."""
+        first = record.first
+        if first is None or first == self.pool:
+            return NOTHING
+        needed = smaller(record.waiting[first], triple(self.limits[team]))
+        share = record.pools.get(first, NOTHING)
+        missing = [most - own for most, own in zip(needed, share, strict=True)]
+        return larger((missing[0], missing[1], missing[2]), NOTHING)
+
     def limit_cores(self, team: str) -> float:
         """Return the processors of a team's limit, infinite if it has none."""
         limit = self.limits.get(team)
@@ -140,7 +149,7 @@
         record = self.records.get(team, ShareRecord())
         if record.unknown - {self.pool}:
             return self.share(team)[0] / 1000
-        others = self._held_by_others(record, _triple(limit))[0]
+        others = self._held_by_others(record, triple(limit))[0]
         return max(0, limit.cpu_millicores - others) / 1000
 
     def _held_by_others(self, record: ShareRecord, limit: ResourceTriple) -> ResourceTriple:
@@ -155,12 +164,14 @@
         running: Mapping[str, Amount],
         wanted: Mapping[str, Amount],
         unseen: Mapping[str, Amount] = MappingProxyType({}),
+        queued: Mapping[str, QueuedWork] = MappingProxyType({}),
     ) -> list[ShareChange]:
         """Return the changes of records that this pool needs.
 
         :param running: what runs here, by team
         :param wanted: what runs and waits here, by team
         :param unseen: what may run here besides within the present share, by team; it is kept
+        :param queued: ready tasks and gangs by team; without them, any part counts as of use
         """
         changes = []
         for team in self.limits:
@@ -168,9 +179,9 @@
             old = record.pools.get(self.pool, (0, 0, 0))
             seen = running.get(team, Amount())
             most = seen + unseen.get(team, Amount())
-            kept = _triple(self.limits[team]) if self.pool in record.unknown else old
-            used = _larger(_triple(seen), _smaller(_triple(most), kept))
-            new = self._target_share(team, record, old, used, wanted)
+            kept = triple(self.limits[team]) if self.pool in record.unknown else old
+            used = larger(triple(seen), smaller(triple(most), kept))
+            new = self._target_share(team, record, old, used, wanted, queued.get(team))
             is_unknown = self.pool in record.unknown
             if new != old or is_unknown or self._is_pending(team, record.revision):
                 pools, unknown = {**record.pools, self.pool: new}, record.unknown - {self.pool}
@@ -187,22 +198,36 @@
         old: ResourceTriple,
         used: ResourceTriple,
         wanted: Mapping[str, Amount],
+        work: QueuedWork | None,
     ) -> ResourceTriple:
-        limit = _triple(self.limits[team])
-        needed = _triple(wanted.get(team, Amount()))
-        held = self._held_by_others(record, limit)
+        limit = triple(self.limits[team])
+        needed = triple(wanted.get(team, Amount()))
+        attainable = larger(used, self.attainable(team))
+        if team in self.granted:
+            held = self._held_by_others(record, limit)
+            free = [maximum - others for maximum, others in zip(limit, held, strict=True)]
+            attainable = larger(attainable, smaller(old, (free[0], free[1], free[2])))
+        useful = attainable
+        if (
+            work is not None
+            and record.first != self.pool
+            and not fits_limited(needed, attainable, limit)
+        ):
+            useful = _add_fitting(work, used, attainable, limit)
+        others_wait = any(pool != self.pool for pool in record.waiting)
+        headroom_fraction = 0.0 if others_wait else HEADROOM_FRACTION
+        excess_fraction = 0.0 if others_wait else EXCESS_FRACTION
         target = []
         for dimension in range(3):
             maximum, current = limit[dimension], old[dimension]
-            attainable = max(used[dimension], maximum - held[dimension])
-            headroom = int(maximum * HEADROOM_FRACTION) if needed[dimension] else 0
-            need = max(used[dimension], min(needed[dimension] + headroom, attainable))
+            headroom = int(maximum * headroom_fraction) if needed[dimension] else 0
+            need = max(used[dimension], min(needed[dimension] + headroom, useful[dimension]))
             if not maximum:
                 target.append(0)
             elif (
                 max(needed[dimension], used[dimension]) > current
-                or current - need > maximum * EXCESS_FRACTION
-                or current > attainable
+                or current - need > maximum * excess_fraction
+                or current > attainable[dimension]
             ):
                 target.append(need)
             else:
@@ -210,13 +235,21 @@
         return target[0], target[1], target[2]
 
 
-def _triple(amount: Amount) -> ResourceTriple:
-    return amount.cpu_millicores, amount.memory_mb, amount.accelerators
-
-
-def _smaller(first: ResourceTriple, second: ResourceTriple) -> ResourceTriple:
-    return min(first[0], second[0]), min(first[1], second[1]), min(first[2], second[2])
-
-
-def _larger(first: ResourceTriple, second: ResourceTriple) -> ResourceTriple:
-    return max(first[0], second[0]), max(first[1], second[1]), max(first[2], second[2])
+def _add_fitting(
+    work: QueuedWork, used: ResourceTriple, attainable: ResourceTriple, limit: ResourceTriple
+) -> ResourceTriple:
+    """Return what is used with as many of the waiting tasks and gangs as fit, in their order."""
+    total = list(used)
+    for amount, count in work.units.items():
+        needed = triple(amount)
+        fitting = min(
+            (
+                max(0, attainable[dimension] - total[dimension]) // needed[dimension]
+                for dimension in range(3)
+                if limit[dimension] and needed[dimension]
+            ),
+            default=count,
+        )
+        for dimension in range(3):
+            total[dimension] += min(count, fitting) * needed[dimension]
+    return total[0], total[1], total[2]
