--- a/limpetpulley/ownership/share_manager.py
+++ b/limpetpulley/ownership/share_manager.py
@@ -30,6 +30,8 @@
 MIN_CHECK_INTERVAL_SECONDS = 0.05
 #: time between two reads while a task waits for shares that other pools return, in seconds
 RELOAD_INTERVAL_SECONDS = 0.2
+#: time between two reads while the pool holds shares, which others may wait for, in seconds
+HELD_RELOAD_INTERVAL_SECONDS = 1.0
 #: delay after a record that could not be stored by itself, in seconds
 FAULT_DELAY_SECONDS = 0.2
 
@@ -157,9 +159,7 @@
 
     async def _adjust(self) -> None:
         self.apply_config()
-        # Shares that other pools returned since the last read show only in the store.
-        age = self.context.clock.now() - self.loaded_at
-        is_reload_due = self.has_shortage() and age >= RELOAD_INTERVAL_SECONDS
+        is_reload_due = self._is_reload_due()
         work = self._queued_work()
         if not is_reload_due and not self._plan_changes(work) and not self._plan_queues(work):
             return
@@ -169,6 +169,16 @@
             if changes:
                 await self._store(changes)
 
+    def _is_reload_due(self) -> bool:
+        """Return whether the store may tell what matters here.
+
+        Shares that other pools return show only there, and that others wait for those held here.
+        """
+        age = self.context.clock.now() - self.loaded_at
+        if age >= HELD_RELOAD_INTERVAL_SECONDS and self.shares.holds_any():
+            return True
+        return age >= RELOAD_INTERVAL_SECONDS and self.has_shortage()
+
     async def _store(self, changes: Sequence[ShareChange | QueueChange]) -> None:
         """Store changes; if one record of several fails, store each alone."""
         writes = [self._encode(change) for change in changes]
--- a/limpetpulley/ownership/tests/test_team_limit_turns.py
+++ b/limpetpulley/ownership/tests/test_team_limit_turns.py
@@ -59,3 +59,29 @@
     outcomes, states = run_scenario(scenario, make_config(Amount(5000, 0, 0)), moves=False)
     assert_that(outcomes, Equals([Outcome.ACCEPTED] * 2))
     assert_that(states, Equals({JobState.COMPLETED}))
+
+
+@pytest.mark.parametrize(
+    ("elsewhere", "beside", "needed"),
+    [(0, 0, 3700), (100, 0, 3700), (0, 1800, 1900), (100, 1800, 1900)],
+)
+def test_task_starts_in_the_part_of_its_limit_that_another_pool_does_not_use(
+    elsewhere, beside, needed
+):
+    """A share that is little larger than the use of an idle pool was kept for good."""
+
+    async def scenario(deployment):
+        await deployment.submit("desk", JobSpec("0.5", (Step(4, Amount(100, 100), 0.5),)))
+        if elsewhere:
+            lasting = Step(1, Amount(elsewhere, 100), lasting=True)
+            await deployment.submit("desk", JobSpec("lasts", (lasting,)))
+        if beside:
+            await deployment.submit("tour", JobSpec("30", (Step(1, Amount(beside, 100), 30.0),)))
+        await anyio.sleep(3.0)
+        step = Step(1, Amount(needed, 1000), lasting=True)
+        job_id, result = await deployment.submit("tour", JobSpec("lasts", (step,)))
+        await anyio.sleep(TURN_SECONDS)
+        return result.outcome, started(deployment, job_id)
+
+    played = run_scenario(scenario, make_config(Amount(4000, 0, 0)), moves=False)
+    assert_that(played, Equals((Outcome.ACCEPTED, 1)))
--- a/limpetpulley/quota/shares.py
+++ b/limpetpulley/quota/shares.py
@@ -104,6 +104,11 @@
         ]
         return scaled[0], scaled[1], scaled[2]
 
+    def holds_any(self) -> bool:
+        """Return whether this pool holds a share of any team's limit."""
+        records = (self.records.get(team, ShareRecord()) for team in self.limits)
+        return any(any(record.pools.get(self.pool, NOTHING)) for record in records)
+
     def usable(self, team: str) -> ResourceTriple:
         """Return what a team may run here, less what the first pool of its queue still needs."""
         share, record = self.share(team), self.records.get(team, ShareRecord())
--- a/limpetpulley/quota/tests/test_share_queue.py
+++ b/limpetpulley/quota/tests/test_share_queue.py
@@ -191,6 +191,18 @@
     assert_that(small.started, Equals(1))
 
 
+@pytest.mark.parametrize("seed", range(5))
+def test_idle_pools_leave_their_parts_to_a_pool_that_waits(seed):
+    source, stored = random.Random(seed), StoredRecord()
+    idle = [f"idle-{number}" for number in range(4)]
+    stored.record = ShareRecord(pools=dict.fromkeys(idle, (1400, 0, 0)))
+    pools = [PlayedPool(name, stored) for name in idle]
+    pools.append(PlayedPool("tour", stored, [(Amount(6000), 1)]))
+    for number in range(TURN_ROUNDS):
+        play_round(pools, number, source)
+    assert_that(pools[-1].started, Equals(1))
+
+
 def test_part_into_which_no_waiting_task_fits_is_returned():
     shares = TeamShares("desk")
     shares.set_limits({TEAM: LIMIT})
