--- a/limpetpulley/ownership/share_manager.py
+++ b/limpetpulley/ownership/share_manager.py
@@ -116,22 +116,30 @@
             entry.key.removeprefix(prefix): entry
             for entry in (await self.context.store.read(prefix)).entries
         }
-        loaded: dict[str, ShareRecord] = {}
-        for team in {name.removesuffix(SHARE_QUEUE_SUFFIX) for name in entries}:
-            division, queue = entries.get(team), entries.get(team + SHARE_QUEUE_SUFFIX)
-            record = ShareRecord()
-            if division is not None:
-                rows = self._decode(division, {self.pool_state.pool: None})
-                record = self._make_record(division.revision, rows)
-            if queue is not None:
-                waiting = {
-                    pool: row for pool, row in self._decode(queue, {}).items() if row is not None
-                }
-                record = attrs.evolve(record, waiting=waiting, waiting_revision=queue.revision)
-            loaded[team] = record
-        self.shares.records = loaded
-
-    def _decode(
+        # A configured team may be named like the queue of another one, which then has none.
+        queues = {
+            name.removesuffix(SHARE_QUEUE_SUFFIX): entries.pop(name)
+            for name in list(entries)
+            if name.endswith(SHARE_QUEUE_SUFFIX) and name not in self.shares.limits
+        }
+        self.shares.records = {
+            team: self._decode_record(entries.get(team), queues.get(team))
+            for team in entries.keys() | queues.keys()
+        }
+
+    def _decode_record(self, division: Entry | None, queue: Entry | None) -> ShareRecord:
+        """Return what two records of the store tell of one team."""
+        record = ShareRecord()
+        if division is not None:
+            rows = self._decode_rows(division, {self.pool_state.pool: None})
+            record = self._make_record(division.revision, rows)
+        if queue is not None:
+            rows = self._decode_rows(queue, {})
+            waiting = {pool: row for pool, row in rows.items() if row is not None}
+            record = attrs.evolve(record, waiting=waiting, waiting_revision=queue.revision)
+        return record
+
+    def _decode_rows(
         self, entry: Entry, rows: dict[str, ResourceTriple | None]
     ) -> dict[str, ResourceTriple | None]:
         """Return the rows of a record; log it if it cannot be read.
--- a/limpetpulley/ownership/tests/test_share_manager.py
+++ b/limpetpulley/ownership/tests/test_share_manager.py
@@ -1,11 +1,12 @@
 """Shares of the teams' limits while the store does not answer."""
 
 import anyio
+import attrs
 import pytest
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
 
-from ...batch import Amount
+from ...batch import Amount, TeamConfig
 from ...batch.keys import BatchKeys
 from ...batch.records import decode_shares, encode_shares
 from ...exception import StoreUnavailable
@@ -57,3 +58,31 @@
         return stored, allowed
 
     assert_that(run_virtual(run), Equals(((0, 0, 0), False)))
+
+
+def test_division_of_a_team_is_not_taken_for_the_queue_of_another():
+    """The tasks of a team that is named like another team's queue would never start."""
+
+    async def run():
+        async with anyio.create_task_group() as tasks:
+            clock, keys = VirtualClock(), BatchKeys("lp/")
+            store = DelayedCommitStore(clock, tasks)
+            claim = await store.commit([], [Put(keys.owner("desk"), b"{}")])
+            await store.commit(
+                [], [Put(keys.share_queue("agents"), encode_shares({"desk": SHARE}))]
+            )
+            context = DaemonContext(
+                store, keys, None, clock, null_log("entry-1"), Timing(), tasks, clock.now
+            )
+            teams = {name: TeamConfig(name, limit=LIMIT) for name in ("agents", "agents/waiting")}
+            context.config = attrs.evolve(make_config(), teams=teams)
+            pool_state, shares = PoolState("desk", 1, 0.2, 10.0, 4.0), TeamShares("desk")
+            writer = OwnerWriter(
+                context, pool_state, Compare(keys.owner("desk"), claim.revision), lambda: None
+            )
+            await ShareManager(context, pool_state, shares, writer).load()
+            allowed = [shares.allows(team, Amount(), Amount(4000, 0, 0)) for team in teams]
+            tasks.cancel_scope.cancel()
+        return allowed
+
+    assert_that(run_virtual(run), Equals([False, True]))
