--- a/limpetpulley/fleet/demand.py
+++ b/limpetpulley/fleet/demand.py
@@ -196,14 +196,15 @@
     )
 
 
-def plan_drains(plan: FleetPlan, standby: int) -> dict[str, int]:
+def plan_drains(plan: FleetPlan, standby: int, has_standby_pool: bool = True) -> dict[str, int]:
     """Return how many VMs of each pool should be drained so that they can leave it.
 
     :param standby: VMs in standby pools, which can be moved at once
+    :param has_standby_pool: whether there is a pool that receives VMs which no pool lacks
     """
-    drains = dict(plan.surplus)
+    drains = dict(plan.surplus) if has_standby_pool else {}
     missing = sum(plan.shortfall.values()) - standby - sum(drains.values())
-    for pool, limit in plan.lendable.items():
+    for pool, limit in (*plan.surplus.items(), *plan.lendable.items()):
         more = min(missing, limit - drains.get(pool, 0))
         if more > 0:
             drains[pool] = drains.get(pool, 0) + more
--- a/limpetpulley/fleet/tests/test_demand.py
+++ b/limpetpulley/fleet/tests/test_demand.py
@@ -101,6 +101,16 @@
     assert_that(drains, Equals(expected))
 
 
+# Guards against LOST where workers are cordoned for moves that no pool receives.
+@pytest.mark.parametrize(
+    ("shortfall", "expected"),
+    [({}, {}), ({"c": 2}, {"a": 2}), ({"c": 5}, {"a": 5}), ({"c": 20}, {"a": 10, "b": 10})],
+)
+def test_without_a_standby_pool_only_vms_that_a_pool_lacks_are_drained(shortfall, expected):
+    plan = FleetPlan(shortfall, {"a": 10, "b": 20}, {"a": 3})
+    assert_that(plan_drains(plan, 0, has_standby_pool=False), Equals(expected))
+
+
 def fleet(**pools):
     return {
         name: FleetVm(name, pool, Phase.UP, "" if pool == "off" else f"w-{name}")
--- a/limpetpulley/ownership/tests/test_planner.py
+++ b/limpetpulley/ownership/tests/test_planner.py
@@ -520,3 +520,23 @@
         return draining, sorted(planner.inventory.draining)
 
     assert_that(anyio.run(scenario), Equals(([[]] * 3, ["m-2"])))
+
+
+# Guards against LOST where idle workers are cordoned although no pool receives their VMs.
+@pytest.mark.parametrize(("standby", "drained"), [(True, 3), (False, 0)])
+def test_surplus_vms_are_drained_only_if_a_pool_receives_them(standby, drained):
+    async def scenario():
+        clock, vms = ManualClock(100.0), FakeVmList()
+        planner = make_planner(clock, vms)
+        if not standby:
+            del planner.context.config.pools["off"]
+        vms.vms = [FleetVm(f"m-{n}", "desk", Phase.UP, f"w-{n}", cores=4.0) for n in range(6)]
+        planner.demand_history.homes = {"desk": 6}
+        planner.demand_history.forecaster.record("desk", True, 6, 80.0)
+        for _ in range(40):
+            clock.advance(0.1)
+            planner.handle_report(pb.PoolReport(pool="desk", token=5))
+            await planner._plan_once()
+        return len(planner.inventory.draining)
+
+    assert_that(anyio.run(scenario), Equals(drained))
--- a/limpetpulley/ownership/vm_selector.py
+++ b/limpetpulley/ownership/vm_selector.py
@@ -105,7 +105,8 @@
         idle = [vm for vm in self.idle_vms() if vm.name not in maintenance]
         standby = sum(1 for vm in idle if self._is_standby(vm.pool) and self._may_be_ordered(vm))
         selected: dict[str, str] = {}
-        for pool, count in plan_drains(plan, standby).items():
+        has_standby_pool = self._standby_pool() is not None
+        for pool, count in plan_drains(plan, standby, has_standby_pool).items():
             vms = [vm for vm in idle if vm.pool == pool]
             # VMs that are being drained stay selected as long as their pool can spare them.
             vms.sort(
@@ -156,8 +157,7 @@
             for vm in ready[:count]:
                 orders.append(VmOrder(vm, Urgency.LACKING, target=pool))
             del ready[:count]
-        pools = self.context.config.pools if self.context.config else ()
-        standby_pool = next((pool for pool in pools if self._is_standby(pool)), None)
+        standby_pool = self._standby_pool()
         surplus = dict(plan.surplus)
         for vm in ready:
             if (
@@ -172,6 +172,11 @@
     def _may_be_ordered(self, vm: FleetVm) -> bool:
         return not self.intents.is_blocked(vm.name)
 
+    def _standby_pool(self) -> str | None:
+        """Return the pool that receives VMs which no pool lacks, None if there is none."""
+        pools = self.context.config.pools if self.context.config else ()
+        return next((pool for pool in pools if self._is_standby(pool)), None)
+
     def _is_standby(self, pool: str) -> bool:
         config = self.context.config
         pool_config = config.pools.get(pool) if config else None
--- a/limpetpulley/standin/vms.py
+++ b/limpetpulley/standin/vms.py
@@ -31,6 +31,7 @@
     phase: Phase = Phase.DOWN
     worker_id: str = ""
     incarnations: int = 0
+    labels: frozenset[str] = frozenset()
 
 
 class MemoryVms:
@@ -86,6 +87,16 @@
         vm = self.vms[name] = _Vm(name, pool, rack)
         self._bring_up(vm)
 
+    def set_labels(self, name: str, labels: frozenset[str]) -> None:
+        """Set the labels of a VM's workers, also of the one that runs now."""
+        vm = self.vms[name]
+        vm.labels = labels
+        listed = self.listed_workers.get(vm.worker_id)
+        if listed is not None:
+            listed = attrs.evolve(listed, labels=labels)
+            self.listed_workers[vm.worker_id] = self.workers.workers[vm.worker_id].listed = listed
+            self.on_workers_changed(self.visible_workers())
+
     async def list_vms(self) -> list[FleetVm]:
         """Return all VMs, as they were a moment ago if lists lag."""
         shown_at = self.clock.now() - self.choose_list_age()
@@ -235,7 +246,14 @@
             vm.incarnations += 1
             worker_id = f"{vm.name}-{vm.incarnations}"
             listed = ListedWorker(
-                worker_id, vm.pool, self._make_address(), 1, self.capacity, vm.name, vm.rack
+                worker_id,
+                vm.pool,
+                self._make_address(),
+                1,
+                self.capacity,
+                vm.name,
+                vm.rack,
+                labels=vm.labels,
             )
         vm.worker_id = listed.worker_id
         worker = MemoryWorker(listed, self.make_worker_clock(), self.plan_run, self.on_run_started)
