--- a/limpetpulley/fleet/demand.py
+++ b/limpetpulley/fleet/demand.py
@@ -52,9 +52,11 @@
     :param ready_cores: processors that waiting tasks would use now if there were room
     :param refused_core_seconds: work that was refused in the last second
     :param vms: number of its VMs
-    :param min_spread_vms: fewest VMs over which its long-running tasks can be spread
+    :param min_spread_vms: fewest VMs over which its long-running tasks can be spread, or one less
+        than a waiting gang needs
     :param long_running_cores: processors in use by long-running tasks
     :param arriving_cores: processors needed to serve jobs at the rate at which they arrive now
+    :param needed_vms: VMs of its own that its tasks need for more than room
     """
 
     vm_cores: float
@@ -66,6 +68,7 @@
     min_spread_vms: int = 0
     long_running_cores: float = 0.0
     arriving_cores: float = 0.0
+    needed_vms: int = 0
 
     @property
     def capacity_cores(self) -> float:
@@ -180,7 +183,7 @@
             shortfall[pool] = required - total
             continue
         # VMs on their way run no tasks yet, so the pool must not release all VMs that it has.
-        removable = load.vms - load.min_vms
+        removable = load.vms - max(load.min_vms, load.needed_vms)
         spare = total - max(
             history.max_required(pool, now, LEND_AFTER_SECONDS), forecast.get(pool, 0)
         )
--- a/limpetpulley/fleet/tests/test_demand.py
+++ b/limpetpulley/fleet/tests/test_demand.py
@@ -1,5 +1,6 @@
 """How many VMs each pool needs, and which VMs a platform wave maintains next."""
 
+import attrs
 import pytest
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
@@ -101,6 +102,15 @@
     assert_that(drains, Equals(expected))
 
 
+@pytest.mark.parametrize(
+    ("needed", "lendable", "surplus"),
+    [(0, {"a": 4}, {"a": 3}), (4, {"a": 2}, {"a": 2}), (6, {}, {})],
+)
+def test_vms_that_tasks_need_for_more_than_room_are_not_spare(needed, lendable, surplus):
+    result = plan({"a": attrs.evolve(load(6, 5), needed_vms=needed)}, peaked=("a",))
+    assert_that(result, Equals(FleetPlan({}, lendable, surplus)))
+
+
 # Guards against LOST where workers are cordoned for moves that no pool receives.
 @pytest.mark.parametrize(
     ("shortfall", "expected"),
--- a/limpetpulley/ownership/admission.py
+++ b/limpetpulley/ownership/admission.py
@@ -12,6 +12,7 @@
 from ..exception import StoreError, StoreUnavailable
 from ..pool import PoolState
 from ..pool.gangs import fits_empty_pool
+from ..pool.placement_needs import PlacementNeed
 from ..pool.queue_forecast import (
     QueueForecast,
     expected_objective,
@@ -46,6 +47,8 @@
 MAX_FORECAST_AGE_SECONDS = 0.25
 #: refusal reason for a job with a task that fits no worker, or a gang that does not fit the pool
 FITS_NOWHERE = "fits-nowhere"
+#: refusal reason for a job with a step that, of all workers, needs some that are being drained
+WORKERS_LEAVING = "workers-leaving"
 #: interval between checks of jobs in doubt, in seconds; a check does not wait for earlier ones, so
 #: that it notices soon when the store answers again
 IN_DOUBT_CHECK_SECONDS = 0.25
@@ -280,6 +283,7 @@
         return since is None or self.context.clock.now() - since < self.probation_seconds
 
     def _store_description(self, job: Job, may_be_stored: bool = False) -> StoreOutcome:
+        self.pool_state.placement_needs.note_submitted(job, self.context.clock.now())
         outcome = StoreOutcome(job, self._on_outcome, may_be_stored)
         self.pending[job.key.job_id] = outcome
         self.writer.create(outcome)
@@ -336,6 +340,10 @@
             return Verdict(False, retry_seconds=FAILURE_RETRY_SECONDS, reason="no-workers")
         if not all(self._fits_empty_pool(step, job.team, workers) for step in job.spec.steps):
             return Verdict(False, retry_seconds=LONGEST_RETRY_SECONDS, reason=FITS_NOWHERE)
+        if self._needs_leaving_workers(job, workers):
+            # They are kept for it, if they have not left when the planner learns of the need.
+            self.pool_state.placement_needs.note_submitted(job, self.context.clock.now())
+            return Verdict(False, retry_seconds=FAILURE_RETRY_SECONDS, reason=WORKERS_LEAVING)
         if job.spec.lasting or job.spec.timed:
             return Verdict(True)
         immediate = predict_immediate_start(
@@ -352,6 +360,17 @@
             forecast.accept(job)
         return verdict
 
+    def _needs_leaving_workers(self, job: Job, workers: list[Worker]) -> bool:
+        """Return whether a step that is not due later fits only with workers that may leave."""
+        staying = [worker for worker in workers if not worker.is_going]
+        if job.spec.timed or len(staying) == len(workers):
+            return False
+        return not all(
+            self._fits_empty_pool(step, job.team, staying)
+            for step in job.spec.steps
+            if PlacementNeed.of(step) is not None
+        )
+
     def _fits_empty_pool(self, step: Step, team: str, workers: list[Worker]) -> bool:
         """Return whether a step could run if nothing else did: a gang all at once."""
         together = step.charge * (step.count if step.gang else 1)
--- a/limpetpulley/ownership/planner.py
+++ b/limpetpulley/ownership/planner.py
@@ -151,6 +151,7 @@
         ]
         if not self.restored:
             return pb.PoolPlan(outcome=pb.UNKNOWN, ended_incarnations=ended)
+        self._keep_needed_vms(message)
         vms, draining = self.inventory.vms, self.inventory.draining
         for name in draining:
             vm = vms.get(name)
@@ -166,6 +167,18 @@
             coming_seconds=self.dispatcher.arrival_seconds(message.pool),
         )
 
+    def _keep_needed_vms(self, message: pb.PoolReport) -> None:
+        """Drain no VM for a move any more whose worker a report calls needed.
+
+        One whose order is in progress may have left its pool already.
+        """
+        for row in message.workers:
+            draining = row.needed and self.inventory.draining.get(row.vm) == MOVE_REASON
+            if draining and not self.dispatcher.has_order(row.vm):
+                del self.inventory.draining[row.vm]
+                self.inventory.cordon_sent_at.pop(row.vm, None)
+                self.context.log.write("vm-kept", vm=row.vm, pool=message.pool)
+
     async def _plan_once(self) -> None:
         now, restore_due = self.context.clock.now(), self.intents.loaded and not self.restored
         listed, known_problems = await self.platform.list_vms(), self.inventory.unreadable
--- a/limpetpulley/ownership/pool_reports.py
+++ b/limpetpulley/ownership/pool_reports.py
@@ -197,6 +197,7 @@
             message.least_workers,
             message.lasting_cores,
             message.arriving_cores,
+            sum(1 for vm in vms if self.is_needed(vm)),
         )
 
     def worker_report(self, vm: FleetVm) -> pb.WorkerReport | None:
@@ -204,6 +205,11 @@
         report = self.latest.get(vm.pool)
         return report.by_worker.get(vm.worker_id) if report else None
 
+    def is_needed(self, vm: FleetVm) -> bool:
+        """Return whether its pool's jobs need a VM's worker, so that the VM is not to be moved."""
+        row = self.worker_report(vm)
+        return row is not None and row.needed
+
     def is_drained(self, vm: FleetVm, now: float) -> bool:
         """Return whether a recent report shows a VM's worker cordoned and without runs.
 
@@ -223,7 +229,12 @@
         return row.cordoned and not row.timed_runs and not row.lasting_runs
 
     def may_remove(self, vm: FleetVm) -> bool:
-        """Return whether a VM may be moved or maintained: it is drained, or its worker changed."""
+        """Return whether a VM may be moved or maintained: it is drained, or its worker changed.
+
+        A VM whose worker is needed may be maintained, since it comes back to its pool.
+        """
+        if self.inventory.draining.get(vm.name) == MOVE_REASON and self.is_needed(vm):
+            return False
         listed = self.inventory.vms.get(vm.name)
         # A list that lacks the VM does not tell that its worker has changed, nor an unreadable row.
         if listed is None or listed.phase is Phase.UNKNOWN or listed.worker_id == vm.worker_id:
--- a/limpetpulley/ownership/reporting.py
+++ b/limpetpulley/ownership/reporting.py
@@ -15,6 +15,7 @@
 from ..pool.ended_workers import may_live
 from ..pool.needed_workers import needed_workers
 from ..pool.queue_forecast import least_workers, pool_capacity, ready_cores, remaining_work
+from ..pool.reserved_workers import reserve_workers
 from ..scheduling.arrivals import ArrivalEstimator
 from .context import DaemonContext
 from .roster import WorkerRoster
@@ -168,6 +169,7 @@
         """Return a report of the pool's current state."""
         pool_state = self.pool_state
         needed = needed_workers(pool_state, pool_state.workers)
+        reservation = reserve_workers(pool_state, self.context.clock.now())
         waiting = sum(
             remaining_work(pool_state, pool_state.jobs[job_id])
             for job_id in pool_state.ready
@@ -195,6 +197,7 @@
                     rack=worker.listed.rack,
                     incarnation=worker.listed.incarnation,
                     unreconciled=worker.worker_id in pool_state.unreconciled_workers,
+                    needed=worker.worker_id in reservation.workers,
                 )
                 for worker in pool_state.workers.values()
                 if worker.present
@@ -215,7 +218,7 @@
             running_cores=used / 1000,
             room_cores=pool_capacity(pool_state).cpu_millicores / 1000,
             ready_cores=ready_cores(pool_state),
-            least_workers=least_workers(pool_state),
+            least_workers=max(least_workers(pool_state), reservation.least_workers),
             refused_core_seconds=self.refused_work.total(self.context.clock.now()),
             lasting_cores=sum(
                 run.charge.cpu_millicores
--- a/limpetpulley/ownership/tests/test_constrained_jobs_after_peak.py
+++ b/limpetpulley/ownership/tests/test_constrained_jobs_after_peak.py
@@ -7,6 +7,7 @@
 from testtools.matchers import Equals
 
 from ...batch import JobSpec, JobState, Step
+from .. import Outcome
 from .test_daemons import TASK, make_config, run_scenario
 
 VMS = 8
@@ -58,3 +59,74 @@
 
     state = run_scenario(scenario, make_pools(standby=False), vms=VMS)
     assert_that(state, Equals(JobState.COMPLETED))
+
+
+# Guards against LOST where the workers that a later step needs leave the pool while it waits.
+@pytest.mark.parametrize("moves", [True, False], ids=["moves", "moves-refused"])
+@pytest.mark.parametrize("standby", [True, False], ids=["standby", "no-standby"])
+@pytest.mark.parametrize("step", CONSTRAINED_STEPS)
+def test_constrained_step_starts_after_a_peak_that_its_job_has_outlasted(step, standby, moves):
+    async def scenario(deployment):
+        await play_peak(deployment)
+        spec = JobSpec("10.0", (Step(1, TASK, 10.0), attrs.evolve(step, after=(0,))))
+        job_id, _ = await deployment.submit("desk", spec)
+        await anyio.sleep(20.0 + FINISH_SECONDS)
+        return await deployment.state(job_id)
+
+    state = run_scenario(scenario, make_pools(standby), vms=VMS, moves=moves)
+    assert_that(state, Equals(JobState.COMPLETED))
+
+
+async def submit_until_accepted(deployment, spec):
+    """Submit a job as a caller does that retries; return its id, None if it is never accepted."""
+    for _ in range(4):
+        job_id, result = await deployment.submit("desk", spec)
+        if result.outcome is Outcome.ACCEPTED:
+            return job_id
+        await anyio.sleep(result.retry_seconds)
+    return None
+
+
+# Guards against LOST where idle workers stay cordoned for moves that the platform refuses.
+@pytest.mark.parametrize("step", CONSTRAINED_STEPS)
+def test_cordoned_workers_serve_an_accepted_job_that_needs_them(step):
+    async def scenario(deployment):
+        await play_peak(deployment)
+        await anyio.sleep(CALM_SECONDS)
+        pool_state = (
+            deployment.fleet.daemons[deployment.fleet.owner_of("desk")]
+            .node.owned["desk"]
+            .pool_state
+        )
+        cordoned = {each.listed.vm for each in pool_state.workers.values() if each.cordoned}
+        job_id = await submit_until_accepted(deployment, JobSpec("0.5", (step,)))
+        await anyio.sleep(FINISH_SECONDS)
+        return cordoned, await deployment.state(job_id)
+
+    cordoned, state = run_scenario(scenario, make_pools(True), vms=VMS, moves=False)
+    assert_that((len(cordoned), state), Equals((6, JobState.COMPLETED)))
+
+
+# Guards against LOST where a job is accepted for workers whose VMs are about to leave.
+@pytest.mark.parametrize("submitted_after", [3.0, 3.1, 3.2, 3.25, 3.3, 3.35, 3.4, 3.5])
+@pytest.mark.parametrize("step", CONSTRAINED_STEPS)
+def test_job_that_is_accepted_while_the_pool_shrinks_is_completed(step, submitted_after):
+    async def scenario(deployment):
+        await play_peak(deployment)
+        await anyio.sleep(submitted_after)
+        await deployment.submit("desk", JobSpec("0.5", (step,)))
+        await anyio.sleep(FINISH_SECONDS)
+        return set((await deployment.states()).values())
+
+    states = run_scenario(scenario, make_pools(True), vms=VMS)
+    assert_that(states, Equals({JobState.COMPLETED}))
+
+
+def test_pool_shrinks_after_a_peak_of_plain_jobs():
+    async def scenario(deployment):
+        await play_peak(deployment)
+        await anyio.sleep(CALM_SECONDS)
+        vms = deployment.fleet.vms.vms.values()
+        return sum(vm.pool == "desk" for vm in vms)
+
+    assert_that(run_scenario(scenario, make_pools(True), vms=VMS), Equals(2))
--- a/limpetpulley/ownership/tests/test_owner_failures.py
+++ b/limpetpulley/ownership/tests/test_owner_failures.py
@@ -173,6 +173,7 @@
     "predict_immediate_start",
     "ready_cores",
     "remaining_work",
+    "reserve_workers",
     "team_usage",
     "unseen_usage",
 }
--- a/limpetpulley/ownership/tests/test_planner.py
+++ b/limpetpulley/ownership/tests/test_planner.py
@@ -540,3 +540,91 @@
         return len(planner.inventory.draining)
 
     assert_that(anyio.run(scenario), Equals(drained))
+
+
+IDLE_SECONDS = 4.0
+
+
+async def plan_idle(planner, needed=(), wave=False):
+    """Plan for a pool of six idle VMs for some time."""
+    planner.platform.vms = [
+        FleetVm(f"m-{n}", "desk", Phase.UP, f"w-{n}", cores=4.0) for n in range(6)
+    ]
+    planner.demand_history.homes = {"desk": 6}
+    if wave:
+        vms = tuple(vm.name for vm in planner.platform.vms)
+        planner.wave_tracker.wave_registry.waves["7"] = WaveOrder("7", vms, 60.0, 1)
+    for _ in range(round(IDLE_SECONDS / 0.1)):
+        planner.context.clock.advance(0.1)
+        planner.handle_report(report_needed(needed))
+        await planner._plan_once()
+
+
+def report_needed(needed, cordoned=()):
+    rows = [
+        pb.WorkerReport(
+            worker=f"w-{n}",
+            vm=f"m-{n}",
+            incarnation=1,
+            needed=f"m-{n}" in needed,
+            cordoned=f"w-{n}" in cordoned,
+        )
+        for n in range(6)
+    ]
+    return pb.PoolReport(pool="desk", token=5, workers=rows)
+
+
+# Guards against LOST where the VMs that an accepted job cannot do without leave its pool.
+@pytest.mark.parametrize(
+    ("needed", "drained"),
+    [
+        ((), ["m-0", "m-1", "m-2"]),
+        (("m-0", "m-1"), ["m-2", "m-3", "m-4"]),
+        (("m-0", "m-1", "m-2", "m-3"), ["m-4", "m-5"]),
+        (tuple(f"m-{n}" for n in range(6)), []),
+    ],
+)
+def test_needed_vms_are_not_drained_for_moves(needed, drained):
+    async def scenario():
+        planner = make_planner(ManualClock(100.0), FakeVmList())
+        await plan_idle(planner, needed)
+        return sorted(planner.inventory.draining)
+
+    assert_that(anyio.run(scenario), Equals(drained))
+
+
+def test_needed_vms_are_drained_for_maintenance():
+    async def scenario():
+        planner = make_planner(ManualClock(100.0), FakeVmList())
+        await plan_idle(planner, [f"m-{n}" for n in range(6)], wave=True)
+        return list(planner.inventory.draining.values())
+
+    assert_that(anyio.run(scenario), Equals(["wave 7"]))
+
+
+@pytest.mark.parametrize(("ordered", "cordoned"), [(False, ["w-1", "w-2"]), (True, None)])
+def test_cordon_of_a_needed_worker_ends_with_the_answer_to_its_report(ordered, cordoned):
+    async def scenario():
+        planner = make_planner(ManualClock(100.0), FakeVmList())
+        await plan_idle(planner)
+        if ordered:
+            planner.dispatcher.in_flight.add("m-0")
+        answer = planner.handle_report(report_needed(["m-0"]))
+        return list(answer.cordoned_workers)
+
+    assert_that(anyio.run(scenario), Equals(cordoned or ["w-0", "w-1", "w-2"]))
+
+
+def test_move_is_not_ordered_once_the_vm_is_needed():
+    async def scenario():
+        planner = make_planner(ManualClock(100.0), FakeVmList())
+        await plan_idle(planner)
+        vm, found = planner.inventory.vms["m-0"], []
+        planner.dispatcher.in_flight.add("m-0")
+        for needed in ((), ("m-0",)):
+            planner.context.clock.advance(0.1)
+            planner.handle_report(report_needed(needed, cordoned=("w-0",)))
+            found.append(planner.reports.may_remove(vm))
+        return found
+
+    assert_that(anyio.run(scenario), Equals([True, False]))
--- a/limpetpulley/ownership/vm_selector.py
+++ b/limpetpulley/ownership/vm_selector.py
@@ -107,7 +107,7 @@
         selected: dict[str, str] = {}
         has_standby_pool = self._standby_pool() is not None
         for pool, count in plan_drains(plan, standby, has_standby_pool).items():
-            vms = [vm for vm in idle if vm.pool == pool]
+            vms = [vm for vm in idle if vm.pool == pool and not self.reports.is_needed(vm)]
             # VMs that are being drained stay selected as long as their pool can spare them.
             vms.sort(
                 key=lambda vm: (
--- a/limpetpulley/pool/state.py
+++ b/limpetpulley/pool/state.py
@@ -20,6 +20,7 @@
 from .ended_workers import report_sign_of_life
 from .events import EndPositions, LeaseFigures, PoolEvent
 from .evidence import FailureEvidence
+from .placement_needs import PlacementNeeds
 from .progress import ProgressLedger
 from .proofs import INHERITED_RUNS, ClaimGuard, Proof
 from .retries import RetryDelays
@@ -83,6 +84,7 @@
         # End of the process's last pause, by local time.
         self.resumed_at = -math.inf
         self.ready: dict[str, list[TaskId]] = {}
+        self.placement_needs = PlacementNeeds()
         self.usage: dict[str, Amount] = {}
         self.checkpoints: dict[TaskId, str] = {}
         self.failed_on: dict[TaskId, set[str]] = {}
@@ -151,6 +153,7 @@
         :param inherited: whether an earlier owner may have started its tasks
         """
         self.jobs[job.key.job_id] = job
+        self.placement_needs.add_job(job)
         self.progress.add(job.key.job_id)
         if inherited:
             add_inherited_job(self, job, now)
@@ -163,6 +166,7 @@
     def remove_job(self, job_id: str) -> None:
         """Remove a job whose records were deleted from the store."""
         self.jobs.pop(job_id, None)
+        self.placement_needs.remove_job(job_id)
         self.started_by_others.discard(job_id)
         self.ready.pop(job_id, None)
         self.tasks_to_check.update(self.runs_by_job.get(job_id, ()))
@@ -217,6 +221,7 @@
         if job.state.is_final:
             self.tasks_to_check.update(self.runs_by_job.get(job.key.job_id, ()))
             self.inherited.discard(job.key.job_id)
+            self.placement_needs.remove_job(job.key.job_id)
             self.retries.forget_job(job.key.job_id)
             if self.excused:
                 self.excused = {unit for unit in self.excused if unit.job_id != job.key.job_id}
--- a/limpetpulley/pool/trials.py
+++ b/limpetpulley/pool/trials.py
@@ -19,7 +19,7 @@
 if TYPE_CHECKING:
     from .state import PoolState
 
-__all__ = ["reserve_trial_worker", "trial_workers", "update_trials"]
+__all__ = ["lasting_usage", "reserve_trial_worker", "trial_workers", "update_trials"]
 
 #: fraction of the workers on which suspects may be started at a time
 TRIAL_FRACTION = 0.25
@@ -109,7 +109,7 @@
 ) -> list[Worker]:
     """Return the workers on which a task fits once the tasks there that end have ended."""
     tentative = [
-        TentativeWorker(worker.listed, worker.listed.capacity - _lasting_usage(pool_state, worker))
+        TentativeWorker(worker.listed, worker.listed.capacity - lasting_usage(pool_state, worker))
         for worker in workers
     ]
     if step.gang and not fits_together(step, tentative):
@@ -121,7 +121,7 @@
     ]
 
 
-def _lasting_usage(pool_state: PoolState, worker: Worker) -> Amount:
+def lasting_usage(pool_state: PoolState, worker: Worker) -> Amount:
     """Return the capacity that the lasting tasks on a worker reserve."""
     usage = Amount()
     for run in worker.runs.values():
