--- a/limpetpulley/fleet/vms.py
+++ b/limpetpulley/fleet/vms.py
@@ -57,6 +57,7 @@
     a readable one: any VM that the list lacks may be meant by it.
 
     :param cores: its processors
+    :param labels: labels of a worker on it, including its rack
     :param problem: why its row cannot be read, empty if it can
     :param worker_id: worker that runs on it now, empty while its pool is a standby pool or the VM
         is not up
@@ -70,6 +71,7 @@
     data_centre: str = ""
     cores: float = 0.0
     problem: str = ""
+    labels: frozenset[str] = frozenset()
 
 
 @attrs.frozen
--- a/limpetpulley/ownership/tests/test_constrained_jobs_after_peak.py
+++ b/limpetpulley/ownership/tests/test_constrained_jobs_after_peak.py
@@ -17,6 +17,8 @@
 PEAK_SECONDS, PEAK_INTERVAL_SECONDS, CALM_SECONDS = 5.0, 0.1, 8.0
 #: longest time from a job's first submission to its end, in seconds
 FINISH_SECONDS = 6.0
+#: longest time until a caller that retries when told to is accepted, in seconds
+MAX_WAIT_SECONDS = 6.5
 
 PEAK_SPEC = JobSpec("1.0", (Step(2, TASK, 1.0),))
 CONSTRAINED_STEPS = [
@@ -87,6 +89,26 @@
     return None
 
 
+# Guards against jobs that are refused for good once the VMs that they need have left.
+@pytest.mark.parametrize("calm_seconds", [3.5, 5.0, CALM_SECONDS, 3 * CALM_SECONDS])
+@pytest.mark.parametrize("step", CONSTRAINED_STEPS[:1])
+def test_job_is_accepted_soon_in_a_pool_that_has_shrunk(step, calm_seconds):
+    async def scenario(deployment):
+        await play_peak(deployment)
+        await anyio.sleep(calm_seconds)
+        vms = sum(vm.pool == "desk" for vm in deployment.fleet.vms.vms.values())
+        submitted_at = deployment.clock.now()
+        job_id = await submit_until_accepted(deployment, JobSpec("0.5", (step,)))
+        accepted_after = deployment.clock.now() - submitted_at
+        await anyio.sleep(FINISH_SECONDS)
+        return vms, accepted_after, job_id and await deployment.state(job_id)
+
+    vms, accepted_after, state = run_scenario(scenario, make_pools(True), vms=VMS)
+    assert vms < 4
+    assert accepted_after < MAX_WAIT_SECONDS
+    assert_that(state, Equals(JobState.COMPLETED))
+
+
 # Guards against LOST where idle workers stay cordoned for moves that the platform refuses.
 @pytest.mark.parametrize("step", CONSTRAINED_STEPS)
 def test_cordoned_workers_serve_an_accepted_job_that_needs_them(step):
--- a/limpetpulley/ownership/tests/test_planner.py
+++ b/limpetpulley/ownership/tests/test_planner.py
@@ -545,10 +545,19 @@
 IDLE_SECONDS = 4.0
 
 
-async def plan_idle(planner, needed=(), wave=False):
+async def plan_idle(planner, needed=(), wave=False, labels=("",) * 6):
     """Plan for a pool of six idle VMs for some time."""
     planner.platform.vms = [
-        FleetVm(f"m-{n}", "desk", Phase.UP, f"w-{n}", cores=4.0) for n in range(6)
+        FleetVm(
+            f"m-{n}",
+            "desk",
+            Phase.UP,
+            f"w-{n}",
+            f"r{n}",
+            cores=4.0,
+            labels=frozenset({label, f"r{n}"} - {""}),
+        )
+        for n, label in enumerate(labels)
     ]
     planner.demand_history.homes = {"desk": 6}
     if wave:
@@ -628,3 +637,22 @@
         return found
 
     assert_that(anyio.run(scenario), Equals([True, False]))
+
+
+@pytest.mark.parametrize(
+    ("labels", "drained"),
+    [
+        (["a", "a", "a", "b", "b", "b"], ["m-0", "m-1", "m-3"]),
+        (["a", "b", "b", "b", "b", "b"], ["m-1", "m-2", "m-3"]),
+        (["a", "b", "c", "d", "d", "d"], ["m-0", "m-3", "m-4"]),
+        (["a", "b", "c", "d", "e", "f"], ["m-0", "m-1", "m-2"]),
+        ([""] * 6, ["m-0", "m-1", "m-2"]),
+    ],
+)
+def test_a_vm_with_each_label_stays_in_its_pool_if_possible(labels, drained):
+    async def scenario():
+        planner = make_planner(ManualClock(100.0), FakeVmList())
+        await plan_idle(planner, labels=labels)
+        return sorted(planner.inventory.draining)
+
+    assert_that(anyio.run(scenario), Equals(drained))
--- a/limpetpulley/ownership/vm_selector.py
+++ b/limpetpulley/ownership/vm_selector.py
@@ -116,7 +116,9 @@
                     *self._usage_key(vm),
                 )
             )
-            selected |= dict.fromkeys((vm.name for vm in vms[:count]), MOVE_REASON)
+            pool_vms = [vm for vm in idle if vm.pool == pool]
+            leaving = _choose_leaving(vms, count, pool_vms)
+            selected |= dict.fromkeys((vm.name for vm in leaving), MOVE_REASON)
         return selected
 
     def maintenance_orders(self, now: float) -> list[VmOrder]:
@@ -185,3 +187,27 @@
     def _usage_key(self, vm: FleetVm) -> tuple:
         row = self.reports.worker_report(vm)
         return (row.lasting_runs, row.timed_runs, vm.name) if row else (0, 0, vm.name)
+
+
+def _choose_leaving(vms: list[FleetVm], count: int, pool_vms: list[FleetVm]) -> list[FleetVm]:
+    """Return the VMs that leave a pool: if possible, a VM with each label of the pool stays.
+
+    A job that needs a label which no worker has is refused, since VMs return by their number.
+
+    :param vms: VMs that may leave, in order of preference
+    :param count: number of VMs that leave
+    :param pool_vms: all VMs of the pool
+    """
+    left = Counter(label for vm in pool_vms for label in vm.labels - {vm.rack})
+    leaving: list[FleetVm] = []
+    last_of_label: list[FleetVm] = []
+    for vm in vms:
+        labels = vm.labels - {vm.rack}
+        if len(leaving) == count:
+            break
+        if all(left[label] > 1 for label in labels):
+            leaving.append(vm)
+            left.subtract(labels)
+        else:
+            last_of_label.append(vm)
+    return leaving + last_of_label[: count - len(leaving)]
--- a/limpetpulley/platform/vms.py
+++ b/limpetpulley/platform/vms.py
@@ -141,4 +141,5 @@
         labels[-1] if len(labels) > 1 else "",
         fields.get_str(row, "zone", ""),
         decode_amount(row.get("capacity") or {}).cpu_millicores / 1000,
+        labels=frozenset(labels),
     )
--- a/limpetpulley/standin/vms.py
+++ b/limpetpulley/standin/vms.py
@@ -125,7 +125,7 @@
     def _current_list(self) -> list[FleetVm]:
         cores = self.capacity.cpu_millicores / 1000
         return [
-            FleetVm(vm.name, vm.pool, vm.phase, vm.worker_id, vm.rack, "", cores)
+            FleetVm(vm.name, vm.pool, vm.phase, vm.worker_id, vm.rack, "", cores, labels=vm.labels)
             for vm in self.vms.values()
         ]
 
