--- a/limpetpulley/ownership/admission.py
+++ b/limpetpulley/ownership/admission.py
@@ -49,6 +49,10 @@
 FITS_NOWHERE = "fits-nowhere"
 #: refusal reason for a job with a step that, of all workers, needs some that are being drained
 WORKERS_LEAVING = "workers-leaving"
+#: refusal reason for a job with a gang that would fit if VMs that have left the pool were back
+WORKERS_AWAY = "workers-away"
+#: time from a refusal until VMs that it has brought back take tasks, beyond their move, in seconds
+RETURN_SECONDS = 1.0
 #: interval between checks of jobs in doubt, in seconds; a check does not wait for earlier ones, so
 #: that it notices soon when the store answers again
 IN_DOUBT_CHECK_SECONDS = 0.25
@@ -111,6 +115,8 @@
         # Jobs that were cancelled while no such job was known, with the local time of the cancel.
         self.cancelled_unknown: dict[JobKey, float] = {}
         self.are_checks_failing = False
+        # Most workers that the pool had when a job was submitted.
+        self.most_workers = 0
         # Cached forecast of the queue, and its expiry time by the local clock.
         self.forecast: QueueForecast | None = None
         self.forecast_expires_at = 0.0
@@ -338,7 +344,16 @@
         workers = [worker for worker in self.pool_state.workers.values() if worker.present]
         if not workers:
             return Verdict(False, retry_seconds=FAILURE_RETRY_SECONDS, reason="no-workers")
-        if not all(self._fits_empty_pool(step, job.team, workers) for step in job.spec.steps):
+        self.most_workers = max(self.most_workers, len(workers))
+        unfit = [
+            step for step in job.spec.steps if not self._fits_empty_pool(step, job.team, workers)
+        ]
+        if unfit and all(self._fits_with_returned(step, job.team, workers) for step in unfit):
+            # They are brought back for it, and stay until it is submitted again.
+            wait = math.ceil(self.context.timing.move + RETURN_SECONDS)
+            self.pool_state.placement_needs.note_submitted(job, self.context.clock.now(), wait)
+            return Verdict(False, retry_seconds=wait, reason=WORKERS_AWAY)
+        if unfit:
             return Verdict(False, retry_seconds=LONGEST_RETRY_SECONDS, reason=FITS_NOWHERE)
         if self._needs_leaving_workers(job, workers):
             # They are kept for it, if they have not left when the planner learns of the need.
@@ -360,6 +375,18 @@
             forecast.accept(job)
         return verdict
 
+    def _fits_with_returned(self, step: Step, team: str, workers: list[Worker]) -> bool:
+        """Return whether a gang would fit if the pool had as many workers as it once had.
+
+        VMs return by their number, so that none with a label can be asked for.
+        """
+        need = PlacementNeed.of(step)
+        if need is None or not need.gang or need.label:
+            return False
+        if not self.shares.fits_limit(team, step.charge * step.count):
+            return False
+        return need.fits_more_workers(workers, self.most_workers)
+
     def _needs_leaving_workers(self, job: Job, workers: list[Worker]) -> bool:
         """Return whether a step that is not due later fits only with workers that may leave."""
         staying = [worker for worker in workers if not worker.is_going]
--- a/limpetpulley/ownership/tests/test_constrained_jobs_after_peak.py
+++ b/limpetpulley/ownership/tests/test_constrained_jobs_after_peak.py
@@ -91,7 +91,7 @@
 
 # Guards against jobs that are refused for good once the VMs that they need have left.
 @pytest.mark.parametrize("calm_seconds", [3.5, 5.0, CALM_SECONDS, 3 * CALM_SECONDS])
-@pytest.mark.parametrize("step", CONSTRAINED_STEPS[:1])
+@pytest.mark.parametrize("step", CONSTRAINED_STEPS)
 def test_job_is_accepted_soon_in_a_pool_that_has_shrunk(step, calm_seconds):
     async def scenario(deployment):
         await play_peak(deployment)
@@ -100,13 +100,15 @@
         submitted_at = deployment.clock.now()
         job_id = await submit_until_accepted(deployment, JobSpec("0.5", (step,)))
         accepted_after = deployment.clock.now() - submitted_at
-        await anyio.sleep(FINISH_SECONDS)
-        return vms, accepted_after, job_id and await deployment.state(job_id)
+        await anyio.sleep(CALM_SECONDS)
+        state = job_id and await deployment.state(job_id)
+        vms_after = sum(vm.pool == "desk" for vm in deployment.fleet.vms.vms.values())
+        return vms, accepted_after, state, vms_after
 
-    vms, accepted_after, state = run_scenario(scenario, make_pools(True), vms=VMS)
+    vms, accepted_after, state, vms_after = run_scenario(scenario, make_pools(True), vms=VMS)
     assert vms < 4
     assert accepted_after < MAX_WAIT_SECONDS
-    assert_that(state, Equals(JobState.COMPLETED))
+    assert_that((state, vms_after), Equals((JobState.COMPLETED, 2)))
 
 
 # Guards against LOST where idle workers stay cordoned for moves that the platform refuses.
--- a/limpetpulley/pool/placement_needs.py
+++ b/limpetpulley/pool/placement_needs.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 
 import attrs
 
@@ -60,6 +60,16 @@
             step.lasting,
         )
 
+    def fits_more_workers(self, workers: Iterable[Worker], total: int) -> bool:
+        """Return whether all tasks would fit on empty workers if there were more of them.
+
+        :param workers: the workers that there are; the others are taken to be like the largest one
+        :param total: number of workers that there would be
+        """
+        most = [self.most_tasks(worker, worker.listed.capacity) for worker in workers]
+        more = max(0, total - len(most)) * max(most, default=0)
+        return sum(most) + more >= self.tasks
+
     def most_tasks(self, worker: Worker, room: Amount) -> int:
         """Return how many of the tasks may run in a worker's room."""
         if self.label and self.label not in worker.listed.labels:
@@ -102,11 +112,15 @@
             if not self.counts[need]:
                 del self.counts[need]
 
-    def note_submitted(self, job: Job, now: float) -> None:
-        """Let the needs of a submitted job count until it is stored, or submitted again."""
+    def note_submitted(self, job: Job, now: float, retry_seconds: float = 0.0) -> None:
+        """Let the needs of a submitted job count until it is stored, or submitted again.
+
+        :param retry_seconds: time after which it is to be submitted again
+        """
         needs = _needs_of(job).values()
         self.submitted = {need: until for need, until in self.submitted.items() if until > now}
-        self.submitted |= dict.fromkeys(needs, now + SUBMITTED_SECONDS)
+        until = now + retry_seconds + SUBMITTED_SECONDS
+        self.submitted |= dict.fromkeys(needs, until)
 
     def submitted_needs(self, now: float) -> Iterator[PlacementNeed]:
         """Yield the needs of jobs that were submitted a short time ago."""
--- a/limpetpulley/pool/tests/test_reserved_workers.py
+++ b/limpetpulley/pool/tests/test_reserved_workers.py
@@ -7,6 +7,7 @@
 
 from ...batch import Amount, EndKind, Job, JobKey, JobSpec, Step, TaskId
 from ...workers import EndedRun
+from ..placement_needs import PlacementNeed
 from ..reserved_workers import Reservation, reserve_workers
 from .test_crashes import start
 from .test_planning import NOW, TASK, hold, make_pool_state
@@ -118,3 +119,22 @@
     pool_state.placement_needs.note_submitted(job, NOW)
     kept = [sorted(reserve_workers(pool_state, NOW + later).workers) for later in (0.0, 4.0)]
     assert_that(kept, Equals([["w1"], []]))
+
+
+@pytest.mark.parametrize(
+    ("step", "total", "fits"),
+    [
+        (GANG, 2, False),
+        (GANG, 3, True),
+        (attrs.evolve(GANG, count=7), 6, False),
+        (Step(6, FULL, gang=True), 6, True),
+        (Step(6, FULL, gang=True), 5, False),
+        (Step(2, Amount(5000, 100), gang=True), 9, False),
+        (attrs.evolve(GANG, count=2), 0, True),
+    ],
+)
+def test_gang_fits_if_enough_workers_return(step, total, fits):
+    pool_state = make_pool(step)
+    workers = [pool_state.workers[name] for name in NAMES[:2]]
+    need = PlacementNeed.of(step)
+    assert_that(need.fits_more_workers(workers, total), Equals(fits))
