--- a/limpetpulley/ownership/tests/test_planner.py
+++ b/limpetpulley/ownership/tests/test_planner.py
@@ -520,3 +520,139 @@
         return draining, sorted(planner.inventory.draining)
 
     assert_that(anyio.run(scenario), Equals(([[]] * 3, ["m-2"])))
+
+
+# Guards against LOST where idle workers are cordoned although no pool receives their VMs.
+@pytest.mark.parametrize(("standby", "drained"), [(True, 3), (False, 0)])
+def test_surplus_vms_are_drained_only_if_a_pool_receives_them(standby, drained):
+    async def scenario():
+        clock, vms = ManualClock(100.0), FakeVmList()
+        planner = make_planner(clock, vms)
+        if not standby:
+            del planner.context.config.pools["off"]
+        vms.vms = [FleetVm(f"m-{n}", "desk", Phase.UP, f"w-{n}", cores=4.0) for n in range(6)]
+        planner.demand_history.homes = {"desk": 6}
+        planner.demand_history.forecaster.record("desk", True, 6, 80.0)
+        for _ in range(40):
+            clock.advance(0.1)
+            planner.handle_report(pb.PoolReport(pool="desk", token=5))
+            await planner._plan_once()
+        return len(planner.inventory.draining)
+
+    assert_that(anyio.run(scenario), Equals(drained))
+
+
+IDLE_SECONDS = 4.0
+
+
+async def plan_idle(planner, needed=(), wave=False, labels=("",) * 6):
+    """Plan for a pool of six idle VMs for some time."""
+    planner.platform.vms = [
+        FleetVm(
+            f"m-{n}",
+            "desk",
+            Phase.UP,
+            f"w-{n}",
+            f"r{n}",
+            cores=4.0,
+            labels=frozenset({label, f"r{n}"} - {""}),
+        )
+        for n, label in enumerate(labels)
+    ]
+    planner.demand_history.homes = {"desk": 6}
+    if wave:
+        vms = tuple(vm.name for vm in planner.platform.vms)
+        planner.wave_tracker.wave_registry.waves["7"] = WaveOrder("7", vms, 60.0, 1)
+    for _ in range(round(IDLE_SECONDS / 0.1)):
+        planner.context.clock.advance(0.1)
+        planner.handle_report(report_needed(needed))
+        await planner._plan_once()
+
+
+def report_needed(needed, cordoned=()):
+    rows = [
+        pb.WorkerReport(
+            worker=f"w-{n}",
+            vm=f"m-{n}",
+            incarnation=1,
+            needed=f"m-{n}" in needed,
+            cordoned=f"w-{n}" in cordoned,
+        )
+        for n in range(6)
+    ]
+    return pb.PoolReport(pool="desk", token=5, workers=rows)
+
+
+# Guards against LOST where the VMs that an accepted job cannot do without leave its pool.
+@pytest.mark.parametrize(
+    ("needed", "drained"),
+    [
+        ((), ["m-0", "m-1", "m-2"]),
+        (("m-0", "m-1"), ["m-2", "m-3", "m-4"]),
+        (("m-0", "m-1", "m-2", "m-3"), ["m-4", "m-5"]),
+        (tuple(f"m-{n}" for n in range(6)), []),
+    ],
+)
+def test_needed_vms_are_not_drained_for_moves(needed, drained):
+    async def scenario():
+        planner = make_planner(ManualClock(100.0), FakeVmList())
+        await plan_idle(planner, needed)
+        return sorted(planner.inventory.draining)
+
+    assert_that(anyio.run(scenario), Equals(drained))
+
+
+def test_needed_vms_are_drained_for_maintenance():
+    async def scenario():
+        planner = make_planner(ManualClock(100.0), FakeVmList())
+        await plan_idle(planner, [f"m-{n}" for n in range(6)], wave=True)
+        return list(planner.inventory.draining.values())
+
+    assert_that(anyio.run(scenario), Equals(["wave 7"]))
+
+
+@pytest.mark.parametrize(("ordered", "cordoned"), [(False, ["w-1", "w-2"]), (True, None)])
+def test_cordon_of_a_needed_worker_ends_with_the_answer_to_its_report(ordered, cordoned):
+    async def scenario():
+        planner = make_planner(ManualClock(100.0), FakeVmList())
+        await plan_idle(planner)
+        if ordered:
+            planner.dispatcher.in_flight.add("m-0")
+        answer = planner.handle_report(report_needed(["m-0"]))
+        return list(answer.cordoned_workers)
+
+    assert_that(anyio.run(scenario), Equals(cordoned or ["w-0", "w-1", "w-2"]))
+
+
+def test_move_is_not_ordered_once_the_vm_is_needed():
+    async def scenario():
+        planner = make_planner(ManualClock(100.0), FakeVmList())
+        await plan_idle(planner)
+        vm, found = planner.inventory.vms["m-0"], []
+        planner.dispatcher.in_flight.add("m-0")
+        for needed in ((), ("m-0",)):
+            planner.context.clock.advance(0.1)
+            planner.handle_report(report_needed(needed, cordoned=("w-0",)))
+            found.append(planner.reports.may_remove(vm))
+        return found
+
+    assert_that(anyio.run(scenario), Equals([True, False]))
+
+
+@pytest.mark.parametrize(
+    ("labels", "drained"),
+    [
+        (["a", "a", "a", "b", "b", "b"], ["m-0", "m-1", "m-3"]),
+        (["a", "b", "b", "b", "b", "b"], ["m-1", "m-2", "m-3"]),
+        (["a", "b", "c", "d", "d", "d"], ["m-0", "m-3", "m-4"]),
+        (["a", "b", "c", "d", "e", "f"], ["m-0", "m-1", "m-2"]),
+        ([""] * 6, ["m-0", "m-1", "m-2"]),
+    ],
+)
+def test_a_vm_with_each_label_stays_in_its_pool_if_possible(labels, drained):
+    async def scenario():
+        planner = make_planner(ManualClock(100.0), FakeVmList())
+        await plan_idle(planner, labels=labels)
+        return sorted(planner.inventory.draining)
+
+    assert_that(anyio.run(scenario), Equals(drained))
--- a/limpetpulley/ownership/vm_selector.py
+++ b/limpetpulley/ownership/vm_selector.py
@@ -105,8 +105,9 @@
         idle = [vm for vm in self.idle_vms() if vm.name not in maintenance]
         standby = sum(1 for vm in idle if self._is_standby(vm.pool) and self._may_be_ordered(vm))
         selected: dict[str, str] = {}
-        for pool, count in plan_drains(plan, standby).items():
-            vms = [vm for vm in idle if vm.pool == pool]
+        has_standby_pool = self._standby_pool() is not None
+        for pool, count in plan_drains(plan, standby, has_standby_pool).items():
+            vms = [vm for vm in idle if vm.pool == pool and not self.reports.is_needed(vm)]
             # VMs that are being drained stay selected as long as their pool can spare them.
             vms.sort(
                 key=lambda vm: (
@@ -115,7 +116,9 @@
                     *self._usage_key(vm),
                 )
             )
-            selected |= dict.fromkeys((vm.name for vm in vms[:count]), MOVE_REASON)
+            pool_vms = [vm for vm in idle if vm.pool == pool]
+            leaving = _choose_leaving(vms, count, pool_vms)
+            selected |= dict.fromkeys((vm.name for vm in leaving), MOVE_REASON)
         return selected
 
     def maintenance_orders(self, now: float) -> list[VmOrder]:
@@ -156,8 +159,7 @@
             for vm in ready[:count]:
                 orders.append(VmOrder(vm, Urgency.LACKING, target=pool))
             del ready[:count]
-        pools = self.context.config.pools if self.context.config else ()
-        standby_pool = next((pool for pool in pools if self._is_standby(pool)), None)
+        standby_pool = self._standby_pool()
         surplus = dict(plan.surplus)
         for vm in ready:
             if (
@@ -172,6 +174,11 @@
     def _may_be_ordered(self, vm: FleetVm) -> bool:
         return not self.intents.is_blocked(vm.name)
 
+    def _standby_pool(self) -> str | None:
+        """Return the pool that receives VMs which no pool lacks, None if there is none."""
+        pools = self.context.config.pools if self.context.config else ()
+        return next((pool for pool in pools if self._is_standby(pool)), None)
+
     def _is_standby(self, pool: str) -> bool:
         config = self.context.config
         pool_config = config.pools.get(pool) if config else None
@@ -180,3 +187,27 @@
     def _usage_key(self, vm: FleetVm) -> tuple:
         row = self.reports.worker_report(vm)
         return (row.lasting_runs, row.timed_runs, vm.name) if row else (0, 0, vm.name)
+
+
+def _choose_leaving(vms: list[FleetVm], count: int, pool_vms: list[FleetVm]) -> list[FleetVm]:
+    """Return the VMs that leave a pool: if possible, a VM with each label of the pool stays.
+
+    A job that needs a label which no worker has is refused, since VMs return by their number.
+
+    :param vms: VMs that may leave, in order of preference
+    :param count: number of VMs that leave
+    :param pool_vms: all VMs of the pool
+    """
+    left = Counter(label for vm in pool_vms for label in vm.labels - {vm.rack})
+    leaving: list[FleetVm] = []
+    last_of_label: list[FleetVm] = []
+    for vm in vms:
+        labels = vm.labels - {vm.rack}
+        if len(leaving) == count:
+            break
+        if all(left[label] > 1 for label in labels):
+            leaving.append(vm)
+            left.subtract(labels)
+        else:
+            last_of_label.append(vm)
+    return leaving + last_of_label[: count - len(leaving)]
