--- a/limpetpulley/pool/inherited_leases.py
+++ b/limpetpulley/pool/inherited_leases.py
@@ -19,7 +19,16 @@
 if TYPE_CHECKING:
     from .state import PoolState
 
-__all__ = ["inherited_lease_seconds", "settle_incarnations"]
+__all__ = ["inherited_lease_seconds", "may_have_inherited_leases", "settle_incarnations"]
+
+
+def may_have_inherited_leases(pool_state: PoolState, now: float) -> bool:
+    """Return whether a lease may last that an earlier owner's call has given.
+
+    :param now: local time
+    """
+    longest_lease = pool_state.longest_hold_seconds / MIN_CLOCK_RATE
+    return now < pool_state.earlier_calls_until + longest_lease
 
 
 def inherited_lease_seconds(pool_state: PoolState, worker: Worker) -> float:
@@ -34,8 +43,7 @@
 
     :param now: local time
     """
-    longest_lease = pool_state.longest_hold_seconds / MIN_CLOCK_RATE
-    if now < pool_state.earlier_calls_until + longest_lease:
+    if may_have_inherited_leases(pool_state, now):
         return
     for name, worker in pool_state.workers.items():
         if worker.reconciled and name not in pool_state.earlier_leases:
--- a/limpetpulley/pool/replies.py
+++ b/limpetpulley/pool/replies.py
@@ -11,7 +11,7 @@
 from .ended_workers import report_sign_of_life
 from .events import PoolEvent
 from .evidence import weigh_run
-from .inherited_leases import inherited_lease_seconds
+from .inherited_leases import inherited_lease_seconds, may_have_inherited_leases
 from .proofs import Proof
 from .reconcile import SETTLE_MARGIN_SECONDS, drop_unlisted_runs, reconcile_running
 from .rejections import handle_rejection
@@ -65,7 +65,7 @@
     worker.silent = False
     if not worker.reconciled:
         worker.reconciled, worker.reconciled_at = True, now
-        if worker.runs or now < pool_state.earlier_calls_until:
+        if worker.runs or may_have_inherited_leases(pool_state, now):
             worker.lease.assume_extended(inherited_lease_seconds(pool_state, worker))
         _report_first_list(pool_state, worker, reply)
     for end in sorted(reply.ended, key=lambda end: end.position):
