--- a/limpetpulley/ownership/tests/test_seams.py
+++ b/limpetpulley/ownership/tests/test_seams.py
@@ -58,6 +58,7 @@
 LOST_ANSWERS = (
     ("intents", "_write", "commit"),
     ("roster", "_store", "commit"),
+    ("wave_tracker", "_store_wave", "commit"),
     ("writer", "_create", "commit"),
     ("writer", "_store_progress", "commit"),
 )
--- a/limpetpulley/ownership/tests/test_wave_tracker.py
+++ b/limpetpulley/ownership/tests/test_wave_tracker.py
@@ -34,6 +34,49 @@
     assert_that(run_scenario(scenario), Equals((lost, True)))
 
 
+class LateWaveWrite:
+    """A store that carries out the first write of a wave's progress late, without an answer.
+
+    :param tasks: task group in which it is carried out
+    """
+
+    def __init__(self, store, tasks, key, late_seconds):
+        self.store, self.tasks, self.key, self.late_seconds = store, tasks, key, late_seconds
+        self.is_late_due = True
+
+    def __getattr__(self, name):
+        return getattr(self.store, name)
+
+    async def commit(self, compares, writes):
+        if not self.is_late_due or not any(write.key == self.key for write in writes):
+            return await self.store.commit(compares, writes)
+        self.is_late_due = False
+        self.tasks.start_soon(self._commit_late, compares, writes)
+        raise StoreUnavailable("no answer")
+
+    async def _commit_late(self, compares, writes):
+        await anyio.sleep(self.late_seconds)
+        await self.store.commit(compares, writes)
+
+
+# Guards against a completed wave that is shown as running for good, since a write was late.
+@pytest.mark.parametrize("late_seconds", [0.1, 1.0, 6.0, 10.0])
+def test_late_write_of_a_wave_does_not_replace_a_later_one(late_seconds):
+    async def scenario(deployment):
+        fleet = deployment.fleet
+        for daemon in fleet.daemons.values():
+            context = daemon.node.context
+            context.store = LateWaveWrite(
+                context.store, fleet.tasks, context.keys.wave("7"), late_seconds
+            )
+        fleet.order_wave(WaveOrder("7", ("desk-0",), 20.0, 1))
+        await anyio.sleep(15.0)
+        states = [await fleet.store.get(key) for key in (context.keys.wave("7"), "state/7")]
+        return b'"completed": true' in states[0].value, states[1].value
+
+    assert_that(run_scenario(scenario), Equals((True, b"completed")))
+
+
 def replace_rows(fleet, names, phases=frozenset(Phase)):
     """Let the list of VMs have rows that cannot be read for VMs in some phases."""
     list_vms = fleet.vms.list_vms
--- a/limpetpulley/ownership/wave_tracker.py
+++ b/limpetpulley/ownership/wave_tracker.py
@@ -11,7 +11,7 @@
 from ..fleet.maintenance import WaveProgress, is_finished
 from ..fleet.vms import FleetVm, Phase, WaveOrder
 from ..json_decoding import get_bool, get_number, get_strings, parse_object
-from ..store import Compare, Put
+from ..store import Compare, Entry, Put
 from .context import DaemonContext
 from .failures import describe_error
 from .intents import IntentLog
@@ -55,6 +55,9 @@
         self.waves = waves
         self.intents = intents
         self.dispatcher = dispatcher
+        # Revisions of the waves' records. Writes compare them, so that a write that the store
+        # applies late, after a newer one, has no effect.
+        self.revisions: dict[str, int] = {}
         # VMs whose rows cannot be read, and which count as down for the time of a maintenance.
         self.unread: set[str] = set()
         # Latest delay of each wave that has failed, and until when it waits, by local time.
@@ -142,7 +145,7 @@
         wave.ordered_at |= dict.fromkeys(names.intersection(wave.order.vms), now)
 
     async def _load_wave(self, order: WaveOrder) -> WaveProgress:
-        entry = await self.context.store.get(self.context.keys.wave(order.name))
+        entry = await self._read_wave(order.name)
         if entry is None:
             return WaveProgress(order, self.context.wall_time())
         try:
@@ -155,14 +158,26 @@
             self.context.log.write("record-unreadable", key=entry.key, reason=str(error))
             return WaveProgress(order, self.context.wall_time())
 
+    async def _read_wave(self, name: str) -> Entry | None:
+        entry = await self.context.store.get(self.context.keys.wave(name))
+        self.revisions[name] = entry.revision if entry is not None else 0
+        return entry
+
     async def _store_wave(self, wave: WaveProgress) -> None:
         name = wave.order.name
+        key = self.context.keys.wave(name)
         value = {"begun": wave.started_at, "done": sorted(wave.done), "completed": wave.completed}
         state = self.wave_registry.encode_state(name, wave.completed)
-        await self.context.store.commit(
-            [self.claim],
+        result = await self.context.store.commit(
+            [self.claim, Compare(key, self.revisions.get(name, 0))],
             [
-                Put(self.context.keys.wave(name), json.dumps(value).encode()),
+                Put(key, json.dumps(value).encode()),
                 Put(self.wave_registry.state_key(name), state),
             ],
         )
+        if result.ok:
+            self.revisions[name] = result.revision
+            return
+        # An earlier write may have been applied although its answer was lost.
+        self.dispatcher.unsaved_waves.add(name)
+        await self._read_wave(name)
