--- a/limpetpulley/batch/keys.py
+++ b/limpetpulley/batch/keys.py
@@ -35,6 +35,7 @@
         self.progress_records = prefix + "progress/"
         self.shares = prefix + "share/"
         self.rosters = prefix + "roster/"
+        self.unknown_cancels = prefix + "cancel/"
         self.waves = prefix + "wave/"
         self.homes = prefix + "homes"
         self.succession = prefix + "succession"
@@ -71,6 +72,10 @@
         """Return the key of the roster of workers that may hold runs of a pool."""
         return self.rosters + pool
 
+    def cancels(self, pool: str) -> str:
+        """Return the key of the cancels of jobs that a pool's owner did not know."""
+        return self.unknown_cancels + pool
+
     def wave(self, wave: str) -> str:
         """Return the key of the progress of a maintenance wave."""
         return self.waves + wave
--- a/limpetpulley/ownership/admission.py
+++ b/limpetpulley/ownership/admission.py
@@ -31,6 +31,7 @@
 from ..workers import Worker
 from .context import DaemonContext
 from .reporting import RefusedWork
+from .unknown_cancels import UnknownCancels
 from .writer import OwnerWriter, StoreOutcome
 
 __all__ = ["AdmissionController", "Submission"]
@@ -52,9 +53,6 @@
 #: time after the last attempt beyond which an unanswered write is no longer applied, in seconds;
 #: from the platform's writes, which are late by a few seconds
 MAX_WRITE_DELAY_SECONDS = 8.0
-#: time for which a cancel of an unknown job also applies to a submission that arrives after it, in
-#: seconds: daemons repeat submissions for as long as their callers wait, and messages may be late
-CANCEL_MEMORY_SECONDS = 15.0
 #: refusal reason while an owner that follows failures of the owners before it has not served for
 #: some time
 OWNER_FAILING = "owner-failing"
@@ -83,6 +81,7 @@
     :param refused_work: records the work that was refused
     :param arriving_work: records the work that is submitted
     :param request_planning: called when a job was accepted
+    :param unknown_cancels: cancels of jobs that were not known
     """
 
     def __init__(
@@ -94,6 +93,7 @@
         refused_work: RefusedWork,
         arriving_work: ArrivalEstimator,
         request_planning: Callable[[], None],
+        unknown_cancels: UnknownCancels,
     ):
         self.context = context
         self.pool_state = pool_state
@@ -102,11 +102,10 @@
         self.refused_work = refused_work
         self.arriving_work = arriving_work
         self.request_planning = request_planning
+        self.unknown_cancels = unknown_cancels
         # Accepted jobs that are being stored or are in doubt, by job id. A repeated submission of
         # such a job is neither decided again nor refused, since the job may be stored.
         self.pending: dict[str, StoreOutcome] = {}
-        # Jobs that were cancelled while no such job was known, with the local time of the cancel.
-        self.cancelled_unknown: dict[JobKey, float] = {}
         self.are_checks_failing = False
         # Cached forecast of the queue, and its expiry time by the local clock.
         self.forecast: QueueForecast | None = None
@@ -123,7 +122,7 @@
         """
         key = JobKey(submission.queue.name, submission.job_id)
         is_known = submission.job_id in self.pool_state.jobs or submission.job_id in self.pending
-        if not is_known and self._was_cancelled(key):
+        if not is_known and self.unknown_cancels.includes(key):
             verdict = await self._judge_cancelled(key, submission)
             if verdict is None or not verdict.accepted:
                 return verdict
@@ -167,12 +166,14 @@
         """Cancel a job that is not in the pool; return once it is in the pool or not stored.
 
         A job in doubt is written again, because that decides soon whether it is stored. It is
-        cancelled before it is in the pool, so that it never starts.
+        cancelled before it is in the pool, so that it never starts. The cancel of a job that is not
+        stored is, since the job may still be submitted, to this owner or the next one.
 
-        :param wait_seconds: longest time until that is known, in seconds
+        :param wait_seconds: longest time for each of these, in seconds
         :raises StoreUnavailable: if it is not known in time; the job is cancelled when it is stored
         """
         outcome = self.pending[key.job_id] if self.is_pending(key) else None
+        self.unknown_cancels.note(key)
         self.context.log.write(
             "cancel-before-stored",
             job=key.job_id,
@@ -181,7 +182,7 @@
             attempts=outcome.attempts if outcome is not None else 0,
         )
         if outcome is None:
-            self._remember_cancel(key)
+            await self.unknown_cancels.add(key, wait_seconds)
             return
         outcome.cancelled = True
         if outcome.is_unsent:
@@ -191,21 +192,7 @@
         if await self._wait_until_stored(outcome, wait_seconds) is None:
             raise StoreUnavailable(f"not known whether job {key.job_id} is stored")
         if not outcome.stored:
-            self._remember_cancel(key)
-
-    def _remember_cancel(self, key: JobKey) -> None:
-        now = self.context.clock.now()
-        self.cancelled_unknown = {
-            each: cancelled_at
-            for each, cancelled_at in self.cancelled_unknown.items()
-            if now - cancelled_at <= CANCEL_MEMORY_SECONDS
-        }
-        self.cancelled_unknown[key] = now
-
-    def _was_cancelled(self, key: JobKey) -> bool:
-        """Return whether a job that was unknown was cancelled a short time ago."""
-        cancelled_at = self.cancelled_unknown.get(key, -math.inf)
-        return self.context.clock.now() - cancelled_at <= CANCEL_MEMORY_SECONDS
+            await self.unknown_cancels.add(key, wait_seconds)
 
     async def _judge_cancelled(self, key: JobKey, submission: Submission) -> Verdict | None:
         """Refuse a submission that arrives after its cancel, unless the job is stored.
--- a/limpetpulley/ownership/owner.py
+++ b/limpetpulley/ownership/owner.py
@@ -41,6 +41,7 @@
 from .set_aside_records import SetAsideRecords
 from .share_manager import ShareManager
 from .ticket_fetcher import TicketFetcher
+from .unknown_cancels import UnknownCancels
 from .worker_client import (
     MAX_UNRENEWED_CLAIM_SECONDS,
     WorkerClient,
@@ -143,6 +144,7 @@
         self.share_manager = ShareManager(context, self.pool_state, self.shares, self.writer)
         self.refused_work = RefusedWork()
         self.arriving_work = ArrivalEstimator(context.clock.now())
+        self.unknown_cancels = UnknownCancels(context, pool, self.writer)
         self.admission = AdmissionController(
             context,
             self.pool_state,
@@ -151,6 +153,7 @@
             self.refused_work,
             self.arriving_work,
             self.request_planning,
+            self.unknown_cancels,
         )
         self.ticket_fetcher = TicketFetcher(context, self.pool_state, self.request_planning)
         self.worker_clients: dict[str, WorkerClient] = {}
@@ -191,6 +194,7 @@
                         self.share_manager.run,
                         self.reporter.run,
                         self.admission.run_in_doubt_checks,
+                        self.unknown_cancels.run,
                         self.roster.run,
                         self.ticket_fetcher.run,
                         PredecessorFence(self.context, self.pool_state, self.roster.inherited).run,
@@ -321,6 +325,7 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._read_roster)
             tasks.start_soon(self._read_jobs)
+            tasks.start_soon(self.unknown_cancels.load)
             tasks.start_soon(self.share_manager.load)
         if self.pool_state.started_by_others:
             unseen_seconds = MAX_UNRENEWED_CLAIM_SECONDS / MIN_CLOCK_RATE
@@ -437,8 +442,6 @@
             await self.admission.cancel(key, CANCEL_WAIT_SECONDS)
             job = self.find(key)
         if job is None:
-            if not await self.writer.is_claim_valid():
-                raise StoreUnavailable(f"pool {self.pool} may have another owner")
             return None
         if self.pool_state.cancel(job, self.context.wall_time()):
             self.context.log.write("job-cancelled", job=key.job_id, queue=key.queue)
--- a/limpetpulley/platform/tests/test_decoded_values.py
+++ b/limpetpulley/platform/tests/test_decoded_values.py
@@ -48,6 +48,7 @@
 from ...ownership.intents import IntentLog
 from ...ownership.reporting import PoolReporter, RefusedWork
 from ...ownership.roster import WorkerRoster
+from ...ownership.unknown_cancels import UnknownCancels, decode_cancels, encode_cancels
 from ...peer import batch_pb2 as pb
 from ...pool import PoolState, process_hold_reply, process_start_reply, process_stop_reply
 from ...pool.planning import PlanningLimits, plan_orders
@@ -130,6 +131,7 @@
             self.refused,
             self.arriving,
             lambda: None,
+            UnknownCancels(self.context, "desk", None),
         )
 
     def close(self):
@@ -586,6 +588,23 @@
     use_pool(prepare)
 
 
+@EXAMPLES
+@given(value=odd_documents({"jobs": [["desk", "0" * 16], ["tour", "f" * 16]]}))
+def test_stored_cancels_can_be_used(value):
+    keys = decode(decode_cancels, value)
+    if keys is None:
+        return
+
+    def prepare(pool):
+        cancels = pool.admission.unknown_cancels
+        for key in keys:
+            cancels.note(key)
+        assert all(map(cancels.includes, keys))
+        decode_cancels(encode_cancels(keys))
+
+    use_pool(prepare)
+
+
 RECORD = PlannerRecord(
     7,
     (OrderIntent("m-1", "i-1", "desk", "", 1.0), OrderIntent("m-2", "", "", "3", 0.5)),
