--- a/limpetpulley/ownership/tests/test_owner_failures.py
+++ b/limpetpulley/ownership/tests/test_owner_failures.py
@@ -171,6 +171,7 @@
     "needed_workers",
     "pool_capacity",
     "predict_immediate_start",
+    "queued_work",
     "ready_cores",
     "remaining_work",
     "reserve_workers",
--- a/limpetpulley/quota/share_queue.py
+++ b/limpetpulley/quota/share_queue.py
@@ -3,10 +3,10 @@
 Two pools could otherwise hold parts that are too small for their tasks, and each wait for the rest.
 One record for each team in the store lists the waiting pools. A pool with a task that does not fit
 beside what lasts in its share adds itself at the end, with the share that it needs; the first one
-collects what the others leave to it, and removes itself once its task fits. A pool that waits
-behind a first one that gets nothing more for a while, because its owner is gone or long tasks run
-elsewhere, removes that one; its owner adds it again at the end. A pool whose other tasks will make
-room adds itself without a need: the others then keep no more than they use.
+collects what the others leave to it, and removes itself once its task fits. If the first one gets
+nothing more for a while, because its owner is gone or long tasks run elsewhere, another pool with
+blocked tasks removes it; its owner adds it again at the end. A pool whose own tasks will make room
+adds itself without a need: the others then keep no more than they use.
 """
 
 from __future__ import annotations
@@ -95,29 +95,37 @@
     def _plan_team(
         self, team: str, record: ShareRecord, usage: Amount, work: QueuedWork, now: float
     ) -> dict[str, ResourceTriple]:
-        pool, first, waiting = self.shares.pool, record.first, dict(record.waiting)
-        progress = first and (waiting[first], record.pools.get(first, NOTHING))
-        unchanged = _unchanged_seconds(self.first, team, (first, progress), now)
-        present = waiting.get(pool)
-        if present and any(present) and team in self.sought:
+        pool, waiting = self.shares.pool, dict(record.waiting)
+        overdue = self._overdue_first(team, record, now)
+        is_blocked = bool(self._blocked_tasks(team, usage, work))
+        blocked_seconds = _unchanged_seconds(self.blocked, team, is_blocked, now)
+        present = waiting.get(pool, NOTHING)
+        if any(present) and team in self.sought:
             needed = self._still_needed(team, usage, work, now)
         else:
             needed = self._find_sought(team, usage, work)
-        if needed is None:
+        if needed is not None:
+            if not any(present):
+                waiting.pop(pool, None)
+            waiting[pool] = larger(needed, present)
+        else:
             self.sought.pop(team, None)
             waiting.pop(pool, None)
-            if self._blocked_seconds(team, usage, work, now) >= BLOCKED_SECONDS:
+            if is_blocked and blocked_seconds >= BLOCKED_SECONDS:
                 waiting = {**record.waiting, pool: NOTHING}
-            return waiting
-        if present and not any(present):
-            del waiting[pool]
-        waiting[pool] = larger(needed, present or NOTHING)
-        if first is not None and first != pool and unchanged >= TURN_SECONDS:
-            del waiting[first]
+        if overdue is not None and (is_blocked or needed is not None):
+            del waiting[overdue]
         return waiting
 
+    def _overdue_first(self, team: str, record: ShareRecord, now: float) -> str | None:
+        """Return another pool that is first and has received nothing more for a whole turn."""
+        first = record.first
+        received = first and (first, record.waiting[first], record.pools.get(first, NOTHING))
+        seconds = _unchanged_seconds(self.first, team, received, now)
+        return first if first != self.shares.pool and seconds >= TURN_SECONDS else None
+
     def _blocked_tasks(self, team: str, usage: Amount, work: QueuedWork) -> list[Amount]:
-        """Return what each task needs that is blocked by what other pools hold."""
+        """Return what each task needs that is blocked by what other pools hold or wait for."""
         limit = triple(self.shares.limits[team])
         available = larger(self.shares.usable(team), self.shares.attainable(team))
         return [
@@ -127,12 +135,6 @@
             and not fits_limited(triple(usage + amount), available, limit)
         ]
 
-    def _blocked_seconds(self, team: str, usage: Amount, work: QueuedWork, now: float) -> float:
-        """Return for how long tasks have been blocked by what other pools hold, in seconds."""
-        is_blocked = bool(self._blocked_tasks(team, usage, work))
-        seconds = _unchanged_seconds(self.blocked, team, is_blocked, now)
-        return seconds if is_blocked else 0.0
-
     def _find_sought(self, team: str, usage: Amount, work: QueuedWork) -> ResourceTriple | None:
         """Choose a task for which the pool's own tasks cannot make room.
 
--- a/limpetpulley/quota/tests/test_share_queue.py
+++ b/limpetpulley/quota/tests/test_share_queue.py
@@ -15,6 +15,7 @@
 
 TEAM = "agents"
 LIMIT = Amount(10_000, 40_000, 0)
+LIMIT_CORES = Amount(10_000)
 ROUND_SECONDS = 0.2
 NEVER = 10**9
 #: rounds in which a turn is handed over while nothing runs; well below 3 s
@@ -176,6 +177,21 @@
     assert_that([pool.started for pool in pools], Equals([1, 1]))
 
 
+@pytest.mark.parametrize("needed", [2000, 9500, 10_000])
+@pytest.mark.parametrize("seed", range(5))
+def test_pool_without_an_owner_does_not_hold_up_the_tasks_of_a_running_pool(seed, needed):
+    """Such a pool needs no turn itself, since its own tasks make room."""
+    source, stored = random.Random(seed), StoredRecord()
+    busy = PlayedPool("desk", stored, flow=(Amount(1000), 3))
+    for number in range(TURN_ROUNDS):
+        play_round([busy], number, source)
+    queue = attrs.evolve(stored.record, waiting={"lost": (needed, 0, 0)}, waiting_revision=10**6)
+    stored.record, stored.revision = queue, 10**6
+    for number in range(TURN_ROUNDS, 2 * (TURN_ROUNDS + LOST_TURN_ROUNDS)):
+        play_round([busy], number, source)
+    assert_that(busy.usage(), Equals(LIMIT_CORES))
+
+
 @pytest.mark.parametrize("seed", range(5))
 def test_tasks_that_never_end_elsewhere_hold_up_nothing_that_fits_beside_them(seed):
     source, stored = random.Random(seed), StoredRecord()
