--- a/limpetpulley/ownership/tests/test_constrained_jobs_after_peak.py
+++ b/limpetpulley/ownership/tests/test_constrained_jobs_after_peak.py
@@ -7,6 +7,7 @@
 from testtools.matchers import Equals
 
 from ...batch import JobSpec, JobState, Step
+from ...fleet.vms import WaveOrder
 from .. import Outcome
 from .test_daemons import TASK, make_config, run_scenario
 
@@ -19,6 +20,8 @@
 FINISH_SECONDS = 6.0
 #: longest time until a caller that retries when told to is accepted, in seconds
 MAX_WAIT_SECONDS = 6.5
+#: time for a wave, and interval between two jobs beside it, in seconds
+WAVE_SECONDS, WAVE_JOB_INTERVAL_SECONDS = 40.0, 0.5
 
 PEAK_SPEC = JobSpec("1.0", (Step(2, TASK, 1.0),))
 CONSTRAINED_STEPS = [
@@ -146,6 +149,26 @@
     assert_that(states, Equals({JobState.COMPLETED}))
 
 
+# Guards against a wave that is late, or jobs that are lost, where jobs need all workers of a pool.
+@pytest.mark.parametrize("at_once", [1, 2, 4])
+@pytest.mark.parametrize("step", CONSTRAINED_STEPS)
+def test_wave_is_completed_beside_jobs_that_need_the_workers(step, at_once):
+    async def scenario(deployment):
+        for name in LABELLED_VMS:
+            deployment.fleet.vms.set_labels(name, frozenset({LABEL}))
+        vms = tuple(deployment.fleet.vms.vms)
+        deployment.fleet.order_wave(WaveOrder("7", vms, WAVE_SECONDS, at_once))
+        for _ in range(round(WAVE_SECONDS / WAVE_JOB_INTERVAL_SECONDS)):
+            await deployment.submit("desk", JobSpec("0.5", (step,)))
+            await anyio.sleep(WAVE_JOB_INTERVAL_SECONDS)
+        maintained = deployment.fleet.vms.maintained_vms["7"]
+        await anyio.sleep(FINISH_SECONDS)
+        return len(vms) - len(maintained), set((await deployment.states()).values())
+
+    result = run_scenario(scenario, make_pools(True))
+    assert_that(result, Equals((0, {JobState.COMPLETED})))
+
+
 def test_pool_shrinks_after_a_peak_of_plain_jobs():
     async def scenario(deployment):
         await play_peak(deployment)
