--- a/limpetpulley/ownership/tests/test_seams.py
+++ b/limpetpulley/ownership/tests/test_seams.py
@@ -71,6 +71,7 @@
 NOT_REACHED = {
     ("entry_client", "_call", "call"): "test_entry_client",
     ("worker_client", "send", "pace"): "test_worker_client",
+    ("worker_client", "_ask_incarnation", "hold"): "test_worker_client",
     ("set_aside_records", "_store", "commit"): "test_set_aside_retries",
     ("set_aside_records", "_store", "get"): "test_set_aside_retries",
 }
--- a/limpetpulley/ownership/tests/test_worker_client.py
+++ b/limpetpulley/ownership/tests/test_worker_client.py
@@ -9,7 +9,7 @@
 from ...batch import Amount, EndKind, Job, JobKey, TaskId
 from ...batch.keys import BatchKeys
 from ...clock import ManualClock
-from ...exception import WorkerError
+from ...exception import WorkerError, WorkerFault
 from ...pool import PlanningLimits, PoolState, plan_orders
 from ...pool.state import MAX_ORDER_DELAY_SECONDS
 from ...pool.tests.test_planning import Shares
@@ -273,14 +273,43 @@
     assert anyio.run(scenario) == [before, (number, True)]
 
 
+@pytest.mark.parametrize(("read", "is_settled"), [("before", True), ("meanwhile", False)])
+def test_the_known_incarnation_refutes_an_entry_that_was_read_before_its_hold(read, is_settled):
+    """At the address in the entry nobody may answer."""
+
+    async def scenario():
+        client = make_client(orders := ScriptedOrders([EMPTY_REPLY, EMPTY_REPLY]))
+        worker, answer = client.worker, orders.answer
+        await client.hold()
+        run = Run(STOP.task, STOP.number, "w", Amount(), seen_running=True)
+        client.pool_state.add_run(run, worker)
+        entry = attrs.evolve(worker.listed, incarnation=2, address="w:2")
+
+        def enlist_and_answer():
+            client.pool_state.update_listed_worker(entry)
+            return answer()
+
+        if read == "before":
+            client.pool_state.update_listed_worker(entry)
+        else:
+            orders.answer = enlist_and_answer
+        await client.hold()
+        assert worker.listed.incarnation == 1 and run.task in worker.runs
+        return worker.suspected is None
+
+    assert anyio.run(scenario) == is_settled
+
+
 @pytest.mark.parametrize("reply", [REPLY, NEXT_REPLY, HoldReply(0.5, 3, (), ENDED)])
-@pytest.mark.parametrize("failures", [0, 2])
+@pytest.mark.parametrize(
+    "failures",
+    [[], [WorkerError("refused"), TimeoutError()], [WorkerFault("nobody expects this")] * 2],
+)
 def test_a_suspected_restart_is_checked_until_an_incarnation_answers(failures, reply):
     """The hold that is under way may hang, and the entry may have another address."""
 
     async def scenario():
-        calls = [REPLY, *[WorkerError("refused")] * failures, reply]
-        client = make_client(orders := ScriptedOrders(calls))
+        client = make_client(orders := ScriptedOrders([REPLY, *failures, reply]))
         worker = client.worker
         await client.hold()
         run = Run(STOP.task, STOP.number, "w", Amount(), seen_running=True)
@@ -294,7 +323,7 @@
         return orders.acknowledged[1:], worker.processed_through
 
     acknowledged, position = anyio.run(scenario)
-    assert acknowledged == [0] * (failures + 1)
+    assert acknowledged == [0] * (len(failures) + 1)
     assert position == (2 if reply.incarnation == 1 else 0)
 
 
--- a/limpetpulley/pool/planning.py
+++ b/limpetpulley/pool/planning.py
@@ -161,9 +161,13 @@
             timed_out = run.ordered_at is None or now - run.ordered_at >= START_TIMEOUT_SECONDS
             if job is None or timed_out:
                 orders.append(stop_run(run, now))
-            elif pool_state.claim_guard.is_valid(now):
+            elif pool_state.claim_guard.is_valid(now) and not _is_suspected(pool_state, run):
                 # The worker may have restarted, and a later owner may have taken the run's end.
                 run.sent_at = now
                 run.unanswered_starts += 1
                 orders.append(make_start_order(job, run))
     return orders
+
+
+def _is_suspected(pool_state: PoolState, run: Run) -> bool:
+    return pool_state.workers[run.worker_id].suspected is not None
--- a/limpetpulley/pool/state.py
+++ b/limpetpulley/pool/state.py
@@ -346,6 +346,7 @@
             self.on_event(
                 PoolEvent("worker-suspected", worker.worker_id, life=life, next_life=next_life)
             )
+            self._queue_late_start_stops(worker.worker_id)
         worker.suspected = listed
 
     @changes_state
--- a/limpetpulley/pool/tests/test_incarnations.py
+++ b/limpetpulley/pool/tests/test_incarnations.py
@@ -5,12 +5,12 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, HasLength
 
-from ...batch import Step
+from ...batch import Step, TaskId
 from ...scheduling.placement import unavailability
 from ...workers import HoldReply, ListedRun, StartOrder, StartOutcome, StopOrder
 from ..replies import process_hold_reply, process_start_reply
 from ..state import MAX_REPLACED_INCARNATIONS
-from .test_planning import NOW, TASK, make_pool_state, plan
+from .test_planning import JOB, NOW, TASK, make_pool_state, plan
 
 FIRST, LOWER, HIGHER = 2000, 1000, 3000
 
@@ -195,6 +195,29 @@
     assert_that(found, Equals((HIGHER, FIRST, [row.task])))
 
 
+@pytest.mark.parametrize("entry", [LOWER, HIGHER])
+def test_starts_that_an_unconfirmed_incarnation_may_carry_out_late_are_stopped_at_once(entry):
+    pool_state, _ = make_worker()
+    late = StopOrder("w1", TaskId(JOB, 0, 0, 9), 1)
+    pool_state.late_start_stops[late] = NOW
+    start(pool_state)
+    enlist(pool_state, entry)
+    assert_that(plan(pool_state, now=NOW + 0.1), Equals([late]))
+
+
+@pytest.mark.parametrize(
+    ("answering", "resent"), [(None, []), (FIRST, [StartOrder]), (HIGHER, [StopOrder])]
+)
+def test_a_start_without_an_answer_is_not_repeated_until_an_incarnation_answers(answering, resent):
+    pool_state, _ = make_worker()
+    assert_that(plan(pool_state), HasLength(1))
+    enlist(pool_state, HIGHER)
+    if answering is not None:
+        settle(pool_state, answering)
+    orders = plan(pool_state, now=NOW + 0.6)
+    assert_that([type(order) for order in orders], Equals(resent))
+
+
 @pytest.mark.parametrize("entry", [LOWER, HIGHER])
 @pytest.mark.parametrize(("listed", "kept_seconds"), [(True, 5.2), (False, 25.0)])
 def test_a_run_is_over_when_its_lease_has_lapsed_although_a_restart_is_not_confirmed(
