--- a/limpetpulley/ownership/worker_client.py
+++ b/limpetpulley/ownership/worker_client.py
@@ -312,8 +312,12 @@
         if lease_seconds < MIN_LEASE_SECONDS:
             return
         lease, now = self.worker.lease, self.context.clock.now()
-        lease_until = lease.until_seconds if self.failing else lease.extend(now, lease_seconds)
         min_worker_seconds = lease.min_worker_time(now)
+        if self.failing:
+            # What is assumed of the lease is no reason to request it.
+            lease_until = min(lease.until_seconds, min_worker_seconds + lease_seconds)
+        else:
+            lease_until = lease.extend(now, lease_seconds)
         async with self._check_refusals():
             reply = await self.context.orders.start(
                 self.worker.listed, order, self.pool_state.token, lease_until
