--- a/limpetpulley/pool/replies.py
+++ b/limpetpulley/pool/replies.py
@@ -115,6 +115,10 @@
     )
     if worker is not None and is_unseen:
         _note_unseen_incarnation(pool_state, worker, worker_seconds, min_worker_seconds, now)
+    elif worker is not None and outcome in LEASING_OUTCOMES:
+        # A young clock may be that of the next incarnation and not be behind.
+        length_seconds = worker.lease.until_seconds - worker_seconds
+        worker.lease.note_unseen(now, min(length_seconds, pool_state.longest_hold_seconds))
     if worker is not None and outcome is not StartOutcome.OTHER_WORKER:
         report_sign_of_life(pool_state, worker, "start", now, outcome.name.lower())
     if outcome is StartOutcome.STARTED:
--- a/limpetpulley/workers/lease.py
+++ b/limpetpulley/workers/lease.py
@@ -68,9 +68,9 @@
         self.until_seconds = max(self.until_seconds, self.worker_seconds + length_seconds)
 
     def note_unseen(self, now: float, length_seconds: float) -> None:
-        """Note that a call has reached an incarnation whose clock is not known.
+        """Note that a call has reached an incarnation whose clock may not be the known one.
 
-        :param length_seconds: longest lease that a worker grants, in seconds
+        :param length_seconds: longest lease that the call may have given, in seconds
         """
         self.unseen_until = max(self.unseen_until, now + length_seconds / MIN_CLOCK_RATE)
 
