--- a/limpetpulley/pool/planning.py
+++ b/limpetpulley/pool/planning.py
@@ -163,7 +163,7 @@
                 orders.append(stop_run(run, now))
             elif pool_state.claim_guard.is_valid(now) and not _is_suspected(pool_state, run):
                 # The worker may have restarted, and a later owner may have taken the run's end.
-                run.sent_at = now
+                run.sent_at = run.start_sent_at = now
                 run.unanswered_starts += 1
                 orders.append(make_start_order(job, run))
     return orders
--- a/limpetpulley/pool/starts.py
+++ b/limpetpulley/pool/starts.py
@@ -149,7 +149,7 @@
     :param number: run number, None to allocate a new one
     """
     run = pool_state.create_run(task, worker, now, number)
-    run.sent_at = now
+    run.sent_at = run.start_sent_at = now
     return make_start_order(job, run)
 
 
--- a/limpetpulley/pool/state.py
+++ b/limpetpulley/pool/state.py
@@ -418,7 +418,9 @@
             for run in list(worker.runs.values()):
                 self.drop_run(run, Proof.LEASE_LAPSED)
             return
-        sent_at = max(worker.suspected_at, *(run.sent_at for run in worker.runs.values()))
+        starts = (run.start_sent_at for run in worker.runs.values())
+        extended_at = worker.lease.latest_extension(self.lease_seconds)
+        sent_at = max(worker.suspected_at, extended_at, *starts)
         self.replace_incarnation(worker, worker.suspected, "listed", Proof.LEASE_LAPSED)
         worker.restarted_at = sent_at
 
@@ -549,7 +551,8 @@
         worker.processed_through = worker.stored_through = 0
         worker.reconciled, worker.reconciled_at = False, None
         self._avoid_late_acknowledgement(worker, next_life)
-        worker.restarted_at = max(self.scanned_at, worker.last_reply_at)
+        if worker.restarted_at is None:
+            worker.restarted_at = max(self.scanned_at, worker.last_reply_at)
         worker.suspected = None
         self.progress.remove_worker(worker.worker_id)
         self.on_event(
--- a/limpetpulley/workers/lease.py
+++ b/limpetpulley/workers/lease.py
@@ -80,6 +80,15 @@
             return False
         return self.min_worker_time(now) >= self.until_seconds
 
+    def latest_extension(self, length_seconds: float) -> float:
+        """Return the latest local time at which a call can have extended the lease.
+
+        :param length_seconds: lease that each call requests, in seconds
+        """
+        assert self.worker_seconds is not None, "no lease before the worker's clock is known"
+        left_seconds = (self.until_seconds - self.worker_seconds) / MIN_CLOCK_RATE
+        return self.received_at + left_seconds - length_seconds
+
     def reset(self) -> None:
         """Discard the worker's time and lease, because its new incarnation has a new clock."""
         self.worker_seconds = None
--- a/limpetpulley/workers/state.py
+++ b/limpetpulley/workers/state.py
@@ -147,6 +147,8 @@
     :param charge: capacity that it reserves on the worker
     :param ordered_at: local time of the start order, None for a run adopted from an earlier owner
     :param sent_at: local time when the last order for it was sent, 0 if an order is yet to be sent
+    :param start_sent_at: local time when the last start order for it was sent, 0 for a run adopted
+        from an earlier owner
     :param settled_at: worker time by which the last order has taken effect: if a later list of the
         worker does not contain the run, it no longer exists; None while this is not known
     :param unanswered_starts: start orders that were sent and have no reply; each may still be
@@ -172,6 +174,7 @@
     checkpoint: str = ""
     ordered_at: float | None = None
     sent_at: float = 0.0
+    start_sent_at: float = 0.0
     settled_at: float | None = None
     unanswered_starts: int = 0
     started_at: float | None = None
