Use one monitor of a fleet's runs in the tests of incarnations and of inherited leases

The two files were written side by side and each had the same observe(); test_incarnations.py now imports the other's. No assertion changes. 22 tests of both files pass; formatter and linter are clean.

--- a/limpetpulley/ownership/tests/test_incarnations.py
+++ b/limpetpulley/ownership/tests/test_incarnations.py
@@ -10,9 +10,9 @@
 
 from ...batch import JobSpec, JobState, Step
 from ...exception import WorkerError
-from ...standin.run_monitor import RunMonitor
 from ...standin.workers import MemoryWorker, OrderFaults
 from .test_daemons import TASK, run_scenario
+from .test_inherited_leases import observe
 
 #: number of an incarnation that started while the time of day was ahead, and of the next one
 AHEAD, SET_BACK = 5_000, 3_000
@@ -32,15 +32,6 @@
 LONG_SECONDS, SHORT_SECONDS = 20.0, 0.2
 
 
-def observe(fleet):
-    """Return a monitor of all runs of a fleet."""
-    monitor = RunMonitor(fleet.clock, lambda task: True, lambda task: False)
-    fleet.workers.observer = monitor
-    for worker in fleet.workers.workers.values():
-        worker.observer = monitor
-    return monitor
-
-
 def restart(fleet, name, incarnation):
     """Let a worker end and start again at once; its entry is still that of before."""
     earlier = fleet.workers.workers[name]
