--- a/limpetpulley/ownership/owner.py
+++ b/limpetpulley/ownership/owner.py
@@ -23,7 +23,6 @@
 from ..peer import batch_pb2 as pb
 from ..pool import Order, PlanningLimits, PoolEvent, PoolState, plan_orders
 from ..pool.late_starts import LATE_STOP_INTERVAL_SECONDS, awaits_next_incarnations
-from ..pool.state import MAX_ORDER_DELAY_SECONDS
 from ..quota.shares import TeamShares
 from ..scheduling.arrivals import ArrivalEstimator
 from ..scheduling.batch_admission import Verdict
@@ -43,6 +42,7 @@
 from .ticket_fetcher import TicketFetcher
 from .unknown_cancels import UnknownCancels
 from .worker_client import (
+    EARLIER_CALLS_SECONDS,
     MAX_UNRENEWED_CLAIM_SECONDS,
     WorkerClient,
     format_task,
@@ -79,10 +79,6 @@
 #: ends in a row of a loop without which nothing is stored or started that end the owner
 MAX_NEEDED_LOOP_ENDS = 4
 
-#: longest time after a claim for which a worker may carry out a call of an earlier owner that
-#: extends a lease, in seconds
-EARLIER_CALLS_SECONDS = MAX_UNRENEWED_CLAIM_SECONDS / MIN_CLOCK_RATE + MAX_ORDER_DELAY_SECONDS
-
 #: events that are logged with the time since the claim was last renewed: another owner may have
 #: extended leases or taken ends since then
 CLAIM_EVENTS = frozenset({"run-adopted", "run-dropped", "worker-given-up", "worker-restarted"})
--- a/limpetpulley/ownership/share_manager.py
+++ b/limpetpulley/ownership/share_manager.py
@@ -18,6 +18,7 @@
 from ..quota.share_records import QueueChange, QueuedWork, ResourceTriple, ShareChange, ShareRecord
 from ..quota.shares import TeamShares
 from ..store import Compare, Entry, Put
+from .abandoned_shares import AbandonedShares, without_pool
 from .context import DaemonContext
 from .record_retries import concerns_record
 from .writer import PAIRS_PER_TRANSACTION, OwnerWriter
@@ -50,6 +51,7 @@
         self.shares = shares
         self.queue = ShareQueue(shares)
         self.writer = writer
+        self.abandoned = AbandonedShares(context, pool_state.pool)
         self.config_version = -1
         self.loaded_at = 0.0
         self.shortage_found = anyio.Event()
@@ -172,11 +174,29 @@
         if not is_reload_due and not self._plan_changes(work) and not self._plan_queues(work):
             return
         await self._read()
+        await self._return_abandoned()
         for plan in (self._plan_changes, self._plan_queues):
             changes = plan(self._queued_work())
             if changes:
                 await self._store(changes)
 
+    async def _return_abandoned(self) -> None:
+        """Return the shares of pools that were removed and have no owner, one pool at a time."""
+        for pool in await self.abandoned.check(self._limited_records()):
+            changes = without_pool(self._limited_records(), pool)[:PAIRS_PER_TRANSACTION]
+            self.context.log.write(
+                "share-abandoned",
+                pool=self.pool_state.pool,
+                removed=pool,
+                teams=[change.team for change in changes],
+            )
+            # Nobody may claim the pool meanwhile.
+            await self._store(changes, [Compare(self.context.keys.owner(pool), 0)])
+
+    def _limited_records(self) -> dict[str, ShareRecord]:
+        """Return what is stored of the teams that have a limit."""
+        return {team: self.shares.records.get(team, ShareRecord()) for team in self.shares.limits}
+
     def _is_reload_due(self) -> bool:
         """Return whether the store may tell what matters here.
 
@@ -187,8 +207,13 @@
             return True
         return age >= RELOAD_INTERVAL_SECONDS and self.has_shortage()
 
-    async def _store(self, changes: Sequence[ShareChange | QueueChange]) -> None:
-        """Store changes; if one record of several fails, store each alone."""
+    async def _store(
+        self, changes: Sequence[ShareChange | QueueChange], conditions: Sequence[Compare] = ()
+    ) -> None:
+        """Store changes; if one record of several fails, store each alone.
+
+        :param conditions: what must hold besides
+        """
         writes = [self._encode(change) for change in changes]
         compares = [
             Compare(write.key, change.revision)
@@ -196,7 +221,7 @@
         ]
         self.shares.mark_pending(each for each in changes if isinstance(each, ShareChange))
         try:
-            stored = await self.writer.commit(compares, writes)
+            stored = await self.writer.commit([*conditions, *compares], writes)
         except (StoreUnavailable, StoreError) as error:
             if not concerns_record(error):
                 raise
@@ -210,7 +235,7 @@
                 await anyio.sleep(FAULT_DELAY_SECONDS)
                 return
             for change in changes:
-                await self._store([change])
+                await self._store([change], conditions)
             return
         if stored:
             await self._read()
--- a/limpetpulley/ownership/worker_client.py
+++ b/limpetpulley/ownership/worker_client.py
@@ -16,10 +16,17 @@
     process_stop_reply,
     requeue_speculative_tasks,
 )
+from ..pool.state import MAX_ORDER_DELAY_SECONDS
 from ..workers import PaceOrder, RunPhase, StartOrder, StopOrder, Worker
+from ..workers.lease import MIN_CLOCK_RATE
 from .context import DaemonContext
 
-__all__ = ["MAX_UNRENEWED_CLAIM_SECONDS", "WorkerClient", "requested_lease_seconds"]
+__all__ = [
+    "EARLIER_CALLS_SECONDS",
+    "MAX_UNRENEWED_CLAIM_SECONDS",
+    "WorkerClient",
+    "requested_lease_seconds",
+]
 
 #: fraction of the longest lease that is requested; the rest is a margin for a slow worker clock
 LEASE_FRACTION = 0.9
@@ -45,6 +52,9 @@
 #: owner can thus tell when runs on workers that it cannot reach have ended. Longer than the usual
 #: outages of the store
 MAX_UNRENEWED_CLAIM_SECONDS = 11.0
+#: longest time after a claim for which a worker may carry out a call of an earlier owner that
+#: extends a lease, in seconds
+EARLIER_CALLS_SECONDS = MAX_UNRENEWED_CLAIM_SECONDS / MIN_CLOCK_RATE + MAX_ORDER_DELAY_SECONDS
 #: shortest lease that is requested, in seconds
 MIN_LEASE_SECONDS = 0.3
 #: delay after a hold without an answer, in seconds
