--- a/limpetpulley/ownership/admission.py
+++ b/limpetpulley/ownership/admission.py
@@ -19,6 +19,7 @@
     predict_immediate_start,
     remaining_work,
 )
+from ..pool.queued_work import lasting_need
 from ..quota.shares import TeamShares
 from ..scheduling.arrivals import ArrivalEstimator
 from ..scheduling.batch_admission import (
@@ -52,6 +53,9 @@
 WORKERS_LEAVING = "workers-leaving"
 #: refusal reason for a job with a gang that would fit if VMs that have left the pool were back
 WORKERS_AWAY = "workers-away"
+#: refusal reason for a job with a task that does not fit its team's limit beside tasks that run
+#: until their jobs are cancelled
+LIMIT_IN_LASTING_USE = "limit-in-lasting-use"
 #: time from a refusal until VMs that it has brought back take tasks, beyond their move, in seconds
 RETURN_SECONDS = 1.0
 #: interval between checks of jobs in doubt, in seconds; a check does not wait for earlier ones, so
@@ -154,10 +158,13 @@
             work, now = remaining_work(self.pool_state, job), self.context.clock.now()
             verdict = self.assess(job, submission)
             self._log_verdict(submission, verdict)
-            if not (job.spec.lasting or job.spec.timed or verdict.reason == FITS_NOWHERE):
+            is_possible = verdict.reason not in (FITS_NOWHERE, LIMIT_IN_LASTING_USE)
+            if is_possible and not (job.spec.lasting or job.spec.timed):
                 self.arriving_work.note(now, submission.job_id, work, self._slack_seconds(job))
             if not verdict.accepted:
-                self.refused_work.note(now, submission.job_id, work)
+                if verdict.reason != LIMIT_IN_LASTING_USE:
+                    # More VMs would not help that one.
+                    self.refused_work.note(now, submission.job_id, work)
                 return verdict
             outcome = self._store_description(job)
         elif outcome.job.key != key:
@@ -342,6 +349,8 @@
             return Verdict(False, retry_seconds=wait, reason=WORKERS_AWAY)
         if unfit:
             return Verdict(False, retry_seconds=LONGEST_RETRY_SECONDS, reason=FITS_NOWHERE)
+        if not self._fits_beside_lasting(job):
+            return Verdict(False, retry_seconds=LONGEST_RETRY_SECONDS, reason=LIMIT_IN_LASTING_USE)
         if self._needs_leaving_workers(job, workers):
             # They are kept for it, if they have not left when the planner learns of the need.
             self.pool_state.placement_needs.note_submitted(job, self.context.clock.now())
@@ -385,6 +394,18 @@
             if PlacementNeed.of(step) is not None
         )
 
+    def _fits_beside_lasting(self, job: Job) -> bool:
+        """Return whether each task or gang fits its team's limit beside what lasts in this pool.
+
+        What lasts when a timed job is due is not known.
+        """
+        if job.spec.timed or job.team not in self.shares.limits:
+            return True
+        lasting = lasting_need(self.pool_state, job.team)
+        return all(
+            self.shares.fits_limit(job.team, lasting + step.start_charge) for step in job.spec.steps
+        )
+
     def _fits_empty_pool(self, step: Step, team: str, workers: list[Worker]) -> bool:
         """Return whether a step could run if nothing else did: a gang all at once."""
         if not self.shares.fits_limit(team, step.start_charge):
--- a/limpetpulley/pool/queued_work.py
+++ b/limpetpulley/pool/queued_work.py
@@ -11,7 +11,7 @@
 from .queue_forecast import available_workers
 from .state import PoolState
 
-__all__ = ["queued_work"]
+__all__ = ["lasting_need", "queued_work"]
 
 
 def queued_work(pool_state: PoolState, teams: Container[str], now: float) -> dict[str, QueuedWork]:
@@ -44,6 +44,16 @@
     }
 
 
+def lasting_need(pool_state: PoolState, team: str) -> Amount:
+    """Return what a team's tasks need that run until cancelled; each counts once."""
+    charges: dict[TaskId, Amount] = {}
+    for run in pool_state.runs.values():
+        job = pool_state.jobs.get(run.task.job_id)
+        if run.team == team and job is not None and job.step_of(run.task).lasting:
+            charges[run.task] = run.charge
+    return sum(charges.values(), Amount())
+
+
 def _lasting_usage(pool_state: PoolState) -> dict[str, Amount]:
     """Return what runs until its jobs are cancelled, by team."""
     usage: dict[str, Amount] = {}
