--- a/limpetpulley/ownership/tests/test_cancel_conditions.py
+++ b/limpetpulley/ownership/tests/test_cancel_conditions.py
@@ -7,12 +7,18 @@
 from testtools.matchers import Equals, LessThan
 
 from ...batch import Amount, Job, JobKey, JobSpec, JobState, Step
-from ...exception import StoreFault
+from ...exception import StoreFault, StoreUnavailable
 from ...store import Put
 from .. import Outcome, Submission
 from ..unknown_cancels import UnknownCancels, encode_cancels
 from ..writer import MAX_TRANSACTION_ENTRIES, StoreOutcome
-from .test_cancel import JOB_ID, LateWrites, cancel_until_answered, runs_of_job
+from .test_cancel import (
+    JOB_ID,
+    LateWrites,
+    cancel_until_answered,
+    change_owner,
+    runs_of_job,
+)
 from .test_daemons import lasting_spec, run_scenario
 from .test_writer import run_scenario as run_writer
 
@@ -91,6 +97,21 @@
     assert_that((results, runs), Equals((expected, [])))
 
 
+# Guards against a repeated cancel that is forgotten, or deleted, when the first one would be.
+def test_cancel_that_is_repeated_elsewhere_holds_from_its_last_time_on():
+    async def scenario(deployment):
+        owner = deployment.fleet.owner_of("desk")
+        queue, results = deployment.fleet.config.queues["desk"], []
+        for job_id, wait_seconds in (("0" * 16, 13.0), ("1" * 16, 8.0)):
+            store_cancel(deployment)
+            results.append(await submit_to(deployment, owner, queue, job_id))
+            await anyio.sleep(wait_seconds)
+        results.append(await submit_to(deployment, owner, queue))
+        return [result.reason for result in results]
+
+    assert_that(run_scenario(scenario), Equals(["", "", "cancelled"]))
+
+
 # Guards against a write that the store carries out after a cancel of its job was acknowledged.
 @pytest.mark.parametrize("late", [True, False], ids=["late", "lost"])
 @pytest.mark.parametrize("lost", [1, 2])
@@ -147,6 +168,39 @@
     assert_that(run_scenario(scenario), Equals((True, None)))
 
 
+class SilentReads:
+    """A store that does not answer the first reads of the records of cancels."""
+
+    def __init__(self, store, prefix, count):
+        self.store, self.prefix, self.count = store, prefix, count
+
+    def __getattr__(self, name):
+        return getattr(self.store, name)
+
+    async def read(self, prefix):
+        if prefix == self.prefix and self.count:
+            self.count -= 1
+            raise StoreUnavailable("no answer")
+        return await self.store.read(prefix)
+
+
+# Guards against cancels whose time never begins, since the store was silent as they were read.
+@pytest.mark.parametrize("count", [1, 2])
+def test_cancels_are_read_again_after_the_store_was_silent(count):
+    async def scenario(deployment):
+        fleet = deployment.fleet
+        key = next(iter(fleet.daemons.values())).node.context.keys.cancels("desk")
+        await cancel_until_answered(deployment, fleet.owner_of("desk"))
+        for daemon in fleet.daemons.values():
+            context = daemon.node.context
+            context.store = SilentReads(context.store, context.keys.unknown_cancels, count)
+        await change_owner(deployment, "kill")
+        await anyio.sleep(35.0)
+        return await fleet.store.get(key)
+
+    assert_that(run_scenario(scenario), Equals(None))
+
+
 class UnreadableCancels:
     """A store that fails whenever a record of cancels is read."""
 
--- a/limpetpulley/ownership/unknown_cancels.py
+++ b/limpetpulley/ownership/unknown_cancels.py
@@ -87,6 +87,7 @@
         self.pool = pool
         self.writer = writer
         self.queues: dict[str, _QueueCancels] = {}
+        self.is_loaded = False
         self.stopped = False
         self.retry_delay = RETRY_DELAY_SECONDS
         self.write_needed = anyio.Event()
@@ -130,8 +131,8 @@
         """Store cancels until cancelled; delete a record when none of its cancels is needed."""
         self.stopped = False
         try:
-            await self._load()
             while True:
+                await self._load()
                 with anyio.move_on_after(CLEANUP_INTERVAL_SECONDS):
                     await self.write_needed.wait()
                 self.write_needed = anyio.Event()
@@ -180,16 +181,19 @@
     # Records
 
     async def _load(self) -> None:
-        """Read the cancels of other owners, so that their time begins.
+        """Read the cancels of other owners once, so that their time begins.
 
-        What is not read now is when a job of its queue is stored.
+        Nothing waits for it: what is not read yet is when a job of its queue is stored.
         """
+        if self.is_loaded:
+            return
         prefix = self.context.keys.unknown_cancels
         try:
             entries = (await self.context.store.read(prefix)).entries
         except StoreError as error:
             self._log_unreadable(prefix, error)
             return
+        self.is_loaded = True
         for entry in entries:
             queue = entry.key.removeprefix(prefix)
             if entry.revision > self._of(queue).revision:
@@ -265,9 +269,11 @@
             rows = decode_cancels(entry.value) if entry is not None else ()
         except RecordError as error:
             self._log_unreadable(self.context.keys.cancels(queue), error)
-        for key in rows:
-            self._of(key.queue).cancelled_at.setdefault(key, now)
-        cancels.revision = entry.revision if entry is not None else 0
+        revision = entry.revision if entry is not None else 0
+        for key in rows if revision != cancels.revision else ():
+            # Each may have been repeated since the revision that was known.
+            self._of(key.queue).cancelled_at[key] = now
+        cancels.revision = revision
         cancels.stored = frozenset(rows)
         cancels.is_outdated = cancels.is_unreadable = False
 
