--- a/limpetpulley/ownership/abandoned_shares.py
+++ b/limpetpulley/ownership/abandoned_shares.py
@@ -12,6 +12,7 @@
 
 from ..exception import StoreError
 from ..quota.share_records import QueueChange, ShareChange, ShareRecord
+from ..store import Compare
 from ..workers.lease import MIN_CLOCK_RATE
 from .context import DaemonContext
 from .record_retries import concerns_record
@@ -23,51 +24,74 @@
 CHECK_INTERVAL_SECONDS = 1.0
 
 
+@attrs.frozen
+class _Unowned:
+    """A pool without an owner.
+
+    :param since: local time since which it was seen so
+    :param last_claim: revision of the record that each claim of the pool writes
+    """
+
+    since: float
+    last_claim: int
+
+
 @attrs.define
 class AbandonedShares:
     """Finds pools that hold shares though nothing of theirs can run any more.
 
+    :param context: the daemon's services and the configuration
     :param pool: the pool whose owner looks for them
-    :param unowned_since: local time since which each pool was seen without an owner
+    :param unowned: pools that were seen without an owner
     :param checked_at: local time of the last check
     """
 
     context: DaemonContext
     pool: str
-    unowned_since: dict[str, float] = attrs.field(factory=dict)
+    unowned: dict[str, _Unowned] = attrs.field(factory=dict)
     checked_at: float = 0.0
 
-    async def check(self, records: Mapping[str, ShareRecord]) -> list[str]:
+    async def check(self, records: Mapping[str, ShareRecord]) -> dict[str, list[Compare]]:
         """Return the pools that have had no owner for longer than a run can last without one.
 
         :param records: division of each team's limit
+        :returns: for each, the conditions under which that is still so
         :raises StoreUnavailable: if the store does not answer
         """
-        now, removed = self.context.clock.now(), self._removed_pools(records)
-        self.unowned_since = {
-            pool: since for pool, since in self.unowned_since.items() if pool in removed
-        }
+        now = self.context.clock.now()
         if now - self.checked_at < CHECK_INTERVAL_SECONDS:
-            return []
-        self.checked_at = now
-        for pool in removed:
-            if await self._may_have_owner(pool):
-                self.unowned_since.pop(pool, None)
-            else:
-                self.unowned_since.setdefault(pool, now)
+            return {}
+        self.checked_at, before = now, self.unowned
+        self.unowned = {}
+        for pool in self._removed_pools(records):
+            revision = await self._last_claim(pool)
+            if revision is not None:
+                seen = before.get(pool, _Unowned(now, revision))
+                self.unowned[pool] = (
+                    seen if seen.last_claim == revision else _Unowned(now, revision)
+                )
         longest_hold = self.context.timing.longest_hold / MIN_CLOCK_RATE
         until = now - EARLIER_CALLS_SECONDS - longest_hold
-        return [pool for pool, since in self.unowned_since.items() if since <= until]
+        keys = self.context.keys
+        return {
+            pool: [Compare(keys.owner(pool), 0), Compare(keys.last_owner(pool), seen.last_claim)]
+            for pool, seen in self.unowned.items()
+            if seen.since <= until
+        }
 
-    async def _may_have_owner(self, pool: str) -> bool:
-        key = self.context.keys.owner(pool)
+    async def _last_claim(self, pool: str) -> int | None:
+        """Return the revision of a pool's last claim, None if the pool has an owner or may have."""
+        keys, store = self.context.keys, self.context.store
         try:
-            return await self.context.store.get(key) is not None
+            if await store.get(keys.owner(pool)) is not None:
+                return None
+            last = await store.get(keys.last_owner(pool))
         except StoreError as error:
             if not concerns_record(error):
                 raise
-            self.context.log.write("record-unreadable", key=key, reason=str(error))
-            return True
+            self.context.log.write("record-unreadable", key=keys.owner(pool), reason=str(error))
+            return None
+        return last.revision if last is not None else 0
 
     def _removed_pools(self, records: Mapping[str, ShareRecord]) -> list[str]:
         """Return the pools of records that are not in the configuration."""
--- a/limpetpulley/ownership/share_manager.py
+++ b/limpetpulley/ownership/share_manager.py
@@ -33,6 +33,8 @@
 RELOAD_INTERVAL_SECONDS = 0.2
 #: time between two reads while the pool holds shares, which others may wait for, in seconds
 HELD_RELOAD_INTERVAL_SECONDS = 1.0
+#: largest number of records from which one transaction removes a pool, beside its conditions
+MAX_ABANDONED_CHANGES = PAIRS_PER_TRANSACTION - 1
 #: delay after a record that could not be stored by itself, in seconds
 FAULT_DELAY_SECONDS = 0.2
 
@@ -182,16 +184,16 @@
 
     async def _return_abandoned(self) -> None:
         """Return the shares of pools that were removed and have no owner, one pool at a time."""
-        for pool in await self.abandoned.check(self._limited_records()):
-            changes = without_pool(self._limited_records(), pool)[:PAIRS_PER_TRANSACTION]
+        abandoned = await self.abandoned.check(self._limited_records())
+        for pool, conditions in abandoned.items():
+            changes = without_pool(self._limited_records(), pool)[:MAX_ABANDONED_CHANGES]
             self.context.log.write(
                 "share-abandoned",
                 pool=self.pool_state.pool,
                 removed=pool,
                 teams=[change.team for change in changes],
             )
-            # Nobody may claim the pool meanwhile.
-            await self._store(changes, [Compare(self.context.keys.owner(pool), 0)])
+            await self._store(changes, conditions)
 
     def _limited_records(self) -> dict[str, ShareRecord]:
         """Return what is stored of the teams that have a limit."""
--- a/limpetpulley/ownership/tests/test_abandoned_shares.py
+++ b/limpetpulley/ownership/tests/test_abandoned_shares.py
@@ -9,6 +9,8 @@
 from ...batch import Amount, JobSpec, Step
 from ...batch.records import decode_shares
 from ...exception import StoreFault
+from ...quota.share_records import ShareRecord
+from ...store import Compare
 from .. import Outcome
 from ..abandoned_shares import AbandonedShares
 from ..worker_client import EARLIER_CALLS_SECONDS
@@ -90,7 +92,8 @@
 # Guards against QUOTA: a part that is returned although its pool was claimed after the check.
 def test_part_of_a_pool_that_is_claimed_meanwhile_is_not_returned(monkeypatch):
     async def check(shares, records):
-        return ["tour"]
+        keys = shares.context.keys
+        return {"tour": [Compare(keys.owner("tour"), 0)]} if shares.pool == "desk" else {}
 
     async def scenario(deployment):
         fleet = deployment.fleet
@@ -105,6 +108,30 @@
     assert_that(play(scenario), Equals(["desk", "tour"]))
 
 
+# Guards against QUOTA: a part that is returned though its pool had an owner between two checks.
+@pytest.mark.parametrize(("has_owner", "abandoned"), [(False, ["tour"]), (True, [])])
+def test_time_without_an_owner_begins_anew_after_each_owner(has_owner, abandoned):
+    async def scenario(deployment):
+        fleet = deployment.fleet
+        set_pools(deployment, removed="tour")
+        await end_owner(deployment, "kill")
+        await anyio.sleep(5.0)
+        shares = AbandonedShares(fleet.daemons[fleet.owner_of("desk")].node.context, "desk")
+        records = {"agents": ShareRecord(1, {"tour": (1000, 0, 0)})}
+        await shares.check(records)
+        await anyio.sleep(UNOWNED_SECONDS - 10.0)
+        if has_owner:
+            set_pools(deployment)
+            await anyio.sleep(3.0)
+            set_pools(deployment, removed="tour")
+            await end_owner(deployment, "leave")
+        await anyio.sleep(12.0)
+        shares.context = fleet.daemons[fleet.owner_of("desk")].node.context
+        return list(await shares.check(records))
+
+    assert_that(play(scenario), Equals(abandoned))
+
+
 async def read_shares(context):
     return decode_shares((await context.store.get(context.keys.share("agents"))).value)
 
--- a/limpetpulley/ownership/tests/test_seams.py
+++ b/limpetpulley/ownership/tests/test_seams.py
@@ -72,7 +72,7 @@
 LIMIT_RECORDS = (("share_manager", "_read", "read"),)
 #: seams that the play does not reach, with the tests of what uses them
 NOT_REACHED = {
-    ("abandoned_shares", "_may_have_owner", "get"): "test_abandoned_shares",
+    ("abandoned_shares", "_last_claim", "get"): "test_abandoned_shares",
     ("entry_client", "_call", "call"): "test_entry_client",
     ("worker_client", "send", "pace"): "test_worker_client",
     ("worker_client", "_ask_incarnation", "hold"): "test_worker_client",
