--- a/limpetpulley/ownership/tests/test_owner_failures.py
+++ b/limpetpulley/ownership/tests/test_owner_failures.py
@@ -28,6 +28,7 @@
     "admission": "run_in_doubt_checks",
     "roster": "run",
     "ticket_fetcher": "run",
+    "unknown_cancels": "run",
 }
 OWN_LOOPS = ("_run_planning", "_run_cleanup")
 #: loops without which nothing is stored or started; they fail once
@@ -166,6 +167,7 @@
     "demand_by_team",
     "expected_objective",
     "fits_empty_pool",
+    "lasting_need",
     "least_workers",
     "may_live",
     "needed_workers",
