--- a/limpetpulley/ownership/abandoned_shares.py
+++ b/limpetpulley/ownership/abandoned_shares.py
@@ -1,4 +1,4 @@
-"""Returns what pools hold of teams' limits that are not configured any more and have no owner.
+"""Returns the shares of teams' limits of pools that were removed and have no owner.
 
 Each owner changes only its own pool's share. That of a pool which was removed from the
 configuration would otherwise be held for good once its owner has ended, since nobody claims it.
--- a/limpetpulley/ownership/writer.py
+++ b/limpetpulley/ownership/writer.py
@@ -109,7 +109,7 @@
         ...
 
     def forbids(self, job: Job) -> bool:
-        """Return whether a job must not be stored; no write sent before is applied any more."""
+        """Return whether a job must not be stored. Writes that were sent before have no effect."""
         ...
 
 
@@ -554,9 +554,9 @@
         return True
 
     async def _settle_forbidden(self, outcome: StoreOutcome) -> bool:
-        """Settle the outcome of a job that must not be stored any more; return whether it is one.
+        """Settle the outcome of a job that must not be stored any more; return whether it is known.
 
-        It may be stored already: then its cancel has been told so, and comes to the job's pool.
+        If an earlier write has stored the job, its cancel is sent to the owner of its pool.
         """
         if not outcome.settled.is_set() and self.creation_guard.forbids(outcome.job):
             is_stored = await self.read_stored(outcome)
